Lay the workspace: common types, borders to platform, upstreams and peers

The parts are to be built side by side, so their borders come first: prelude, traits of the platform, engines, plain services and peer links, the objects of a configuration, and in-memory stand-ins for the key-value service and the links with faults to inject.

--- /dev/null
+++ b/components/claims/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once execution of requests that carry an idempotency key.
--- /dev/null
+++ b/components/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The node: joins every part into the binary lycheelatchd.
--- /dev/null
+++ b/components/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! The node.
+
+fn main() {}
--- /dev/null
+++ b/components/fakes/src/kv.rs
@@ -0,0 +1,298 @@
+//! Key-value service in memory.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    future::pending,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use lycheelatch_platform::{
+    CasOutcome, Entry, KeyValue, KvError, KvKey, LeaseId, MAX_VALUE_BYTES, Version, WatchIndex,
+    Watched,
+};
+use tokio::{
+    sync::Notify,
+    time::{Instant, sleep, timeout},
+};
+
+use crate::{Fault, Faults};
+
+/// Calls that a [`MemoryKv`] has counted, refused ones included.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct KvCalls {
+    /// Reads: `get`, `list` and `watch`.
+    pub reads: u64,
+    /// Writes: compare-and-swap, deletions and everything about leases.
+    pub writes: u64,
+}
+
+/// Key-value service in memory; clones share their content.
+#[derive(Clone, Default)]
+pub struct MemoryKv {
+    shared: Arc<Shared>,
+    /// Faults to show.
+    pub faults: Faults,
+}
+
+#[derive(Default)]
+struct Shared {
+    data: Mutex<Data>,
+    changed: Notify,
+    reads: AtomicU64,
+    writes: AtomicU64,
+}
+
+#[derive(Default)]
+struct Data {
+    index: u64,
+    entries: BTreeMap<KvKey, Entry>,
+    leases: HashMap<Arc<str>, Lease>,
+}
+
+struct Lease {
+    ttl: Duration,
+    ends: Instant,
+}
+
+impl Data {
+    fn next_index(&mut self) -> u64 {
+        self.index += 1;
+        self.index
+    }
+
+    fn put(&mut self, key: &KvKey, value: Bytes, lease: Option<LeaseId>) {
+        let version = Version(self.next_index());
+        let entry = Entry { key: key.clone(), value, version, lease };
+        self.entries.insert(key.clone(), entry);
+    }
+
+    fn version_of(&self, key: &KvKey) -> Option<Version> {
+        self.entries.get(key).map(|entry| entry.version)
+    }
+
+    fn end_lapsed_leases(&mut self) {
+        let now = Instant::now();
+        let lapsed: Vec<_> =
+            self.leases.iter().filter(|(_, l)| l.ends <= now).map(|(id, _)| id.clone()).collect();
+        for id in lapsed {
+            self.end_lease(&id);
+        }
+    }
+
+    fn end_lease(&mut self, id: &Arc<str>) {
+        self.leases.remove(id);
+        let held =
+            self.entries.values_mut().filter(|e| e.lease.as_ref().is_some_and(|l| l.0 == *id));
+        for entry in held {
+            self.index += 1;
+            entry.lease = None;
+            entry.version = Version(self.index);
+        }
+    }
+
+    fn below(&self, prefix: &KvKey) -> Vec<Entry> {
+        self.entries
+            .range(prefix.clone()..)
+            .take_while(|(key, _)| key.as_str().starts_with(prefix.as_str()))
+            .map(|(_, entry)| entry.clone())
+            .collect()
+    }
+
+    fn last_change_below(&self, prefix: &KvKey) -> u64 {
+        self.below(prefix).iter().map(|entry| entry.version.0).max().unwrap_or(0)
+    }
+}
+
+impl MemoryKv {
+    /// Creates an empty service.
+    pub fn new() -> MemoryKv {
+        MemoryKv::default()
+    }
+
+    /// Returns the calls counted so far.
+    pub fn calls(&self) -> KvCalls {
+        KvCalls {
+            reads: self.shared.reads.load(Ordering::Relaxed),
+            writes: self.shared.writes.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Reads below a prefix without counting, for a test's own look.
+    pub fn peek(&self, prefix: &str) -> Vec<Entry> {
+        self.shared.data.lock().unwrap().below(&KvKey::new(prefix))
+    }
+
+    async fn read<T>(
+        &self,
+        act: impl FnOnce(&mut Data) -> Result<T, KvError>,
+    ) -> Result<T, KvError> {
+        self.shared.reads.fetch_add(1, Ordering::Relaxed);
+        self.call(act).await
+    }
+
+    async fn write<T>(
+        &self,
+        act: impl FnOnce(&mut Data) -> Result<T, KvError>,
+    ) -> Result<T, KvError> {
+        self.shared.writes.fetch_add(1, Ordering::Relaxed);
+        let result = self.call(act).await;
+        self.shared.changed.notify_waiters();
+        result
+    }
+
+    async fn call<T>(
+        &self,
+        act: impl FnOnce(&mut Data) -> Result<T, KvError>,
+    ) -> Result<T, KvError> {
+        let lost = || KvError::AnswerLost { reason: "told to lose the answer".into() };
+        match self.faults.next() {
+            Fault::None => self.act(act),
+            Fault::Refuse => Err(KvError::Unavailable { reason: "told to refuse".into() }),
+            Fault::LoseAnswer => {
+                let _lost_answer = self.act(act);
+                Err(lost())
+            }
+            Fault::Slow(delay) => {
+                sleep(delay).await;
+                self.act(act)
+            }
+            Fault::SlowThenLoseAnswer(delay) => {
+                sleep(delay).await;
+                let _lost_answer = self.act(act);
+                Err(lost())
+            }
+            Fault::Silent => pending().await,
+        }
+    }
+
+    fn act<T>(&self, act: impl FnOnce(&mut Data) -> Result<T, KvError>) -> Result<T, KvError> {
+        let mut data = self.shared.data.lock().unwrap();
+        data.end_lapsed_leases();
+        act(&mut data)
+    }
+}
+
+fn check_size(key: &KvKey, value: &Bytes) -> Result<(), KvError> {
+    if value.len() > MAX_VALUE_BYTES {
+        return Err(KvError::TooLarge { key: key.clone(), bytes: value.len() });
+    }
+    Ok(())
+}
+
+#[async_trait(?Send)]
+impl KeyValue for MemoryKv {
+    async fn get(&self, key: &KvKey) -> Result<Option<Entry>, KvError> {
+        self.read(|data| Ok(data.entries.get(key).cloned())).await
+    }
+
+    async fn list(&self, prefix: &KvKey) -> Result<Vec<Entry>, KvError> {
+        self.read(|data| Ok(data.below(prefix))).await
+    }
+
+    async fn compare_and_swap(
+        &self,
+        key: &KvKey,
+        expected: Option<Version>,
+        value: Bytes,
+    ) -> Result<CasOutcome, KvError> {
+        check_size(key, &value)?;
+        self.write(|data| {
+            if data.version_of(key) != expected {
+                return Ok(CasOutcome::Conflict);
+            }
+            let lease = data.entries.get(key).and_then(|entry| entry.lease.clone());
+            data.put(key, value, lease);
+            Ok(CasOutcome::Written)
+        })
+        .await
+    }
+
+    async fn delete(&self, key: &KvKey, expected: Version) -> Result<CasOutcome, KvError> {
+        self.write(|data| {
+            if data.version_of(key) != Some(expected) {
+                return Ok(CasOutcome::Conflict);
+            }
+            data.entries.remove(key);
+            data.next_index();
+            Ok(CasOutcome::Written)
+        })
+        .await
+    }
+
+    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, KvError> {
+        self.write(|data| {
+            let id: Arc<str> = format!("lease-{}", data.next_index()).into();
+            data.leases.insert(id.clone(), Lease { ttl, ends: Instant::now() + ttl });
+            Ok(LeaseId(id))
+        })
+        .await
+    }
+
+    async fn renew_lease(&self, lease: &LeaseId) -> Result<(), KvError> {
+        self.write(|data| {
+            let lease = data.leases.get_mut(&lease.0).ok_or(KvError::LeaseEnded)?;
+            lease.ends = Instant::now() + lease.ttl;
+            Ok(())
+        })
+        .await
+    }
+
+    async fn revoke_lease(&self, lease: &LeaseId) -> Result<(), KvError> {
+        self.write(|data| {
+            data.end_lease(&lease.0);
+            Ok(())
+        })
+        .await
+    }
+
+    async fn acquire(
+        &self,
+        key: &KvKey,
+        value: Bytes,
+        lease: &LeaseId,
+    ) -> Result<CasOutcome, KvError> {
+        check_size(key, &value)?;
+        self.write(|data| {
+            if !data.leases.contains_key(&lease.0) {
+                return Err(KvError::LeaseEnded);
+            }
+            let holder = data.entries.get(key).and_then(|entry| entry.lease.clone());
+            if holder.is_some_and(|holder| holder != *lease) {
+                return Ok(CasOutcome::Conflict);
+            }
+            data.put(key, value, Some(lease.clone()));
+            Ok(CasOutcome::Written)
+        })
+        .await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &KvKey,
+        after: WatchIndex,
+        wait: Duration,
+    ) -> Result<Watched, KvError> {
+        let ends = Instant::now() + wait;
+        loop {
+            let changed = self.shared.changed.notified();
+            let watched = self
+                .read(|data| {
+                    let index = WatchIndex(data.index);
+                    let fresh = data.last_change_below(prefix) > after.0 || after.0 == 0;
+                    Ok((fresh, Watched { index, entries: data.below(prefix) }))
+                })
+                .await?;
+            let left = ends.saturating_duration_since(Instant::now());
+            if watched.0 || left.is_zero() {
+                return Ok(watched.1);
+            }
+            let _timed_out = timeout(left, changed).await;
+        }
+    }
+}
--- /dev/null
+++ b/components/fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Leases, orders to engines, scaling and reclaims.
--- /dev/null
+++ b/components/operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' API over HTTP.
--- /dev/null
+++ b/components/platform/src/lib.rs
@@ -0,0 +1,19 @@
+//! What the platform gives: traits at the border and their HTTP clients.
+//!
+//! The traits are the only way that the rest of the system meets the
+//! platform. Futures are not `Send`: each runs on the thread that made it.
+
+mod cloud;
+mod instances;
+mod kv;
+mod weights;
+
+pub use cloud::{
+    Cloud, CloudError, Instance, InstanceState, Offer, Purchase, ReclaimNotice, StartInstance,
+};
+pub use instances::{InstanceList, InstanceListError, ListedInstance, ListedState};
+pub use kv::{
+    CasOutcome, Entry, KeyValue, KvError, KvKey, LeaseId, MAX_VALUE_BYTES, Version, WatchIndex,
+    Watched,
+};
+pub use weights::{WeightInfo, WeightStore, WeightStoreError};
--- /dev/null
+++ b/components/policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions as plain functions: admission, limits, retries, placement, outcomes.
--- /dev/null
+++ b/components/prelude/src/error.rs
@@ -0,0 +1,56 @@
+//! The error of a value that does not parse.
+
+use displaydoc::Display;
+
+/// Longest part of an offending value that an error repeats, in characters.
+const MAX_SHOWN_CHARS: usize = 80;
+
+/// {field} "{value}": {reason}
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub struct InvalidValue {
+    /// Field that holds the value, as its author wrote it.
+    pub field: String,
+    /// The value as given, shortened when it is long.
+    pub value: String,
+    /// Why the value can't be taken.
+    pub reason: String,
+}
+
+impl InvalidValue {
+    /// Creates an error about `value` in `field`.
+    pub fn new(field: impl Into<String>, value: &str, reason: impl Into<String>) -> InvalidValue {
+        InvalidValue { field: field.into(), value: shorten(value), reason: reason.into() }
+    }
+
+    /// Returns the same error about a field that lies below `parent`.
+    pub fn below(mut self, parent: &str) -> InvalidValue {
+        self.field = format!("{parent}.{}", self.field);
+        self
+    }
+}
+
+impl std::error::Error for InvalidValue {}
+
+fn shorten(value: &str) -> String {
+    match value.char_indices().nth(MAX_SHOWN_CHARS) {
+        Some((end, _)) => format!("{}…", &value[..end]),
+        None => value.to_owned(),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn new_long_value_is_shortened() {
+        let err = InvalidValue::new("service", &"x".repeat(500), "too long");
+        assert_eq!(err.value.chars().count(), MAX_SHOWN_CHARS + 1);
+    }
+
+    #[test]
+    fn display_names_field_and_value() {
+        let err = InvalidValue::new("name", "A b", "has a space").below("services[0]");
+        assert_eq!(err.to_string(), "services[0].name \"A b\": has a space");
+    }
+}
--- /dev/null
+++ b/components/proxy/src/lib.rs
@@ -0,0 +1,1 @@
+//! The request pipeline between callers and upstreams.
--- /dev/null
+++ b/components/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings of one node, read from JSON and checked as a whole.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
