Read settings; speak to the platform and upstreams over HTTP

Settings name every error at once by path. Clients of the key-value service (Consul's documented shape), instance list, cloud, weight store, engines and plain services stand beside stand-ins that serve the same over loopback.

--- a/components/fakes/src/lib.rs
+++ b/components/fakes/src/lib.rs
@@ -5,9 +5,14 @@
 //! Nothing here is linked into the two binaries.
 
 mod faults;
+mod http;
 mod kv;
 mod link;
 
 pub use faults::{Fault, Faults};
+pub use http::{
+    EngineConfig, EngineCounts, HttpServerHandle, ServedEngine, ServedPlain, ServedPlatform,
+    serve_engine, serve_plain, serve_platform,
+};
 pub use kv::{KvCalls, MemoryKv};
 pub use link::MemoryNet;
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -4,6 +4,7 @@
 //! platform. Futures are not `Send`: each runs on the thread that made it.
 
 mod cloud;
+mod http;
 mod instances;
 mod kv;
 mod weights;
@@ -11,6 +12,7 @@
 pub use cloud::{
     Cloud, CloudError, Instance, InstanceState, Offer, Purchase, ReclaimNotice, StartInstance,
 };
+pub use http::{Endpoint, HttpCloud, HttpInstanceList, HttpKeyValue, HttpWeightStore, wire};
 pub use instances::{InstanceList, InstanceListError, ListedInstance, ListedState};
 pub use kv::{
     CasOutcome, Entry, KeyValue, KvError, KvKey, LeaseId, MAX_VALUE_BYTES, Version, WatchIndex,
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -1,1 +1,15 @@
-//! Settings of one node, read from JSON and checked as a whole.
+//! Settings of one node, written in JSON and checked as a whole.
+//!
+//! [`Settings::from_json`] names every error of a text at once, each with the
+//! path of its field. Unknown fields are refused.
+
+mod reader;
+mod settings;
+mod units;
+
+pub use settings::{
+    CallerSettings, EndpointSettings, KeyValueSettings, LogFormat, LogSettings, OperatorRole,
+    OperatorSettings, OperatorTokenSettings, PeerSettings, PlatformSettings, Settings,
+    SettingsError, StopSettings,
+};
+pub use units::{parse_duration, parse_size};
--- /dev/null
+++ b/components/settings/src/reader.rs
@@ -0,0 +1,180 @@
+//! Reads a JSON object field by field and collects every error.
+
+use std::{cell::RefCell, time::Duration};
+
+use lycheelatch_prelude::InvalidValue;
+use serde_json::{Map, Value};
+
+use crate::{parse_duration, parse_size};
+
+/// Errors found so far.
+#[derive(Default)]
+pub(crate) struct Errors(RefCell<Vec<InvalidValue>>);
+
+impl Errors {
+    pub(crate) fn push(&self, err: InvalidValue) {
+        self.0.borrow_mut().push(err);
+    }
+
+    pub(crate) fn into_vec(self) -> Vec<InvalidValue> {
+        self.0.into_inner()
+    }
+}
+
+/// One JSON object being read; fields that nobody took are errors.
+pub(crate) struct Reader<'a> {
+    path: String,
+    fields: Map<String, Value>,
+    errors: &'a Errors,
+}
+
+impl<'a> Reader<'a> {
+    pub(crate) fn new(path: &str, value: Value, errors: &'a Errors) -> Reader<'a> {
+        let fields = match value {
+            Value::Object(fields) => fields,
+            other => {
+                let shown = if path.is_empty() { "(root)" } else { path };
+                errors.push(InvalidValue::new(shown, &other.to_string(), "must be an object"));
+                Map::new()
+            }
+        };
+        Reader { path: path.to_owned(), fields, errors }
+    }
+
+    fn path_of(&self, field: &str) -> String {
+        if self.path.is_empty() { field.to_owned() } else { format!("{}.{field}", self.path) }
+    }
+
+    fn push(&self, field: &str, value: &str, reason: &str) {
+        self.errors.push(InvalidValue::new(self.path_of(field), value, reason));
+    }
+
+    /// Takes an object that may be missing; a missing one reads as empty.
+    pub(crate) fn object(&mut self, field: &str) -> Reader<'a> {
+        let value = self.fields.remove(field).unwrap_or_else(|| Value::Object(Map::new()));
+        Reader::new(&self.path_of(field), value, self.errors)
+    }
+
+    /// Takes an object that may be missing.
+    pub(crate) fn optional_object(&mut self, field: &str) -> Option<Reader<'a>> {
+        let value = self.fields.remove(field)?;
+        Some(Reader::new(&self.path_of(field), value, self.errors))
+    }
+
+    /// Takes an array of objects that may be missing.
+    pub(crate) fn objects(&mut self, field: &str) -> Vec<Reader<'a>> {
+        self.array(field)
+            .into_iter()
+            .map(|(path, value)| Reader::new(&path, value, self.errors))
+            .collect()
+    }
+
+    fn array(&mut self, field: &str) -> Vec<(String, Value)> {
+        let path = self.path_of(field);
+        match self.fields.remove(field) {
+            None => Vec::new(),
+            Some(Value::Array(values)) => {
+                let with_path = |(i, value)| (format!("{path}[{i}]"), value);
+                values.into_iter().enumerate().map(with_path).collect()
+            }
+            Some(other) => {
+                self.push(field, &other.to_string(), "must be an array");
+                Vec::new()
+            }
+        }
+    }
+
+    fn text(&mut self, field: &str) -> Option<String> {
+        match self.fields.remove(field)? {
+            Value::String(text) => Some(text),
+            other => {
+                self.push(field, &other.to_string(), "must be a string");
+                None
+            }
+        }
+    }
+
+    /// Takes a text that may be missing and parses it.
+    pub(crate) fn optional<T>(
+        &mut self,
+        field: &str,
+        parse: impl Fn(&str) -> Result<T, String>,
+    ) -> Option<T> {
+        let text = self.text(field)?;
+        parse(&text).map_err(|reason| self.push(field, &text, &reason)).ok()
+    }
+
+    /// Takes a text that must be there and parses it.
+    pub(crate) fn required<T>(
+        &mut self,
+        field: &str,
+        parse: impl Fn(&str) -> Result<T, String>,
+    ) -> Option<T> {
+        if !self.fields.contains_key(field) {
+            self.push(field, "", "is missing");
+            return None;
+        }
+        self.optional(field, parse)
+    }
+
+    /// Takes an array of texts and parses each.
+    pub(crate) fn list<T>(
+        &mut self,
+        field: &str,
+        parse: impl Fn(&str) -> Result<T, String>,
+    ) -> Vec<T> {
+        let mut parsed = Vec::new();
+        for (path, value) in self.array(field) {
+            let result = match value.as_str() {
+                Some(text) => parse(text),
+                None => Err("must be a string".to_owned()),
+            };
+            match result {
+                Ok(item) => parsed.push(item),
+                Err(reason) => {
+                    let shown = value.as_str().map_or_else(|| value.to_string(), str::to_owned);
+                    self.errors.push(InvalidValue::new(path, &shown, reason));
+                }
+            }
+        }
+        parsed
+    }
+
+    /// Takes a duration; a missing one is `default`.
+    pub(crate) fn duration(&mut self, field: &str, default: Duration) -> Duration {
+        let parse = |text: &str| parse_duration(field, text).map_err(|err| err.reason);
+        self.optional(field, parse).unwrap_or(default)
+    }
+
+    /// Takes a size in bytes; a missing one is `default`.
+    pub(crate) fn size(&mut self, field: &str, default: u64) -> u64 {
+        let parse = |text: &str| parse_size(field, text).map_err(|err| err.reason);
+        self.optional(field, parse).unwrap_or(default)
+    }
+
+    /// Takes a whole number within `range`; a missing one is `default`.
+    pub(crate) fn number(
+        &mut self,
+        field: &str,
+        range: std::ops::RangeInclusive<u64>,
+        default: u64,
+    ) -> u64 {
+        let Some(value) = self.fields.remove(field) else { return default };
+        match value.as_u64() {
+            Some(n) if range.contains(&n) => n,
+            _ => {
+                let reason =
+                    format!("must be a whole number from {} to {}", range.start(), range.end());
+                self.push(field, &value.to_string(), &reason);
+                default
+            }
+        }
+    }
+
+    /// Ends the reading: every field that is left is unknown.
+    pub(crate) fn finish(self) {
+        for (field, value) in &self.fields {
+            self.push(field, &value.to_string(), "is an unknown field");
+        }
+    }
+}
--- /dev/null
+++ b/components/settings/src/settings.rs
@@ -0,0 +1,348 @@
+//! The settings of one node.
+
+use std::{net::SocketAddr, path::PathBuf, str::FromStr, time::Duration};
+
+use displaydoc::Display;
+use lycheelatch_prelude::{InvalidValue, Name, NodeId, OperatorName, RegionName, ZoneName};
+
+use crate::reader::{Errors, Reader};
+
+/// Settings of one node.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// Identity of the node; a new unique one when the settings give none.
+    pub node: Option<NodeId>,
+    /// Availability zone that the node runs in.
+    pub zone: ZoneName,
+    /// Region of the availability zone.
+    pub region: RegionName,
+    /// Port for callers.
+    pub callers: CallerSettings,
+    /// Port for operators.
+    pub operators: OperatorSettings,
+    /// Links to the other nodes; none: the node runs alone.
+    pub peers: Option<PeerSettings>,
+    /// The platform's services.
+    pub platform: PlatformSettings,
+    /// How the node stops.
+    pub stop: StopSettings,
+    /// Logs.
+    pub log: LogSettings,
+}
+
+/// Port for callers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallerSettings {
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Threads that serve callers.
+    pub workers: usize,
+    /// Most open connections on each thread.
+    pub max_connections: usize,
+    /// Time within which a caller must send the head of a request.
+    pub head_timeout: Duration,
+    /// Largest body of a request to any service, in bytes.
+    pub max_body_bytes: u64,
+    /// Largest total of answers kept for callers that take them up again, in bytes.
+    pub max_kept_answer_bytes: u64,
+}
+
+/// Port for operators.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OperatorSettings {
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Tokens that operators show.
+    pub tokens: Vec<OperatorTokenSettings>,
+}
+
+/// Token of one operator.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OperatorTokenSettings {
+    /// Name that the audit trail records.
+    pub name: OperatorName,
+    /// What the operator may do.
+    pub role: OperatorRole,
+    /// Salted hash of the token, in the form `salt.hash`.
+    pub hash: String,
+}
+
+/// What an operator may do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OperatorRole {
+    /// Read everything.
+    Read,
+    /// Read and change everything.
+    Change,
+}
+
+/// Links to the other nodes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerSettings {
+    /// Name of the cluster; nodes of another one are refused.
+    pub cluster: Name,
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Address that other nodes reach this one at.
+    pub advertise: SocketAddr,
+    /// Addresses of nodes to join by.
+    pub seeds: Vec<SocketAddr>,
+    /// File with the cluster's certificate authority, in PEM.
+    pub ca_file: PathBuf,
+    /// File with the node's certificate, in PEM.
+    pub certificate_file: PathBuf,
+    /// File with the key of the node's certificate, in PEM.
+    pub key_file: PathBuf,
+}
+
+/// The platform's services.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlatformSettings {
+    /// The key-value service.
+    pub key_value: KeyValueSettings,
+    /// The instance list.
+    pub instances: EndpointSettings,
+    /// The cloud API; none: reclaims are known from the instance list alone.
+    pub cloud: Option<EndpointSettings>,
+    /// The weight store.
+    pub weights: Option<EndpointSettings>,
+}
+
+/// The key-value service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeyValueSettings {
+    /// Where it is and how it is called.
+    pub endpoint: EndpointSettings,
+    /// Writes a second that all nodes together may make.
+    pub writes_per_second: u32,
+    /// Reads a second that all nodes together may make.
+    pub reads_per_second: u32,
+}
+
+/// An HTTP service of the platform.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndpointSettings {
+    /// Base of its URLs, such as `http://10.0.0.5:8500`.
+    pub url: String,
+    /// Time limit of one call.
+    pub timeout: Duration,
+    /// Time between two polls, where the service is polled.
+    pub poll: Duration,
+}
+
+/// How the node stops.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StopSettings {
+    /// Time from the signal to the end of the process.
+    pub notice: Duration,
+}
+
+/// Logs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LogSettings {
+    /// Form of a line.
+    pub format: LogFormat,
+    /// Least important level that is written.
+    pub level: log::LevelFilter,
+}
+
+/// Form of a log line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogFormat {
+    /// Text.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Why settings can't be taken.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum SettingsError {
+    /// the settings are not JSON: {0}
+    Syntax(String),
+    /// the settings have errors: {0:?}
+    Invalid(Vec<InvalidValue>),
+}
+
+impl std::error::Error for SettingsError {}
+
+impl SettingsError {
+    /// Returns one line for each error.
+    pub fn lines(&self) -> Vec<String> {
+        match self {
+            SettingsError::Syntax(_) => vec![self.to_string()],
+            SettingsError::Invalid(errors) => errors.iter().map(ToString::to_string).collect(),
+        }
+    }
+}
+
+impl Settings {
+    /// Reads settings from JSON and names every error in them.
+    pub fn from_json(text: &str) -> Result<Settings, SettingsError> {
+        let value =
+            serde_json::from_str(text).map_err(|err| SettingsError::Syntax(err.to_string()))?;
+        let errors = Errors::default();
+        let settings = read_settings(Reader::new("", value, &errors));
+        let errors = errors.into_vec();
+        match settings {
+            Some(settings) if errors.is_empty() => Ok(settings),
+            _ => Err(SettingsError::Invalid(errors)),
+        }
+    }
+}
+
+fn parsed<T: FromStr<Err = InvalidValue>>(text: &str) -> Result<T, String> {
+    text.parse().map_err(|err: InvalidValue| err.reason)
+}
+
+fn address(text: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| "must be an IP address and a port, such as 10.0.0.7:8080".to_owned())
+}
+
+fn path(text: &str) -> Result<PathBuf, String> {
+    if text.is_empty() { Err("must not be empty".to_owned()) } else { Ok(text.into()) }
+}
+
+fn url(text: &str) -> Result<String, String> {
+    let rest = text.strip_prefix("http://").ok_or("must start with http://")?;
+    match rest.trim_end_matches('/') {
+        "" => Err("must name a host".to_owned()),
+        rest if rest.contains(char::is_whitespace) => Err("must not hold white space".to_owned()),
+        rest => Ok(format!("http://{rest}")),
+    }
+}
+
+fn read_settings(mut r: Reader<'_>) -> Option<Settings> {
+    let node = r.optional("node", parsed);
+    let zone = r.required("zone", parsed);
+    let region = r.required("region", parsed);
+    let callers = read_callers(r.object("callers"));
+    let operators = read_operators(r.object("operators"));
+    let peers = r.optional_object("peers").map(read_peers);
+    let platform = read_platform(r.object("platform"));
+    let stop = read_stop(r.object("stop"));
+    let log = read_log(r.object("log"));
+    r.finish();
+    Some(Settings {
+        node,
+        zone: zone?,
+        region: region?,
+        callers: callers?,
+        operators: operators?,
+        peers: match peers {
+            Some(peers) => Some(peers?),
+            None => None,
+        },
+        platform: platform?,
+        stop,
+        log,
+    })
+}
+
+fn read_callers(mut r: Reader<'_>) -> Option<CallerSettings> {
+    let listen = r.required("listen", address);
+    let workers = r.number("workers", 1..=64, 1) as usize;
+    let max_connections = r.number("max_connections", 1..=1_000_000, 10_000) as usize;
+    let head_timeout = r.duration("head_timeout", Duration::from_secs(5));
+    let max_body_bytes = r.size("max_body", 16 << 20);
+    let max_kept_answer_bytes = r.size("max_kept_answers", 16 << 20);
+    r.finish();
+    Some(CallerSettings {
+        listen: listen?,
+        workers,
+        max_connections,
+        head_timeout,
+        max_body_bytes,
+        max_kept_answer_bytes,
+    })
+}
+
+fn read_operators(mut r: Reader<'_>) -> Option<OperatorSettings> {
+    let listen = r.required("listen", address);
+    let tokens: Vec<_> = r.objects("tokens").into_iter().map(read_operator_token).collect();
+    r.finish();
+    Some(OperatorSettings { listen: listen?, tokens: tokens.into_iter().collect::<Option<_>>()? })
+}
+
+fn read_operator_token(mut r: Reader<'_>) -> Option<OperatorTokenSettings> {
+    let name = r.required("name", parsed);
+    let role = r.required("role", |text| match text {
+        "read" => Ok(OperatorRole::Read),
+        "change" => Ok(OperatorRole::Change),
+        _ => Err("must be read or change".to_owned()),
+    });
+    let hash = r.required("hash", |text| Ok(text.to_owned()));
+    r.finish();
+    Some(OperatorTokenSettings { name: name?, role: role?, hash: hash? })
+}
+
+fn read_peers(mut r: Reader<'_>) -> Option<PeerSettings> {
+    let cluster = r.required("cluster", parsed);
+    let listen = r.required("listen", address);
+    let advertise = r.optional("advertise", address);
+    let seeds = r.list("seeds", address);
+    let ca_file = r.required("ca_file", path);
+    let certificate_file = r.required("certificate_file", path);
+    let key_file = r.required("key_file", path);
+    r.finish();
+    Some(PeerSettings {
+        cluster: cluster?,
+        listen: listen?,
+        advertise: advertise.or(listen)?,
+        seeds,
+        ca_file: ca_file?,
+        certificate_file: certificate_file?,
+        key_file: key_file?,
+    })
+}
+
+fn read_platform(mut r: Reader<'_>) -> Option<PlatformSettings> {
+    let key_value = read_key_value(r.object("key_value"));
+    let instances = read_endpoint(r.object("instances"));
+    let cloud = r.optional_object("cloud").map(read_endpoint);
+    let weights = r.optional_object("weights").map(read_endpoint);
+    r.finish();
+    Some(PlatformSettings {
+        key_value: key_value?,
+        instances: instances?,
+        cloud: cloud.flatten(),
+        weights: weights.flatten(),
+    })
+}
+
+fn read_key_value(mut r: Reader<'_>) -> Option<KeyValueSettings> {
+    let writes_per_second = r.number("writes_per_second", 1..=1_000_000, 300) as u32;
+    let reads_per_second = r.number("reads_per_second", 1..=1_000_000, 1_500) as u32;
+    let endpoint = read_endpoint(r);
+    Some(KeyValueSettings { endpoint: endpoint?, writes_per_second, reads_per_second })
+}
+
+fn read_endpoint(mut r: Reader<'_>) -> Option<EndpointSettings> {
+    let url = r.required("url", url);
+    let timeout = r.duration("timeout", Duration::from_secs(2));
+    let poll = r.duration("poll", Duration::from_secs(1));
+    r.finish();
+    Some(EndpointSettings { url: url?, timeout, poll })
+}
+
+fn read_stop(mut r: Reader<'_>) -> StopSettings {
+    let notice = r.duration("notice", Duration::from_secs(30));
+    r.finish();
+    StopSettings { notice }
+}
+
+fn read_log(mut r: Reader<'_>) -> LogSettings {
+    let format = r.optional("format", |text| match text {
+        "text" => Ok(LogFormat::Text),
+        "json" => Ok(LogFormat::Json),
+        _ => Err("must be text or json".to_owned()),
+    });
+    let level = r.optional("level", |text| {
+        text.parse().map_err(|_| "must be off, error, warn, info, debug or trace".to_owned())
+    });
+    r.finish();
+    LogSettings {
+        format: format.unwrap_or(LogFormat::Text),
+        level: level.unwrap_or(log::LevelFilter::Info),
+    }
+}
--- a/components/upstream/src/error.rs
+++ b/components/upstream/src/error.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use displaydoc::Display;
 use lycheelatch_prelude::Fence;
 
@@ -29,6 +30,13 @@
         /// Time after which the upstream asks to be tried again, in milliseconds.
         retry_after_ms: Option<u64>,
     },
+    /// the upstream rejected the request as wrong (status {status})
+    Rejected {
+        /// HTTP status of the rejection.
+        status: u16,
+        /// Body of the rejection.
+        body: Bytes,
+    },
     /// the upstream refused fencing number {given}: it has seen {seen}
     StaleFence {
         /// Number on the order.
@@ -70,6 +78,7 @@
         match self {
             UpstreamError::Connect { .. }
             | UpstreamError::Refused { .. }
+            | UpstreamError::Rejected { .. }
             | UpstreamError::StaleFence { .. }
             | UpstreamError::Unsupported => Reached::NotRun,
             UpstreamError::Broken { .. }
--- /dev/null
+++ b/components/upstream/src/http/engine.rs
@@ -0,0 +1,192 @@
+//! A model engine over HTTP.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use actix_web::http::{Method, StatusCode};
+use async_trait::async_trait;
+use awc::{ClientRequest, ClientResponse};
+use bytes::Bytes;
+use futures_util::stream;
+use lycheelatch_http::{client, read_body, read_json, send};
+use lycheelatch_prelude::{Fence, RequestId, Sequence};
+use serde::de::DeserializeOwned;
+use serde_json::{Map, Value};
+
+use crate::{
+    CacheEvents, Engine, EngineRequest, EngineStream, KvBlob, LoadReport, Order, ResumePoint,
+    StreamEvent, TokenOffset, UpstreamError,
+    http::{
+        call::{
+            UpstreamTimeouts, base_url, check_request_id, is_engine_refusal, refusal, says_not_run,
+        },
+        headers,
+        stream::read_events,
+        wire::{ResumeWire, StaleFenceWire},
+    },
+};
+
+/// Largest body of an answer that is not a stream, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// Largest exported KV cache, in bytes.
+const MAX_KV_BYTES: usize = 1 << 30;
+
+/// A model engine over HTTP.
+pub struct HttpEngine {
+    base: Arc<str>,
+    timeouts: UpstreamTimeouts,
+}
+
+impl HttpEngine {
+    /// Creates a client of the engine at `addr`.
+    pub fn new(addr: SocketAddr, timeouts: UpstreamTimeouts) -> HttpEngine {
+        HttpEngine { base: base_url(addr), timeouts }
+    }
+
+    fn request(&self, method: Method, path: &str) -> ClientRequest {
+        client().request(method, format!("{}{path}", self.base))
+    }
+
+    async fn short_call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<ClientResponse, UpstreamError> {
+        let req = self.request(method, path).content_type("application/json");
+        let answer = send(req, body, self.timeouts.call).await?;
+        match answer.status() {
+            status if status.is_success() => Ok(answer),
+            StatusCode::NOT_IMPLEMENTED => Err(UpstreamError::Unsupported),
+            status if is_engine_refusal(status) => Err(refusal(&answer)),
+            status => Err(UpstreamError::BadAnswer { reason: format!("status {status}").into() }),
+        }
+    }
+
+    async fn get_json<T: DeserializeOwned>(&self, path: &str) -> Result<T, UpstreamError> {
+        let answer = self.short_call(Method::GET, path, Bytes::new()).await?;
+        Ok(read_json(answer, MAX_ANSWER_BYTES, self.timeouts.call).await?)
+    }
+
+    async fn read_whole(&self, answer: ClientResponse) -> Result<EngineStream, UpstreamError> {
+        let body = read_body(answer, MAX_ANSWER_BYTES, self.timeouts.silence).await?;
+        let events = [Ok(StreamEvent::Other(body)), Ok(StreamEvent::Done)];
+        Ok(Box::pin(stream::iter(events)))
+    }
+}
+
+fn kv_path(id: &RequestId) -> String {
+    format!("/v1/requests/{id}/kv")
+}
+
+fn body_with_resume(body: &Bytes, resume: &ResumePoint) -> Result<Bytes, UpstreamError> {
+    let bad = |err: serde_json::Error| UpstreamError::BadAnswer { reason: err.to_string().into() };
+    let mut object: Map<String, Value> = serde_json::from_slice(body).map_err(bad)?;
+    let wire = ResumeWire { offset: resume.offset.0, text: resume.text.as_ref().to_owned() };
+    object.insert("resume".to_owned(), serde_json::to_value(wire).map_err(bad)?);
+    Ok(serde_json::to_vec(&object).map_err(bad)?.into())
+}
+
+#[async_trait(?Send)]
+impl Engine for HttpEngine {
+    async fn generate(&self, req: EngineRequest) -> Result<EngineStream, UpstreamError> {
+        let body = match &req.resume {
+            Some(resume) => body_with_resume(&req.body, resume)?,
+            None => req.body,
+        };
+        let call = self
+            .request(Method::POST, &req.path)
+            .content_type("application/json")
+            .insert_header((headers::REQUEST_ID, req.id.as_str()))
+            .insert_header((headers::PRIORITY, req.priority.to_string()))
+            .insert_header((headers::TIMEOUT_MS, req.timeout.as_millis().to_string()));
+        // An answer that is not a stream has its head only when it is whole.
+        let limit = if req.stream { self.timeouts.silence.min(req.timeout) } else { req.timeout };
+        let answer = send(call, body, limit).await?;
+        check_request_id(&req.id, &answer)?;
+        let status = answer.status();
+        if is_engine_refusal(status) || says_not_run(&answer) {
+            return Err(refusal(&answer));
+        }
+        if !status.is_success() {
+            return Err(rejection(answer, self.timeouts.call).await);
+        }
+        if !req.stream {
+            return self.read_whole(answer).await;
+        }
+        let first = req.resume.map_or(TokenOffset(0), |resume| resume.offset);
+        Ok(read_events(answer, first, self.timeouts.silence))
+    }
+
+    async fn cancel(&self, id: &RequestId) -> Result<(), UpstreamError> {
+        self.short_call(Method::POST, &format!("/v1/requests/{id}/cancel"), Bytes::new()).await?;
+        Ok(())
+    }
+
+    async fn load_report(&self) -> Result<LoadReport, UpstreamError> {
+        self.get_json("/v1/load").await
+    }
+
+    async fn cache_events(&self, after: Sequence) -> Result<CacheEvents, UpstreamError> {
+        self.get_json(&format!("/v1/cache/events?after={after}")).await
+    }
+
+    async fn order(&self, order: &Order) -> Result<(), UpstreamError> {
+        let bad =
+            |err: serde_json::Error| UpstreamError::BadAnswer { reason: err.to_string().into() };
+        let body = serde_json::to_vec(order).map_err(bad)?;
+        let req = self.request(Method::POST, "/v1/orders").content_type("application/json");
+        let answer = send(req, body.into(), self.timeouts.call).await?;
+        match answer.status() {
+            status if status.is_success() => Ok(()),
+            StatusCode::CONFLICT => {
+                let wire: StaleFenceWire =
+                    read_json(answer, MAX_ANSWER_BYTES, self.timeouts.call).await?;
+                Err(stale_fence(order.fence, wire.seen))
+            }
+            StatusCode::NOT_IMPLEMENTED => Err(UpstreamError::Unsupported),
+            status if is_engine_refusal(status) => Err(refusal(&answer)),
+            status => Err(UpstreamError::BadAnswer { reason: format!("status {status}").into() }),
+        }
+    }
+
+    async fn export_kv(&self, id: &RequestId) -> Result<KvBlob, UpstreamError> {
+        let answer = self.short_call(Method::GET, &kv_path(id), Bytes::new()).await?;
+        let tokens = answer.headers().get(headers::KV_TOKENS);
+        let tokens = tokens.and_then(|value| value.to_str().ok()?.parse().ok());
+        let missing =
+            || UpstreamError::BadAnswer { reason: "the header X-Kv-Tokens is missing".into() };
+        let tokens = tokens.ok_or_else(missing)?;
+        let data = read_body(answer, MAX_KV_BYTES, self.timeouts.silence).await?;
+        Ok(KvBlob { request: id.clone(), tokens, data })
+    }
+
+    async fn import_kv(&self, blob: &KvBlob) -> Result<(), UpstreamError> {
+        let req = self
+            .request(Method::PUT, &kv_path(&blob.request))
+            .insert_header((headers::KV_TOKENS, blob.tokens.to_string()));
+        let answer = send(req, blob.data.clone(), self.timeouts.silence).await?;
+        match answer.status() {
+            status if status.is_success() => Ok(()),
+            StatusCode::NOT_IMPLEMENTED => Err(UpstreamError::Unsupported),
+            _ => Err(refusal(&answer)),
+        }
+    }
+}
+
+fn stale_fence(given: Fence, seen: Fence) -> UpstreamError {
+    UpstreamError::StaleFence { given, seen }
+}
+
+/// Longest body of a rejection that is passed on, in bytes.
+const MAX_REJECTION_BYTES: usize = 64 * 1024;
+
+async fn rejection(answer: ClientResponse, limit: Duration) -> UpstreamError {
+    let status = answer.status();
+    match read_body(answer, MAX_REJECTION_BYTES, limit).await {
+        Ok(body) if status.is_client_error() => {
+            UpstreamError::Rejected { status: status.as_u16(), body }
+        }
+        _ => UpstreamError::BadAnswer { reason: format!("status {status}").into() },
+    }
+}
--- a/components/upstream/src/lib.rs
+++ b/components/upstream/src/lib.rs
@@ -5,11 +5,15 @@
 
 mod engine;
 mod error;
+mod http;
 mod plain;
+mod sse;
 
 pub use engine::{
     CacheEvent, CacheEvents, Engine, EngineRequest, EngineStream, KvBlob, LoadReport, LoadedModel,
     Order, OrderKind, ResumePoint, Role, StreamEvent, TokenOffset,
 };
 pub use error::{Reached, UpstreamError};
+pub use http::{HttpEngine, HttpPlainService, UpstreamTimeouts, headers, wire};
 pub use plain::{BodyStream, PlainRequest, PlainResponse, PlainService};
+pub use sse::{MAX_EVENT_BYTES, SseError, SseEvent, SseReader};
--- a/components/upstream/src/plain.rs
+++ b/components/upstream/src/plain.rs
@@ -22,6 +22,8 @@
     pub path: Arc<str>,
     /// Headers that are passed on.
     pub headers: Vec<(Arc<str>, Bytes)>,
+    /// Length of the body, in bytes, where it is known.
+    pub length: Option<u64>,
     /// Body.
     pub body: BodyStream,
     /// Time left until the caller's deadline.
