Claim idempotency keys by compare-and-swap, committed in groups per shard

Cause: retries with the same Idempotency-Key must execute at most once at any node, within a few hundred writes a second of the key-value service. Change: claims crate. Shards with a small head and immutable segments; the first waiter of a shard starts a task that commits for all that wait; operations carry tickets, so that applying one twice is the same as once; a claim whose fate is lost is withdrawn by a tombstone that bars its ticket. Operations go to one node a shard (new Topic::Claims in peers), which saves writes; correctness rests on the compare-and-swap alone.

--- /dev/null
+++ b/components/claims/src/queue.rs
@@ -0,0 +1,189 @@
+//! Group commit: operations on a shard that wait together are written together.
+
+use std::{
+    collections::VecDeque,
+    sync::{Arc, Mutex},
+};
+
+use lycheelatch_platform::KvError;
+use tokio::{
+    sync::oneshot,
+    task::spawn_local,
+    time::{Instant, sleep_until, timeout_at},
+};
+
+use crate::{
+    ClaimsConfig,
+    commit::{Store, lock},
+    ops::{Op, Reply},
+    wire::CommitFailure,
+};
+
+/// Most bytes of operations in one commit.
+const MAX_BATCH_BYTES: usize = 128 * 1024;
+
+/// Most operations that wait for a commit without a caller, for each shard.
+const MAX_OWED: usize = 10_000;
+
+type CommitResult = Result<Reply, CommitFailure>;
+
+/// An operation with the caller that waits for its reply.
+type Waiting = (Op, oneshot::Sender<CommitResult>);
+
+/// The operations of one shard that wait for their commit.
+///
+/// Callers on any thread add to it. The first one starts a task on its own
+/// thread that commits for all until nobody waits.
+pub(crate) struct Queue {
+    shard: u32,
+    store: Arc<Store>,
+    cfg: ClaimsConfig,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    waiting: VecDeque<Waiting>,
+    owed: VecDeque<Op>,
+    is_committing: bool,
+    next_commit: Option<Instant>,
+}
+
+impl Queue {
+    /// Creates an empty queue.
+    pub(crate) fn new(shard: u32, store: Arc<Store>, cfg: ClaimsConfig) -> Queue {
+        Queue { shard, store, cfg, state: Mutex::default() }
+    }
+
+    /// Commits an operation with those that wait beside it, until `limit`.
+    pub(crate) async fn submit(self: &Arc<Self>, op: Op, limit: Instant) -> CommitResult {
+        let (tx, rx) = oneshot::channel();
+        lock(&self.state).waiting.push_back((op, tx));
+        self.ensure_committing();
+        let lost = |reason: &str| CommitFailure {
+            source: KvError::AnswerLost { reason: reason.into() },
+            may_have_written: true,
+        };
+        match timeout_at(limit, rx).await {
+            Ok(Ok(result)) => result,
+            Ok(Err(_)) => Err(lost("the committing thread ended")),
+            Err(_) => Err(lost("not committed in time")),
+        }
+    }
+
+    /// Adds an operation that nobody waits for; it is tried until it is committed.
+    pub(crate) fn owe(&self, op: Op) {
+        let mut state = lock(&self.state);
+        if state.owed.len() == MAX_OWED {
+            log::warn!("claims: shard {} dropped an owed settlement", self.shard);
+            state.owed.pop_front();
+        }
+        state.owed.push_back(op);
+    }
+
+    /// Returns how many operations wait without a caller.
+    pub(crate) fn owed(&self) -> usize {
+        lock(&self.state).owed.len()
+    }
+
+    /// Starts the committing task if operations wait and there is none.
+    pub(crate) fn ensure_committing(self: &Arc<Self>) {
+        let mut state = lock(&self.state);
+        let is_idle = state.waiting.is_empty() && state.owed.is_empty();
+        if state.is_committing || is_idle {
+            return;
+        }
+        state.is_committing = true;
+        drop(state);
+        spawn_local(Committing { queue: self.clone(), has_ended: false }.run());
+    }
+
+    fn take_owed(&self, bytes: &mut usize) -> Vec<Op> {
+        let mut state = lock(&self.state);
+        let mut owed = Vec::new();
+        while *bytes < MAX_BATCH_BYTES {
+            let Some(op) = state.owed.pop_front() else { break };
+            *bytes += op.bytes();
+            owed.push(op);
+        }
+        owed
+    }
+
+    fn take_waiting(&self, bytes: &mut usize) -> Vec<Waiting> {
+        let mut state = lock(&self.state);
+        let mut waiting = Vec::new();
+        while *bytes < MAX_BATCH_BYTES {
+            let Some((op, tx)) = state.waiting.pop_front() else { break };
+            *bytes += op.bytes();
+            waiting.push((op, tx));
+        }
+        waiting
+    }
+
+    fn put_back(&self, owed: Vec<Op>) {
+        let mut state = lock(&self.state);
+        owed.into_iter().rev().for_each(|op| state.owed.push_front(op));
+    }
+
+    /// Commits what waits now.
+    async fn commit_batch(&self) {
+        let mut bytes = 0;
+        let owed = self.take_owed(&mut bytes);
+        let waiting = self.take_waiting(&mut bytes);
+        let (ops, txs): (Vec<Op>, Vec<_>) = waiting.into_iter().unzip();
+        let owed_len = owed.len();
+        let mut batch = owed;
+        batch.extend(ops);
+        let limit = Instant::now() + self.cfg.max_wait / 2;
+        match self.store.commit(self.shard, &batch, limit).await {
+            Ok(replies) => {
+                let replies = replies.into_iter().skip(owed_len);
+                txs.into_iter().zip(replies).for_each(|(tx, reply)| drop(tx.send(Ok(reply))));
+            }
+            Err(failure) => {
+                batch.truncate(owed_len);
+                self.put_back(batch);
+                txs.into_iter().for_each(|tx| drop(tx.send(Err(failure.clone()))));
+            }
+        }
+    }
+
+    /// Ends the committing task's turn if nobody waits; owed operations wait
+    /// for the next one.
+    fn end_if_idle(&self) -> bool {
+        let mut state = lock(&self.state);
+        if state.waiting.is_empty() {
+            state.is_committing = false;
+        }
+        !state.is_committing
+    }
+}
+
+/// The task that commits for a queue; when it is dropped, another may start.
+struct Committing {
+    queue: Arc<Queue>,
+    has_ended: bool,
+}
+
+impl Committing {
+    async fn run(mut self) {
+        while !self.has_ended {
+            let slot = lock(&self.queue.state).next_commit;
+            if let Some(slot) = slot {
+                sleep_until(slot).await;
+            }
+            let next = Instant::now() + self.queue.cfg.commit_interval;
+            lock(&self.queue.state).next_commit = Some(next);
+            self.queue.commit_batch().await;
+            self.has_ended = self.queue.end_if_idle();
+        }
+    }
+}
+
+impl Drop for Committing {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            lock(&self.queue.state).is_committing = false;
+        }
+    }
+}
--- a/components/peers/src/link.rs
+++ b/components/peers/src/link.rs
@@ -23,6 +23,8 @@
     Load,
     /// Answers that a caller takes up again at another node.
     Resume,
+    /// Claims of idempotency keys, sent to the node that commits for their shard.
+    Claims,
 }
 
 /// Why a message to another node failed.
