--- a/components/claims/tests/at_most_once.rs
+++ b/components/claims/tests/at_most_once.rs
@@ -15,13 +15,18 @@
 use world::{Booking, Node, Told, Upstream, World};
 
 const NODES: usize = 3;
-const KEYS: u64 = 4;
+const KEYS: u64 = 6;
+
+/// Time that a call to the key-value service takes when nothing fails.
+const KV_DELAY: Duration = Duration::from_millis(3);
 
 /// One thing that happens in a run.
 #[derive(Debug, Clone)]
 enum Step {
     Book { node: usize, key: u64, upstream: Upstream },
     Fault(Fault),
+    Standing(Fault),
+    Clear,
     Kill(usize),
     Cut(usize, usize),
     Mend(usize, usize),
@@ -40,9 +45,9 @@
 
 fn upstream() -> impl Strategy<Value = Upstream> {
     prop_oneof![
-        4 => Just(Upstream::Answer),
+        2 => Just(Upstream::Answer),
         1 => Just(Upstream::LoseAnswer),
-        2 => Just(Upstream::Unreachable),
+        4 => Just(Upstream::Unreachable),
         1 => (1..3000u64).prop_map(|ms| Upstream::Slow(Duration::from_millis(ms))),
     ]
 }
@@ -51,11 +56,14 @@
     prop_oneof![
         8 => (0..NODES, 0..KEYS, upstream())
             .prop_map(|(node, key, upstream)| Step::Book { node, key, upstream }),
-        4 => fault().prop_map(Step::Fault),
+        3 => fault().prop_map(Step::Fault),
+        2 => fault().prop_map(Step::Standing),
+        2 => Just(Step::Clear),
         1 => (0..NODES).prop_map(Step::Kill),
         1 => (0..NODES, 0..NODES).prop_map(|(a, b)| Step::Cut(a, b)),
         1 => (0..NODES, 0..NODES).prop_map(|(a, b)| Step::Mend(a, b)),
-        4 => (0..1500u64).prop_map(Step::Wait),
+        3 => (0..50u64).prop_map(Step::Wait),
+        3 => (0..4000u64).prop_map(Step::Wait),
     ]
 }
 
@@ -64,28 +72,31 @@
     nodes: Vec<Rc<Node>>,
     ids: Vec<NodeId>,
     clock: WallClock,
+    is_linked: [bool; NODES],
     started: u64,
     requests: u64,
     told: Rc<RefCell<Vec<(u64, RequestId, Told)>>>,
 }
 
 impl Run {
-    fn new() -> Run {
+    fn new(is_linked: [bool; NODES]) -> Run {
         let clock = WallClock::starting_at(Instant::now(), UnixMillis(1_800_000_000_000));
         let mut run = Run {
             world: World::default(),
             nodes: Vec::new(),
             ids: Vec::new(),
             clock,
+            is_linked,
             started: 0,
             requests: 0,
             told: Rc::default(),
         };
-        (0..NODES).for_each(|_| run.start_node());
+        run.clear_faults();
+        (0..NODES).for_each(|at| run.start_node(at));
         run
     }
 
-    fn start_node(&mut self) {
+    fn start_node(&mut self, at: usize) {
         self.started += 1;
         let cfg = ClaimsConfig {
             shards: 2,
@@ -93,18 +104,21 @@
             epoch: self.started,
             ..ClaimsConfig::default()
         };
-        let node = self.world.start_node(&format!("node-{}", self.started), cfg);
+        let node =
+            self.world.start_node(&format!("node-{}", self.started), cfg, self.is_linked[at]);
         self.ids.push(node.id().clone());
-        self.nodes.push(Rc::new(node));
+        self.nodes.insert(at, Rc::new(node));
     }
 
     async fn step(&mut self, step: Step) {
         match step {
             Step::Book { node, key, upstream } => self.book(node, key, upstream),
             Step::Fault(fault) => self.world.kv.faults.script([fault]),
+            Step::Standing(fault) => self.world.kv.faults.set_standing(fault),
+            Step::Clear => self.clear_faults(),
             Step::Kill(at) => {
                 self.world.kill_node(&self.nodes.remove(at), &self.ids);
-                self.start_node();
+                self.start_node(at);
             }
             Step::Cut(a, b) => self.world.net.cut(self.nodes[a].id(), self.nodes[b].id()),
             Step::Mend(a, b) => self.world.net.mend(self.nodes[a].id(), self.nodes[b].id()),
@@ -124,9 +138,14 @@
         });
     }
 
+    fn clear_faults(&self) {
+        self.world.kv.faults.clear();
+        self.world.kv.faults.set_standing(Fault::Slow(KV_DELAY));
+    }
+
     /// Ends all faults and waits until every deadline has passed.
     async fn settle(&self) {
-        self.world.kv.faults.clear();
+        self.clear_faults();
         for (a, b) in self.nodes.iter().flat_map(|a| self.nodes.iter().map(move |b| (a, b))) {
             self.world.net.mend(a.id(), b.id());
         }
@@ -167,10 +186,10 @@
     }
 }
 
-async fn run(steps: Vec<Step>) {
+async fn run(is_linked: [bool; NODES], steps: Vec<Step>) {
     tokio::time::pause();
     let has_kills = steps.iter().any(|step| matches!(step, Step::Kill(_)));
-    let mut run = Run::new();
+    let mut run = Run::new(is_linked);
     for step in steps {
         run.step(step).await;
     }
@@ -189,7 +208,10 @@
     #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..ProptestConfig::default() })]
 
     #[test]
-    fn claims_any_faults_execute_once(steps in prop::collection::vec(step(), 1..60)) {
-        actix::System::new().block_on(run(steps));
+    fn claims_any_faults_execute_once(
+        is_linked: [bool; NODES],
+        steps in prop::collection::vec(step(), 1..100),
+    ) {
+        actix::System::new().block_on(run(is_linked, steps));
     }
 }
--- a/components/claims/tests/world/mod.rs
+++ b/components/claims/tests/world/mod.rs
@@ -52,6 +52,13 @@
     pub(crate) by_request: HashMap<RequestId, u32>,
 }
 
+impl Ledger {
+    fn record(&mut self, booking: &Booking) {
+        *self.by_key.entry(booking.key).or_default() += 1;
+        *self.by_request.entry(booking.request.clone()).or_default() += 1;
+    }
+}
+
 /// One request of a caller.
 pub(crate) struct Booking {
     /// Idempotency key.
@@ -83,11 +90,15 @@
 }
 
 impl World {
-    /// Starts a node.
-    pub(crate) fn start_node(&self, name: &str, cfg: ClaimsConfig) -> Node {
+    /// Starts a node; one that is not linked commits everything itself.
+    pub(crate) fn start_node(&self, name: &str, cfg: ClaimsConfig, is_linked: bool) -> Node {
         let id: NodeId = name.parse().unwrap();
         let link = self.net.join(id.clone(), "lima-a".parse().unwrap(), "lima".parse().unwrap());
-        let claims = Claims::with_peers(Arc::new(self.kv.clone()), cfg, link);
+        let kv = Arc::new(self.kv.clone());
+        let claims = match is_linked {
+            true => Claims::with_peers(kv, cfg, link),
+            false => Claims::new(kv, cfg),
+        };
         let (requests, rx) = mpsc::unbounded_channel();
         let (kill, killed) = oneshot::channel();
         let ledger = self.ledger.clone();
@@ -171,10 +182,7 @@
     if booking.upstream == Upstream::Unreachable {
         return (Settlement::NotRun, Told::NotRun);
     }
-    let mut ledger = ledger.borrow_mut();
-    *ledger.by_key.entry(booking.key).or_default() += 1;
-    *ledger.by_request.entry(booking.request.clone()).or_default() += 1;
-    drop(ledger);
+    ledger.borrow_mut().record(booking);
     match booking.upstream {
         Upstream::LoseAnswer => return (Settlement::Unknown, Told::Unknown),
         Upstream::Slow(delay) => sleep(delay).await,
