Add the request pipeline

accept, authenticate, classify, deduplicate, admit, place, dispatch, relay and settle. Answers of engines go on at another upstream at the exact token; plain calls retry only where nothing reached an upstream or a repeat is safe.

--- /dev/null
+++ b/components/proxy/src/accept.rs
@@ -0,0 +1,33 @@
+//! Reads the body of a request within bounds.
+
+use std::time::Duration;
+
+use actix_web::web;
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use lycheelatch_prelude::InvalidValue;
+use tokio::time::{Instant, timeout_at};
+
+use crate::{Refusal, RefusalReason};
+
+/// Longest time that a caller may take to send a body that is read whole.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Reads a body of at most `max_bytes`.
+pub(crate) async fn read_body(
+    payload: &mut web::Payload,
+    max_bytes: usize,
+) -> Result<Bytes, Refusal> {
+    let ends = Instant::now() + BODY_TIMEOUT;
+    let mut buf = BytesMut::new();
+    loop {
+        let chunk = timeout_at(ends, payload.next()).await;
+        let chunk = chunk.map_err(|_| Refusal::not_run(RefusalReason::BodyTimeout))?;
+        let Some(chunk) = chunk else { return Ok(buf.freeze()) };
+        let chunk = chunk.map_err(|err| InvalidValue::new("body", "", err.to_string()))?;
+        if buf.len() + chunk.len() > max_bytes {
+            return Err(Refusal::not_run(RefusalReason::BodyTooLarge(max_bytes)));
+        }
+        buf.extend_from_slice(&chunk);
+    }
+}
--- /dev/null
+++ b/components/proxy/src/answers.rs
@@ -0,0 +1,186 @@
+//! Answers that are kept for callers that take them up again.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::{Arc, Mutex},
+};
+
+use bytes::Bytes;
+use lycheelatch_prelude::{Labels, Outcome, Priority, RequestId, ServiceName, WorkspaceName};
+
+/// One token of a kept answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeptToken {
+    /// Text of the token.
+    pub text: Arc<str>,
+    /// Data of its event.
+    pub data: Bytes,
+}
+
+/// What is kept of one answer of a model service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeptAnswer {
+    /// Workspace that may take it up again.
+    pub workspace: WorkspaceName,
+    /// Service.
+    pub service: ServiceName,
+    /// Path of the OpenAI endpoint.
+    pub path: Arc<str>,
+    /// Body of the request.
+    pub body: Bytes,
+    /// Labels of the request.
+    pub labels: Labels,
+    /// Priority of the request.
+    pub priority: Priority,
+    /// Tokens so far, in order.
+    pub tokens: Vec<KeptToken>,
+    /// Data of the events after the last token.
+    pub closing: Vec<Bytes>,
+    /// What became of it; none while it may go on.
+    pub outcome: Option<Outcome>,
+}
+
+impl KeptAnswer {
+    fn bytes(&self) -> usize {
+        let tokens: usize = self.tokens.iter().map(token_bytes).sum();
+        let closing: usize = self.closing.iter().map(Bytes::len).sum();
+        self.body.len() + tokens + closing + ENTRY_BYTES
+    }
+}
+
+/// Memory of one kept answer beside its contents, in bytes.
+const ENTRY_BYTES: usize = 512;
+
+/// Memory of one kept token beside its contents, in bytes.
+const TOKEN_BYTES: usize = 96;
+
+fn token_bytes(token: &KeptToken) -> usize {
+    token.text.len() + token.data.len() + TOKEN_BYTES
+}
+
+/// Answers kept in bounded memory; the oldest are forgotten first.
+pub struct Answers {
+    max_bytes: usize,
+    kept: Mutex<Kept>,
+}
+
+#[derive(Default)]
+struct Kept {
+    by_id: HashMap<RequestId, KeptAnswer>,
+    order: VecDeque<RequestId>,
+    bytes: usize,
+}
+
+impl Kept {
+    fn forget_oldest(&mut self, max_bytes: usize) {
+        while self.bytes > max_bytes {
+            let Some(id) = self.order.pop_front() else { return };
+            if let Some(answer) = self.by_id.remove(&id) {
+                self.bytes -= answer.bytes();
+            }
+        }
+    }
+}
+
+impl Answers {
+    /// Creates a store of at most `max_bytes`.
+    pub fn new(max_bytes: usize) -> Answers {
+        Answers { max_bytes, kept: Mutex::default() }
+    }
+
+    /// Keeps an answer, in place of an earlier one of the same request.
+    pub fn insert(&self, id: &RequestId, answer: KeptAnswer) {
+        let mut kept = self.kept.lock().unwrap();
+        kept.bytes += answer.bytes();
+        match kept.by_id.insert(id.clone(), answer) {
+            Some(earlier) => kept.bytes -= earlier.bytes(),
+            None => kept.order.push_back(id.clone()),
+        }
+        kept.forget_oldest(self.max_bytes);
+    }
+
+    /// Adds the token at `offset`, unless it is kept already.
+    pub fn push_token(&self, id: &RequestId, offset: u64, token: KeptToken) {
+        let mut kept = self.kept.lock().unwrap();
+        let Some(answer) = kept.by_id.get_mut(id) else { return };
+        if answer.tokens.len() as u64 != offset {
+            return;
+        }
+        let added = token_bytes(&token);
+        answer.tokens.push(token);
+        kept.bytes += added;
+        kept.forget_oldest(self.max_bytes);
+    }
+
+    /// Adds the data of an event that holds no token.
+    pub fn push_closing(&self, id: &RequestId, data: Bytes) {
+        let mut kept = self.kept.lock().unwrap();
+        let Some(answer) = kept.by_id.get_mut(id) else { return };
+        let added = data.len();
+        answer.closing.push(data);
+        kept.bytes += added;
+    }
+
+    /// Notes what became of an answer.
+    pub fn settle(&self, id: &RequestId, outcome: Outcome) {
+        if let Some(answer) = self.kept.lock().unwrap().by_id.get_mut(id) {
+            answer.outcome = Some(outcome);
+        }
+    }
+
+    /// Returns a kept answer.
+    pub fn get(&self, id: &RequestId) -> Option<KeptAnswer> {
+        self.kept.lock().unwrap().by_id.get(id).cloned()
+    }
+
+    /// Returns the memory in use, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.kept.lock().unwrap().bytes
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn answer(body: usize) -> KeptAnswer {
+        KeptAnswer {
+            workspace: "w".parse().unwrap(),
+            service: "s".parse().unwrap(),
+            path: "/v1/completions".into(),
+            body: vec![b'x'; body].into(),
+            labels: Labels::default(),
+            priority: Priority::Normal,
+            tokens: Vec::new(),
+            closing: Vec::new(),
+            outcome: None,
+        }
+    }
+
+    fn token(text: &str) -> KeptToken {
+        KeptToken { text: text.into(), data: Bytes::new() }
+    }
+
+    #[test]
+    fn push_token_only_in_order() {
+        let answers = Answers::new(1 << 20);
+        let id = RequestId::new_unique();
+        answers.insert(&id, answer(10));
+        answers.push_token(&id, 0, token("a"));
+        answers.push_token(&id, 0, token("a"));
+        answers.push_token(&id, 2, token("c"));
+        assert_eq!(answers.get(&id).unwrap().tokens, [token("a")]);
+    }
+
+    #[test]
+    fn insert_bounds_memory() {
+        let answers = Answers::new(100_000);
+        let ids: Vec<_> = (0..100).map(|_| RequestId::new_unique()).collect();
+        for id in &ids {
+            answers.insert(id, answer(10_000));
+        }
+        assert!(answers.bytes() <= 100_000);
+        assert!(answers.get(&ids[0]).is_none());
+        assert!(answers.get(&ids[99]).is_some());
+    }
+}
--- /dev/null
+++ b/components/proxy/src/connect.rs
@@ -0,0 +1,40 @@
+//! Makes the clients of upstreams.
+
+use std::sync::Arc;
+
+use lycheelatch_config::{Service, ServiceKind};
+use lycheelatch_platform::ListedInstance;
+use lycheelatch_upstream::{Engine, HttpEngine, HttpPlainService, PlainService, UpstreamTimeouts};
+
+/// Client of one upstream.
+#[derive(Clone)]
+pub enum Target {
+    /// A model engine.
+    Engine(Arc<dyn Engine>),
+    /// A process of a plain service.
+    Plain(Arc<dyn PlainService>),
+}
+
+/// Makes the client of an upstream.
+pub trait Connect: Send + Sync {
+    /// Returns the client of `listed`, which belongs to `service`.
+    fn connect(&self, service: &Service, listed: &ListedInstance) -> Target;
+}
+
+/// Makes clients that speak HTTP.
+pub struct HttpConnect;
+
+impl Connect for HttpConnect {
+    fn connect(&self, service: &Service, listed: &ListedInstance) -> Target {
+        let timeouts = UpstreamTimeouts {
+            silence: std::time::Duration::from_millis(service.limits.silence_ms),
+            ..UpstreamTimeouts::default()
+        };
+        match service.kind {
+            ServiceKind::Model => Target::Engine(Arc::new(HttpEngine::new(listed.addr, timeouts))),
+            ServiceKind::Plain => {
+                Target::Plain(Arc::new(HttpPlainService::new(listed.addr, timeouts)))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/proxy/src/head.rs
@@ -0,0 +1,220 @@
+//! The head of a caller's request.
+
+use std::time::Duration;
+
+use actix_web::http::header::{HeaderMap, HeaderName};
+use lycheelatch_prelude::{
+    Attempt, Idempotency, IdempotencyKey, InvalidValue, Labels, Priority, RequestId,
+};
+use tokio::time::Instant;
+
+/// Header with the identity of a request.
+pub(crate) const REQUEST_ID_HEADER: &str = "x-request-id";
+
+/// Header with what became of a request.
+pub(crate) const OUTCOME_HEADER: &str = "lycheelatch-outcome";
+
+const LABELS_HEADER: &str = "lycheelatch-labels";
+const IDEMPOTENT_HEADER: &str = "lycheelatch-idempotent";
+const TIMEOUT_HEADER: &str = "lycheelatch-timeout-ms";
+const ATTEMPT_HEADER: &str = "lycheelatch-attempt";
+const PRIORITY_HEADER: &str = "lycheelatch-priority";
+const KEY_HEADER: &str = "idempotency-key";
+const LAST_EVENT_HEADER: &str = "last-event-id";
+
+/// Prefix of the headers that only lycheelatch reads and writes.
+const OWN_PREFIX: &str = "lycheelatch-";
+
+/// Headers that belong to one connection or to lycheelatch and are not passed on.
+const NOT_PASSED_ON: [&str; 15] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "idempotency-key",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "x-request-id",
+];
+
+/// What the head of a request says.
+#[derive(Debug, Clone)]
+pub struct Head {
+    /// Identity of the request.
+    pub id: RequestId,
+    /// When the head was read.
+    pub arrived: Instant,
+    /// Bearer token.
+    pub token: Option<String>,
+    /// Labels that the caller gives.
+    pub labels: Labels,
+    /// Whether the caller says that the request may run more than once.
+    pub idempotent: Option<Idempotency>,
+    /// Idempotency key.
+    pub key: Option<IdempotencyKey>,
+    /// Time limit that the caller gives.
+    pub timeout: Option<Duration>,
+    /// Number of the caller's attempt.
+    pub attempt: Attempt,
+    /// Priority.
+    pub priority: Priority,
+    /// Number of tokens that the caller has already.
+    pub last_event: Option<u64>,
+    /// Whether the caller gave the request's identity.
+    pub has_own_id: bool,
+}
+
+impl Head {
+    /// Reads the headers of a request.
+    pub fn read(headers: &HeaderMap, now: Instant) -> Result<Head, InvalidValue> {
+        let given_id: Option<RequestId> = parse(headers, REQUEST_ID_HEADER)?;
+        Ok(Head {
+            has_own_id: given_id.is_some(),
+            id: given_id.unwrap_or_else(RequestId::new_unique),
+            arrived: now,
+            token: bearer(headers)?,
+            labels: parse(headers, LABELS_HEADER)?.unwrap_or_default(),
+            idempotent: text(headers, IDEMPOTENT_HEADER)?.map(parse_idempotent).transpose()?,
+            key: parse(headers, KEY_HEADER)?,
+            timeout: text(headers, TIMEOUT_HEADER)?.map(parse_timeout).transpose()?,
+            attempt: parse(headers, ATTEMPT_HEADER)?.unwrap_or_default(),
+            priority: text(headers, PRIORITY_HEADER)?
+                .map(parse_priority)
+                .transpose()?
+                .unwrap_or_default(),
+            last_event: text(headers, LAST_EVENT_HEADER)?.map(parse_last_event).transpose()?,
+        })
+    }
+}
+
+/// Returns the identity that a caller gave, or a new one where it can't be read.
+pub(crate) fn id_or_new(headers: &HeaderMap) -> RequestId {
+    parse(headers, REQUEST_ID_HEADER).ok().flatten().unwrap_or_else(RequestId::new_unique)
+}
+
+/// Returns whether a header is passed on between caller and upstream.
+pub(crate) fn is_passed_on(name: &HeaderName) -> bool {
+    !NOT_PASSED_ON.contains(&name.as_str()) && !name.as_str().starts_with(OWN_PREFIX)
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, InvalidValue> {
+    let mut values = headers.get_all(name);
+    let Some(value) = values.next() else { return Ok(None) };
+    if values.next().is_some() {
+        return Err(InvalidValue::new(name, "", "is given twice"));
+    }
+    let not_text = |_| InvalidValue::new(name, "", "must be visible ASCII text");
+    value.to_str().map(Some).map_err(not_text)
+}
+
+fn parse<T: std::str::FromStr<Err = InvalidValue>>(
+    headers: &HeaderMap,
+    name: &str,
+) -> Result<Option<T>, InvalidValue> {
+    text(headers, name)?.map(str::parse).transpose()
+}
+
+fn bearer(headers: &HeaderMap) -> Result<Option<String>, InvalidValue> {
+    let Some(value) = text(headers, "authorization")? else { return Ok(None) };
+    match value.split_once(' ') {
+        Some((scheme, token)) if scheme.eq_ignore_ascii_case("bearer") => {
+            Ok(Some(token.trim().to_owned()))
+        }
+        _ => Err(InvalidValue::new("Authorization", "(hidden)", "must have the form Bearer token")),
+    }
+}
+
+fn parse_idempotent(value: &str) -> Result<Idempotency, InvalidValue> {
+    match value {
+        "true" => Ok(Idempotency::Idempotent),
+        "false" => Ok(Idempotency::NonIdempotent),
+        _ => Err(InvalidValue::new("Lycheelatch-Idempotent", value, "must be true or false")),
+    }
+}
+
+fn parse_timeout(value: &str) -> Result<Duration, InvalidValue> {
+    match value.parse() {
+        Ok(ms) if ms > 0 => Ok(Duration::from_millis(ms)),
+        _ => {
+            let reason = "must be a whole number of milliseconds above 0";
+            Err(InvalidValue::new("Lycheelatch-Timeout-Ms", value, reason))
+        }
+    }
+}
+
+fn parse_priority(value: &str) -> Result<Priority, InvalidValue> {
+    match value {
+        "low" => Ok(Priority::Low),
+        "normal" => Ok(Priority::Normal),
+        "high" => Ok(Priority::High),
+        _ => Err(InvalidValue::new("Lycheelatch-Priority", value, "must be low, normal or high")),
+    }
+}
+
+fn parse_last_event(value: &str) -> Result<u64, InvalidValue> {
+    let reason = "must be the id of an event, a whole number";
+    value.parse().map_err(|_| InvalidValue::new("Last-Event-ID", value, reason))
+}
+
+#[cfg(test)]
+mod tests {
+    use actix_web::http::header::HeaderValue;
+
+    use super::*;
+
+    fn headers(pairs: &[(&'static str, &str)]) -> HeaderMap {
+        pairs
+            .iter()
+            .map(|(name, value)| {
+                (HeaderName::from_static(name), HeaderValue::from_str(value).unwrap())
+            })
+            .collect()
+    }
+
+    #[actix_web::test]
+    async fn read_whole_head() {
+        let map = headers(&[
+            ("authorization", "Bearer abc"),
+            ("x-request-id", "r-1"),
+            ("lycheelatch-labels", "tier=gold"),
+            ("lycheelatch-idempotent", "false"),
+            ("lycheelatch-timeout-ms", "250"),
+            ("lycheelatch-attempt", "3"),
+            ("idempotency-key", "order-1"),
+        ]);
+        let head = Head::read(&map, Instant::now()).unwrap();
+        assert_eq!(head.id.as_str(), "r-1");
+        assert_eq!(head.token.as_deref(), Some("abc"));
+        assert_eq!(head.idempotent, Some(Idempotency::NonIdempotent));
+        assert_eq!(head.timeout, Some(Duration::from_millis(250)));
+        assert!(!head.attempt.is_fresh());
+    }
+
+    #[actix_web::test]
+    async fn read_bad_value_names_header() {
+        for (name, value) in [
+            ("lycheelatch-timeout-ms", "soon"),
+            ("lycheelatch-attempt", "0"),
+            ("lycheelatch-idempotent", "maybe"),
+            ("x-request-id", "a b"),
+            ("lycheelatch-labels", "x"),
+        ] {
+            let err = Head::read(&headers(&[(name, value)]), Instant::now()).unwrap_err();
+            assert_eq!(err.value, value, "{name}");
+        }
+    }
+
+    #[test]
+    fn is_passed_on_own_headers_are_not() {
+        assert!(!is_passed_on(&HeaderName::from_static("lycheelatch-attempt")));
+        assert!(!is_passed_on(&HeaderName::from_static("authorization")));
+        assert!(is_passed_on(&HeaderName::from_static("content-type")));
+    }
+}
--- /dev/null
+++ b/components/proxy/src/http.rs
@@ -0,0 +1,233 @@
+//! Callers' endpoints.
+
+use std::sync::Arc;
+
+use actix_web::{HttpRequest, HttpResponse, http::header::HeaderMap, web};
+use bytes::Bytes;
+use lycheelatch_claims::StoredAnswer;
+use lycheelatch_config::ServiceKind;
+use lycheelatch_prelude::{InvalidValue, Outcome};
+use serde_json::json;
+use tokio::time::Instant;
+
+use crate::{
+    Flow, Head, Kind, Proxy, Record, Refusal,
+    accept::read_body,
+    classify::ModelFields,
+    head::{OUTCOME_HEADER, REQUEST_ID_HEADER, id_or_new, is_passed_on},
+    model::{ModelAsk, ModelCall},
+    plain::{PassedHeaders, PlainCall, RequestBody, append_headers, task_lost},
+    relay::{refuse, relay_stream, relay_whole},
+    settle::settle,
+    whole::WholeAnswer,
+};
+
+/// Longest body of a plain request that is read whole, so that it can be sent again.
+const MAX_REPEATABLE_BYTES: u64 = 64 * 1024;
+
+/// Limits on what callers send.
+#[derive(Debug, Clone, Copy)]
+pub struct CallerLimits {
+    /// Largest body that is read whole, in bytes; services may set less.
+    pub max_body_bytes: usize,
+}
+
+/// Adds the callers' endpoints to an application.
+pub fn configure(app: &mut web::ServiceConfig, proxy: Arc<Proxy>, limits: CallerLimits) {
+    app.app_data(web::Data::from(proxy))
+        .app_data(web::Data::new(limits))
+        .route("/v1/chat/completions", web::post().to(model))
+        .route("/v1/completions", web::post().to(model))
+        .route("/v1/models", web::get().to(models))
+        .route("/services/{service}", web::to(plain))
+        .route("/services/{service}/{path:.*}", web::to(plain))
+        .default_service(web::to(unknown_path));
+}
+
+type SharedProxy = web::Data<Proxy>;
+type SharedLimits = web::Data<CallerLimits>;
+
+async fn unknown_path(http: HttpRequest) -> HttpResponse {
+    let err = InvalidValue::new("path", http.path(), "is not served here");
+    let mut refusal = Refusal::from(err);
+    refusal.retry_after = None;
+    refusal.into_response(&id_or_new(http.headers()))
+}
+
+/// Creates the record of a request and finds its workspace's configuration.
+pub(crate) fn open_record(
+    proxy: &Proxy,
+    headers: &HeaderMap,
+    service: String,
+    kind: Kind,
+) -> Result<Record, Refusal> {
+    let head = Head::read(headers, Instant::now())?;
+    Ok(Record::new(head, (proxy.config)(), service, kind))
+}
+
+async fn model(
+    http: HttpRequest,
+    mut payload: web::Payload,
+    proxy: SharedProxy,
+    limits: SharedLimits,
+) -> HttpResponse {
+    let proxy = proxy.into_inner();
+    match model_answer(&http, &mut payload, proxy, limits.max_body_bytes).await {
+        Ok(answer) => answer,
+        Err(refusal) => refusal.into_response(&id_or_new(http.headers())),
+    }
+}
+
+async fn model_answer(
+    http: &HttpRequest,
+    payload: &mut web::Payload,
+    proxy: Arc<Proxy>,
+    max_body_bytes: usize,
+) -> Result<HttpResponse, Refusal> {
+    let path: Arc<str> = http.path().into();
+    let kind = Kind::Model { path: path.clone(), stream: false };
+    let mut rec = open_record(&proxy, http.headers(), String::new(), kind)?;
+    proxy.check_token(&mut rec).await?;
+    let body = read_body(payload, max_body_bytes).await?;
+    let fields = ModelFields::read(&body)?;
+    rec.service_name = fields.model.clone().unwrap_or_default();
+    rec.kind = Kind::Model { path: path.clone(), stream: fields.stream };
+    rec.body = Some(body.clone());
+    if let Some(answer) = admitted(&proxy, &mut rec).await {
+        return Ok(answer);
+    }
+    let ask =
+        ModelAsk { path, body, is_one_text: fields.is_one_text(), max_tokens: fields.max_tokens };
+    match ModelCall::start(proxy.clone(), rec, ask, String::new(), 0).await {
+        Ok(call) if fields.stream => Ok(relay_stream(proxy, call, Vec::new())),
+        Ok(call) => Ok(relay_whole(&proxy, call, WholeAnswer::default()).await),
+        Err((mut call, refusal)) => Ok(refuse(&proxy, &mut call, refusal).await),
+    }
+}
+
+/// Passes a request through the filters; an answer means that it goes no further.
+async fn admitted(proxy: &Proxy, rec: &mut Record) -> Option<HttpResponse> {
+    match proxy.admit(rec).await {
+        Ok(Flow::Continue) => None,
+        Ok(Flow::Answer(stored)) => Some(replay(rec, stored)),
+        Err(refusal) => {
+            // A claim that was won before a later filter refused is freed.
+            settle(proxy, rec, refusal.outcome, None).await;
+            Some(refusal.into_response(rec.id()))
+        }
+    }
+}
+
+fn replay(rec: &Record, stored: StoredAnswer) -> HttpResponse {
+    let status = actix_web::http::StatusCode::from_u16(stored.status);
+    let mut answer = HttpResponse::build(status.unwrap_or_default());
+    append_headers(&mut answer, &stored.headers);
+    answer
+        .insert_header((REQUEST_ID_HEADER, rec.id().as_str()))
+        .insert_header((OUTCOME_HEADER, Outcome::Complete.as_str()))
+        .insert_header(("lycheelatch-replayed", "true"));
+    answer.body(stored.body)
+}
+
+async fn plain(
+    http: HttpRequest,
+    mut payload: web::Payload,
+    proxy: SharedProxy,
+    limits: SharedLimits,
+) -> HttpResponse {
+    let proxy = proxy.into_inner();
+    let opened = open_plain(&http, &mut payload, &proxy, limits.max_body_bytes).await;
+    let (mut rec, body) = match opened {
+        Ok(opened) => opened,
+        Err(refusal) => return refusal.into_response(&id_or_new(http.headers())),
+    };
+    if let Some(answer) = admitted(&proxy, &mut rec).await {
+        return answer;
+    }
+    let body = body
+        .unwrap_or_else(|| RequestBody::Stream { length: content_length(http.headers()), payload });
+    let id = rec.id().clone();
+    let has_claim = rec.claim.is_some();
+    let call = PlainCall::new(proxy, rec, passed_headers(http.headers()), body);
+    if !has_claim {
+        return call.run().await;
+    }
+    // A claimed call goes on when its caller leaves, so that its answer can be replayed.
+    let task = actix_web::rt::spawn(call.run());
+    task.await.unwrap_or_else(|_| task_lost().into_response(&id))
+}
+
+/// Reads what decides how a plain request is treated; a long body is left unread.
+async fn open_plain(
+    http: &HttpRequest,
+    payload: &mut web::Payload,
+    proxy: &Proxy,
+    max_body_bytes: usize,
+) -> Result<(Record, Option<RequestBody>), Refusal> {
+    let service = http.match_info().get("service").unwrap_or_default().to_owned();
+    let kind = Kind::Plain { method: http.method().as_str().into(), path: upstream_path(http) };
+    let mut rec = open_record(proxy, http.headers(), service, kind)?;
+    proxy.check_token(&mut rec).await?;
+    let length = content_length(http.headers());
+    let is_short = length.is_some_and(|length| length <= MAX_REPEATABLE_BYTES);
+    let is_empty = length.is_none() && !http.headers().contains_key("transfer-encoding");
+    if is_empty {
+        rec.body = Some(Bytes::new());
+        return Ok((rec, Some(RequestBody::Whole(Bytes::new()))));
+    }
+    if !is_short && rec.head.key.is_none() {
+        return Ok((rec, None));
+    }
+    let body = read_body(payload, max_body_bytes).await?;
+    rec.body = Some(body.clone());
+    Ok((rec, Some(RequestBody::Whole(body))))
+}
+
+fn content_length(headers: &HeaderMap) -> Option<u64> {
+    headers.get("content-length")?.to_str().ok()?.parse().ok()
+}
+
+/// Returns the path and query that the service sees.
+fn upstream_path(http: &HttpRequest) -> Arc<str> {
+    let path = http.uri().path();
+    let path = path.strip_prefix("/services/").unwrap_or(path);
+    let path = path.find('/').map_or("/", |slash| &path[slash..]);
+    match http.uri().query() {
+        Some(query) => format!("{path}?{query}").into(),
+        None => path.into(),
+    }
+}
+
+fn passed_headers(headers: &HeaderMap) -> PassedHeaders {
+    headers
+        .iter()
+        .filter(|(name, _)| is_passed_on(name))
+        .map(|(name, value)| (name.as_str().into(), Bytes::copy_from_slice(value.as_bytes())))
+        .collect()
+}
+
+async fn models(http: HttpRequest, proxy: SharedProxy) -> HttpResponse {
+    let kind = Kind::Model { path: http.path().into(), stream: false };
+    let opened = async {
+        let mut rec = open_record(&proxy, http.headers(), String::new(), kind)?;
+        proxy.check_token(&mut rec).await?;
+        Ok::<_, Refusal>(rec)
+    };
+    let rec = match opened.await {
+        Ok(rec) => rec,
+        Err(refusal) => return refusal.into_response(&id_or_new(http.headers())),
+    };
+    let allowed = &rec.workspace().services;
+    let models: Vec<_> = rec
+        .config
+        .services
+        .values()
+        .filter(|service| service.kind == ServiceKind::Model)
+        .filter(|service| allowed.is_empty() || allowed.contains(&service.name))
+        .map(|service| json!({"id": service.name, "object": "model", "owned_by": "lycheelatch"}))
+        .collect();
+    HttpResponse::Ok()
+        .insert_header((REQUEST_ID_HEADER, rec.id().as_str()))
+        .insert_header((OUTCOME_HEADER, Outcome::Complete.as_str()))
+        .json(json!({"object": "list", "data": models}))
+}
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -1,1 +1,46 @@
 //! The request pipeline between callers and upstreams.
+//!
+//! A request's [`Record`] passes through the filters accept, authenticate,
+//! classify, deduplicate and admit; then it is placed, dispatched, relayed
+//! and settled. Decisions that vary stand behind the traits [`Filter`],
+//! [`Place`] and [`Connect`].
+
+mod accept;
+mod admit;
+mod answers;
+mod attempt;
+mod authenticate;
+mod classify;
+mod connect;
+mod deduplicate;
+mod error;
+mod filter;
+mod head;
+mod http;
+mod metrics;
+mod model;
+mod place;
+mod plain;
+mod proxy;
+mod record;
+mod registry;
+mod relay;
+mod running;
+mod settle;
+mod whole;
+
+pub use admit::{AdmitInFlight, Permit};
+pub use answers::{Answers, KeptAnswer, KeptToken};
+pub use attempt::{Retry, RetryAsk, RetryFixed};
+pub use connect::{Connect, HttpConnect, Target};
+pub use deduplicate::Deduplicate;
+pub use error::{Refusal, RefusalReason};
+pub use filter::{Filter, Flow};
+pub use head::Head;
+pub use http::{CallerLimits, configure};
+pub use metrics::ProxyMetrics;
+pub use place::{LeastInFlight, Observation, Place, PlaceAsk, Placed};
+pub use proxy::{ConfigSource, Proxy, ProxyParts};
+pub use record::{Kind, Record};
+pub use registry::{Registry, Upstream};
+pub use running::{RunningStream, RunningStreams, StreamCommand};
--- /dev/null
+++ b/components/proxy/src/model.rs
@@ -0,0 +1,462 @@
+//! One call of a model service, over as many upstreams as it takes.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use lycheelatch_prelude::{Idempotency, Outcome, UpstreamId};
+use lycheelatch_upstream::{
+    Engine, EngineRequest, EngineStream, ResumePoint, StreamEvent, TokenOffset, UpstreamError,
+};
+use tokio::time::{Instant, sleep_until};
+
+use crate::{
+    KeptAnswer, KeptToken, Observation, PlaceAsk, Placed, Proxy, Record, Refusal, RefusalReason,
+    RunningStream, StreamCommand, Target, Upstream,
+    attempt::Attempts,
+    running::RunningGuard,
+    settle::{Open, settle_later},
+};
+
+/// Most times that one answer goes on at another upstream.
+const MAX_RESUMES: u32 = 8;
+
+/// Bytes of a prompt that make about one token.
+const PROMPT_BYTES_PER_TOKEN: u64 = 4;
+
+/// One piece of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Piece {
+    /// A token.
+    Token {
+        /// Tokens before this one.
+        offset: u64,
+        /// Text.
+        text: Arc<str>,
+        /// Data of its event.
+        data: Bytes,
+    },
+    /// Data of an event that holds no token.
+    Other(Bytes),
+    /// The answer is whole.
+    Done,
+    /// The answer goes on at another node.
+    HandedOver,
+}
+
+/// What a model call asks for.
+pub(crate) struct ModelAsk {
+    pub(crate) path: Arc<str>,
+    pub(crate) body: Bytes,
+    /// Whether the answer is one text that can be taken up midway.
+    pub(crate) is_one_text: bool,
+    pub(crate) max_tokens: Option<u64>,
+}
+
+/// One call of a model service.
+///
+/// Dropping it before it is settled means that the caller left.
+pub(crate) struct ModelCall {
+    proxy: Arc<Proxy>,
+    pub(crate) rec: Record,
+    ask: ModelAsk,
+    attempts: Attempts,
+    resumes: u32,
+    placed: Option<Placed>,
+    events: Option<EngineStream>,
+    attempt_started: Instant,
+    first: Option<std::time::Duration>,
+    text: String,
+    next: u64,
+    guard: RunningGuard,
+    settled: bool,
+    _open: Open,
+}
+
+impl ModelCall {
+    /// Starts a call, or takes an answer up again after the tokens of `text`.
+    ///
+    /// A call that can't be started comes back with the refusal, to be settled.
+    pub(crate) async fn start(
+        proxy: Arc<Proxy>,
+        rec: Record,
+        ask: ModelAsk,
+        text: String,
+        next: u64,
+    ) -> Result<ModelCall, (Box<ModelCall>, Refusal)> {
+        let open = Open::new(proxy.clone());
+        let guard = proxy.running.start(about(&rec, &ask, next));
+        let mut call = ModelCall {
+            proxy,
+            rec,
+            ask,
+            attempts: Attempts::default(),
+            resumes: 0,
+            placed: None,
+            events: None,
+            attempt_started: Instant::now(),
+            first: None,
+            text,
+            next,
+            guard,
+            settled: false,
+            _open: open,
+        };
+        if call.next == 0 {
+            call.keep();
+        }
+        match call.connect(None).await {
+            Ok(()) => Ok(call),
+            Err(refusal) => Err((Box::new(call), refusal)),
+        }
+    }
+
+    fn keep(&self) {
+        let (rec, ask) = (&self.rec, &self.ask);
+        let answer = KeptAnswer {
+            workspace: rec.workspace().name.clone(),
+            service: rec.service().name.clone(),
+            path: ask.path.clone(),
+            body: ask.body.clone(),
+            labels: rec.labels.clone(),
+            priority: rec.head.priority,
+            tokens: Vec::new(),
+            closing: Vec::new(),
+            outcome: None,
+        };
+        self.proxy.answers.insert(rec.id(), answer);
+    }
+
+    /// Returns the next piece of the answer.
+    pub(crate) async fn next(&mut self) -> Result<Piece, Refusal> {
+        loop {
+            let step = self.step().await;
+            match step {
+                Step::Command(command) => {
+                    if let Some(piece) = self.obey(command).await? {
+                        return Ok(piece);
+                    }
+                }
+                Step::Deadline => return Err(self.fail(RefusalReason::DeadlinePassed)),
+                Step::Event(Ok(event)) => {
+                    if let Some(piece) = self.take_event(event)? {
+                        return Ok(piece);
+                    }
+                }
+                Step::Event(Err(err)) => self.recover(err).await?,
+            }
+        }
+    }
+
+    /// Returns whether the answer is one text that can be taken up midway.
+    pub(crate) fn is_one_text(&self) -> bool {
+        self.ask.is_one_text
+    }
+
+    async fn step(&mut self) -> Step {
+        let deadline = self.rec.deadline.unwrap_or_else(Instant::now);
+        let Some(events) = self.events.as_mut() else {
+            return Step::Event(Err(broken("the answer has no connection")));
+        };
+        tokio::select! {
+            biased;
+            Some(command) = self.guard.rx.recv() => Step::Command(command),
+            event = events.next() => {
+                Step::Event(event.unwrap_or_else(|| Err(broken("the answer ended early"))))
+            }
+            () = sleep_until(deadline) => Step::Deadline,
+        }
+    }
+
+    /// Turns an event into a piece; one that is a repetition has none.
+    fn take_event(&mut self, event: StreamEvent) -> Result<Option<Piece>, Refusal> {
+        match event {
+            StreamEvent::Token { offset, .. } if offset.0 < self.next => Ok(None),
+            StreamEvent::Token { offset, .. } if offset.0 > self.next => {
+                self.events = None;
+                Ok(None)
+            }
+            StreamEvent::Token { offset, text, data } => {
+                self.note_first();
+                self.text.push_str(&text);
+                self.next += 1;
+                self.guard.progress(self.next);
+                let kept = KeptToken { text: text.clone(), data: data.clone() };
+                self.proxy.answers.push_token(self.rec.id(), offset.0, kept);
+                let service = self.rec.service().name.as_str();
+                self.proxy.metrics.tokens.with_label_values(&[service]).inc();
+                Ok(Some(Piece::Token { offset: offset.0, text, data }))
+            }
+            StreamEvent::Other(data) => {
+                self.note_first();
+                self.proxy.answers.push_closing(self.rec.id(), data.clone());
+                Ok(Some(Piece::Other(data)))
+            }
+            StreamEvent::Done => {
+                self.observe(true);
+                self.events = None;
+                self.placed = None;
+                Ok(Some(Piece::Done))
+            }
+        }
+    }
+
+    fn note_first(&mut self) {
+        if self.first.is_some() {
+            return;
+        }
+        self.first = Some(self.attempt_started.elapsed());
+        if self.resumes == 0 {
+            let service = self.rec.service().name.as_str();
+            let since_arrival = self.rec.head.arrived.elapsed().as_secs_f64();
+            self.proxy.metrics.first_byte.with_label_values(&[service]).observe(since_arrival);
+        }
+    }
+
+    async fn obey(&mut self, command: StreamCommand) -> Result<Option<Piece>, Refusal> {
+        match command {
+            StreamCommand::HandOver => {
+                self.events = None;
+                self.placed = None;
+                Ok(Some(Piece::HandedOver))
+            }
+            _ if !self.may_go_on_elsewhere() => Ok(None),
+            StreamCommand::Resume { to } => {
+                self.leave("reclaim");
+                self.connect(to.as_ref()).await?;
+                Ok(None)
+            }
+            StreamCommand::Move { to } => {
+                self.move_cache(&to).await;
+                self.leave("move");
+                self.connect(Some(&to)).await?;
+                Ok(None)
+            }
+        }
+    }
+
+    /// Copies the KV cache to the upstream `to`; where that fails, it recomputes.
+    async fn move_cache(&self, to: &UpstreamId) {
+        let service = &self.rec.service().name;
+        let receiver = self.proxy.registry.get(service, to);
+        let (Some(from), Some(to)) = (self.engine(), receiver.as_deref().and_then(engine_of))
+        else {
+            return;
+        };
+        let moved = async {
+            let blob = from.export_kv(self.rec.id()).await?;
+            to.import_kv(&blob).await
+        };
+        if let Err(err) = moved.await {
+            log::warn!("proxy: KV cache of request {} is not moved: {err}", self.rec.id());
+        }
+    }
+
+    fn engine(&self) -> Option<Arc<dyn Engine>> {
+        engine_of(&self.placed.as_ref()?.upstream)
+    }
+
+    fn may_go_on_elsewhere(&self) -> bool {
+        self.ask.is_one_text && self.rec.idempotency == Idempotency::Idempotent
+    }
+
+    /// Leaves the upstream, without blaming it.
+    fn leave(&mut self, cause: &str) {
+        if let Some(placed) = &self.placed {
+            self.attempts.tried.push(placed.upstream.id().clone());
+        }
+        self.cancel_upstream();
+        self.note_resume(cause);
+    }
+
+    fn note_resume(&mut self, cause: &str) {
+        self.resumes += 1;
+        self.events = None;
+        self.placed = None;
+        let service = self.rec.service().name.as_str();
+        self.proxy.metrics.resumes.with_label_values(&[service, cause]).inc();
+    }
+
+    /// Goes on at another upstream after a failure.
+    async fn recover(&mut self, err: UpstreamError) -> Result<(), Refusal> {
+        self.observe(false);
+        if let Some(placed) = &self.placed {
+            self.attempts.failed(&placed.upstream, &err);
+        }
+        let can_restart = self.next == 0 || self.ask.is_one_text;
+        let is_idempotent = self.rec.idempotency == Idempotency::Idempotent;
+        if !can_restart || !is_idempotent || self.resumes >= MAX_RESUMES {
+            return Err(self.fail(RefusalReason::UpstreamFailed(err.to_string())));
+        }
+        log::info!("proxy: request {} goes on elsewhere: {err}", self.rec.id());
+        self.note_resume("broken");
+        self.connect(None).await
+    }
+
+    fn fail(&mut self, reason: RefusalReason) -> Refusal {
+        let outcome = match self.rec.idempotency {
+            Idempotency::Idempotent => Outcome::Failed,
+            Idempotency::NonIdempotent => Outcome::Unknown,
+        };
+        self.cancel_upstream();
+        Refusal { reason, outcome, retry_after: None }
+    }
+
+    /// Sends the request to an upstream, `to` if it is given and takes it.
+    async fn connect(&mut self, to: Option<&UpstreamId>) -> Result<(), Refusal> {
+        let mut wanted = to.and_then(|id| self.proxy.registry.get(&self.rec.service().name, id));
+        loop {
+            let placed = match wanted.take() {
+                Some(upstream) => Placed::new(upstream),
+                None => self.place()?,
+            };
+            self.attempt_started = Instant::now();
+            self.first = None;
+            let service = self.rec.service().name.as_str();
+            let kind = if self.attempts.tried.is_empty() { "first" } else { "again" };
+            self.proxy.metrics.attempts.with_label_values(&[service, kind]).inc();
+            match self.generate(&placed.upstream).await {
+                Ok(events) => {
+                    self.guard.moved(placed.upstream.id());
+                    self.events = Some(events);
+                    self.placed = Some(placed);
+                    return Ok(());
+                }
+                Err(err) => self.attempt_failed(&placed, err)?,
+            }
+        }
+    }
+
+    fn place(&mut self) -> Result<Placed, Refusal> {
+        let ask = |exclude| PlaceAsk {
+            rec: &self.rec,
+            exclude,
+            avoid_zone: self.attempts.last_zone.as_ref(),
+        };
+        let placed = self.proxy.place.place(&ask(&self.attempts.tried));
+        // An answer that has begun rather goes back to an upstream that was tried.
+        let placed = match placed {
+            Err(_) if self.next > 0 => self.proxy.place.place(&ask(&[])),
+            placed => placed,
+        };
+        placed.map_err(|refusal| match (self.next > 0, self.attempts.may_have_run) {
+            (true, _) => self.fail(refusal.reason),
+            (false, true) => Refusal { outcome: Outcome::Unknown, ..refusal },
+            (false, false) => refusal,
+        })
+    }
+
+    fn attempt_failed(&mut self, placed: &Placed, err: UpstreamError) -> Result<(), Refusal> {
+        let seen = Observation {
+            ok: false,
+            first: None,
+            total: self.attempt_started.elapsed(),
+            tokens: 0,
+        };
+        self.proxy.place.observe(&placed.upstream, seen);
+        self.attempts.failed(&placed.upstream, &err);
+        let may_go_on = self.next > 0 && self.attempts.tried.len() < MAX_RESUMES as usize;
+        if may_go_on || self.attempts.may_retry(self.proxy.retry.as_ref(), &self.rec, &err) {
+            return Ok(());
+        }
+        match self.next {
+            0 => Err(self.attempts.refusal(err)),
+            _ => Err(self.fail(RefusalReason::UpstreamFailed(err.to_string()))),
+        }
+    }
+
+    async fn generate(&self, upstream: &Upstream) -> Result<EngineStream, UpstreamError> {
+        let engine = engine_of(upstream).ok_or(UpstreamError::Unsupported)?;
+        let resume = (self.next > 0).then(|| ResumePoint {
+            offset: TokenOffset(self.next),
+            text: self.text.as_str().into(),
+        });
+        let req = EngineRequest {
+            id: self.rec.id().clone(),
+            path: self.ask.path.clone(),
+            body: self.ask.body.clone(),
+            stream: self.ask.is_one_text || is_stream(&self.rec),
+            priority: self.rec.head.priority,
+            timeout: self.rec.time_left(Instant::now()),
+            resume,
+        };
+        engine.generate(req).await
+    }
+
+    fn observe(&self, ok: bool) {
+        let Some(placed) = &self.placed else { return };
+        let seen = Observation {
+            ok,
+            first: self.first,
+            total: self.attempt_started.elapsed(),
+            tokens: self.next,
+        };
+        self.proxy.place.observe(&placed.upstream, seen);
+    }
+
+    /// Tells the upstream that nobody waits any more.
+    fn cancel_upstream(&mut self) {
+        let Some(engine) = self.engine() else { return };
+        self.events = None;
+        self.placed = None;
+        let id = self.rec.id().clone();
+        actix_web::rt::spawn(async move {
+            if let Err(err) = engine.cancel(&id).await {
+                log::debug!("proxy: request {id} is not cancelled by name: {err}");
+            }
+        });
+    }
+
+    /// Notes that the call is settled, so that dropping it means nothing.
+    pub(crate) fn set_settled(&mut self, outcome: Outcome) {
+        self.settled = true;
+        self.proxy.answers.settle(self.rec.id(), outcome);
+    }
+
+    /// Notes that the call is handed over: it stays open for whoever takes it up.
+    pub(crate) fn set_handed_over(&mut self) {
+        self.settled = true;
+    }
+}
+
+impl Drop for ModelCall {
+    fn drop(&mut self) {
+        self.cancel_upstream();
+        if !self.settled {
+            settle_later(&self.proxy, &mut self.rec, Outcome::Unknown);
+        }
+    }
+}
+
+enum Step {
+    Command(StreamCommand),
+    Event(Result<StreamEvent, UpstreamError>),
+    Deadline,
+}
+
+fn broken(reason: &str) -> UpstreamError {
+    UpstreamError::Broken { reason: reason.into() }
+}
+
+fn engine_of(upstream: &Upstream) -> Option<Arc<dyn Engine>> {
+    match &upstream.target {
+        Target::Engine(engine) => Some(engine.clone()),
+        Target::Plain(_) => None,
+    }
+}
+
+fn is_stream(rec: &Record) -> bool {
+    matches!(rec.kind, crate::Kind::Model { stream: true, .. })
+}
+
+fn about(rec: &Record, ask: &ModelAsk, next: u64) -> RunningStream {
+    RunningStream {
+        request: rec.id().clone(),
+        workspace: rec.workspace().name.clone(),
+        service: rec.service().name.clone(),
+        upstream: None,
+        prompt_tokens: ask.body.len() as u64 / PROMPT_BYTES_PER_TOKEN,
+        generated: next,
+        max_tokens: ask.max_tokens,
+    }
+}
--- /dev/null
+++ b/components/proxy/src/registry.rs
@@ -0,0 +1,125 @@
+//! The upstreams that this node knows.
+
+use std::{
+    collections::{BTreeMap, HashSet},
+    sync::{
+        Arc, RwLock,
+        atomic::{AtomicU32, Ordering},
+    },
+};
+
+use arc_swap::ArcSwap;
+use lycheelatch_config::{Service, Snapshot};
+use lycheelatch_platform::{ListedInstance, ListedState};
+use lycheelatch_prelude::{InstanceId, ServiceName, UpstreamId};
+
+use crate::{Connect, Target};
+
+/// One upstream and its client.
+pub struct Upstream {
+    /// What the instance list says of it.
+    pub listed: ListedInstance,
+    /// Its client.
+    pub target: Target,
+    in_flight: AtomicU32,
+}
+
+impl Upstream {
+    /// Returns the identity.
+    pub fn id(&self) -> &UpstreamId {
+        &self.listed.upstream
+    }
+
+    /// Returns how many requests of this node it runs.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn started(&self) {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn finished(&self) {
+        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+type ByService = BTreeMap<ServiceName, Vec<Arc<Upstream>>>;
+
+/// The upstreams that this node knows, by service.
+///
+/// An upstream keeps its client and counts from one update to the next. When
+/// the instance list can't be read, the last one stays.
+pub struct Registry {
+    connect: Arc<dyn Connect>,
+    by_service: ArcSwap<ByService>,
+    leaving: RwLock<HashSet<InstanceId>>,
+}
+
+impl Registry {
+    /// Creates an empty registry.
+    pub fn new(connect: Arc<dyn Connect>) -> Registry {
+        Registry {
+            connect,
+            by_service: ArcSwap::from_pointee(ByService::new()),
+            leaving: RwLock::default(),
+        }
+    }
+
+    /// Takes over what the instance list says now.
+    pub fn update(&self, config: &Snapshot, listed: Vec<ListedInstance>) {
+        let earlier = self.by_service.load();
+        let mut by_service = ByService::new();
+        for listed in listed {
+            let Some(service) = config.services.get(&listed.service) else { continue };
+            let upstream = self.keep_or_connect(&earlier, service, listed);
+            by_service.entry(service.name.clone()).or_default().push(upstream);
+        }
+        self.by_service.store(Arc::new(by_service));
+    }
+
+    fn keep_or_connect(
+        &self,
+        earlier: &ByService,
+        service: &Service,
+        listed: ListedInstance,
+    ) -> Arc<Upstream> {
+        let known = earlier
+            .get(&service.name)
+            .and_then(|upstreams| upstreams.iter().find(|upstream| upstream.listed == listed));
+        if let Some(known) = known {
+            return known.clone();
+        }
+        let target = self.connect.connect(service, &listed);
+        Arc::new(Upstream { listed, target, in_flight: AtomicU32::new(0) })
+    }
+
+    /// Sets the instances that are announced to go, beyond what the list says.
+    pub fn set_leaving(&self, leaving: HashSet<InstanceId>) {
+        *self.leaving.write().unwrap() = leaving;
+    }
+
+    /// Returns whether an upstream takes no new work.
+    pub fn is_leaving(&self, upstream: &Upstream) -> bool {
+        upstream.listed.state == ListedState::Leaving
+            || self.leaving.read().unwrap().contains(&upstream.listed.instance)
+    }
+
+    /// Returns the upstreams of a service that take new work.
+    pub fn of(&self, service: &ServiceName) -> Vec<Arc<Upstream>> {
+        let by_service = self.by_service.load();
+        let Some(upstreams) = by_service.get(service) else { return Vec::new() };
+        upstreams.iter().filter(|upstream| !self.is_leaving(upstream)).cloned().collect()
+    }
+
+    /// Returns an upstream of a service, leaving or not.
+    pub fn get(&self, service: &ServiceName, id: &UpstreamId) -> Option<Arc<Upstream>> {
+        let by_service = self.by_service.load();
+        by_service.get(service)?.iter().find(|upstream| upstream.id() == id).cloned()
+    }
+
+    /// Returns every upstream, leaving or not.
+    pub fn all(&self) -> Vec<Arc<Upstream>> {
+        self.by_service.load().values().flatten().cloned().collect()
+    }
+}
