peers: Add membership, certificates and the QUIC link

Cause: the border PeerLink had only an in-memory form; nodes could not meet. Change: a pure membership state machine (probes, indirect probes over other members and new connections, suspicion, incarnations, flooding over a hashed overlay of degree 5, comparison on differing view digests, contact to dead members and seeds), a certificate authority, mutual TLS with names of cluster and node, and QuicLink with calls and spread on a thread of its own.

--- a/components/peers/src/lib.rs
+++ b/components/peers/src/lib.rs
@@ -2,10 +2,25 @@
 //!
 //! [`PeerLink`] is the border. Parts that talk to their like on other nodes
 //! pick a [`Topic`], encode their own wire types, and register a
-//! [`PeerHandler`].
+//! [`PeerHandler`]. [`QuicLink`] is the link over QUIC, with the
+//! [`Membership`] state machine in it.
 
+mod authority;
+mod config;
 mod link;
 mod member;
+mod membership;
+mod metrics;
+mod quic;
+mod tls;
 
+pub use authority::{AuthorityError, CertificateAuthority, IssuedCertificate};
+pub use config::{IdentityCheck, PeersConfig, Pem, TlsFiles};
 pub use link::{PeerError, PeerHandler, PeerLink, Topic};
 pub use member::{Member, MemberState, Members};
+pub use membership::{
+    Body, Destination, Holding, Membership, Message, Outgoing, Record, TICK, Update,
+};
+pub use metrics::PeerMetrics;
+pub use quic::{QuicLink, StartError};
+pub use tls::TlsError;
--- /dev/null
+++ b/components/peers/tests/quic/common.rs
@@ -0,0 +1,69 @@
+//! Nodes with real sockets on loopback.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use lycheelatch_peers::{
+    CertificateAuthority, IdentityCheck, Members, PeerError, PeerHandler, PeersConfig, QuicLink,
+    TlsFiles,
+};
+use lycheelatch_prelude::{Name, NodeId};
+use prometheus::Registry;
+use tokio::{sync::mpsc, time::timeout};
+
+/// Longest time that a test waits for an event.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
+
+pub(crate) fn id(name: &str) -> NodeId {
+    name.parse().unwrap()
+}
+
+pub(crate) fn cluster() -> Name {
+    "rushes".parse().unwrap()
+}
+
+pub(crate) fn authority() -> CertificateAuthority {
+    CertificateAuthority::generate(&cluster(), 1).unwrap()
+}
+
+pub(crate) fn config(name: &str, tls: TlsFiles, seeds: &[SocketAddr]) -> PeersConfig {
+    PeersConfig {
+        node: id(name),
+        cluster: cluster(),
+        bind: "127.0.0.1:0".parse().unwrap(),
+        advertise: None,
+        zone: "cenarth".parse().unwrap(),
+        region: "ceredigion".parse().unwrap(),
+        seeds: seeds.to_vec(),
+        tls,
+        identity: IdentityCheck::Node,
+    }
+}
+
+pub(crate) async fn start(
+    ca: &CertificateAuthority,
+    name: &str,
+    seeds: &[SocketAddr],
+) -> Arc<QuicLink> {
+    let tls = ca.tls(&ca.issue(&id(name), 1).unwrap());
+    QuicLink::start(config(name, tls, seeds), &Registry::new()).await.unwrap()
+}
+
+/// Waits until the members satisfy `is_so`.
+pub(crate) async fn wait_members(link: &QuicLink, is_so: impl Fn(&Members) -> bool) {
+    let mut members = link.watch_members();
+    let seen = timeout(PATIENCE, members.wait_for(|m| is_so(m))).await;
+    assert!(seen.is_ok(), "members: {:?}", link.watch_members().borrow());
+}
+
+/// Passes messages on and answers with them.
+pub(crate) struct Echo(pub(crate) mpsc::UnboundedSender<(NodeId, Bytes)>);
+
+#[async_trait(?Send)]
+impl PeerHandler for Echo {
+    async fn handle(&self, from: &NodeId, msg: Bytes) -> Result<Bytes, PeerError> {
+        let _test_ended = self.0.send((from.clone(), msg.clone()));
+        Ok(msg)
+    }
+}
--- /dev/null
+++ b/components/peers/tests/quic/link.rs
@@ -0,0 +1,173 @@
+//! Membership, calls, spread and refusals.
+
+use std::time::Duration;
+
+use crate::common::{Echo, PATIENCE, authority, config, id, start, wait_members};
+use actix::test;
+use async_trait::async_trait;
+use bytes::Bytes;
+use lycheelatch_peers::{
+    CertificateAuthority, IdentityCheck, MemberState, PeerError, PeerHandler, PeerLink, QuicLink,
+    StartError, Topic,
+};
+use lycheelatch_prelude::NodeId;
+use prometheus::Registry;
+use tokio::{sync::mpsc, time::timeout};
+
+#[test]
+async fn start_three_nodes_meet_call_and_spread() {
+    let ca = authority();
+    let a = start(&ca, "a", &[]).await;
+    let seed = [a.local_addr().unwrap()];
+    let b = start(&ca, "b", &seed).await;
+    let c = start(&ca, "c", &seed).await;
+    for link in [&a, &b, &c] {
+        wait_members(link, |m| m.usable_count() == 3).await;
+    }
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    for link in [&b, &c] {
+        link.register(Topic::Reclaim, std::sync::Arc::new(Echo(tx.clone())));
+    }
+    let msg = Bytes::from_static(b"zone-a goes");
+    let answer = b.call(&id("c"), Topic::Reclaim, msg.clone(), PATIENCE).await;
+    assert_eq!(answer.unwrap(), msg);
+    assert_eq!(rx.recv().await.unwrap(), (id("b"), msg.clone()));
+    a.spread(Topic::Reclaim, msg.clone());
+    for _ in 0..2 {
+        assert_eq!(timeout(PATIENCE, rx.recv()).await.unwrap().unwrap(), (id("a"), msg.clone()));
+    }
+    assert!(rx.try_recv().is_err(), "a message was handled twice");
+}
+
+#[test]
+async fn leave_is_seen_and_shutdown_ends_it() {
+    let ca = authority();
+    let a = start(&ca, "a", &[]).await;
+    let b = start(&ca, "b", &[a.local_addr().unwrap()]).await;
+    wait_members(&a, |m| m.usable_count() == 2).await;
+    wait_members(&b, |m| m.usable_count() == 2).await;
+    b.leave().await;
+    wait_members(&a, |m| m.0[&id("b")].state == MemberState::Leaving).await;
+    b.shutdown().await;
+    wait_members(&a, |m| m.0[&id("b")].state == MemberState::Dead).await;
+}
+
+#[test]
+async fn call_large_message_comes_back_whole() {
+    let ca = authority();
+    let a = start(&ca, "a", &[]).await;
+    let b = start(&ca, "b", &[a.local_addr().unwrap()]).await;
+    wait_members(&b, |m| m.usable_count() == 2).await;
+    let (tx, _rx) = mpsc::unbounded_channel();
+    a.register(Topic::Handover, std::sync::Arc::new(Echo(tx)));
+    let msg = Bytes::from(vec![7; 3_000_000]);
+    let answer = b.call(&id("a"), Topic::Handover, msg.clone(), PATIENCE).await.unwrap();
+    assert!(answer == msg);
+}
+
+#[test]
+async fn call_errors_name_their_cause() {
+    let ca = authority();
+    let a = start(&ca, "a", &[]).await;
+    let b = start(&ca, "b", &[a.local_addr().unwrap()]).await;
+    wait_members(&b, |m| m.usable_count() == 2).await;
+    let call = |to: &str| {
+        let (b, to) = (b.clone(), id(to));
+        async move { b.call(&to, Topic::Load, Bytes::new(), PATIENCE).await }
+    };
+    assert_eq!(call("z").await, Err(PeerError::NotMember { node: id("z") }));
+    assert_eq!(call("a").await, Err(PeerError::NoHandler { topic: Topic::Load }));
+    a.register(Topic::Load, std::sync::Arc::new(Refuse));
+    assert_eq!(call("a").await, Err(PeerError::Refused { reason: "busy".into() }));
+}
+
+#[test]
+async fn call_timeout_says_that_the_peer_may_have_acted() {
+    let ca = authority();
+    let a = start(&ca, "a", &[]).await;
+    let b = start(&ca, "b", &[a.local_addr().unwrap()]).await;
+    wait_members(&b, |m| m.usable_count() == 2).await;
+    a.register(Topic::Load, std::sync::Arc::new(Hang));
+    let limit = Duration::from_millis(100);
+    let answer = b.call(&id("a"), Topic::Load, Bytes::new(), limit).await;
+    assert!(matches!(answer, Err(PeerError::AnswerLost { .. })), "{answer:?}");
+}
+
+#[test]
+async fn start_stranger_gets_nothing() {
+    let ca = authority();
+    let a = start(&ca, "a", &[]).await;
+    let seed = [a.local_addr().unwrap()];
+    let stranger = start(&authority(), "b", &seed).await;
+    expect_refusal(&a, &stranger).await;
+}
+
+#[test]
+async fn start_expired_certificate_gets_nothing() {
+    let ca = authority();
+    let a = start(&ca, "a", &[]).await;
+    let tls = ca.tls(&ca.issue_expired(&id("b")).unwrap());
+    let cfg = config("b", tls, &[a.local_addr().unwrap()]);
+    let expired = QuicLink::start(cfg, &Registry::new()).await.unwrap();
+    expect_refusal(&a, &expired).await;
+}
+
+#[test]
+async fn start_wrong_cluster_of_same_authority_gets_nothing() {
+    let ca = authority();
+    let a = start(&ca, "a", &[]).await;
+    let other = "sacks".parse().unwrap();
+    let other_ca = CertificateAuthority::load(&other, ca.certificate_pem(), &ca.key_pem()).unwrap();
+    let tls = other_ca.tls(&other_ca.issue(&id("b"), 1).unwrap());
+    let mut cfg = config("b", tls, &[a.local_addr().unwrap()]);
+    cfg.cluster = other;
+    let wrong = QuicLink::start(cfg, &Registry::new()).await.unwrap();
+    expect_refusal(&a, &wrong).await;
+}
+
+#[test]
+async fn start_name_of_another_node_is_refused() {
+    let ca = authority();
+    let a = start(&ca, "a", &[]).await;
+    let tls = ca.tls(&ca.issue(&id("b"), 1).unwrap());
+    let cfg = config("c", tls.clone(), &[]);
+    let err = QuicLink::start(cfg, &Registry::new()).await.err().unwrap();
+    assert!(matches!(err, StartError::Tls(_)), "{err}");
+    let mut cfg = config("c", tls, &[a.local_addr().unwrap()]);
+    cfg.identity = IdentityCheck::Cluster;
+    let impostor = QuicLink::start(cfg, &Registry::new()).await.unwrap();
+    expect_refusal(&a, &impostor).await;
+}
+
+/// Waits until one of the two has refused the other, and checks that neither knows the other.
+async fn expect_refusal(a: &QuicLink, stranger: &QuicLink) {
+    let refusals = |link: &QuicLink| link.metrics().refused.get();
+    let refused = async {
+        while refusals(a) == 0 || refusals(stranger) == 0 {
+            tokio::task::yield_now().await;
+        }
+    };
+    timeout(PATIENCE, refused).await.unwrap();
+    assert_eq!(a.members().0.len(), 1);
+    assert_eq!(stranger.members().0.len(), 1);
+    let answer = stranger.call(a.local(), Topic::Config, Bytes::new(), PATIENCE).await;
+    assert_eq!(answer, Err(PeerError::NotMember { node: a.local().clone() }));
+}
+
+struct Refuse;
+
+#[async_trait(?Send)]
+impl PeerHandler for Refuse {
+    async fn handle(&self, _from: &NodeId, _msg: Bytes) -> Result<Bytes, PeerError> {
+        Err(PeerError::Refused { reason: "busy".into() })
+    }
+}
+
+struct Hang;
+
+#[async_trait(?Send)]
+impl PeerHandler for Hang {
+    async fn handle(&self, _from: &NodeId, _msg: Bytes) -> Result<Bytes, PeerError> {
+        std::future::pending().await
+    }
+}
--- /dev/null
+++ b/components/peers/tests/quic/main.rs
@@ -0,0 +1,6 @@
+//! Links over real QUIC on loopback.
+
+mod common;
+mod link;
+mod relay;
+mod silent;
