--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -1,1 +1,17 @@
-//! The node: joins every part into the binary lycheelatchd.
+//! The node: joins every part into the binary `lycheelatchd`.
+
+mod callers;
+mod cli;
+mod clients;
+mod config_task;
+mod error;
+mod health;
+mod logging;
+mod node;
+mod registry_task;
+mod signals;
+
+pub use cli::run;
+pub use error::StartError;
+pub use health::Health;
+pub use node::{Node, peers_config};
--- a/components/daemon/src/main.rs
+++ b/components/daemon/src/main.rs
@@ -1,3 +1,7 @@
-//! The node.
+//! The node's process.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    lycheelatch_daemon::run(std::env::args_os())
+}
