config: one linear history in the key-value service, with its audit trail

Cause: nodes had the model of a configuration and nowhere to keep it. Change: ConfigStore commits a change, its audit record and its place in the history by one compare-and-swap of a head; large configurations are spread over parts written before it, old records over a chain of pages. A lost answer is resolved by repeating the swap and reading back the change id. Documents are read field by field, so that every error is named; tokens are hashed on the way in and appear by a short id only. Delta and CurrentConfig carry revisions between nodes and never go back.

--- /dev/null
+++ b/components/config/src/delta.rs
@@ -0,0 +1,161 @@
+//! What changed between two revisions, and how nodes send it to each other.
+
+use displaydoc::Display;
+use lycheelatch_prelude::Revision;
+use serde::{Deserialize, Serialize};
+
+use crate::{Object, ObjectKey, Snapshot};
+
+/// Format of encoded deltas and snapshots.
+const WIRE_FORMAT: u32 = 1;
+
+/// The difference that leads from one revision to a later one.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Delta {
+    /// Revision that the delta applies to.
+    pub from: Revision,
+    /// Revision that it leads to.
+    pub to: Revision,
+    /// Objects that are added or replaced.
+    pub puts: Vec<Object>,
+    /// Objects that are removed.
+    pub removals: Vec<ObjectKey>,
+}
+
+/// Why a delta can't be read or applied.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum DeltaError {
+    /// the delta applies to revision {needed}, and this node has revision {found}
+    WrongBase {
+        /// Revision that the delta applies to.
+        needed: Revision,
+        /// Revision that it was applied to.
+        found: Revision,
+    },
+    /// the delta leads from revision {from} to {to}, which is not later
+    NotForward {
+        /// Revision that the delta applies to.
+        from: Revision,
+        /// Revision that it leads to.
+        to: Revision,
+    },
+    /// the format {0} is not known to this version
+    UnknownFormat(u32),
+    /// the bytes can't be read: {0}
+    Malformed(String),
+}
+
+impl std::error::Error for DeltaError {}
+
+impl Delta {
+    /// Returns what leads from `before` to `after`.
+    pub fn between(before: &Snapshot, after: &Snapshot) -> Delta {
+        let changed = |object: &Object| before.object(&object.key()).as_ref() != Some(object);
+        let removed = |key: &ObjectKey| after.object(key).is_none();
+        Delta {
+            from: before.revision,
+            to: after.revision,
+            puts: after.objects().filter(changed).collect(),
+            removals: before.objects().map(|object| object.key()).filter(removed).collect(),
+        }
+    }
+
+    /// Returns the bytes that nodes send.
+    pub fn encode(&self) -> Vec<u8> {
+        let wire = WireDelta {
+            format: WIRE_FORMAT,
+            from: self.from,
+            to: self.to,
+            puts: self.puts.clone(),
+            removals: self.removals.clone(),
+        };
+        serde_json::to_vec(&wire).expect("a delta has only serializable parts")
+    }
+
+    /// Reads a delta that [`Delta::encode`] wrote.
+    pub fn decode(bytes: &[u8]) -> Result<Delta, DeltaError> {
+        decode::<WireDelta>(bytes)?.try_into()
+    }
+}
+
+impl Snapshot {
+    /// Returns the snapshot that `delta` leads to.
+    pub fn apply_delta(&self, delta: &Delta) -> Result<Snapshot, DeltaError> {
+        if delta.from != self.revision {
+            return Err(DeltaError::WrongBase { needed: delta.from, found: self.revision });
+        }
+        if delta.to <= delta.from {
+            return Err(DeltaError::NotForward { from: delta.from, to: delta.to });
+        }
+        let mut snapshot = self.clone();
+        for key in &delta.removals {
+            snapshot.remove(key);
+        }
+        for object in &delta.puts {
+            snapshot.put(object.clone());
+        }
+        snapshot.revision = delta.to;
+        Ok(snapshot)
+    }
+
+    /// Returns the bytes that nodes send when no delta will do.
+    pub fn encode(&self) -> Vec<u8> {
+        let wire = WireSnapshot {
+            format: WIRE_FORMAT,
+            revision: self.revision,
+            objects: self.objects().collect(),
+        };
+        serde_json::to_vec(&wire).expect("a snapshot has only serializable parts")
+    }
+
+    /// Reads a snapshot that [`Snapshot::encode`] wrote.
+    pub fn decode(bytes: &[u8]) -> Result<Snapshot, DeltaError> {
+        decode::<WireSnapshot>(bytes)?.try_into()
+    }
+}
+
+fn decode<T: for<'de> Deserialize<'de>>(bytes: &[u8]) -> Result<T, DeltaError> {
+    serde_json::from_slice(bytes).map_err(|err| DeltaError::Malformed(err.to_string()))
+}
+
+#[derive(Serialize, Deserialize)]
+struct WireDelta {
+    format: u32,
+    from: Revision,
+    to: Revision,
+    puts: Vec<Object>,
+    removals: Vec<ObjectKey>,
+}
+
+impl TryFrom<WireDelta> for Delta {
+    type Error = DeltaError;
+
+    fn try_from(wire: WireDelta) -> Result<Delta, DeltaError> {
+        check_format(wire.format)?;
+        if wire.to <= wire.from {
+            return Err(DeltaError::NotForward { from: wire.from, to: wire.to });
+        }
+        Ok(Delta { from: wire.from, to: wire.to, puts: wire.puts, removals: wire.removals })
+    }
+}
+
+#[derive(Serialize, Deserialize)]
+struct WireSnapshot {
+    format: u32,
+    revision: Revision,
+    objects: Vec<Object>,
+}
+
+impl TryFrom<WireSnapshot> for Snapshot {
+    type Error = DeltaError;
+
+    fn try_from(wire: WireSnapshot) -> Result<Snapshot, DeltaError> {
+        check_format(wire.format)?;
+        let snapshot: Snapshot = wire.objects.into_iter().collect();
+        Ok(Snapshot { revision: wire.revision, ..snapshot })
+    }
+}
+
+fn check_format(format: u32) -> Result<(), DeltaError> {
+    if format == WIRE_FORMAT { Ok(()) } else { Err(DeltaError::UnknownFormat(format)) }
+}
--- /dev/null
+++ b/components/config/src/object.rs
@@ -0,0 +1,146 @@
+//! Objects of every kind, and the keys that name them.
+
+use std::fmt;
+
+use lycheelatch_prelude::Name;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use crate::{PlacementRule, Service, Snapshot, Workspace};
+
+/// Kind of an object.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ObjectKind {
+    /// A service.
+    Service,
+    /// A workspace.
+    Workspace,
+    /// A placement rule.
+    Rule,
+}
+
+impl ObjectKind {
+    /// Every kind, in the order in which a document lists them.
+    pub const ALL: [ObjectKind; 3] = [ObjectKind::Service, ObjectKind::Workspace, ObjectKind::Rule];
+
+    /// Returns the field of a document that lists objects of this kind.
+    pub fn plural(self) -> &'static str {
+        match self {
+            ObjectKind::Service => "services",
+            ObjectKind::Workspace => "workspaces",
+            ObjectKind::Rule => "rules",
+        }
+    }
+}
+
+/// What names one object: its kind and name.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ObjectKey {
+    /// Kind of the object.
+    pub kind: ObjectKind,
+    /// Name of the object, unique in its kind.
+    pub name: Name,
+}
+
+impl fmt::Display for ObjectKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}[{}]", self.kind.plural(), self.name)
+    }
+}
+
+/// One object of any kind.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Object {
+    /// A service.
+    Service(Service),
+    /// A workspace.
+    Workspace(Workspace),
+    /// A placement rule.
+    Rule(PlacementRule),
+}
+
+impl Object {
+    /// Returns the key of the object.
+    pub fn key(&self) -> ObjectKey {
+        let (kind, name) = match self {
+            Object::Service(service) => (ObjectKind::Service, service.name.as_str()),
+            Object::Workspace(workspace) => (ObjectKind::Workspace, workspace.name.as_str()),
+            Object::Rule(rule) => (ObjectKind::Rule, rule.name.as_str()),
+        };
+        let name = name.parse().expect("the name of an object is a valid name");
+        ObjectKey { kind, name }
+    }
+
+    /// Returns the object as operators see it: tokens appear by their short ids only.
+    pub fn view(&self) -> Value {
+        match self {
+            Object::Service(service) => json!(service),
+            Object::Rule(rule) => json!(rule),
+            Object::Workspace(workspace) => view_workspace(workspace),
+        }
+    }
+}
+
+fn view_workspace(workspace: &Workspace) -> Value {
+    let tokens: Vec<Value> =
+        workspace.tokens.iter().map(|token| json!({ "id": token.id() })).collect();
+    let mut view = json!(Workspace { tokens: Vec::new(), ..workspace.clone() });
+    view["tokens"] = tokens.into();
+    view
+}
+
+impl Snapshot {
+    /// Returns every object, ordered by kind and name.
+    pub fn objects(&self) -> impl Iterator<Item = Object> {
+        let services = self.services.values().cloned().map(Object::Service);
+        let workspaces = self.workspaces.values().cloned().map(Object::Workspace);
+        let rules = self.rules.values().cloned().map(Object::Rule);
+        services.chain(workspaces).chain(rules)
+    }
+
+    /// Returns the object that `key` names.
+    pub fn object(&self, key: &ObjectKey) -> Option<Object> {
+        let name = key.name.as_str();
+        match key.kind {
+            ObjectKind::Service => self.services.get(name).cloned().map(Object::Service),
+            ObjectKind::Workspace => self.workspaces.get(name).cloned().map(Object::Workspace),
+            ObjectKind::Rule => self.rules.get(&key.name).cloned().map(Object::Rule),
+        }
+    }
+
+    /// Adds an object or replaces the one of the same key.
+    pub fn put(&mut self, object: Object) {
+        match object {
+            Object::Service(service) => {
+                self.services.insert(service.name.clone(), service);
+            }
+            Object::Workspace(workspace) => {
+                self.workspaces.insert(workspace.name.clone(), workspace);
+            }
+            Object::Rule(rule) => {
+                self.rules.insert(rule.name.clone(), rule);
+            }
+        }
+    }
+
+    /// Removes the object that `key` names and returns whether it was there.
+    pub fn remove(&mut self, key: &ObjectKey) -> bool {
+        let name = key.name.as_str();
+        match key.kind {
+            ObjectKind::Service => self.services.remove(name).is_some(),
+            ObjectKind::Workspace => self.workspaces.remove(name).is_some(),
+            ObjectKind::Rule => self.rules.remove(&key.name).is_some(),
+        }
+    }
+}
+
+impl FromIterator<Object> for Snapshot {
+    fn from_iter<T: IntoIterator<Item = Object>>(iter: T) -> Snapshot {
+        let mut snapshot = Snapshot::default();
+        iter.into_iter().for_each(|object| snapshot.put(object));
+        snapshot
+    }
+}
--- a/components/config/src/token.rs
+++ b/components/config/src/token.rs
@@ -29,12 +29,47 @@
         TokenHash { salt, hash: digest(&salt, token) }
     }
 
+    /// Returns a short id that tells hashes apart and does not help to guess the token.
+    pub fn id(&self) -> TokenId {
+        let [a, b, c, d, ..] = self.hash;
+        TokenId(u32::from_be_bytes([a, b, c, d]))
+    }
+
     /// Returns whether `token` is the hashed one, in constant time.
     pub fn matches(&self, token: &str) -> bool {
         digest(&self.salt, token).ct_eq(&self.hash).into()
     }
 }
 
+/// Short id of a token's hash, written as eight hexadecimal digits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct TokenId(u32);
+
+impl fmt::Display for TokenId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
+
+impl From<TokenId> for String {
+    fn from(id: TokenId) -> String {
+        id.to_string()
+    }
+}
+
+impl TryFrom<String> for TokenId {
+    type Error = InvalidValue;
+
+    fn try_from(text: String) -> Result<TokenId, InvalidValue> {
+        let is_id = text.len() == 8 && text.bytes().all(|b| b.is_ascii_hexdigit());
+        let id = u32::from_str_radix(&text, 16).ok().filter(|_| is_id);
+        // The text may be a token that was pasted by mistake: never repeat it.
+        let bad = || InvalidValue::new("token id", "(hidden)", "must be 8 hexadecimal digits");
+        id.map(TokenId).ok_or_else(bad)
+    }
+}
+
 fn digest(salt: &[u8], token: &str) -> [u8; HASH_BYTES] {
     Sha256::new().chain_update(salt).chain_update(token).finalize().into()
 }
--- /dev/null
+++ b/components/config/tests/common/mod.rs
@@ -0,0 +1,108 @@
+//! Helpers that the tests of the configuration share.
+#![allow(dead_code, reason = "each test binary uses some of them")]
+
+use std::{collections::BTreeMap, future::Future, sync::Arc};
+
+use lycheelatch_config::{
+    ApplyError, AuditQuery, Change, ChangeRecord, ConfigStore, Document, Edit, Object, ObjectKey,
+    ObjectKind, Snapshot,
+};
+use lycheelatch_fakes::MemoryKv;
+use lycheelatch_prelude::{ChangeId, Revision};
+use serde_json::{Value, json};
+
+/// Runs a test with a paused clock.
+pub(crate) fn run<T>(test: impl Future<Output = T>) -> T {
+    actix::System::new().block_on(async {
+        tokio::time::pause();
+        test.await
+    })
+}
+
+pub(crate) fn store(kv: &MemoryKv) -> ConfigStore {
+    ConfigStore::new(Arc::new(kv.clone()))
+}
+
+pub(crate) fn change(expected: Option<u64>, edits: Vec<Edit>) -> Change {
+    Change {
+        id: ChangeId::new_unique(),
+        author: "mair".parse().unwrap(),
+        expected: expected.map(Revision),
+        edits,
+    }
+}
+
+pub(crate) fn document(value: Value) -> Edit {
+    Edit::Apply(Document::from_value(value).unwrap())
+}
+
+pub(crate) fn service(name: &str, max_queue_ms: u64) -> Edit {
+    document(json!({
+        "services": [{ "name": name, "kind": "plain", "limits": { "max_queue_ms": max_queue_ms } }]
+    }))
+}
+
+pub(crate) fn workspace(name: &str, tokens: Value) -> Edit {
+    document(json!({ "workspaces": [{ "name": name, "tokens": tokens }] }))
+}
+
+pub(crate) fn key(kind: ObjectKind, name: &str) -> ObjectKey {
+    ObjectKey { kind, name: name.parse().unwrap() }
+}
+
+pub(crate) fn views(snapshot: &Snapshot) -> BTreeMap<ObjectKey, Value> {
+    snapshot.objects().map(|object| (object.key(), object.view())).collect()
+}
+
+pub(crate) fn invalid_fields(err: ApplyError) -> Vec<String> {
+    match err {
+        ApplyError::Invalid(errors) => errors.into_iter().map(|err| err.field).collect(),
+        err => panic!("not a validation error: {err}"),
+    }
+}
+
+/// Reads the whole audit trail, oldest first.
+pub(crate) async fn whole_audit(store: &ConfigStore, limit: usize) -> Vec<ChangeRecord> {
+    let mut records = Vec::new();
+    let mut query = AuditQuery { limit, ..AuditQuery::default() };
+    loop {
+        let page = store.audit(&query).await.unwrap();
+        records.extend(page.records);
+        if page.next.is_none() {
+            records.reverse();
+            return records;
+        }
+        query.before = page.next;
+    }
+}
+
+/// Returns the views at each revision, as the audit trail tells them.
+pub(crate) fn replay(records: &[ChangeRecord]) -> Vec<BTreeMap<ObjectKey, Value>> {
+    let mut state = BTreeMap::new();
+    let mut states = vec![state.clone()];
+    for (i, record) in records.iter().enumerate() {
+        assert_eq!(record.revision, Revision(i as u64 + 1), "revisions leave no gap");
+        for change in &record.changes {
+            assert_eq!(state.get(&change.object), change.before.as_ref(), "before matches");
+            match &change.after {
+                Some(after) => state.insert(change.object.clone(), after.clone()),
+                None => state.remove(&change.object),
+            };
+        }
+        states.push(state.clone());
+    }
+    states
+}
+
+/// Returns a service of about `bytes` bytes.
+pub(crate) fn large_service(name: &str, bytes: usize) -> Object {
+    let classes: Vec<Value> = (0..bytes / 60)
+        .map(|i| json!({ "class": format!("machine-class-{i:020}"), "units_per_second": 1.0 }))
+        .collect();
+    let service = json!({
+        "name": name,
+        "kind": "plain",
+        "fleet": { "classes": classes, "min_instances": 0, "max_instances": 1 },
+    });
+    Object::Service(serde_json::from_value(service).unwrap())
+}
--- /dev/null
+++ b/components/config/tests/races.rs
@@ -0,0 +1,243 @@
+//! Operators who race each other while the service fails in every way.
+
+mod common;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, HashMap, HashSet},
+    time::Duration,
+};
+
+use common::{change, document, key, replay, run, service, store, views, whole_audit};
+use futures_util::future::{join, join_all};
+use lycheelatch_config::{
+    Applied, ApplyEffect, ApplyError, Change, ConfigStore, CurrentConfig, Edit, ObjectKey,
+    ObjectKind,
+};
+use lycheelatch_fakes::{Fault, MemoryKv};
+use lycheelatch_prelude::{ChangeId, Revision};
+use proptest::prelude::*;
+use serde_json::{Value, json};
+
+/// Nodes that the operators talk to.
+const NODES: usize = 3;
+
+/// What an operator does next.
+#[derive(Debug, Clone)]
+enum Step {
+    /// Applies a change; `is_pinned`: on the revision that the operator has read.
+    Apply { is_pinned: bool, object: u8, value: u64 },
+    /// Removes an object, which may not exist.
+    Remove { object: u8 },
+    /// Applies a change that is larger than the head holds.
+    ApplyLarge { value: u64 },
+    /// Sends the last change again, to another node.
+    SendAgain,
+    /// Waits.
+    Wait { ms: u64 },
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        6 => (any::<bool>(), 0..4_u8, 1..50_u64)
+            .prop_map(|(is_pinned, object, value)| Step::Apply { is_pinned, object, value }),
+        1 => (0..4_u8).prop_map(|object| Step::Remove { object }),
+        1 => (1..50_u64).prop_map(|value| Step::ApplyLarge { value }),
+        2 => Just(Step::SendAgain),
+        1 => (1..3_000_u64).prop_map(|ms| Step::Wait { ms }),
+    ];
+    prop::collection::vec(step, 1..8)
+}
+
+fn faults() -> impl Strategy<Value = Vec<Fault>> {
+    let slow = |ms| Duration::from_millis(ms);
+    let fault = prop_oneof![
+        8 => Just(Fault::None),
+        6 => (1..300_u64).prop_map(move |ms| Fault::Slow(slow(ms))),
+        2 => Just(Fault::Refuse),
+        3 => Just(Fault::LoseAnswer),
+        2 => (1..4_000_u64).prop_map(move |ms| Fault::SlowThenLoseAnswer(slow(ms))),
+        1 => Just(Fault::Silent),
+    ];
+    prop::collection::vec(fault, 0..80)
+}
+
+/// What the operators were told, by change.
+#[derive(Default)]
+struct Told {
+    applied: RefCell<HashMap<ChangeId, Revision>>,
+    refused: RefCell<HashSet<ChangeId>>,
+    unknown: RefCell<HashSet<ChangeId>>,
+}
+
+impl Told {
+    fn note(&self, id: ChangeId, answer: &Result<Applied, ApplyError>) {
+        match answer {
+            Ok(applied) if applied.effect == ApplyEffect::Unchanged => {}
+            Ok(applied) => {
+                let earlier = self.applied.borrow_mut().insert(id, applied.revision);
+                assert!(earlier.is_none_or(|r| r == applied.revision), "one change, one revision");
+                assert!(applied.snapshot.revision >= applied.revision);
+            }
+            Err(ApplyError::Unknown(unknown, _)) => {
+                assert_eq!(*unknown, id);
+                self.unknown.borrow_mut().insert(id);
+            }
+            Err(_) => {
+                self.refused.borrow_mut().insert(id);
+            }
+        }
+    }
+}
+
+fn change_of(step: &Step, seen: Revision) -> Option<Change> {
+    match step {
+        Step::Apply { is_pinned, object, value } => {
+            let expected = is_pinned.then_some(seen.0);
+            Some(change(expected, vec![service(&format!("service-{object}"), *value)]))
+        }
+        Step::Remove { object } => {
+            let key = key(ObjectKind::Service, &format!("service-{object}"));
+            Some(change(None, vec![Edit::Remove(key)]))
+        }
+        Step::ApplyLarge { value } => {
+            let services: Vec<Value> = (0..60)
+                .map(|i| {
+                    let limits = json!({ "max_queue_ms": value });
+                    json!({ "name": format!("large-{i}"), "kind": "plain", "limits": limits })
+                })
+                .collect();
+            Some(change(None, vec![document(json!({ "services": services }))]))
+        }
+        Step::SendAgain | Step::Wait { .. } => None,
+    }
+}
+
+async fn operate(stores: &[ConfigStore], steps: &[Step], first: usize, told: &Told) {
+    let mut node = first;
+    let mut seen = Revision::default();
+    let mut last: Option<Change> = None;
+    for step in steps {
+        match step {
+            Step::Wait { ms } => tokio::time::sleep(Duration::from_millis(*ms)).await,
+            Step::SendAgain => node = (node + 1) % NODES,
+            step => last = change_of(step, seen),
+        }
+        if matches!(step, Step::Wait { .. }) {
+            continue;
+        }
+        let Some(change) = last.clone() else { continue };
+        let id = change.id;
+        let answer = stores[node].apply(change).await;
+        told.note(id, &answer);
+        if let Ok(applied) = answer {
+            assert!(applied.snapshot.revision >= seen, "an operator sees no older revision");
+            seen = applied.snapshot.revision;
+        }
+    }
+}
+
+/// Follows the configuration as a node does, and notes the content of each revision.
+async fn follow(
+    store: &ConfigStore,
+    is_over: &Cell<bool>,
+) -> BTreeMap<Revision, BTreeMap<ObjectKey, Value>> {
+    let current = CurrentConfig::new();
+    let mut seen = BTreeMap::new();
+    while !is_over.get() {
+        let before = current.revision();
+        if let Ok(snapshot) = store.load().await {
+            let earlier = seen.insert(snapshot.revision, views(&snapshot));
+            assert!(earlier.is_none_or(|earlier| earlier == views(&snapshot)));
+            current.advance(snapshot);
+        }
+        assert!(current.revision() >= before, "the revision in force never falls");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    seen
+}
+
+async fn check(kv: &MemoryKv, told: &Told) -> Vec<BTreeMap<ObjectKey, Value>> {
+    let reader = store(kv);
+    let records = whole_audit(&reader, 7).await;
+    let states = replay(&records);
+    assert_eq!(states.last().unwrap(), &views(&reader.load().await.unwrap()));
+
+    let revisions: HashMap<ChangeId, Revision> =
+        records.iter().map(|record| (record.id, record.revision)).collect();
+    assert_eq!(revisions.len(), records.len(), "no change is there twice");
+    let (applied, unknown) = (told.applied.borrow(), told.unknown.borrow());
+    for (id, revision) in applied.iter() {
+        assert_eq!(revisions.get(id), Some(revision), "an accepted change is in the history");
+    }
+    for id in told.refused.borrow().iter() {
+        let may_be_there = applied.contains_key(id) || unknown.contains(id);
+        assert!(may_be_there || !revisions.contains_key(id), "a refused change is not");
+    }
+    for id in revisions.keys() {
+        let is_told = applied.contains_key(id) || unknown.contains(id);
+        assert!(is_told, "a change in the history was accepted or unknown");
+    }
+    states
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(150))]
+
+    #[test]
+    fn apply_racing_operators_and_faults(
+        lanes in prop::collection::vec(steps(), 1..4),
+        faults in faults(),
+    ) {
+        run(async {
+            let kv = MemoryKv::new();
+            kv.faults.script(faults);
+            let stores: Vec<ConfigStore> = (0..NODES).map(|_| store(&kv)).collect();
+            let told = Told::default();
+            let is_over = Cell::new(false);
+            let operators = async {
+                let lanes = lanes.iter().enumerate();
+                join_all(lanes.map(|(i, steps)| operate(&stores, steps, i, &told))).await;
+                // Writes that are still on their way arrive.
+                tokio::time::sleep(Duration::from_secs(10)).await;
+                is_over.set(true);
+            };
+            let watcher = store(&kv);
+            let ((), seen) = join(operators, follow(&watcher, &is_over)).await;
+            kv.faults.clear();
+            let states = check(&kv, &told).await;
+            for (revision, views) in seen {
+                assert_eq!(states[revision.0 as usize], views);
+            }
+        });
+    }
+
+    #[test]
+    fn apply_service_out_at_any_moment(
+        lanes in prop::collection::vec(steps(), 1..4),
+        outages in prop::collection::vec((1..2_000_u64, 1..8_000_u64, any::<bool>()), 1..4),
+    ) {
+        run(async {
+            let kv = MemoryKv::new();
+            kv.faults.set_standing(Fault::Slow(Duration::from_millis(20)));
+            let stores: Vec<ConfigStore> = (0..NODES).map(|_| store(&kv)).collect();
+            let told = Told::default();
+            let operators = async {
+                let lanes = lanes.iter().enumerate();
+                join_all(lanes.map(|(i, steps)| operate(&stores, steps, i, &told))).await;
+                tokio::time::sleep(Duration::from_secs(10)).await;
+            };
+            let service = async {
+                for (up_ms, down_ms, is_silent) in outages {
+                    tokio::time::sleep(Duration::from_millis(up_ms)).await;
+                    kv.faults.set_standing(if is_silent { Fault::Silent } else { Fault::Refuse });
+                    tokio::time::sleep(Duration::from_millis(down_ms)).await;
+                    kv.faults.set_standing(Fault::Slow(Duration::from_millis(20)));
+                }
+            };
+            join(operators, service).await;
+            kv.faults.clear();
+            check(&kv, &told).await;
+        });
+    }
+}
