--- a/components/daemon/src/clients.rs
+++ b/components/daemon/src/clients.rs
@@ -2,10 +2,7 @@
 
 use std::sync::Arc;
 
-use lycheelatch_platform::{
-    Cloud, Endpoint, HttpCloud, HttpInstanceList, HttpKeyValue, HttpWeightStore, InstanceList,
-    KeyValue, WeightStore,
-};
+use lycheelatch_platform::{Endpoint, HttpInstanceList, HttpKeyValue, InstanceList, KeyValue};
 use lycheelatch_settings::{EndpointSettings, PlatformSettings};
 
 /// Clients of the platform's services.
@@ -13,8 +10,6 @@
 pub(crate) struct Clients {
     pub(crate) kv: Arc<dyn KeyValue>,
     pub(crate) instances: Arc<dyn InstanceList>,
-    pub(crate) cloud: Option<Arc<dyn Cloud>>,
-    pub(crate) weights: Option<Arc<dyn WeightStore>>,
 }
 
 fn endpoint(cfg: &EndpointSettings) -> Endpoint {
@@ -23,13 +18,9 @@
 
 impl Clients {
     pub(crate) fn new(cfg: &PlatformSettings) -> Clients {
-        let cloud = cfg.cloud.as_ref().map(endpoint).map(HttpCloud::new);
-        let weights = cfg.weights.as_ref().map(endpoint).map(HttpWeightStore::new);
         Clients {
             kv: Arc::new(HttpKeyValue::new(endpoint(&cfg.key_value.endpoint))),
             instances: Arc::new(HttpInstanceList::new(endpoint(&cfg.instances))),
-            cloud: cloud.map(|cloud| Arc::new(cloud) as Arc<dyn Cloud>),
-            weights: weights.map(|weights| Arc::new(weights) as Arc<dyn WeightStore>),
         }
     }
 }
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -28,9 +28,6 @@
 /// Longest time for which a node that is no longer ready goes on to accept.
 const MAX_ACCEPT: Duration = Duration::from_secs(3);
 
-/// Time between two rounds of upkeep of the claims.
-const CLAIM_UPKEEP: Duration = Duration::from_millis(500);
-
 /// One running node.
 pub struct Node {
     id: NodeId,
@@ -73,10 +70,7 @@
     /// Starts a node; `peers` links it to others.
     ///
     /// Must be called within an actix system.
-    pub async fn start(
-        settings: Settings,
-        peers: Option<PeersConfig>,
-    ) -> Result<Node, StartError> {
+    pub async fn start(settings: Settings, peers: Option<PeersConfig>) -> Result<Node, StartError> {
         let metrics = prometheus::Registry::new();
         let health = Arc::new(Health::default());
         let current = Arc::new(CurrentConfig::new());
@@ -119,7 +113,7 @@
                 health.clone(),
                 settings.platform.instances.poll,
             )),
-            rt::spawn(keep_claims(claims)),
+            rt::spawn(async move { claims.maintain().await }),
         ];
         log::info!("node: {id} serves callers on {callers}");
         Ok(Node {
@@ -202,10 +196,3 @@
         None => Claims::new(kv, cfg),
     }
 }
-
-async fn keep_claims(claims: Arc<Claims>) {
-    loop {
-        sleep(CLAIM_UPKEEP).await;
-        claims.maintain().await;
-    }
-}
