--- a/components/fakes/examples/quickstart/setup.rs
+++ b/components/fakes/examples/quickstart/setup.rs
@@ -1,8 +1,10 @@
 //! The stand-ins and nodes of the quickstart.
+#![allow(dead_code, reason = "other examples use parts of it")]
 
 use std::{
     collections::HashMap,
     error::Error,
+    net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -88,6 +90,11 @@
         Ok(Setup { nodes, listed, engines, applications })
     }
 
+    /// Returns the address of one process of the orders application.
+    pub(crate) fn application_addr(&self) -> SocketAddr {
+        self.applications[0].1.server.addr()
+    }
+
     /// Announces that the instances of a zone go.
     pub(crate) fn announce(&self, zone: &str) {
         for listed in self.listed.0.lock().unwrap().iter_mut() {
--- a/components/fakes/src/http/plain.rs
+++ b/components/fakes/src/http/plain.rs
@@ -45,8 +45,8 @@
 
 /// Starts a stand-in order application.
 ///
-/// `POST /orders/{name}` executes a booking, `GET /stock` reads, and `/echo`
-/// returns the body of the request.
+/// `POST /orders/{name}` executes a booking, `GET /stock` reads, `/echo`
+/// returns the body of the request and `/echo-headers` its headers.
 pub fn serve_plain() -> io::Result<ServedPlain> {
     let (faults, ledger) = (Faults::default(), Ledger::default());
     let data = web::Data::new(Shared { faults: faults.clone(), ledger: ledger.clone() });
@@ -55,7 +55,8 @@
             .app_data(web::PayloadConfig::new(64 << 20))
             .route("/orders/{name}", web::post().to(book))
             .route("/stock", web::get().to(stock))
-            .route("/echo", web::to(echo));
+            .route("/echo", web::to(echo))
+            .route("/echo-headers", web::to(echo_headers));
     })?;
     Ok(ServedPlain { server, faults, ledger })
 }
@@ -112,3 +113,12 @@
 async fn echo(body: web::Payload) -> HttpResponse {
     HttpResponse::Ok().streaming(body)
 }
+
+async fn echo_headers(http: HttpRequest) -> HttpResponse {
+    let headers: HashMap<_, _> = http
+        .headers()
+        .iter()
+        .map(|(name, value)| (name.as_str(), String::from_utf8_lossy(value.as_bytes())))
+        .collect();
+    HttpResponse::Ok().json(headers)
+}
--- /dev/null
+++ b/components/proxy/tests/outcomes.rs
@@ -0,0 +1,178 @@
+//! What callers are told when upstreams fail.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Fixture, Seen, seen};
+use lycheelatch_fakes::{
+    EngineConfig, Fault, ServedEngine, ServedPlain, serve_engine, serve_plain,
+};
+use serde_json::json;
+
+fn orders(fixture: &mut Fixture, zones: &[&str]) -> Vec<ServedPlain> {
+    let applications: Vec<_> = zones.iter().map(|_| serve_plain().unwrap()).collect();
+    for (zone, application) in zones.iter().zip(&applications) {
+        fixture.add_plain(zone, application);
+    }
+    applications
+}
+
+fn executions(applications: &[ServedPlain], order: &str) -> u32 {
+    applications.iter().filter_map(|a| a.executions().get(order).copied()).sum()
+}
+
+async fn book(fixture: &Fixture, order: &str, key: Option<&str>) -> Seen {
+    let mut call = fixture.call("POST", &format!("/services/orders/orders/{order}"));
+    if let Some(key) = key {
+        call = call.insert_header(("idempotency-key", key));
+    }
+    seen(call.send().await.unwrap()).await
+}
+
+#[actix_web::test]
+async fn booking_whole_is_complete() {
+    let mut fixture = Fixture::start();
+    let applications = orders(&mut fixture, &["a"]);
+    let answer = book(&fixture, "mat", None).await;
+    assert_eq!((answer.status, answer.outcome.as_str()), (201, "complete"));
+    assert_eq!(executions(&applications, "mat"), 1);
+}
+
+#[actix_web::test]
+async fn booking_refused_everywhere_is_not_run() {
+    let mut fixture = Fixture::start();
+    let applications = orders(&mut fixture, &["a", "b"]);
+    applications.iter().for_each(|a| a.faults.set_standing(Fault::Refuse));
+    let answer = book(&fixture, "mat", None).await;
+    assert_eq!((answer.status, answer.outcome.as_str()), (503, "not-run"));
+    assert_eq!(executions(&applications, "mat"), 0);
+}
+
+#[actix_web::test]
+async fn booking_refused_once_runs_elsewhere() {
+    let mut fixture = Fixture::start();
+    let applications = orders(&mut fixture, &["a", "b"]);
+    applications[0].faults.set_standing(Fault::Refuse);
+    for i in 0..4 {
+        let answer = book(&fixture, &format!("mat-{i}"), None).await;
+        assert_eq!((answer.status, answer.outcome.as_str()), (201, "complete"));
+    }
+}
+
+#[actix_web::test]
+async fn booking_answer_lost_is_unknown_and_not_repeated() {
+    let mut fixture = Fixture::start();
+    let applications = orders(&mut fixture, &["a", "b"]);
+    applications.iter().for_each(|a| a.faults.set_standing(Fault::LoseAnswer));
+    let answer = book(&fixture, "mat", None).await;
+    assert_eq!((answer.status, answer.outcome.as_str()), (502, "unknown"));
+    assert_eq!(executions(&applications, "mat"), 1);
+}
+
+#[actix_web::test]
+async fn booking_answer_lost_with_key_is_never_repeated() {
+    let mut fixture = Fixture::start();
+    let applications = orders(&mut fixture, &["a", "b"]);
+    applications.iter().for_each(|a| a.faults.set_standing(Fault::LoseAnswer));
+    for _ in 0..3 {
+        let answer = book(&fixture, "mat", Some("key-1")).await;
+        assert_eq!(answer.outcome, "unknown", "{answer:?}");
+    }
+    assert_eq!(executions(&applications, "mat"), 1);
+}
+
+#[actix_web::test]
+async fn booking_not_run_with_key_may_be_repeated() {
+    let mut fixture = Fixture::start();
+    let applications = orders(&mut fixture, &["a"]);
+    applications[0].faults.script([Fault::Refuse]);
+    let first = book(&fixture, "mat", Some("key-1")).await;
+    assert_eq!(first.outcome, "not-run");
+    let second = book(&fixture, "mat", Some("key-1")).await;
+    assert_eq!(second.outcome, "complete");
+    let third = book(&fixture, "mat", Some("key-1")).await;
+    assert_eq!((third.status, third.body), (201, second.body));
+    assert_eq!(executions(&applications, "mat"), 1);
+}
+
+#[actix_web::test]
+async fn booking_past_deadline_is_unknown() {
+    let mut fixture = Fixture::start();
+    let applications = orders(&mut fixture, &["a"]);
+    applications[0].faults.set_standing(Fault::Silent);
+    let call = fixture
+        .call("POST", "/services/orders/orders/mat")
+        .insert_header(("lycheelatch-timeout-ms", "300"));
+    let answer = seen(call.send().await.unwrap()).await;
+    assert_eq!(answer.outcome, "unknown");
+}
+
+#[actix_web::test]
+async fn key_value_out_refuses_keyed_and_serves_others() {
+    let mut fixture = Fixture::start();
+    let applications = orders(&mut fixture, &["a"]);
+    fixture.kv.faults.set_standing(Fault::Refuse);
+    let keyed = book(&fixture, "mat", Some("key-1")).await;
+    assert_eq!((keyed.status, keyed.outcome.as_str()), (503, "not-run"));
+    assert_eq!(executions(&applications, "mat"), 0);
+    assert_eq!(book(&fixture, "mat", None).await.outcome, "complete");
+}
+
+#[actix_web::test]
+async fn long_answer_is_relayed_whole() {
+    let mut fixture = Fixture::start();
+    let _applications = orders(&mut fixture, &["a"]);
+    let body = vec![b'x'; 3 << 20];
+    let call = fixture.call("POST", "/services/orders/echo");
+    let answer = seen(call.send_body(body.clone()).await.unwrap()).await;
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.body.unwrap(), body);
+}
+
+fn engines(fixture: &mut Fixture, zones: &[&str], cfg: &EngineConfig) -> Vec<ServedEngine> {
+    let engines: Vec<_> = zones.iter().map(|_| serve_engine(cfg.clone()).unwrap()).collect();
+    for (zone, engine) in zones.iter().zip(&engines) {
+        fixture.add_engine(zone, engine);
+    }
+    engines
+}
+
+#[actix_web::test]
+async fn answer_goes_on_when_its_engine_dies() {
+    let mut fixture = Fixture::start();
+    let cfg = EngineConfig { token_interval: Duration::from_millis(2), ..Default::default() };
+    let engines = engines(&mut fixture, &["a", "b"], &cfg);
+    let prompt = "draft a specification";
+    let ask = json!({
+        "model": "model-a",
+        "max_tokens": 200,
+        "messages": [{"role": "user", "content": prompt}],
+    });
+    let kill = async {
+        while engines.iter().all(|engine| engine.counts().generated_tokens < 20) {
+            actix_web::rt::task::yield_now().await;
+        }
+        let busy = engines.iter().find(|engine| engine.counts().generated_tokens >= 20);
+        busy.unwrap().kill().await;
+    };
+    let (answer, ()) = futures_util::future::join(fixture.complete(ask), kill).await;
+    assert_eq!((answer.status, answer.outcome.as_str()), (200, "complete"));
+    let text = answer.json()["choices"][0]["message"]["content"].clone();
+    assert_eq!(text, ServedEngine::expected_text(prompt, 200));
+}
+
+#[actix_web::test]
+async fn caller_that_leaves_ends_the_engines_work() {
+    let mut fixture = Fixture::start();
+    let cfg = EngineConfig { token_interval: Duration::from_millis(2), ..Default::default() };
+    let engines = engines(&mut fixture, &["a"], &cfg);
+    let ask = json!({"model": "model-a", "stream": true, "max_tokens": 100_000, "prompt": "x"});
+    let answer = fixture.call("POST", "/v1/completions").send_json(&ask).await.unwrap();
+    drop(answer);
+    while engines[0].counts().cancelled == 0 {
+        actix_web::rt::time::sleep(Duration::from_millis(1)).await;
+    }
+    assert!(engines[0].counts().generated_tokens < 100_000);
+    assert_eq!(fixture.proxy.running().count(), 0);
+}
