Make the size of a claims head a setting, and let the property test seal

Cause: the property test never reached the 64 KiB from which records move to a segment. Change: seal_bytes in ClaimsConfig; 300 bytes in the test.

--- a/components/claims/src/commit.rs
+++ b/components/claims/src/commit.rs
@@ -22,9 +22,6 @@
     wire::{CommitFailure, HeadWire, SegmentWire, WireError, decode, encode},
 };
 
-/// Size of a head from which records move to a segment, in bytes.
-const SEAL_BYTES: usize = 64 * 1024;
-
 /// Shortest and longest pause before a commit is tried again.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(4), Duration::from_millis(200));
 
@@ -104,7 +101,7 @@
             return Ok(replies);
         };
         let mut bytes = encode(&HeadWire::from(&head));
-        if bytes.len() > SEAL_BYTES {
+        if bytes.len() > self.cfg.seal_bytes {
             self.seal(shard, &mut head).await?;
             bytes = encode(&HeadWire::from(&head));
         }
--- a/components/claims/src/config.rs
+++ b/components/claims/src/config.rs
@@ -25,6 +25,8 @@
     pub grace: Duration,
     /// Largest answer that is kept with its body, headers included, in bytes.
     pub max_answer_bytes: usize,
+    /// Size of a shard's head from which records move to a segment, in bytes.
+    pub seal_bytes: usize,
     /// Largest size of all claims in the key-value service, in bytes.
     pub max_store_bytes: u64,
     /// Time between two cleanings of a shard.
@@ -53,6 +55,7 @@
             min_ttl: Duration::from_secs(15 * 60),
             grace: Duration::from_secs(5),
             max_answer_bytes: 2048,
+            seal_bytes: 64 * 1024,
             max_store_bytes: 128_000_000,
             clean_interval: Duration::from_secs(10 * 60),
             epoch: rand::rng().random(),
--- a/components/claims/tests/at_most_once.rs
+++ b/components/claims/tests/at_most_once.rs
@@ -100,6 +100,7 @@
         self.started += 1;
         let cfg = ClaimsConfig {
             shards: 2,
+            seal_bytes: 300,
             clock: self.clock,
             epoch: self.started,
             ..ClaimsConfig::default()
