--- a/components/claims/tests/at_most_once.rs
+++ b/components/claims/tests/at_most_once.rs
@@ -100,7 +100,7 @@
         self.started += 1;
         let cfg = ClaimsConfig {
             shards: 2,
-            seal_bytes: 300,
+            seal_bytes: 100,
             clock: self.clock,
             epoch: self.started,
             ..ClaimsConfig::default()
