Decide a request's outcome in one place

Cause: complete, failed, not-run and unknown must never be mixed up, whatever comes late or out of order. Change: RequestLife in policy: states accepted, sent, answered, ended; events of attempts carry their number; may_retry only where nothing can have run or the request is idempotent.

--- /dev/null
+++ b/components/policy/src/outcome.rs
@@ -0,0 +1,255 @@
+//! What becomes of a request: the one place that decides on its outcome.
+//!
+//! A request is accepted, sent to an upstream in one or more attempts,
+//! answered, and ends in exactly one [`Outcome`]. Events of attempts carry
+//! their number; those of an attempt that is over are discarded, so that a
+//! late answer never reaches the caller.
+
+use lycheelatch_prelude::{Idempotency, Outcome};
+
+/// Most attempts at one request, the first one included.
+pub const MAX_ATTEMPTS: u32 = 2;
+
+/// Lowest HTTP status of an answer that says that the request failed.
+const SERVER_ERROR: u16 = 500;
+
+/// Number of an attempt within one request, from 1.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptNumber(pub u32);
+
+/// Where a request is in its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum LifeState {
+    /// Accepted; no byte of the current attempt has gone out.
+    Accepted,
+    /// A byte of the current attempt may have reached an upstream.
+    Sent,
+    /// The current attempt's answer has begun.
+    Answered,
+    /// Over.
+    Ended(Outcome),
+}
+
+/// What happens to one attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum AttemptEvent {
+    /// A byte is about to go out.
+    BytesSent,
+    /// The head of the answer came.
+    AnswerBegan,
+    /// A part of the answer is about to go to the caller.
+    PartRelayed,
+    /// The answer is whole and has gone to the caller.
+    AnswerEnded {
+        /// HTTP status of the answer.
+        status: u16,
+    },
+    /// The attempt failed: refused, reset, silent, out of order or reclaimed.
+    Failed {
+        /// Whether the upstream may have run it; false only if no byte can
+        /// have reached it or it said itself that it did not.
+        may_have_run: bool,
+    },
+}
+
+/// What happens to a request apart from its attempts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum RequestEvent {
+    /// The deadline passed.
+    TimedOut,
+    /// The caller left.
+    Cancelled,
+    /// The node stops and could not hand the request over.
+    NodeStopped,
+    /// No attempt will follow the failed one.
+    GivenUp,
+}
+
+/// What to do after an event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum LifeStep {
+    /// Go on.
+    Continue,
+    /// The attempt is over: start another if [`RequestLife::may_retry`], else give up.
+    AttemptOver,
+    /// The request is over; nothing more goes to the caller.
+    Ended(Outcome),
+    /// The event belongs to an attempt or a request that is over; drop it.
+    Discard,
+}
+
+/// The life of one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestLife {
+    idempotency: Idempotency,
+    is_resumable: bool,
+    state: LifeState,
+    attempts: u32,
+    is_attempt_open: bool,
+    may_have_run: bool,
+    has_relayed: bool,
+}
+
+impl RequestLife {
+    /// Creates the life of a request that was accepted just now.
+    ///
+    /// `is_resumable`: another attempt can go on exactly where the relayed
+    /// part of the answer ended.
+    pub fn new(idempotency: Idempotency, is_resumable: bool) -> RequestLife {
+        RequestLife {
+            idempotency,
+            is_resumable,
+            state: LifeState::Accepted,
+            attempts: 0,
+            is_attempt_open: false,
+            may_have_run: false,
+            has_relayed: false,
+        }
+    }
+
+    /// Returns where the request is.
+    pub fn state(&self) -> LifeState {
+        self.state
+    }
+
+    /// Returns whether an attempt may be started now.
+    pub fn may_retry(&self) -> bool {
+        let is_over = matches!(self.state, LifeState::Ended(_));
+        if is_over || self.is_attempt_open || self.attempts >= MAX_ATTEMPTS {
+            return false;
+        }
+        if self.has_relayed && !self.is_resumable {
+            return false;
+        }
+        !self.may_have_run || self.idempotency == Idempotency::Idempotent
+    }
+
+    /// Starts an attempt, or returns `None` if none may be started.
+    pub fn start_attempt(&mut self) -> Option<AttemptNumber> {
+        if !self.may_retry() {
+            return None;
+        }
+        self.attempts += 1;
+        self.is_attempt_open = true;
+        self.state = LifeState::Accepted;
+        Some(AttemptNumber(self.attempts))
+    }
+
+    /// Takes an event of an attempt.
+    pub fn on_attempt(&mut self, attempt: AttemptNumber, event: AttemptEvent) -> LifeStep {
+        let is_current = self.is_attempt_open && attempt.0 == self.attempts;
+        if !is_current || matches!(self.state, LifeState::Ended(_)) {
+            return LifeStep::Discard;
+        }
+        match (event, self.state) {
+            (AttemptEvent::Failed { may_have_run }, _) => self.end_attempt(may_have_run),
+            (AttemptEvent::BytesSent, LifeState::Accepted | LifeState::Sent) => {
+                self.state = LifeState::Sent;
+                LifeStep::Continue
+            }
+            (AttemptEvent::AnswerBegan, LifeState::Sent) => {
+                self.state = LifeState::Answered;
+                LifeStep::Continue
+            }
+            (AttemptEvent::PartRelayed, LifeState::Answered) => {
+                self.has_relayed = true;
+                LifeStep::Continue
+            }
+            (AttemptEvent::AnswerEnded { status }, LifeState::Answered) => {
+                self.end(if status >= SERVER_ERROR { Outcome::Failed } else { Outcome::Complete })
+            }
+            // Out of order: the connection can't be trusted.
+            _ => self.end_attempt(true),
+        }
+    }
+
+    /// Takes an event of the request as a whole.
+    pub fn on_request(&mut self, event: RequestEvent) -> LifeStep {
+        if matches!(self.state, LifeState::Ended(_)) {
+            return LifeStep::Discard;
+        }
+        if event == RequestEvent::GivenUp && self.is_attempt_open {
+            return LifeStep::Discard;
+        }
+        if self.is_attempt_open && self.state != LifeState::Accepted {
+            self.may_have_run = true;
+        }
+        self.end(self.outcome_without_answer())
+    }
+
+    /// Returns the outcome of a request that gets no whole answer.
+    fn outcome_without_answer(&self) -> Outcome {
+        if self.has_relayed {
+            return Outcome::Failed;
+        }
+        match self.may_have_run {
+            true => Outcome::Unknown,
+            false => Outcome::NotRun,
+        }
+    }
+
+    fn end_attempt(&mut self, may_have_run: bool) -> LifeStep {
+        self.is_attempt_open = false;
+        self.may_have_run |= may_have_run;
+        LifeStep::AttemptOver
+    }
+
+    fn end(&mut self, outcome: Outcome) -> LifeStep {
+        self.is_attempt_open = false;
+        self.state = LifeState::Ended(outcome);
+        LifeStep::Ended(outcome)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn sent(idempotency: Idempotency) -> (RequestLife, AttemptNumber) {
+        let mut life = RequestLife::new(idempotency, false);
+        let attempt = life.start_attempt().unwrap();
+        assert_eq!(life.on_attempt(attempt, AttemptEvent::BytesSent), LifeStep::Continue);
+        (life, attempt)
+    }
+
+    #[test]
+    fn on_attempt_reset_of_non_idempotent_is_unknown() {
+        let (mut life, attempt) = sent(Idempotency::NonIdempotent);
+        let step = life.on_attempt(attempt, AttemptEvent::Failed { may_have_run: true });
+        assert_eq!(step, LifeStep::AttemptOver);
+        assert!(!life.may_retry());
+        let step = life.on_request(RequestEvent::GivenUp);
+        assert_eq!(step, LifeStep::Ended(Outcome::Unknown));
+    }
+
+    #[test]
+    fn on_attempt_refusal_may_be_retried() {
+        let (mut life, attempt) = sent(Idempotency::NonIdempotent);
+        life.on_attempt(attempt, AttemptEvent::Failed { may_have_run: false });
+        assert!(life.may_retry());
+        assert_eq!(life.on_request(RequestEvent::GivenUp), LifeStep::Ended(Outcome::NotRun));
+    }
+
+    #[test]
+    fn on_attempt_late_answer_is_discarded() {
+        let (mut life, first) = sent(Idempotency::Idempotent);
+        life.on_attempt(first, AttemptEvent::Failed { may_have_run: true });
+        life.start_attempt().unwrap();
+        assert_eq!(life.on_attempt(first, AttemptEvent::AnswerBegan), LifeStep::Discard);
+    }
+
+    #[test]
+    fn on_request_timeout_before_first_byte_is_not_run() {
+        let mut life = RequestLife::new(Idempotency::NonIdempotent, false);
+        life.start_attempt().unwrap();
+        assert_eq!(life.on_request(RequestEvent::TimedOut), LifeStep::Ended(Outcome::NotRun));
+    }
+
+    #[test]
+    fn on_request_stop_after_a_relayed_part_is_failed() {
+        let (mut life, attempt) = sent(Idempotency::Idempotent);
+        life.on_attempt(attempt, AttemptEvent::AnswerBegan);
+        life.on_attempt(attempt, AttemptEvent::PartRelayed);
+        assert_eq!(life.on_request(RequestEvent::NodeStopped), LifeStep::Ended(Outcome::Failed));
+    }
+}
