--- a/components/policy/tests/outcome.rs
+++ b/components/policy/tests/outcome.rs
@@ -42,6 +42,7 @@
 #[derive(Debug, Clone)]
 struct Model {
     life: RequestLife,
+    is_resumable: bool,
     real: Vec<Real>,
     /// Parts that the caller has, with the attempt that each is of.
     caller: Vec<(usize, u8)>,
@@ -52,7 +53,7 @@
 impl Model {
     fn new(idempotency: Idempotency, is_resumable: bool) -> Model {
         let life = RequestLife::new(idempotency, is_resumable);
-        Model { life, real: Vec::new(), caller: Vec::new(), ended: None, ends: 0 }
+        Model { life, is_resumable, real: Vec::new(), caller: Vec::new(), ended: None, ends: 0 }
     }
 
     fn possible(&self) -> Vec<Event> {
@@ -134,7 +135,7 @@
             return;
         }
         // A resumed attempt goes on after the parts that the caller has.
-        let parts = self.caller.len() as u8;
+        let parts = if self.is_resumable { self.caller.len() as u8 } else { 0 };
         let real =
             Real { sent: false, ran: false, refused: false, began: false, parts, is_gone: false };
         self.real.push(real);
