Let a rested shard commit four times at once

Cause: a booking alone waited a whole commit interval between claim and settlement. Change: commits are spaced on average, with a burst of four.

--- a/components/claims/src/config.rs
+++ b/components/claims/src/config.rs
@@ -11,7 +11,7 @@
 pub struct ClaimsConfig {
     /// Number of shards.
     pub shards: u32,
-    /// Shortest time between two commits of one shard by one node.
+    /// Time between two commits of one shard by one node, beyond a short burst.
     pub commit_interval: Duration,
     /// Longest wait for one call to the key-value service.
     pub kv_timeout: Duration,
--- a/components/claims/src/queue.rs
+++ b/components/claims/src/queue.rs
@@ -22,6 +22,9 @@
 /// Most bytes of operations in one commit.
 const MAX_BATCH_BYTES: usize = 128 * 1024;
 
+/// Commits of a rested shard that don't wait for one another.
+const COMMIT_BURST: u32 = 4;
+
 /// Most operations that wait for a commit without a caller, for each shard.
 const MAX_OWED: usize = 10_000;
 
@@ -46,7 +49,8 @@
     waiting: VecDeque<Waiting>,
     owed: VecDeque<Op>,
     is_committing: bool,
-    next_commit: Option<Instant>,
+    /// Time at which the shard has its whole burst of commits again.
+    rested: Option<Instant>,
 }
 
 impl Queue {
@@ -125,6 +129,14 @@
         owed.into_iter().rev().for_each(|op| state.owed.push_front(op));
     }
 
+    /// Returns when the next commit may start, and counts it.
+    fn next_slot(&self, now: Instant) -> Instant {
+        let mut state = lock(&self.state);
+        let rested = state.rested.map_or(now, |rested| rested.max(now));
+        state.rested = Some(rested + self.cfg.commit_interval);
+        now.max(rested.checked_sub(self.cfg.commit_interval * (COMMIT_BURST - 1)).unwrap_or(now))
+    }
+
     /// Commits what waits now.
     async fn commit_batch(&self) {
         let mut bytes = 0;
@@ -168,12 +180,8 @@
 impl Committing {
     async fn run(mut self) {
         while !self.has_ended {
-            let slot = lock(&self.queue.state).next_commit;
-            if let Some(slot) = slot {
-                sleep_until(slot).await;
-            }
-            let next = Instant::now() + self.queue.cfg.commit_interval;
-            lock(&self.queue.state).next_commit = Some(next);
+            let slot = self.queue.next_slot(Instant::now());
+            sleep_until(slot).await;
             self.queue.commit_batch().await;
             self.has_ended = self.queue.end_if_idle();
         }
