Submit claims again when the committing thread ends

Change: a dropped committing task wakes all that wait, and they submit again; owed operations of a commit that is cut off go back.

--- a/components/claims/src/queue.rs
+++ b/components/claims/src/queue.rs
@@ -61,17 +61,19 @@
 
     /// Commits an operation with those that wait beside it, until `limit`.
     pub(crate) async fn submit(self: &Arc<Self>, op: Op, limit: Instant) -> CommitResult {
-        let (tx, rx) = oneshot::channel();
-        lock(&self.state).waiting.push_back((op, tx));
-        self.ensure_committing();
-        let lost = |reason: &str| CommitFailure {
-            source: KvError::AnswerLost { reason: reason.into() },
-            may_have_written: true,
-        };
-        match timeout_at(limit, rx).await {
-            Ok(Ok(result)) => result,
-            Ok(Err(_)) => Err(lost("the committing thread ended")),
-            Err(_) => Err(lost("not committed in time")),
+        loop {
+            let (tx, rx) = oneshot::channel();
+            lock(&self.state).waiting.push_back((op.clone(), tx));
+            self.ensure_committing();
+            match timeout_at(limit, rx).await {
+                Ok(Ok(result)) => return result,
+                // The committing thread ended; committing twice is the same as once.
+                Ok(Err(_)) => {}
+                Err(_) => {
+                    let source = KvError::AnswerLost { reason: "not committed in time".into() };
+                    return Err(CommitFailure { source, may_have_written: true });
+                }
+            }
         }
     }
 
@@ -124,11 +126,6 @@
         waiting
     }
 
-    fn put_back(&self, owed: Vec<Op>) {
-        let mut state = lock(&self.state);
-        owed.into_iter().rev().for_each(|op| state.owed.push_front(op));
-    }
-
     /// Returns when the next commit may start, and counts it.
     fn next_slot(&self, now: Instant) -> Instant {
         let mut state = lock(&self.state);
@@ -140,21 +137,19 @@
     /// Commits what waits now.
     async fn commit_batch(&self) {
         let mut bytes = 0;
-        let owed = self.take_owed(&mut bytes);
+        let mut owed = TakenOwed { queue: self, ops: self.take_owed(&mut bytes) };
         let waiting = self.take_waiting(&mut bytes);
         let (ops, txs): (Vec<Op>, Vec<_>) = waiting.into_iter().unzip();
-        let owed_len = owed.len();
-        let mut batch = owed;
+        let mut batch = owed.ops.clone();
         batch.extend(ops);
         let limit = Instant::now() + self.cfg.max_wait / 2;
         match self.store.commit(self.shard, &batch, limit).await {
             Ok(replies) => {
-                let replies = replies.into_iter().skip(owed_len);
+                let replies = replies.into_iter().skip(owed.ops.len());
+                owed.ops.clear();
                 txs.into_iter().zip(replies).for_each(|(tx, reply)| drop(tx.send(Ok(reply))));
             }
             Err(failure) => {
-                batch.truncate(owed_len);
-                self.put_back(batch);
                 txs.into_iter().for_each(|tx| drop(tx.send(Err(failure.clone()))));
             }
         }
@@ -171,6 +166,19 @@
     }
 }
 
+/// Owed operations in a commit; those that were not committed go back.
+struct TakenOwed<'a> {
+    queue: &'a Queue,
+    ops: Vec<Op>,
+}
+
+impl Drop for TakenOwed<'_> {
+    fn drop(&mut self) {
+        let mut state = lock(&self.queue.state);
+        self.ops.drain(..).rev().for_each(|op| state.owed.push_front(op));
+    }
+}
+
 /// The task that commits for a queue; when it is dropped, another may start.
 struct Committing {
     queue: Arc<Queue>,
@@ -190,8 +198,14 @@
 
 impl Drop for Committing {
     fn drop(&mut self) {
-        if !self.has_ended {
-            lock(&self.queue.state).is_committing = false;
+        if self.has_ended {
+            return;
         }
+        let mut state = lock(&self.queue.state);
+        state.is_committing = false;
+        // Those that wait submit again, on their own threads.
+        let waiting = std::mem::take(&mut state.waiting);
+        drop(state);
+        drop(waiting);
     }
 }
