Take streams up again at any node, and hand them over at a stop

Cause: a caller whose connection broke, or whose node stopped, had no way to the rest of its answer. Change: GET /v1/requests/{id} with Last-Event-ID. Non-idempotent answers are never run again by this way.

--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -8,8 +8,8 @@
 use lycheelatch_peers::{IdentityCheck, PeerLink, PeersConfig, Pem, QuicLink, TlsFiles};
 use lycheelatch_prelude::NodeId;
 use lycheelatch_proxy::{
-    AdmitInFlight, HttpConnect, LeastInFlight, Proxy, ProxyMetrics, ProxyParts, Registry,
-    RetryFixed,
+    AdmitInFlight, HandoverReport, HttpConnect, LeastInFlight, Proxy, ProxyMetrics, ProxyParts,
+    Registry, RetryFixed,
 };
 use lycheelatch_settings::Settings;
 use tokio::{
@@ -97,6 +97,9 @@
             max_kept_answer_bytes: usize::try_from(settings.callers.max_kept_answer_bytes)
                 .unwrap_or(usize::MAX),
         }));
+        if let Some(link) = &link {
+            proxy.join_peers(link.clone() as Arc<dyn PeerLink>);
+        }
         let (server, callers) = callers::serve(&settings.callers, &settings.stop, proxy.clone())?;
         let handle = server.handle();
         rt::spawn(server);
@@ -163,12 +166,18 @@
     pub async fn stop(self) {
         let ends = Instant::now() + self.notice;
         self.health.set_stopping();
+        self.proxy.start_leaving();
         if let Some(link) = &self.link {
             link.leave().await;
         }
         // The balancer goes on to send requests until it has seen the node as not ready.
         sleep((self.notice / ACCEPT_SHARE).min(MAX_ACCEPT)).await;
         self.proxy.stop_accepting();
+        let report = self.proxy.hand_over(ends).await;
+        if report != HandoverReport::default() {
+            let HandoverReport { handed_over, lost } = report;
+            log::info!("node: {handed_over} answers are handed over, {lost} are lost");
+        }
         while self.proxy.open_requests() > 0 && Instant::now() < ends {
             sleep(STOP_POLL).await;
         }
--- a/components/proxy/src/answers.rs
+++ b/components/proxy/src/answers.rs
@@ -6,7 +6,9 @@
 };
 
 use bytes::Bytes;
-use lycheelatch_prelude::{Labels, Outcome, Priority, RequestId, ServiceName, WorkspaceName};
+use lycheelatch_prelude::{
+    Idempotency, Labels, Outcome, Priority, RequestId, ServiceName, WorkspaceName,
+};
 
 /// One token of a kept answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -17,6 +19,15 @@
     pub data: Bytes,
 }
 
+/// An event of a kept answer that holds no token.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeptEvent {
+    /// Tokens that came before it.
+    pub after: u64,
+    /// Its data.
+    pub data: Bytes,
+}
+
 /// What is kept of one answer of a model service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KeptAnswer {
@@ -32,10 +43,14 @@
     pub labels: Labels,
     /// Priority of the request.
     pub priority: Priority,
+    /// Whether the request may run more than once.
+    pub idempotency: Idempotency,
+    /// Whether the answer is one text that can be taken up midway.
+    pub is_one_text: bool,
     /// Tokens so far, in order.
     pub tokens: Vec<KeptToken>,
-    /// Data of the events after the last token.
-    pub closing: Vec<Bytes>,
+    /// Events that hold no token, in order.
+    pub others: Vec<KeptEvent>,
     /// What became of it; none while it may go on.
     pub outcome: Option<Outcome>,
 }
@@ -43,8 +58,13 @@
 impl KeptAnswer {
     fn bytes(&self) -> usize {
         let tokens: usize = self.tokens.iter().map(token_bytes).sum();
-        let closing: usize = self.closing.iter().map(Bytes::len).sum();
-        self.body.len() + tokens + closing + ENTRY_BYTES
+        let others: usize = self.others.iter().map(|event| event.data.len()).sum();
+        self.body.len() + tokens + others + ENTRY_BYTES
+    }
+
+    /// Returns whether the answer can go on after its kept part.
+    pub fn is_resumable(&self) -> bool {
+        self.is_one_text && self.idempotency == Idempotency::Idempotent
     }
 }
 
@@ -113,11 +133,12 @@
     }
 
     /// Adds the data of an event that holds no token.
-    pub fn push_closing(&self, id: &RequestId, data: Bytes) {
+    pub fn push_other(&self, id: &RequestId, data: Bytes) {
         let mut kept = self.kept.lock().unwrap();
         let Some(answer) = kept.by_id.get_mut(id) else { return };
         let added = data.len();
-        answer.closing.push(data);
+        let after = answer.tokens.len() as u64;
+        answer.others.push(KeptEvent { after, data });
         kept.bytes += added;
     }
 
@@ -133,6 +154,22 @@
         self.kept.lock().unwrap().by_id.get(id).cloned()
     }
 
+    /// Returns the requests whose answers are not settled, newest first.
+    pub fn unsettled(&self) -> Vec<RequestId> {
+        let kept = self.kept.lock().unwrap();
+        let is_unsettled =
+            |id: &&RequestId| kept.by_id.get(id).is_some_and(|answer| answer.outcome.is_none());
+        kept.order.iter().rev().filter(is_unsettled).cloned().collect()
+    }
+
+    /// Keeps an answer that came from another node, unless more of it is here.
+    pub fn merge(&self, id: &RequestId, answer: KeptAnswer) {
+        let here = self.kept.lock().unwrap().by_id.get(id).map(|kept| kept.tokens.len());
+        if here.is_none_or(|here| here < answer.tokens.len()) {
+            self.insert(id, answer);
+        }
+    }
+
     /// Returns the memory in use, in bytes.
     pub fn bytes(&self) -> usize {
         self.kept.lock().unwrap().bytes
@@ -151,8 +188,10 @@
             body: vec![b'x'; body].into(),
             labels: Labels::default(),
             priority: Priority::Normal,
+            idempotency: Idempotency::Idempotent,
+            is_one_text: true,
             tokens: Vec::new(),
-            closing: Vec::new(),
+            others: Vec::new(),
             outcome: None,
         }
     }
--- a/components/proxy/src/error.rs
+++ b/components/proxy/src/error.rs
@@ -28,6 +28,10 @@
     UnknownService(String),
     /// request {0} is not known
     UnknownRequest(RequestId),
+    /// the answer of request {0} can't be taken up again
+    NotResumable(RequestId),
+    /// the request still runs
+    StillRunning,
     /// the body is larger than {0} bytes
     BodyTooLarge(usize),
     /// the body was not sent in time
@@ -113,7 +117,10 @@
             RefusalReason::BodyTooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
             RefusalReason::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             RefusalReason::KeyMismatch => StatusCode::UNPROCESSABLE_ENTITY,
-            RefusalReason::KeyRunning | RefusalReason::KeyUnresolved => StatusCode::CONFLICT,
+            RefusalReason::KeyRunning
+            | RefusalReason::KeyUnresolved
+            | RefusalReason::NotResumable(_)
+            | RefusalReason::StillRunning => StatusCode::CONFLICT,
             RefusalReason::WorkspaceLimited | RefusalReason::RetryLimited => {
                 StatusCode::TOO_MANY_REQUESTS
             }
--- a/components/proxy/src/http.rs
+++ b/components/proxy/src/http.rs
@@ -18,6 +18,7 @@
     model::{ModelAsk, ModelCall},
     plain::{PassedHeaders, PlainCall, RequestBody, append_headers, task_lost},
     relay::{refuse, relay_stream, relay_whole},
+    resume::resume,
     settle::settle,
     whole::WholeAnswer,
 };
@@ -39,6 +40,7 @@
         .route("/v1/chat/completions", web::post().to(model))
         .route("/v1/completions", web::post().to(model))
         .route("/v1/models", web::get().to(models))
+        .route("/v1/requests/{id}", web::get().to(resume))
         .route("/services/{service}", web::to(plain))
         .route("/services/{service}/{path:.*}", web::to(plain))
         .default_service(web::to(unknown_path));
@@ -106,7 +108,7 @@
 }
 
 /// Passes a request through the filters; an answer means that it goes no further.
-async fn admitted(proxy: &Proxy, rec: &mut Record) -> Option<HttpResponse> {
+pub(crate) async fn admitted(proxy: &Proxy, rec: &mut Record) -> Option<HttpResponse> {
     match proxy.admit(rec).await {
         Ok(Flow::Continue) => None,
         Ok(Flow::Answer(stored)) => Some(replay(rec, stored)),
--- a/components/proxy/src/model.rs
+++ b/components/proxy/src/model.rs
@@ -120,8 +120,10 @@
             body: ask.body.clone(),
             labels: rec.labels.clone(),
             priority: rec.head.priority,
+            idempotency: rec.idempotency,
+            is_one_text: ask.is_one_text,
             tokens: Vec::new(),
-            closing: Vec::new(),
+            others: Vec::new(),
             outcome: None,
         };
         self.proxy.answers.insert(rec.id(), answer);
@@ -189,7 +191,7 @@
             }
             StreamEvent::Other(data) => {
                 self.note_first();
-                self.proxy.answers.push_closing(self.rec.id(), data.clone());
+                self.proxy.answers.push_other(self.rec.id(), data.clone());
                 Ok(Some(Piece::Other(data)))
             }
             StreamEvent::Done => {
--- a/components/proxy/src/proxy.rs
+++ b/components/proxy/src/proxy.rs
@@ -1,17 +1,19 @@
 //! What every request of a node shares.
 
 use std::sync::{
-    Arc,
+    Arc, OnceLock,
     atomic::{AtomicBool, Ordering},
 };
 
 use lycheelatch_claims::Claims;
 use lycheelatch_config::Snapshot;
+use lycheelatch_peers::PeerLink;
+use tokio::time::Instant;
 
 use crate::{
-    Answers, Deduplicate, Filter, Flow, Place, ProxyMetrics, Record, Refusal, RefusalReason,
-    Registry, RunningStreams, attempt::Retry, authenticate::Authenticate, classify::Classify,
-    filter,
+    Answers, Deduplicate, Filter, Flow, HandoverReport, Place, ProxyMetrics, Record, Refusal,
+    RefusalReason, Registry, RunningStreams, attempt::Retry, authenticate::Authenticate,
+    classify::Classify, filter, handover,
 };
 
 /// Returns the configuration that is in force.
@@ -49,6 +51,8 @@
     pub(crate) running: Arc<RunningStreams>,
     authenticate: Authenticate,
     filters: Vec<Arc<dyn Filter>>,
+    link: OnceLock<Arc<dyn PeerLink>>,
+    leaving: AtomicBool,
     stopping: AtomicBool,
 }
 
@@ -68,10 +72,37 @@
             running: Arc::default(),
             authenticate: Authenticate::default(),
             filters,
+            link: OnceLock::new(),
+            leaving: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
         }
     }
 
+    /// Links this node to the others: answers may move between them.
+    pub fn join_peers(self: &Arc<Self>, link: Arc<dyn PeerLink>) {
+        handover::join(self, &link);
+        let _joined_before = self.link.set(link);
+    }
+
+    /// Takes no answers over from other nodes from now on.
+    pub fn start_leaving(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether this node is about to stop.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Lets requests finish, and hands those over that can't before `ends`.
+    pub async fn hand_over(self: &Arc<Self>, ends: Instant) -> HandoverReport {
+        handover::run(self, ends).await
+    }
+
+    pub(crate) fn link(&self) -> Option<&Arc<dyn PeerLink>> {
+        self.link.get()
+    }
+
     /// Refuses every new request from now on.
     pub fn stop_accepting(&self) {
         self.stopping.store(true, Ordering::Relaxed);
--- a/components/proxy/src/running.rs
+++ b/components/proxy/src/running.rs
@@ -72,6 +72,11 @@
         self.0.lock().unwrap().len()
     }
 
+    /// Returns whether an answer runs here.
+    pub fn is_running(&self, request: &RequestId) -> bool {
+        self.0.lock().unwrap().contains_key(request)
+    }
+
     /// Tells a running answer what to do; returns whether it runs here.
     pub fn command(&self, request: &RequestId, command: StreamCommand) -> bool {
         let running = self.0.lock().unwrap();
--- /dev/null
+++ b/components/proxy/tests/bench/caller.rs
@@ -0,0 +1,147 @@
+//! Callers that read streams and take them up again.
+
+use std::{pin::Pin, time::Duration};
+
+use actix_web::{
+    body::{BoxBody, MessageBody},
+    http::StatusCode,
+    test::TestRequest,
+};
+use bytes::Bytes;
+use futures_util::future::poll_fn;
+use lycheelatch_upstream::SseReader;
+use serde_json::json;
+use tokio::time::{Instant, sleep};
+
+use crate::bench::{MODEL, TOKEN, TestNode, token_text};
+
+/// How a stream ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Ending {
+    /// It is whole.
+    Whole,
+    /// Its connection broke.
+    Broken,
+    /// It says itself that it is broken.
+    Failed,
+    /// It was refused, with this status.
+    Refused(StatusCode),
+    /// The caller left it.
+    Left,
+}
+
+/// A caller of one streamed request.
+pub(crate) struct Caller {
+    id: String,
+    max_tokens: u64,
+    /// Ids of the token events, in the order in which they came.
+    pub(crate) ids: Vec<u64>,
+    /// Text of the tokens, joined.
+    pub(crate) text: String,
+    /// When the last stream was asked for.
+    pub(crate) asked: Instant,
+    /// Time from asking to the first new token of each stream.
+    pub(crate) waits: Vec<Duration>,
+    /// Stops reading after this many tokens in all.
+    pub(crate) leave_after: Option<usize>,
+    /// Time taken to read each token.
+    pub(crate) slowness: Duration,
+}
+
+impl Caller {
+    /// Creates a caller that asks for `max_tokens`.
+    pub(crate) fn new(id: &str, max_tokens: u64) -> Caller {
+        Caller {
+            id: id.to_owned(),
+            max_tokens,
+            ids: Vec::new(),
+            text: String::new(),
+            asked: Instant::now(),
+            waits: Vec::new(),
+            leave_after: None,
+            slowness: Duration::ZERO,
+        }
+    }
+
+    /// Returns whether each token came once and in order.
+    pub(crate) fn is_exact(&self) -> bool {
+        let expected: String = (0..self.max_tokens).map(token_text).collect();
+        self.ids.iter().copied().eq(1..=self.max_tokens) && self.text == expected
+    }
+
+    /// Asks a node for the stream and reads it to its end.
+    pub(crate) async fn ask(&mut self, node: &TestNode) -> Ending {
+        self.ask_with(node, &[]).await
+    }
+
+    /// Asks with further headers.
+    pub(crate) async fn ask_with(&mut self, node: &TestNode, headers: &[(&str, &str)]) -> Ending {
+        let body = json!({"model": MODEL, "stream": true, "prompt": "lot 17",
+                          "max_tokens": self.max_tokens});
+        let mut req = TestRequest::post()
+            .uri("/v1/completions")
+            .insert_header(("authorization", format!("Bearer {TOKEN}")))
+            .insert_header(("x-request-id", self.id.as_str()))
+            .insert_header(("lycheelatch-timeout-ms", "600000"))
+            .set_payload(body.to_string());
+        for header in headers {
+            req = req.insert_header(*header);
+        }
+        self.read(node, req).await
+    }
+
+    /// Takes the stream up again at a node and reads it to its end.
+    pub(crate) async fn take_up(&mut self, node: &TestNode) -> Ending {
+        let req = TestRequest::get()
+            .uri(&format!("/v1/requests/{}", self.id))
+            .insert_header(("authorization", format!("Bearer {TOKEN}")))
+            .insert_header(("lycheelatch-timeout-ms", "600000"))
+            .insert_header(("last-event-id", self.ids.last().unwrap_or(&0).to_string()));
+        self.read(node, req).await
+    }
+
+    async fn read(&mut self, node: &TestNode, req: TestRequest) -> Ending {
+        self.asked = Instant::now();
+        let answer = node.serve(req.to_request()).await;
+        if !answer.status().is_success() {
+            return Ending::Refused(answer.status());
+        }
+        let mut body = answer.into_body();
+        let mut reader = SseReader::new();
+        let mut is_first = true;
+        loop {
+            let chunk = match next_chunk(&mut body).await {
+                Some(Ok(chunk)) => chunk,
+                Some(Err(())) | None => return Ending::Broken,
+            };
+            for event in reader.push(&chunk).unwrap() {
+                if event.data == "[DONE]" {
+                    return Ending::Whole;
+                }
+                if event.data.contains("\"error\"") {
+                    return Ending::Failed;
+                }
+                if std::mem::take(&mut is_first) {
+                    self.waits.push(self.asked.elapsed());
+                }
+                self.take_token(&event.data, event.id.as_deref());
+                sleep(self.slowness).await;
+                if self.leave_after.is_some_and(|after| self.ids.len() >= after) {
+                    return Ending::Left;
+                }
+            }
+        }
+    }
+
+    fn take_token(&mut self, data: &str, id: Option<&str>) {
+        let Some(id) = id else { return };
+        self.ids.push(id.parse().unwrap());
+        let event: serde_json::Value = serde_json::from_str(data).unwrap();
+        self.text.push_str(event["choices"][0]["delta"]["content"].as_str().unwrap());
+    }
+}
+
+async fn next_chunk(body: &mut BoxBody) -> Option<Result<Bytes, ()>> {
+    let chunk = poll_fn(|cx| Pin::new(&mut *body).poll_next(cx)).await?;
+    Some(chunk.map_err(|_broken| ()))
+}
--- /dev/null
+++ b/components/proxy/tests/bench/mod.rs
@@ -0,0 +1,20 @@
+//! Nodes with their engines and callers in memory.
+
+#![allow(dead_code, unused_imports, reason = "each test file uses a part of it")]
+
+mod caller;
+mod engine;
+mod node;
+
+pub(crate) use caller::{Caller, Ending};
+pub(crate) use engine::{EngineFault, MemoryEngine, token_text};
+pub(crate) use node::{Bench, TestNode};
+
+/// Token of the only workspace.
+pub(crate) const TOKEN: &str = "bench-token-0001";
+
+/// The model service.
+pub(crate) const MODEL: &str = "sack-model";
+
+/// The transfer application.
+pub(crate) const DESK: &str = "sack-desk";
