Decide every outcome of the request path by RequestLife

Cause: outcomes were decided in three places; a stream of several texts or tool calls that broke was started again after parts of it had gone to the caller (new test stream_of_no_one_text_is_not_started_again; it fails with that rule switched off). Change: Attempts holds a RequestLife; the largest number of attempts is its parameter. A long plain answer is stored with its own status.

--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -2,6 +2,4 @@
 
 mod outcome;
 
-pub use outcome::{
-    AttemptEvent, AttemptNumber, LifeState, LifeStep, MAX_ATTEMPTS, RequestEvent, RequestLife,
-};
+pub use outcome::{AttemptEvent, AttemptNumber, LifeState, LifeStep, RequestEvent, RequestLife};
--- a/components/policy/src/outcome.rs
+++ b/components/policy/src/outcome.rs
@@ -7,9 +7,6 @@
 
 use lycheelatch_prelude::{Idempotency, Outcome};
 
-/// Most attempts at one request, the first one included.
-pub const MAX_ATTEMPTS: u32 = 2;
-
 /// Lowest HTTP status of an answer that says that the request failed.
 const SERVER_ERROR: u16 = 500;
 
@@ -83,6 +80,7 @@
 pub struct RequestLife {
     idempotency: Idempotency,
     is_resumable: bool,
+    max_attempts: u32,
     state: LifeState,
     attempts: u32,
     is_attempt_open: bool,
@@ -94,11 +92,12 @@
     /// Creates the life of a request that was accepted just now.
     ///
     /// `is_resumable`: another attempt can go on exactly where the relayed
-    /// part of the answer ended.
-    pub fn new(idempotency: Idempotency, is_resumable: bool) -> RequestLife {
+    /// part of the answer ended. `max_attempts` counts the first one, too.
+    pub fn new(idempotency: Idempotency, is_resumable: bool, max_attempts: u32) -> RequestLife {
         RequestLife {
             idempotency,
             is_resumable,
+            max_attempts,
             state: LifeState::Accepted,
             attempts: 0,
             is_attempt_open: false,
@@ -107,6 +106,13 @@
         }
     }
 
+    /// Creates the life of a request whose answer is taken up again after a
+    /// part of it was relayed.
+    pub fn resumed(idempotency: Idempotency, max_attempts: u32) -> RequestLife {
+        let fresh = RequestLife::new(idempotency, true, max_attempts);
+        RequestLife { may_have_run: true, has_relayed: true, ..fresh }
+    }
+
     /// Returns where the request is.
     pub fn state(&self) -> LifeState {
         self.state
@@ -115,7 +121,7 @@
     /// Returns whether an attempt may be started now.
     pub fn may_retry(&self) -> bool {
         let is_over = matches!(self.state, LifeState::Ended(_));
-        if is_over || self.is_attempt_open || self.attempts >= MAX_ATTEMPTS {
+        if is_over || self.is_attempt_open || self.attempts >= self.max_attempts {
             return false;
         }
         if self.has_relayed && !self.is_resumable {
@@ -206,7 +212,7 @@
     use super::*;
 
     fn sent(idempotency: Idempotency) -> (RequestLife, AttemptNumber) {
-        let mut life = RequestLife::new(idempotency, false);
+        let mut life = RequestLife::new(idempotency, false, 2);
         let attempt = life.start_attempt().unwrap();
         assert_eq!(life.on_attempt(attempt, AttemptEvent::BytesSent), LifeStep::Continue);
         (life, attempt)
@@ -240,7 +246,7 @@
 
     #[test]
     fn on_request_timeout_before_first_byte_is_not_run() {
-        let mut life = RequestLife::new(Idempotency::NonIdempotent, false);
+        let mut life = RequestLife::new(Idempotency::NonIdempotent, false, 2);
         life.start_attempt().unwrap();
         assert_eq!(life.on_request(RequestEvent::TimedOut), LifeStep::Ended(Outcome::NotRun));
     }
--- a/components/policy/tests/outcome.rs
+++ b/components/policy/tests/outcome.rs
@@ -3,10 +3,13 @@
 use std::collections::BTreeSet;
 
 use lycheelatch_policy::{
-    AttemptEvent, AttemptNumber, LifeState, LifeStep, MAX_ATTEMPTS, RequestEvent, RequestLife,
+    AttemptEvent, AttemptNumber, LifeState, LifeStep, RequestEvent, RequestLife,
 };
 use lycheelatch_prelude::{Idempotency, Outcome};
 
+/// Most attempts.
+const MAX_ATTEMPTS: u32 = 3;
+
 /// Parts of a whole answer.
 const PARTS: u8 = 2;
 
@@ -52,7 +55,7 @@
 
 impl Model {
     fn new(idempotency: Idempotency, is_resumable: bool) -> Model {
-        let life = RequestLife::new(idempotency, is_resumable);
+        let life = RequestLife::new(idempotency, is_resumable, MAX_ATTEMPTS);
         Model { life, is_resumable, real: Vec::new(), caller: Vec::new(), ended: None, ends: 0 }
     }
 
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -1,13 +1,16 @@
 //! Attempts at upstreams and whether another one is made.
 
-use lycheelatch_prelude::{Idempotency, UpstreamId, ZoneName};
+use lycheelatch_policy::{
+    AttemptEvent, AttemptNumber, LifeState, LifeStep, RequestEvent, RequestLife,
+};
+use lycheelatch_prelude::{Idempotency, Outcome, UpstreamId, ZoneName};
 use lycheelatch_upstream::{Reached, UpstreamError};
 use tokio::time::Instant;
 
 use crate::{Record, Refusal, RefusalReason, Upstream};
 
 /// Most attempts at one request.
-const MAX_ATTEMPTS: usize = 3;
+pub(crate) const MAX_ATTEMPTS: u32 = 3;
 
 /// What is asked before another attempt.
 pub struct RetryAsk<'a> {
@@ -30,29 +33,84 @@
 
 impl Retry for RetryFixed {
     fn allow(&self, ask: &RetryAsk<'_>) -> bool {
-        ask.attempts < MAX_ATTEMPTS
+        ask.attempts < MAX_ATTEMPTS as usize
     }
 }
 
 /// The attempts at one request so far.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Attempts {
     pub(crate) tried: Vec<UpstreamId>,
     pub(crate) last_zone: Option<ZoneName>,
-    pub(crate) may_have_run: bool,
+    life: RequestLife,
+    current: AttemptNumber,
 }
 
 impl Attempts {
+    /// Creates the attempts at a request; at most `max` are made.
+    pub(crate) fn new(idempotency: Idempotency, is_resumable: bool, max: u32) -> Attempts {
+        Attempts::with(RequestLife::new(idempotency, is_resumable, max))
+    }
+
+    /// Creates the attempts at going on with an answer that was relayed in part.
+    pub(crate) fn resumed(idempotency: Idempotency, max: u32) -> Attempts {
+        Attempts::with(RequestLife::resumed(idempotency, max))
+    }
+
+    fn with(life: RequestLife) -> Attempts {
+        Attempts { tried: Vec::new(), last_zone: None, life, current: AttemptNumber(0) }
+    }
+
+    /// Notes that the request is about to be sent; false if it must not be.
+    pub(crate) fn start(&mut self) -> bool {
+        let Some(current) = self.life.start_attempt() else { return false };
+        self.current = current;
+        // The client does not say when the first byte goes out.
+        self.note(AttemptEvent::BytesSent) == LifeStep::Continue
+    }
+
+    fn note(&mut self, event: AttemptEvent) -> LifeStep {
+        self.life.on_attempt(self.current, event)
+    }
+
+    /// Notes that the answer has begun.
+    pub(crate) fn began(&mut self) {
+        self.note(AttemptEvent::AnswerBegan);
+    }
+
+    /// Notes that a part of the answer is about to go to the caller.
+    pub(crate) fn relayed(&mut self) {
+        self.note(AttemptEvent::PartRelayed);
+    }
+
+    /// Notes that the answer is whole, and returns the outcome.
+    pub(crate) fn finish(&mut self, status: u16) -> Outcome {
+        self.note(AttemptEvent::AnswerEnded { status });
+        self.outcome(RequestEvent::GivenUp)
+    }
+
     /// Notes an attempt that failed.
     pub(crate) fn failed(&mut self, upstream: &Upstream, err: &UpstreamError) {
         self.tried.push(upstream.id().clone());
         self.last_zone = Some(upstream.listed.zone.clone());
-        self.may_have_run |= err.reached() == Reached::MayHaveRun;
+        let may_have_run = err.reached() == Reached::MayHaveRun;
+        self.note(AttemptEvent::Failed { may_have_run });
+    }
+
+    /// Notes that the upstream is left without its being blamed.
+    pub(crate) fn left(&mut self, upstream: &Upstream) {
+        self.tried.push(upstream.id().clone());
+        self.note(AttemptEvent::Failed { may_have_run: true });
+    }
+
+    /// Returns whether the outcome permits another attempt.
+    pub(crate) fn may_go_on(&self) -> bool {
+        self.life.may_retry()
     }
 
     /// Returns whether another attempt is made.
     pub(crate) fn may_retry(&self, retry: &dyn Retry, rec: &Record, err: &UpstreamError) -> bool {
-        if self.may_have_run && rec.idempotency == Idempotency::NonIdempotent {
+        if !self.may_go_on() {
             return false;
         }
         if matches!(err, UpstreamError::Rejected { .. } | UpstreamError::Unsupported) {
@@ -64,8 +122,17 @@
         retry.allow(&RetryAsk { rec, err, attempts: self.tried.len() })
     }
 
+    /// Ends the request, if it has not ended, and returns its outcome.
+    pub(crate) fn outcome(&mut self, event: RequestEvent) -> Outcome {
+        self.life.on_request(event);
+        match self.life.state() {
+            LifeState::Ended(outcome) => outcome,
+            _ => Outcome::Unknown,
+        }
+    }
+
     /// Returns the answer when no further attempt is made.
-    pub(crate) fn refusal(&self, err: UpstreamError) -> Refusal {
+    pub(crate) fn refusal(&mut self, err: UpstreamError) -> Refusal {
         let retry_after = match &err {
             UpstreamError::Refused { retry_after_ms: Some(ms), .. } => {
                 Some(std::time::Duration::from_millis(*ms))
@@ -79,10 +146,6 @@
             UpstreamError::Refused { .. } => RefusalReason::Overloaded,
             err => RefusalReason::UpstreamFailed(err.to_string()),
         };
-        let refusal = match self.may_have_run {
-            true => Refusal::unknown(reason),
-            false => Refusal::not_run(reason),
-        };
-        Refusal { retry_after, ..refusal }
+        Refusal { reason, outcome: self.outcome(RequestEvent::GivenUp), retry_after }
     }
 }
--- a/components/proxy/src/http.rs
+++ b/components/proxy/src/http.rs
@@ -2,7 +2,11 @@
 
 use std::sync::Arc;
 
-use actix_web::{HttpRequest, HttpResponse, http::header::HeaderMap, web};
+use actix_web::{
+    HttpRequest, HttpResponse,
+    http::{StatusCode, header::HeaderMap},
+    web,
+};
 use bytes::Bytes;
 use lycheelatch_claims::StoredAnswer;
 use lycheelatch_config::ServiceKind;
@@ -121,12 +125,13 @@
 }
 
 fn replay(rec: &Record, stored: StoredAnswer) -> HttpResponse {
-    let status = actix_web::http::StatusCode::from_u16(stored.status);
-    let mut answer = HttpResponse::build(status.unwrap_or_default());
+    let status = StatusCode::from_u16(stored.status).unwrap_or_default();
+    let outcome = if status.is_server_error() { Outcome::Failed } else { Outcome::Complete };
+    let mut answer = HttpResponse::build(status);
     append_headers(&mut answer, &stored.headers);
     answer
         .insert_header((REQUEST_ID_HEADER, rec.id().as_str()))
-        .insert_header((OUTCOME_HEADER, Outcome::Complete.as_str()))
+        .insert_header((OUTCOME_HEADER, outcome.as_str()))
         .insert_header(("lycheelatch-replayed", "true"));
     answer.body(stored.body)
 }
--- a/components/proxy/src/model.rs
+++ b/components/proxy/src/model.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::StreamExt;
+use lycheelatch_policy::RequestEvent;
 use lycheelatch_prelude::{Idempotency, Outcome, UpstreamId};
 use lycheelatch_upstream::{
     Engine, EngineRequest, EngineStream, ResumePoint, StreamEvent, TokenOffset, UpstreamError,
@@ -13,14 +14,20 @@
 use crate::{
     KeptAnswer, KeptToken, Observation, PlaceAsk, Placed, Proxy, Record, Refusal, RefusalReason,
     RunningStream, StreamCommand, Target, Upstream,
-    attempt::Attempts,
+    attempt::{Attempts, MAX_ATTEMPTS},
     running::RunningGuard,
     settle::{Open, settle_later},
 };
 
+/// HTTP status of an answer that an engine gives whole.
+const WHOLE_STATUS: u16 = 200;
+
 /// Most times that one answer goes on at another upstream.
 const MAX_RESUMES: u32 = 8;
 
+/// Most attempts at one answer, over all upstreams that it goes on at.
+const MAX_MODEL_ATTEMPTS: u32 = MAX_ATTEMPTS + MAX_RESUMES;
+
 /// Bytes of a prompt that make about one token.
 const PROMPT_BYTES_PER_TOKEN: u64 = 4;
 
@@ -86,11 +93,15 @@
     ) -> Result<ModelCall, (Box<ModelCall>, Refusal)> {
         let open = Open::new(proxy.clone());
         let guard = proxy.running.start(about(&rec, &ask, next));
+        let attempts = match next {
+            0 => Attempts::new(rec.idempotency, ask.is_one_text, MAX_MODEL_ATTEMPTS),
+            _ => Attempts::resumed(rec.idempotency, MAX_MODEL_ATTEMPTS),
+        };
         let mut call = ModelCall {
             proxy,
             rec,
             ask,
-            attempts: Attempts::default(),
+            attempts,
             resumes: 0,
             placed: None,
             events: None,
@@ -139,7 +150,9 @@
                         return Ok(piece);
                     }
                 }
-                Step::Deadline => return Err(self.fail(RefusalReason::DeadlinePassed)),
+                Step::Deadline => {
+                    return Err(self.fail(RefusalReason::DeadlinePassed, RequestEvent::TimedOut));
+                }
                 Step::Event(Ok(event)) => {
                     if let Some(piece) = self.take_event(event)? {
                         return Ok(piece);
@@ -180,6 +193,7 @@
             }
             StreamEvent::Token { offset, text, data } => {
                 self.note_first();
+                self.attempts.relayed();
                 self.text.push_str(&text);
                 self.next += 1;
                 self.guard.progress(self.next);
@@ -191,11 +205,17 @@
             }
             StreamEvent::Other(data) => {
                 self.note_first();
+                // One text can start again from its first token without harm.
+                if !self.ask.is_one_text {
+                    self.attempts.relayed();
+                }
                 self.proxy.answers.push_other(self.rec.id(), data.clone());
                 Ok(Some(Piece::Other(data)))
             }
             StreamEvent::Done => {
                 self.observe(true);
+                self.note_first();
+                self.attempts.finish(WHOLE_STATUS);
                 self.events = None;
                 self.placed = None;
                 Ok(Some(Piece::Done))
@@ -208,6 +228,7 @@
             return;
         }
         self.first = Some(self.attempt_started.elapsed());
+        self.attempts.began();
         if self.resumes == 0 {
             let service = self.rec.service().name.as_str();
             let since_arrival = self.rec.head.arrived.elapsed().as_secs_f64();
@@ -265,7 +286,7 @@
     /// Leaves the upstream, without blaming it.
     fn leave(&mut self, cause: &str) {
         if let Some(placed) = &self.placed {
-            self.attempts.tried.push(placed.upstream.id().clone());
+            self.attempts.left(&placed.upstream);
         }
         self.cancel_upstream();
         self.note_resume(cause);
@@ -285,21 +306,20 @@
         if let Some(placed) = &self.placed {
             self.attempts.failed(&placed.upstream, &err);
         }
-        let can_restart = self.next == 0 || self.ask.is_one_text;
-        let is_idempotent = self.rec.idempotency == Idempotency::Idempotent;
-        if !can_restart || !is_idempotent || self.resumes >= MAX_RESUMES {
-            return Err(self.fail(RefusalReason::UpstreamFailed(err.to_string())));
+        if !self.attempts.may_go_on() || self.resumes >= MAX_RESUMES {
+            return Err(self.give_up(RefusalReason::UpstreamFailed(err.to_string())));
         }
         log::info!("proxy: request {} goes on elsewhere: {err}", self.rec.id());
         self.note_resume("broken");
         self.connect(None).await
     }
 
-    fn fail(&mut self, reason: RefusalReason) -> Refusal {
-        let outcome = match self.rec.idempotency {
-            Idempotency::Idempotent => Outcome::Failed,
-            Idempotency::NonIdempotent => Outcome::Unknown,
-        };
+    fn give_up(&mut self, reason: RefusalReason) -> Refusal {
+        self.fail(reason, RequestEvent::GivenUp)
+    }
+
+    fn fail(&mut self, reason: RefusalReason, event: RequestEvent) -> Refusal {
+        let outcome = self.attempts.outcome(event);
         self.cancel_upstream();
         Refusal { reason, outcome, retry_after: None }
     }
@@ -312,6 +332,9 @@
                 Some(upstream) => Placed::new(upstream),
                 None => self.place()?,
             };
+            if !self.attempts.start() {
+                return Err(self.give_up(RefusalReason::Overloaded));
+            }
             self.attempt_started = Instant::now();
             self.first = None;
             let service = self.rec.service().name.as_str();
@@ -341,10 +364,9 @@
             Err(_) if self.next > 0 => self.proxy.place.place(&ask(&[])),
             placed => placed,
         };
-        placed.map_err(|refusal| match (self.next > 0, self.attempts.may_have_run) {
-            (true, _) => self.fail(refusal.reason),
-            (false, true) => Refusal { outcome: Outcome::Unknown, ..refusal },
-            (false, false) => refusal,
+        placed.map_err(|refusal| Refusal {
+            outcome: self.attempts.outcome(RequestEvent::GivenUp),
+            ..refusal
         })
     }
 
@@ -357,13 +379,15 @@
         };
         self.proxy.place.observe(&placed.upstream, seen);
         self.attempts.failed(&placed.upstream, &err);
-        let may_go_on = self.next > 0 && self.attempts.tried.len() < MAX_RESUMES as usize;
-        if may_go_on || self.attempts.may_retry(self.proxy.retry.as_ref(), &self.rec, &err) {
-            return Ok(());
-        }
-        match self.next {
-            0 => Err(self.attempts.refusal(err)),
-            _ => Err(self.fail(RefusalReason::UpstreamFailed(err.to_string()))),
+        let retry = self.proxy.retry.as_ref();
+        let is_allowed = match self.next {
+            0 => self.attempts.may_retry(retry, &self.rec, &err),
+            _ => self.attempts.may_go_on(),
+        };
+        match (is_allowed, self.next) {
+            (true, _) => Ok(()),
+            (false, 0) => Err(self.attempts.refusal(err)),
+            (false, _) => Err(self.give_up(RefusalReason::UpstreamFailed(err.to_string()))),
         }
     }
 
@@ -425,7 +449,8 @@
     fn drop(&mut self) {
         self.cancel_upstream();
         if !self.settled {
-            settle_later(&self.proxy, &mut self.rec, Outcome::Unknown);
+            let outcome = self.attempts.outcome(RequestEvent::Cancelled);
+            settle_later(&self.proxy, &mut self.rec, outcome);
         }
     }
 }
--- a/components/proxy/src/plain.rs
+++ b/components/proxy/src/plain.rs
@@ -12,14 +12,15 @@
 };
 use bytes::{Bytes, BytesMut};
 use futures_util::{StreamExt, TryStreamExt, stream};
-use lycheelatch_claims::StoredAnswer;
+use lycheelatch_claims::{BODY_NOT_KEPT_HEADER, StoredAnswer};
+use lycheelatch_policy::RequestEvent;
 use lycheelatch_prelude::Outcome;
 use lycheelatch_upstream::{BodyStream, PlainRequest, PlainResponse, PlainService, UpstreamError};
 use tokio::time::{Instant, timeout};
 
 use crate::{
     Kind, Observation, PlaceAsk, Placed, Proxy, Record, Refusal, RefusalReason, Target,
-    attempt::Attempts,
+    attempt::{Attempts, MAX_ATTEMPTS},
     head::{OUTCOME_HEADER, REQUEST_ID_HEADER, is_passed_on},
     settle::{Open, settle, settle_later},
 };
@@ -72,7 +73,7 @@
         body: RequestBody,
     ) -> PlainCall {
         let open = Open::new(proxy.clone());
-        let attempts = Attempts::default();
+        let attempts = Attempts::new(rec.idempotency, false, MAX_ATTEMPTS);
         PlainCall { proxy, rec, headers, body: Some(body), attempts, settled: false, _open: open }
     }
 
@@ -92,11 +93,20 @@
         loop {
             let (body, may_repeat) = self.take_body();
             let placed = self.place()?;
+            if !self.attempts.start() {
+                let outcome = self.attempts.outcome(RequestEvent::GivenUp);
+                return Err(Refusal {
+                    reason: RefusalReason::Overloaded,
+                    outcome,
+                    retry_after: None,
+                });
+            }
             let started = Instant::now();
             let result = self.attempt(&placed, body).await;
             self.observe(&placed, started, &result);
             let err = match result {
                 Ok((head, start, rest)) => {
+                    self.attempts.began();
                     let (status, headers) = head;
                     return Ok(Answered { placed, status, headers, start, rest });
                 }
@@ -122,15 +132,16 @@
         }
     }
 
-    fn place(&self) -> Result<Placed, Refusal> {
+    fn place(&mut self) -> Result<Placed, Refusal> {
         let ask = PlaceAsk {
             rec: &self.rec,
             exclude: &self.attempts.tried,
             avoid_zone: self.attempts.last_zone.as_ref(),
         };
-        self.proxy.place.place(&ask).map_err(|refusal| match self.attempts.may_have_run {
-            true => Refusal { outcome: Outcome::Unknown, ..refusal },
-            false => refusal,
+        let placed = self.proxy.place.place(&ask);
+        placed.map_err(|refusal| Refusal {
+            outcome: self.attempts.outcome(RequestEvent::GivenUp),
+            ..refusal
         })
     }
 
@@ -187,13 +198,10 @@
 
     async fn answer(mut self, answered: Answered) -> HttpResponse {
         self.note_first_byte();
-        let outcome = match answered.status.is_server_error() {
-            true => Outcome::Failed,
-            false => Outcome::Complete,
-        };
         if answered.rest.is_some() {
-            return self.answer_streaming(answered, outcome);
+            return self.answer_streaming(answered);
         }
+        let outcome = self.attempts.finish(answered.status.as_u16());
         self.settled = true;
         let stored = StoredAnswer {
             status: answered.status.as_u16(),
@@ -215,11 +223,13 @@
     ///
     /// Its head says `unknown`, since the end is not seen yet; HTTP's framing
     /// tells the caller whether the answer is whole.
-    fn answer_streaming(self, mut answered: Answered, outcome: Outcome) -> HttpResponse {
+    fn answer_streaming(mut self, mut answered: Answered) -> HttpResponse {
+        self.attempts.relayed();
         let mut response = self.head(&answered, Outcome::Unknown);
         let rest = answered.rest.take();
         let start = answered.start.clone();
-        let relaying = Relaying { call: self, rest, outcome, _placed: answered.placed };
+        let status = answered.status.as_u16();
+        let relaying = Relaying { call: self, rest, status, placed: answered.placed };
         let first = stream::iter([Ok::<_, io::Error>(start)]);
         response.streaming(first.chain(relaying.into_stream()))
     }
@@ -237,7 +247,8 @@
 impl Drop for PlainCall {
     fn drop(&mut self) {
         if !self.settled {
-            settle_later(&self.proxy, &mut self.rec, Outcome::Unknown);
+            let outcome = self.attempts.outcome(RequestEvent::Cancelled);
+            settle_later(&self.proxy, &mut self.rec, outcome);
         }
     }
 }
@@ -246,8 +257,8 @@
 struct Relaying {
     call: PlainCall,
     rest: Option<BodyStream>,
-    outcome: Outcome,
-    _placed: Placed,
+    status: u16,
+    placed: Placed,
 }
 
 impl Relaying {
@@ -262,22 +273,27 @@
         match self.rest.as_mut()?.next().await {
             Some(Ok(chunk)) => Some(Ok(chunk)),
             Some(Err(err)) => {
-                self.finish(Outcome::Unknown).await;
+                let attempts = &mut self.call.attempts;
+                attempts.failed(&self.placed.upstream, &err);
+                let outcome = attempts.outcome(RequestEvent::GivenUp);
+                self.finish(outcome, None).await;
                 Some(Err(io::Error::other(err)))
             }
             None => {
-                self.finish(self.outcome).await;
+                let outcome = self.call.attempts.finish(self.status);
+                // The body was not kept, so a later request with the same key gets the head alone.
+                let note = (BODY_NOT_KEPT_HEADER.into(), Bytes::from_static(b"true"));
+                let stored =
+                    StoredAnswer { status: self.status, headers: vec![note], body: Bytes::new() };
+                self.finish(outcome, Some(stored)).await;
                 None
             }
         }
     }
 
-    async fn finish(&mut self, outcome: Outcome) {
+    async fn finish(&mut self, outcome: Outcome, stored: Option<StoredAnswer>) {
         self.rest = None;
         self.call.settled = true;
-        // The body was not kept, so a later request with the same key gets the head alone.
-        let stored = StoredAnswer { status: 200, headers: Vec::new(), body: Bytes::new() };
-        let stored = (outcome == Outcome::Complete).then_some(stored);
         settle(&self.call.proxy, &mut self.call.rec, outcome, stored).await;
     }
 }
--- a/components/proxy/tests/bench/caller.rs
+++ b/components/proxy/tests/bench/caller.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use futures_util::future::poll_fn;
 use lycheelatch_upstream::SseReader;
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
 use crate::bench::{MODEL, TOKEN, TestNode, token_text};
@@ -44,6 +44,10 @@
     pub(crate) waits: Vec<Duration>,
     /// Stops reading after this many tokens in all.
     pub(crate) leave_after: Option<usize>,
+    /// Further fields of the request.
+    pub(crate) fields: Value,
+    /// Events without an id that came.
+    pub(crate) others: usize,
     /// Time taken to read each token.
     pub(crate) slowness: Duration,
 }
@@ -59,6 +63,8 @@
             asked: Instant::now(),
             waits: Vec::new(),
             leave_after: None,
+            fields: json!({}),
+            others: 0,
             slowness: Duration::ZERO,
         }
     }
@@ -76,8 +82,9 @@
 
     /// Asks with further headers.
     pub(crate) async fn ask_with(&mut self, node: &TestNode, headers: &[(&str, &str)]) -> Ending {
-        let body = json!({"model": MODEL, "stream": true, "prompt": "lot 17",
+        let mut body = json!({"model": MODEL, "stream": true, "prompt": "lot 17",
                           "max_tokens": self.max_tokens});
+        body.as_object_mut().unwrap().extend(self.fields.as_object().unwrap().clone());
         let mut req = TestRequest::post()
             .uri("/v1/completions")
             .insert_header(("authorization", format!("Bearer {TOKEN}")))
@@ -134,9 +141,12 @@
     }
 
     fn take_token(&mut self, data: &str, id: Option<&str>) {
-        let Some(id) = id else { return };
+        let Some(id) = id else {
+            self.others += 1;
+            return;
+        };
         self.ids.push(id.parse().unwrap());
-        let event: serde_json::Value = serde_json::from_str(data).unwrap();
+        let event: Value = serde_json::from_str(data).unwrap();
         self.text.push_str(event["choices"][0]["delta"]["content"].as_str().unwrap());
     }
 }
--- a/components/proxy/tests/resume.rs
+++ b/components/proxy/tests/resume.rs
@@ -113,6 +113,18 @@
     assert_eq!(Caller::new("r-2", 20).ask(&node).await, Ending::Failed);
 }
 
+#[actix::test]
+async fn stream_of_no_one_text_is_not_started_again() {
+    tokio::time::pause();
+    let bench = Bench::new(2, INTERVAL);
+    let node = bench.node("a").await;
+    bench.engines[0].script([EngineFault::OthersThenBreak(3)]);
+    let mut caller = Caller::new("r-1", 20);
+    caller.fields = serde_json::json!({"tools": [{"type": "function"}]});
+    assert_eq!(caller.ask(&node).await, Ending::Failed);
+    assert_eq!((caller.others, caller.ids.len()), (3, 0), "a part came twice");
+}
+
 #[actix::test]
 async fn stream_unreachable_upstream_is_replaced_or_refused_truly() {
     tokio::time::pause();
