--- a/components/proxy/src/http.rs
+++ b/components/proxy/src/http.rs
@@ -2,7 +2,11 @@
 
 use std::sync::Arc;
 
-use actix_web::{HttpRequest, HttpResponse, http::header::HeaderMap, web};
+use actix_web::{
+    HttpRequest, HttpResponse,
+    http::{StatusCode, header::HeaderMap},
+    web,
+};
 use bytes::Bytes;
 use lycheelatch_claims::StoredAnswer;
 use lycheelatch_config::ServiceKind;
@@ -18,6 +22,7 @@
     model::{ModelAsk, ModelCall},
     plain::{PassedHeaders, PlainCall, RequestBody, append_headers, task_lost},
     relay::{refuse, relay_stream, relay_whole},
+    resume::resume,
     settle::settle,
     whole::WholeAnswer,
 };
@@ -39,6 +44,7 @@
         .route("/v1/chat/completions", web::post().to(model))
         .route("/v1/completions", web::post().to(model))
         .route("/v1/models", web::get().to(models))
+        .route("/v1/requests/{id}", web::get().to(resume))
         .route("/services/{service}", web::to(plain))
         .route("/services/{service}/{path:.*}", web::to(plain))
         .default_service(web::to(unknown_path));
@@ -106,7 +112,7 @@
 }
 
 /// Passes a request through the filters; an answer means that it goes no further.
-async fn admitted(proxy: &Proxy, rec: &mut Record) -> Option<HttpResponse> {
+pub(crate) async fn admitted(proxy: &Proxy, rec: &mut Record) -> Option<HttpResponse> {
     match proxy.admit(rec).await {
         Ok(Flow::Continue) => None,
         Ok(Flow::Answer(stored)) => Some(replay(rec, stored)),
@@ -119,12 +125,13 @@
 }
 
 fn replay(rec: &Record, stored: StoredAnswer) -> HttpResponse {
-    let status = actix_web::http::StatusCode::from_u16(stored.status);
-    let mut answer = HttpResponse::build(status.unwrap_or_default());
+    let status = StatusCode::from_u16(stored.status).unwrap_or_default();
+    let outcome = if status.is_server_error() { Outcome::Failed } else { Outcome::Complete };
+    let mut answer = HttpResponse::build(status);
     append_headers(&mut answer, &stored.headers);
     answer
         .insert_header((REQUEST_ID_HEADER, rec.id().as_str()))
-        .insert_header((OUTCOME_HEADER, Outcome::Complete.as_str()))
+        .insert_header((OUTCOME_HEADER, outcome.as_str()))
         .insert_header(("lycheelatch-replayed", "true"));
     answer.body(stored.body)
 }
