--- /dev/null
+++ b/components/policy/src/fair_queue.rs
@@ -0,0 +1,304 @@
+//! Waiting requests of one service, shared fairly between workspaces.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
+
+use lycheelatch_prelude::{Priority, WorkspaceName};
+use tokio::time::Instant;
+
+use crate::Ticket;
+
+/// Queues of a workspace: fresh work by falling priority, then retries.
+const LEVELS: usize = 4;
+
+/// Level of retried work, after all fresh work.
+const RETRIED_LEVEL: usize = LEVELS - 1;
+
+/// A waiting request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Waiting {
+    /// Ticket that the caller of the policy holds.
+    pub ticket: Ticket,
+    /// Work that it brings, in the units of the service.
+    pub cost: u64,
+    /// Whether it is a retry.
+    pub retried: bool,
+    /// Importance within its workspace.
+    pub priority: Priority,
+    /// When starting it makes no sense any more.
+    pub give_up_at: Instant,
+}
+
+impl Waiting {
+    fn level(&self) -> usize {
+        match self.priority {
+            _ if self.retried => RETRIED_LEVEL,
+            Priority::High => 0,
+            Priority::Normal => 1,
+            Priority::Low => 2,
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Lane {
+    weight: f64,
+    /// Virtual time up to which the workspace has had its share.
+    served_to: f64,
+    levels: [VecDeque<Waiting>; LEVELS],
+    fresh_cost: u64,
+}
+
+impl Lane {
+    fn new(weight: u32) -> Lane {
+        Lane {
+            weight: f64::from(weight.max(1)),
+            served_to: 0.0,
+            levels: Default::default(),
+            fresh_cost: 0,
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.levels.iter().all(VecDeque::is_empty)
+    }
+
+    fn forget_cost(&mut self, entry: &Waiting) {
+        if !entry.retried {
+            self.fresh_cost -= entry.cost;
+        }
+    }
+}
+
+/// Weighted fair queue: workspaces share by weight, and within a workspace
+/// fresh work goes before retries. Its length is bounded by time: whatever
+/// can't be in time any more is taken out, the oldest first.
+#[derive(Debug, Clone, Default)]
+pub struct FairQueue {
+    lanes: HashMap<WorkspaceName, Lane>,
+    virtual_time: f64,
+    len: usize,
+}
+
+impl FairQueue {
+    /// Sets the weight of a workspace.
+    pub fn set_weight(&mut self, workspace: &WorkspaceName, weight: u32) {
+        self.lane(workspace).weight = f64::from(weight.max(1));
+    }
+
+    /// Forgets workspaces that `keep` does not know and that have nothing waiting.
+    pub fn retain(&mut self, keep: impl Fn(&WorkspaceName) -> bool) {
+        self.lanes.retain(|name, lane| !lane.is_empty() || keep(name));
+    }
+
+    /// Returns how many requests wait.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Returns whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Adds a request.
+    pub fn push(&mut self, workspace: &WorkspaceName, entry: Waiting) {
+        let virtual_time = self.virtual_time;
+        let lane = self.lane(workspace);
+        if lane.is_empty() {
+            lane.served_to = lane.served_to.max(virtual_time);
+        }
+        if !entry.retried {
+            lane.fresh_cost += entry.cost;
+        }
+        lane.levels[entry.level()].push_back(entry);
+        self.len += 1;
+    }
+
+    /// Counts work of a workspace that started without waiting.
+    pub fn charge(&mut self, workspace: &WorkspaceName, cost: u64) {
+        let virtual_time = self.virtual_time;
+        let lane = self.lane(workspace);
+        lane.served_to = lane.served_to.max(virtual_time) + cost as f64 / lane.weight;
+    }
+
+    /// Returns the cost of the request whose turn it is.
+    pub fn peek_cost(&self) -> Option<u64> {
+        let lane = self.lanes.get(self.turn()?)?;
+        lane.levels.iter().find_map(VecDeque::front).map(|entry| entry.cost)
+    }
+
+    /// Takes the request whose turn it is.
+    pub fn pop(&mut self) -> Option<(WorkspaceName, Waiting)> {
+        let workspace = self.turn()?.clone();
+        let lane = self.lanes.get_mut(&workspace)?;
+        let entry = lane.levels.iter_mut().find_map(VecDeque::pop_front)?;
+        lane.forget_cost(&entry);
+        self.virtual_time = self.virtual_time.max(lane.served_to);
+        lane.served_to += entry.cost as f64 / lane.weight;
+        self.len -= 1;
+        Some((workspace, entry))
+    }
+
+    /// Takes out a request that can't be in time any more, the oldest first.
+    pub fn pop_hopeless(&mut self, now: Instant) -> Option<(WorkspaceName, Waiting)> {
+        let (name, lane, level) = self
+            .lanes
+            .iter_mut()
+            .flat_map(|(name, lane)| {
+                let fronts = lane.levels.iter().enumerate();
+                let level = fronts
+                    .filter_map(|(level, queue)| Some((queue.front()?.give_up_at, level)))
+                    .filter(|(give_up_at, _)| *give_up_at <= now)
+                    .min();
+                level.map(|(give_up_at, level)| (give_up_at, name, lane, level))
+            })
+            .min_by_key(|(give_up_at, name, ..)| (*give_up_at, (*name).clone()))
+            .map(|(_, name, lane, level)| (name.clone(), lane, level))?;
+        let entry = lane.levels[level].pop_front()?;
+        lane.forget_cost(&entry);
+        self.len -= 1;
+        Some((name, entry))
+    }
+
+    /// Takes out a request whose caller is gone.
+    pub fn cancel(&mut self, workspace: &WorkspaceName, ticket: Ticket) -> Option<Waiting> {
+        let lane = self.lanes.get_mut(workspace)?;
+        let (level, at) = lane.levels.iter().enumerate().find_map(|(level, queue)| {
+            Some((level, queue.iter().position(|entry| entry.ticket == ticket)?))
+        })?;
+        let entry = lane.levels[level].remove(at)?;
+        lane.forget_cost(&entry);
+        self.len -= 1;
+        Some(entry)
+    }
+
+    /// Returns when the next request becomes hopeless.
+    pub fn next_give_up(&self) -> Option<Instant> {
+        let fronts = self.lanes.values().flat_map(|lane| lane.levels.iter());
+        fronts.filter_map(|queue| Some(queue.front()?.give_up_at)).min()
+    }
+
+    /// Estimates how long fresh work of a workspace waits at `rate` units a second.
+    pub fn expected_wait(&self, workspace: &WorkspaceName, rate: f64) -> Duration {
+        let waiting = |lane: &Lane| lane.fresh_cost > 0;
+        let Some(lane) = self.lanes.get(workspace).filter(|lane| waiting(lane)) else {
+            return Duration::ZERO;
+        };
+        let weights: f64 = self.lanes.values().filter(|l| waiting(l)).map(|l| l.weight).sum();
+        let own_rate = (rate * lane.weight / weights).max(1e-3);
+        Duration::from_secs_f64((lane.fresh_cost as f64 / own_rate).min(3600.0))
+    }
+
+    /// Returns the waiting fresh work of all workspaces, in units.
+    pub fn fresh_cost(&self) -> u64 {
+        self.lanes.values().map(|lane| lane.fresh_cost).sum()
+    }
+
+    fn lane(&mut self, workspace: &WorkspaceName) -> &mut Lane {
+        self.lanes.entry(workspace.clone()).or_insert_with(|| Lane::new(100))
+    }
+
+    fn turn(&self) -> Option<&WorkspaceName> {
+        let waiting = self.lanes.iter().filter(|(_, lane)| !lane.is_empty());
+        let by_turn = |a: &(&WorkspaceName, &Lane), b: &(&WorkspaceName, &Lane)| {
+            a.1.served_to.total_cmp(&b.1.served_to).then_with(|| a.0.cmp(b.0))
+        };
+        waiting.min_by(by_turn).map(|(name, _)| name)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn waiting(ticket: u64, retried: bool, give_up_at: Instant) -> Waiting {
+        let priority = Priority::Normal;
+        Waiting { ticket: Ticket(ticket), cost: 1, retried, priority, give_up_at }
+    }
+
+    fn name(text: &str) -> WorkspaceName {
+        text.parse().unwrap()
+    }
+
+    #[test]
+    fn pop_fresh_before_retried() {
+        let at = Instant::now();
+        let mut queue = FairQueue::default();
+        queue.push(&name("a"), waiting(1, true, at));
+        queue.push(&name("a"), waiting(2, false, at));
+        assert_eq!(queue.pop().unwrap().1.ticket, Ticket(2));
+        assert_eq!(queue.pop().unwrap().1.ticket, Ticket(1));
+        assert!(queue.pop().is_none());
+    }
+
+    #[test]
+    fn pop_high_priority_first() {
+        let at = Instant::now();
+        let mut queue = FairQueue::default();
+        queue.push(&name("a"), waiting(1, false, at));
+        let high = Waiting { priority: Priority::High, ..waiting(2, false, at) };
+        queue.push(&name("a"), high);
+        assert_eq!(queue.pop().unwrap().1.ticket, Ticket(2));
+    }
+
+    #[test]
+    fn pop_shares_by_weight() {
+        let at = Instant::now();
+        let mut queue = FairQueue::default();
+        queue.set_weight(&name("large"), 300);
+        queue.set_weight(&name("small"), 100);
+        for n in 0..1000 {
+            queue.push(&name("large"), waiting(n, false, at));
+            queue.push(&name("small"), waiting(n, false, at));
+        }
+        let large = (0..400).filter(|_| queue.pop().unwrap().0 == name("large")).count();
+        assert!((298..=302).contains(&large), "{large} of 400");
+    }
+
+    #[test]
+    fn pop_idle_workspace_saves_up_nothing() {
+        let at = Instant::now();
+        let mut queue = FairQueue::default();
+        for n in 0..500 {
+            queue.push(&name("a"), waiting(n, false, at));
+        }
+        for _ in 0..300 {
+            queue.pop();
+        }
+        for n in 0..100 {
+            queue.push(&name("b"), waiting(n, false, at));
+        }
+        let b = (0..100).filter(|_| queue.pop().unwrap().0 == name("b")).count();
+        assert!((49..=51).contains(&b), "{b} of 100");
+    }
+
+    #[test]
+    fn pop_hopeless_oldest_first() {
+        let now = Instant::now();
+        let mut queue = FairQueue::default();
+        let second = Duration::from_secs(1);
+        queue.push(&name("a"), waiting(1, false, now + 2 * second));
+        queue.push(&name("b"), waiting(2, true, now + second));
+        queue.push(&name("b"), waiting(3, false, now + 9 * second));
+        assert!(queue.pop_hopeless(now).is_none());
+        assert_eq!(queue.next_give_up(), Some(now + second));
+        let later = now + 3 * second;
+        assert_eq!(queue.pop_hopeless(later).unwrap().1.ticket, Ticket(2));
+        assert_eq!(queue.pop_hopeless(later).unwrap().1.ticket, Ticket(1));
+        assert!(queue.pop_hopeless(later).is_none());
+        assert_eq!((queue.len(), queue.fresh_cost()), (1, 1));
+    }
+
+    #[test]
+    fn cancel_takes_out() {
+        let at = Instant::now();
+        let mut queue = FairQueue::default();
+        queue.push(&name("a"), waiting(1, false, at));
+        assert!(queue.cancel(&name("a"), Ticket(1)).is_some());
+        assert!(queue.cancel(&name("a"), Ticket(1)).is_none());
+        assert!(queue.is_empty());
+    }
+}
