--- a/components/policy/src/admission/mod.rs
+++ b/components/policy/src/admission/mod.rs
@@ -74,9 +74,9 @@
         }
     }
 
-    /// Returns whether work of this cost fits now; a single one always does.
-    fn has_room(&self, cost: u64) -> bool {
-        self.capacity > 0 && (self.in_flight == 0 || self.in_flight + cost <= self.capacity)
+    /// Returns whether another request fits; its own cost may go beyond the capacity once.
+    fn has_room(&self) -> bool {
+        self.in_flight < self.capacity
     }
 
     fn run_time(&self) -> Duration {
@@ -229,7 +229,7 @@
         if retried && !state.budgets(&ask.workspace).try_retry(now, cost) {
             return Err(refuse(state, now, cost, RefusalReason::RetryBudget, &mut self.rng));
         }
-        if state.queue.is_empty() && state.has_room(cost) {
+        if state.queue.is_empty() && state.has_room() {
             state.queue.charge(&ask.workspace, cost);
             state.start(now, &ask.workspace, cost, retried);
             workspace.in_flight += 1;
@@ -276,7 +276,7 @@
         if let Some((_, entry)) = state.queue.pop_hopeless(now) {
             return self.drop_waiting(now, service, entry);
         }
-        if !state.has_room(state.queue.peek_cost()?) {
+        if !state.has_room() {
             return None;
         }
         let (workspace, entry) = state.queue.pop()?;
--- a/components/policy/src/fair_queue.rs
+++ b/components/policy/src/fair_queue.rs
@@ -124,12 +124,6 @@
         lane.served_to = lane.served_to.max(virtual_time) + cost as f64 / lane.weight;
     }
 
-    /// Returns the cost of the request whose turn it is.
-    pub fn peek_cost(&self) -> Option<u64> {
-        let lane = self.lanes.get(self.turn()?)?;
-        lane.levels.iter().find_map(VecDeque::front).map(|entry| entry.cost)
-    }
-
     /// Takes the request whose turn it is.
     pub fn pop(&mut self) -> Option<(WorkspaceName, Waiting)> {
         let workspace = self.turn()?.clone();
--- a/components/policy/src/placement/explain.rs
+++ b/components/policy/src/placement/explain.rs
@@ -81,7 +81,7 @@
                     ejected: known.ejection.is_out(),
                     allowed: allowed.get(position),
                     preferred: preferred.get(position),
-                    has_room: known.limit.has_room(req.cost()),
+                    has_room: known.limit.has_room(),
                     in_flight: known.limit.in_flight(),
                     limit: known.limit.units(),
                     affinity,
--- a/components/policy/src/placement/fleet_view.rs
+++ b/components/policy/src/placement/fleet_view.rs
@@ -203,9 +203,7 @@
             return;
         };
         let (position, last) = (known.position, view.slots.len() - 1);
-        if view.usable.get(position) {
-            view.capacity -= known.limit.units();
-        }
+        view.capacity -= known.limit.capacity(view.usable.get(position));
         view.requests -= known.limit.requests();
         view.out.retain(|other| *other != slot);
         view.slots.swap_remove(position);
@@ -274,12 +272,12 @@
         let Some((view, known)) = self.view_of(slot) else {
             return;
         };
-        let (units, requests) = (known.limit.units(), known.limit.requests());
+        let is_usable = view.usable.get(known.position);
+        view.capacity -= known.limit.capacity(is_usable);
+        view.requests -= known.limit.requests();
         change(known);
-        view.requests = view.requests - requests + known.limit.requests();
-        if view.usable.get(known.position) {
-            view.capacity = view.capacity - units + known.limit.units();
-        }
+        view.capacity += known.limit.capacity(is_usable);
+        view.requests += known.limit.requests();
     }
 
     /// Records an answer or a failure and leaves the upstream out, or takes it back.
@@ -316,11 +314,8 @@
         let was_usable = view.usable.get(known.position);
         view.live.set(known.position, is_live);
         view.usable.set(known.position, is_usable);
-        match (was_usable, is_usable) {
-            (false, true) => view.capacity += known.limit.units(),
-            (true, false) => view.capacity -= known.limit.units(),
-            _ => {}
-        }
+        view.capacity -= known.limit.capacity(was_usable);
+        view.capacity += known.limit.capacity(is_usable);
     }
 
     /// Returns the region of an availability zone, if an upstream was ever there.
--- a/components/policy/src/placement/mod.rs
+++ b/components/policy/src/placement/mod.rs
@@ -10,7 +10,7 @@
 
 use std::time::Duration;
 
-use lycheelatch_config::{ServiceKind, Snapshot};
+use lycheelatch_config::{PlacementRule, Service, ServiceKind, Snapshot};
 use lycheelatch_prelude::{ServiceName, UpstreamId};
 use lycheelatch_upstream::{CacheEvent, CacheEvents, LoadReport};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -83,10 +83,15 @@
         }
         for service in snapshot.services.values() {
             let rules = snapshot.rules_of(&service.name).cloned().collect();
-            self.fleet.set_service(service, rules);
+            self.set_service(service, rules);
         }
     }
 
+    /// Adds a service or changes its settings and rules.
+    pub fn set_service(&mut self, service: &Service, rules: Vec<PlacementRule>) {
+        self.fleet.set_service(service, rules);
+    }
+
     /// Adds an upstream, or changes what is known of it; false if the service is unknown.
     pub fn put(&mut self, now: Instant, service: &ServiceName, candidate: Candidate) -> bool {
         self.fleet.put(now, service, candidate)
@@ -324,7 +329,7 @@
         let mut round = (start..view.slots.len()).chain(0..start);
         let with_room = round.find(|position| {
             let known = self.fleet.known(view.slots[*position]);
-            eligible.get(*position) && known.limit.has_room(req.cost())
+            eligible.get(*position) && known.limit.has_room()
         });
         best_of(&scoring, &self.fleet, with_room.into_iter(), affinity)
     }
@@ -349,7 +354,7 @@
     for position in positions {
         let slot = scoring.view.slots[position];
         let known = fleet.known(slot);
-        if !known.limit.has_room(scoring.req.cost()) {
+        if !known.limit.has_room() {
             continue;
         }
         let score = scoring.score(slot, known, affinity(position));
--- /dev/null
+++ b/components/policy/tests/support/mod.rs
@@ -0,0 +1,5 @@
+//! Stand-in upstreams and callers in virtual time, for tests and experiments.
+#![allow(dead_code, missing_docs, unreachable_pub)]
+
+pub mod clock;
+pub mod overload;
