policy: retries known by their digest's home, limits that follow reports

Change: the home node of a digest is told before the caller and asked before admission; an answer is late only against the usual time at idle upstreams; growth by time; a limit sinks to what is used; budget window of 2 s; a limit of one can grow again.

--- a/components/policy/examples/overload.rs
+++ b/components/policy/examples/overload.rs
@@ -47,6 +47,7 @@
         report.came_back,
     );
     if std::env::args().any(|arg| arg == "--seconds") {
+        println!("refused before the trigger: {:?}", report.early_refusals);
         for (second, counts) in report.seconds.iter().enumerate() {
             println!("{second:>4} {counts:?}");
         }
@@ -68,9 +69,8 @@
     );
     for seed in 1..=3 {
         let (quiet, loud) = support::overload::fairness(seed);
-        for workspace in 1..5 {
-            let (a, b) = (quiet.percentile(workspace, 95.0), loud.percentile(workspace, 95.0));
-            println!("seed {seed} workspace {workspace}: {a:.0} -> {b:.0} ({:.3})", b / a);
-        }
+        let p95 = |report: &Report| report.percentile(1..5, 95.0);
+        let (a, b) = (p95(&quiet), p95(&loud));
+        println!("seed {seed}: {a:.0} -> {b:.0} ms ({:.3})", b / a);
     }
 }
--- a/components/policy/src/admission/ask.rs
+++ b/components/policy/src/admission/ask.rs
@@ -22,6 +22,8 @@
     pub attempt: Attempt,
     /// Digest by which a repeat is known; none: only the attempt's number tells.
     pub fingerprint: Option<Fingerprint>,
+    /// Whether the fingerprint's home says that the request failed before.
+    pub failed_before: bool,
     /// When its caller stops waiting.
     pub deadline: Instant,
     /// Work that it brings: prompt and expected tokens, or 1 at a plain service.
--- a/components/policy/src/admission/mod.rs
+++ b/components/policy/src/admission/mod.rs
@@ -200,7 +200,8 @@
 
     /// Decides on a request.
     pub fn offer(&mut self, now: Instant, ask: Ask) -> Admit {
-        let retried = self.sense.is_retry(now, ask.attempt, ask.fingerprint);
+        let known = self.sense.is_retry(now, ask.attempt, ask.fingerprint);
+        let retried = known || ask.failed_before;
         match self.decide(now, &ask, retried) {
             Ok(admit) => admit,
             Err(refusal) => {
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -24,4 +24,4 @@
 pub use prefix::{BLOCK_BYTES, BLOCK_TOKENS, BlockHash, MAX_BLOCKS, prefix_blocks};
 pub use retry::{FailedTry, GiveUp, RetryDecision, RetryPolicy, TryContext};
 pub use retry_budget::RetryBudget;
-pub use retry_sense::{Fingerprint, RetrySense};
+pub use retry_sense::{Fingerprint, RetrySense, sense_home};
--- a/components/policy/src/limit.rs
+++ b/components/policy/src/limit.rs
@@ -7,7 +7,7 @@
 use crate::decay::MovingMean;
 
 /// Requests in flight that a known upstream starts with.
-const FIRST_REQUESTS: f64 = 16.0;
+const FIRST_REQUESTS: f64 = 8.0;
 
 /// Requests in flight that a fresh upstream starts with.
 const FRESH_REQUESTS: f64 = 2.0;
@@ -15,6 +15,18 @@
 /// Requests that the limit grows by each second that it holds work back.
 const GROWTH_PER_SECOND: f64 = 1.0;
 
+/// Share of itself that the limit grows by each second besides.
+const GROWTH_SHARE_PER_SECOND: f64 = 0.01;
+
+/// Multiple of the most work lately in flight that the limit stays below.
+const PEAK_FACTOR: f64 = 2.0;
+
+/// Requests in flight that the limit allows however little was in flight.
+const IDLE_REQUESTS: f64 = 4.0;
+
+/// Time after which a peak of work in flight is forgotten.
+const PEAK_LIFETIME: Duration = Duration::from_secs(10);
+
 /// Longest time that counts towards growth at one answer.
 const MAX_GROWTH_STEP: Duration = Duration::from_millis(200);
 
@@ -68,6 +80,8 @@
     grown: Option<Instant>,
     cut: Option<Instant>,
     report_cut: Option<Instant>,
+    peak: f64,
+    peak_at: Option<Instant>,
 }
 
 impl ConcurrencyLimit {
@@ -88,6 +102,8 @@
             grown: None,
             cut: None,
             report_cut: None,
+            peak: 0.0,
+            peak_at: None,
         }
     }
 
@@ -139,7 +155,8 @@
 
     /// Counts a request that ended and learns from how it went.
     pub fn finish(&mut self, now: Instant, cost: u64, pace: Pace) {
-        let bound = self.in_flight as f64 >= BOUND_SHARE * self.limit;
+        let bound = !self.has_room() || self.in_flight as f64 >= BOUND_SHARE * self.limit;
+        self.follow_peak(now);
         self.in_flight = self.in_flight.saturating_sub(cost);
         self.requests = self.requests.saturating_sub(1);
         match pace {
@@ -161,7 +178,7 @@
             return;
         }
         self.report_cut = Some(now);
-        let kept = running * (1.0 + WAITING_SHARE) / (running + waiting);
+        let kept = running / (running + waiting);
         self.limit = self.limit.min(self.limit.min(self.in_flight as f64) * kept);
         self.clamp();
     }
@@ -184,17 +201,26 @@
     }
 
     fn grow(&mut self, now: Instant, cost: u64) {
-        if self.starting {
+        if self.starting && self.limit < FIRST_REQUESTS * self.cost() {
             self.limit += cost as f64;
         } else {
             let passed = self.grown.map_or(MAX_GROWTH_STEP, |at| now.saturating_duration_since(at));
-            let step = passed.min(MAX_GROWTH_STEP).as_secs_f64() * GROWTH_PER_SECOND;
-            self.limit += step * self.cost();
+            let per_second = GROWTH_PER_SECOND * self.cost() + GROWTH_SHARE_PER_SECOND * self.limit;
+            self.limit += passed.min(MAX_GROWTH_STEP).as_secs_f64() * per_second;
         }
         self.grown = Some(now);
         self.clamp();
     }
 
+    /// Lets the limit sink to what is used, so that a surge does not flood the upstream.
+    fn follow_peak(&mut self, now: Instant) {
+        let age = self.peak_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.peak *= (-age.as_secs_f64() / PEAK_LIFETIME.as_secs_f64()).exp();
+        self.peak = self.peak.max(self.in_flight as f64);
+        self.peak_at = Some(now);
+        self.limit = self.limit.min((PEAK_FACTOR * self.peak).max(IDLE_REQUESTS * self.cost()));
+    }
+
     fn cut(&mut self, now: Instant, factor: f64) {
         self.starting = false;
         if is_within(self.cut, now, CUT_INTERVAL) {
@@ -273,7 +299,7 @@
         let own = fill(&mut limit);
         limit.report(now, 16, 16);
         let after = limit.units();
-        assert!(after < u64::from(own) * 6 / 10, "{after} of {own}");
+        assert!(after <= u64::from(own) / 2, "{after} of {own}");
         limit.report(now + STEP, 16, 16);
         assert_eq!(limit.units(), after, "a lagging report cuts twice");
     }
@@ -293,4 +319,20 @@
         assert!(limit.units() >= cut + 5);
         assert!(limit.units() <= cut + 15);
     }
+
+    #[test]
+    fn finish_idle_limit_sinks() {
+        let mut now = Instant::now();
+        let mut limit = ConcurrencyLimit::new(1, 256, false);
+        fill(&mut limit);
+        while limit.requests() > 0 {
+            limit.finish(now, 1, Pace::InTime);
+        }
+        for _ in 0..600 {
+            now += STEP;
+            limit.start(1);
+            limit.finish(now, 1, Pace::InTime);
+        }
+        assert_eq!(limit.units(), IDLE_REQUESTS as u64);
+    }
 }
--- a/components/policy/src/placement/fleet_view.rs
+++ b/components/policy/src/placement/fleet_view.rs
@@ -25,10 +25,10 @@
 const FRESH_TOKENS_GAIN: f64 = 0.02;
 
 /// Step of the estimate of the usual time to the first byte, as a share of it.
-const USUAL_TIME_STEP: f64 = 0.02;
+const USUAL_TIME_STEP: f64 = 0.01;
 
 /// Share of the answers that come faster than the usual time.
-const USUAL_TIME_QUANTILE: f64 = 0.25;
+const USUAL_TIME_QUANTILE: f64 = 0.9;
 
 /// The upstreams of one service, by position.
 #[derive(Debug)]
@@ -78,11 +78,15 @@
         }
     }
 
-    /// Takes in the time to a first byte and returns the usual one, both in seconds.
-    pub(crate) fn usual_first_byte(&mut self, secs: f64) -> f64 {
+    /// Returns the time, in seconds, within which most first bytes come.
+    ///
+    /// Learns from `secs` if it comes from an upstream where nothing waits.
+    pub(crate) fn usual_first_byte(&mut self, secs: f64, learn: bool) -> f64 {
         let usual = self.usual_first_byte.get_or_insert(secs);
-        let is_below = f64::from(secs < *usual);
-        *usual *= 1.0 + USUAL_TIME_STEP * (USUAL_TIME_QUANTILE - is_below);
+        if learn {
+            let is_below = f64::from(secs < *usual);
+            *usual *= 1.0 + USUAL_TIME_STEP * (USUAL_TIME_QUANTILE - is_below);
+        }
         *usual
     }
 }
--- a/components/policy/src/placement/mod.rs
+++ b/components/policy/src/placement/mod.rs
@@ -45,7 +45,7 @@
 const GAP_PART: u64 = 8;
 
 /// Multiple of the usual time to the first byte that counts as late.
-const LATE_FACTOR: f64 = 3.0;
+const LATE_FACTOR: f64 = 2.0;
 
 /// Prompt tokens that an engine computes in a second, at the least.
 const MIN_PREFILL_TOKENS_PER_SECOND: f64 = 4000.0;
@@ -229,7 +229,7 @@
         };
         view.rules.count(known.position, false);
         known.cached(now, seen.tokens);
-        let pace = pace(view, &sent, &seen);
+        let pace = pace(view, &sent, &seen, known.is_quiet(now));
         self.fleet.change(slot, |known| known.limit.finish(now, sent.cost, pace));
         self.fleet.observe(now, slot, seen.ok);
     }
@@ -413,7 +413,7 @@
 }
 
 /// Judges an answer against the latency target of its service.
-fn pace(view: &mut ServiceView, sent: &Sent, seen: &Observation) -> Pace {
+fn pace(view: &mut ServiceView, sent: &Sent, seen: &Observation, is_quiet: bool) -> Pace {
     if !seen.ok {
         return Pace::Failed;
     }
@@ -423,7 +423,7 @@
         ServiceKind::Plain => 0.0,
     };
     let secs = (first.as_secs_f64() - computing).max(0.0);
-    let usual = view.usual_first_byte(secs);
+    let usual = view.usual_first_byte(secs, is_quiet);
     let target = Duration::from_millis(view.service.latency.first_token_ms).as_secs_f64();
     if secs > target.max(LATE_FACTOR * usual) { Pace::Late } else { Pace::InTime }
 }
--- a/components/policy/src/placement/upstream.rs
+++ b/components/policy/src/placement/upstream.rs
@@ -24,6 +24,8 @@
     at: Instant,
     requests: f64,
     waiting: f64,
+    /// Whether nothing waited, of any node.
+    is_quiet: bool,
     /// Requests of all nodes for each of this node's.
     scale: f64,
 }
@@ -78,6 +80,7 @@
             at: now,
             requests: (all - own).max(0.0),
             waiting: f64::from(report.waiting) * (all - own).max(0.0) / all.max(1.0),
+            is_quiet: report.waiting == 0,
             scale: (all / own.max(1.0)).clamp(1.0, 1000.0),
         });
         if report.cache_total_tokens > 0 {
@@ -92,7 +95,8 @@
         let own = f64::from(self.limit.requests());
         let scale = ((requests + waiting) / own.max(1.0)).clamp(1.0, 1000.0);
         let others = (requests + waiting - own).max(0.0);
-        self.others = Some(Others { at: now, requests: others, waiting, scale });
+        self.others =
+            Some(Others { at: now, requests: others, waiting, is_quiet: waiting == 0.0, scale });
     }
 
     /// Returns the requests at the upstream: own ones exactly, the others as reported.
@@ -105,6 +109,11 @@
         self.others(now).map_or(0.0, |others| others.waiting)
     }
 
+    /// Returns whether nothing waits at the upstream, as far as is known.
+    pub(crate) fn is_quiet(&self, now: Instant) -> bool {
+        self.others(now).is_none_or(|others| others.is_quiet)
+    }
+
     /// Counts tokens that a request of this node adds to the cache.
     pub(crate) fn cached(&mut self, now: Instant, tokens: u64) {
         if self.has_events(now) {
--- a/components/policy/src/retry_budget.rs
+++ b/components/policy/src/retry_budget.rs
@@ -7,7 +7,7 @@
 use crate::decay::DecayingSum;
 
 /// Time over which retries are weighed against fresh traffic.
-const BUDGET_WINDOW: Duration = Duration::from_secs(10);
+const BUDGET_WINDOW: Duration = Duration::from_secs(2);
 
 /// Retries that a quiet workspace may make each window, whatever its share.
 const QUIET_RETRIES: f64 = 1.0;
--- a/components/policy/src/retry_sense.rs
+++ b/components/policy/src/retry_sense.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use lycheelatch_prelude::{Attempt, IdempotencyKey, RequestId, WorkspaceName};
+use lycheelatch_prelude::{Attempt, IdempotencyKey, NodeId, RequestId, WorkspaceName};
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
 /// Bits of one generation of the filter; about 100,000 failures fit.
 const FILTER_BITS: usize = 1 << 20;
@@ -49,6 +49,16 @@
     Fingerprint((hasher.digest() >> 32) as u32)
 }
 
+/// Returns the node that remembers whether requests with this fingerprint failed.
+///
+/// A caller's retry comes to any node. The node that refused it has told this
+/// one before it answered, and the node that gets the retry asks this one, so
+/// each node keeps and carries only its part of the failures of all.
+pub fn sense_home(mark: Fingerprint, nodes: &[NodeId]) -> Option<&NodeId> {
+    let rank = |node: &&NodeId| xxh3_64_with_seed(node.as_str().as_bytes(), u64::from(mark.0));
+    nodes.iter().max_by_key(rank)
+}
+
 /// Filter of the requests that failed or were refused lately.
 ///
 /// Only those are kept: equal requests that were answered, such as stock
@@ -92,7 +102,7 @@
         }
     }
 
-    /// Takes up to `max` fingerprints that the peers don't know of yet.
+    /// Takes up to `max` fingerprints that their homes don't know of yet.
     pub fn take_unshared(&mut self, max: usize) -> Vec<Fingerprint> {
         let rest = self.unshared.len().saturating_sub(max);
         self.unshared.split_off(rest)
@@ -203,6 +213,20 @@
         assert!(a.take_unshared(100).is_empty());
     }
 
+    #[test]
+    fn sense_home_same_for_all_and_even() {
+        let nodes: Vec<NodeId> = (0..7).map(|n| format!("node-{n}").parse().unwrap()).collect();
+        let turned: Vec<NodeId> = nodes.iter().rev().cloned().collect();
+        let mut hits = [0; 7];
+        for n in 0..7000 {
+            let home = sense_home(mark(n), &nodes);
+            assert_eq!(home, sense_home(mark(n), &turned));
+            hits[nodes.iter().position(|node| Some(node) == home).unwrap()] += 1;
+        }
+        assert!(hits.iter().all(|n| (850..1150).contains(n)), "{hits:?}");
+        assert_eq!(sense_home(mark(1), &[]), None);
+    }
+
     #[test]
     fn fingerprint_parts_do_not_run_together() {
         let (a, b) = ("ab".parse().unwrap(), "a".parse().unwrap());
--- a/components/policy/tests/support/overload.rs
+++ b/components/policy/tests/support/overload.rs
@@ -8,10 +8,11 @@
 use lycheelatch_config::{Service, ServiceKind, ServiceLimits, WorkspaceLimits};
 use lycheelatch_policy::{
     Admission, Admit, Ask, Candidate, CandidateState, FailedTry, Fingerprint, Observation, Permit,
-    Placement, PlacementRequest, RetryDecision, RetryPolicy, Sent, Ticket, TryContext, Turn,
+    Placement, PlacementRequest, Refusal, RetryDecision, RetryPolicy, Sent, Ticket, TryContext,
+    Turn, sense_home,
 };
 use lycheelatch_prelude::{
-    Attempt, Idempotency, Labels, Outcome, Priority, RequestId, ServiceName, UpstreamId,
+    Attempt, Idempotency, Labels, NodeId, Outcome, Priority, RequestId, ServiceName, UpstreamId,
     WorkspaceName, ZoneName,
 };
 use lycheelatch_upstream::{LoadReport, Reached, Role};
@@ -29,8 +30,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 const REPORT_LAG: Duration = Duration::from_millis(500);
 
-/// Time between exchanges of failed requests among nodes.
-const SHARE_INTERVAL: Duration = Duration::from_millis(250);
+/// One way between nodes.
+const PEER_DELAY: Duration = Duration::from_millis(2);
 
 /// Time for which a baseline leaves an upstream out that refused a connection.
 const BASELINE_LEFT_OUT: Duration = Duration::from_secs(1);
@@ -65,9 +66,9 @@
 pub enum Marks {
     /// The attempt's number.
     Attempt,
-    /// Nothing, so that the body's digest is all there is; nodes tell each other.
+    /// Nothing, so that the body's digest is all there is; its home is told and asked.
     Digest,
-    /// Nothing, and nodes don't tell each other.
+    /// Nothing, and each node knows only what failed there.
     DigestAlone,
 }
 
@@ -99,6 +100,8 @@
     pub trigger_at: Duration,
     pub trigger_for: Duration,
     pub run_for: Duration,
+    /// Factor on the first workspace's rate, and the second from which it counts.
+    pub surge: (f64, u64),
 }
 
 impl Setup {
@@ -120,6 +123,7 @@
             trigger_at: Duration::from_secs(15),
             trigger_for: Duration::from_secs(20),
             run_for: Duration::from_secs(60),
+            surge: (1.0, 0),
         }
     }
 
@@ -160,6 +164,8 @@
     pub came_back: u32,
     pub came_back_done: u32,
     pub placement_full: u32,
+    /// Refusals before the trigger, by reason.
+    pub early_refusals: HashMap<String, u32>,
 }
 
 impl Report {
@@ -175,9 +181,9 @@
         self.seconds.iter().map(share).fold(0.0, f64::max)
     }
 
-    /// Returns a percentile of a workspace's latencies, in milliseconds.
-    pub fn percentile(&self, workspace: usize, percent: f64) -> f64 {
-        let mut sorted = self.latencies[workspace].clone();
+    /// Returns a percentile of the latencies of workspaces, in milliseconds.
+    pub fn percentile(&self, workspaces: std::ops::Range<usize>, percent: f64) -> f64 {
+        let mut sorted = self.latencies[workspaces].concat();
         sorted.sort_by(f64::total_cmp);
         let at = (sorted.len() as f64 * percent / 100.0) as usize;
         sorted.get(at.min(sorted.len().saturating_sub(1))).copied().unwrap_or(f64::NAN)
@@ -197,7 +203,8 @@
     TriggerEnds,
     Reports,
     ReportsCome { node: usize, loads: Vec<(u32, u32)> },
-    Share,
+    AtHome { home: usize, mark: Fingerprint },
+    Asked { work: usize, attempt: u32, node: usize },
     Refused { work: usize, attempt: u32, retry_after: Duration },
 }
 
@@ -253,6 +260,7 @@
     report: Report,
     service: ServiceName,
     workspaces: Vec<WorkspaceName>,
+    node_ids: Vec<NodeId>,
     ids: Vec<UpstreamId>,
     zones: Vec<ZoneName>,
     labels: Labels,
@@ -309,6 +317,7 @@
         let seconds = setup.run_for.as_secs() as usize + 1;
         Run {
             nodes: (0..setup.nodes).map(node).collect(),
+            node_ids: (0..setup.nodes).map(|n| format!("node-{n}").parse().unwrap()).collect(),
             upstreams: (0..setup.upstreams).map(upstream).collect(),
             report: Report {
                 seconds: vec![Second::default(); seconds],
@@ -336,7 +345,6 @@
         let ends = self.setup.trigger_at + self.setup.trigger_for;
         self.schedule.after(ends, Event::TriggerEnds);
         self.schedule.after(REPORT_INTERVAL, Event::Reports);
-        self.schedule.after(SHARE_INTERVAL, Event::Share);
     }
 
     fn handle(&mut self, event: Event) {
@@ -356,7 +364,11 @@
             Event::TriggerEnds => self.upstreams.iter_mut().for_each(|u| u.gone = false),
             Event::Reports => self.reports(),
             Event::ReportsCome { node, loads } => self.reports_come(node, &loads),
-            Event::Share => self.share(),
+            Event::AtHome { home, mark } => {
+                let now = self.schedule.now();
+                self.nodes[home].admission.sense_mut().merge(now, &[mark]);
+            }
+            Event::Asked { work, attempt, node } => self.offer(work, attempt, node),
             Event::Refused { work, attempt, retry_after } => {
                 self.refused(work, attempt, retry_after)
             }
@@ -369,7 +381,10 @@
     }
 
     fn arrive(&mut self, workspace: usize) {
-        let gap = exponential(&mut self.rng, 1.0 / self.setup.rates[workspace]);
+        let (factor, from) = self.setup.surge;
+        let surges = workspace == 0 && self.schedule.elapsed().as_secs() >= from;
+        let rate = self.setup.rates[workspace] * if surges { factor } else { 1.0 };
+        let gap = exponential(&mut self.rng, 1.0 / rate);
         self.schedule.after(gap, Event::Arrive { workspace });
         let arrived = self.schedule.elapsed();
         self.work.push(Work {
@@ -406,6 +421,17 @@
         if self.setup.strategy != Strategy::Policy {
             return self.forward_baseline(work, attempt, node);
         }
+        if self.setup.marks == Marks::Digest {
+            self.schedule.after(2 * PEER_DELAY, Event::Asked { work, attempt, node });
+        } else {
+            self.offer(work, attempt, node);
+        }
+    }
+
+    fn offer(&mut self, work: usize, attempt: u32, node: usize) {
+        if self.work[work].attempt != attempt {
+            return;
+        }
         let ask = self.ask(work, attempt);
         let now = self.schedule.now();
         match self.nodes[node].admission.offer(now, ask) {
@@ -414,19 +440,25 @@
                 self.nodes[node].waiting.insert(ticket, (work, attempt));
                 self.work[work].ticket = Some((node, ticket));
             }
-            Admit::Refused(refusal) => self.refuse(work, attempt, refusal.retry_after),
+            Admit::Refused(refusal) => self.refuse(work, attempt, refusal),
         }
         self.turns(node);
     }
 
-    fn ask(&self, work: usize, attempt: u32) -> Ask {
+    fn ask(&mut self, work: usize, attempt: u32) -> Ask {
         let workspace = self.workspaces[self.work[work].workspace].clone();
         let told = self.setup.marks == Marks::Attempt;
+        let fingerprint = Fingerprint::of_body(&workspace, "/", &work.to_le_bytes());
+        let (home, now) = (self.home(fingerprint), self.schedule.now());
+        let sense = self.nodes[home].admission.sense_mut();
+        let failed_before = self.setup.marks == Marks::Digest
+            && sense.is_retry(now, Attempt::FIRST, Some(fingerprint));
         Ask {
             request: RequestId::new_unique(),
             service: self.service.clone(),
             attempt: Attempt(if told { attempt } else { 1 }),
-            fingerprint: Some(Fingerprint::of_body(&workspace, "/", &work.to_le_bytes())),
+            fingerprint: Some(fingerprint),
+            failed_before,
             workspace,
             deadline: self.schedule.now() + self.setup.timeout - 2 * CALLER_DELAY,
             cost_tokens: 1,
@@ -434,9 +466,16 @@
         }
     }
 
-    fn refuse(&mut self, work: usize, attempt: u32, retry_after: Duration) {
+    fn refuse(&mut self, work: usize, attempt: u32, refusal: Refusal) {
         self.second().refused += 1;
-        self.schedule.after(CALLER_DELAY, Event::Refused { work, attempt, retry_after });
+        if self.schedule.elapsed() < self.setup.trigger_at {
+            *self.report.early_refusals.entry(refusal.reason.to_string()).or_default() += 1;
+        }
+        let retry_after = refusal.retry_after;
+        // The home of an unmarked request is told before the caller is.
+        let told = if self.setup.marks == Marks::Digest { 2 * PEER_DELAY } else { Duration::ZERO };
+        let event = Event::Refused { work, attempt, retry_after };
+        self.schedule.after(told + CALLER_DELAY, event);
     }
 
     fn refused(&mut self, work: usize, attempt: u32, retry_after: Duration) {
@@ -464,10 +503,11 @@
                 }
                 Turn::Drop(ticket, refusal) => {
                     let (work, attempt) = state.waiting.remove(&ticket).unwrap();
-                    self.refuse(work, attempt, refusal.retry_after);
+                    self.refuse(work, attempt, refusal);
                 }
             }
         }
+        self.tell_homes(node);
         let state = &mut self.nodes[node];
         if let Some(at) = state.admission.next_wakeup()
             && state.wake_at.is_none_or(|earlier| at < earlier)
@@ -696,7 +736,9 @@
         }
         if outcome != Outcome::Complete {
             let retry_after = Duration::ZERO;
-            self.schedule.after(CALLER_DELAY, Event::Refused { work, attempt, retry_after });
+            let told =
+                if self.setup.marks == Marks::Digest { 2 * PEER_DELAY } else { Duration::ZERO };
+            self.schedule.after(told + CALLER_DELAY, Event::Refused { work, attempt, retry_after });
             return self.turns_if_policy(node);
         }
         self.complete(work, attempt);
@@ -724,7 +766,9 @@
         second.done += 1;
         if attempt == 1 {
             second.fresh_done += 1;
-            self.report.latencies[workspace].push(latency.as_secs_f64() * 1000.0);
+            if arrived.as_secs() >= self.setup.surge.1 {
+                self.report.latencies[workspace].push(latency.as_secs_f64() * 1000.0);
+            }
             self.second().fresh_goodput += 1;
         }
     }
@@ -776,19 +820,21 @@
         self.turns_if_policy(node);
     }
 
-    fn share(&mut self) {
-        self.schedule.after(SHARE_INTERVAL, Event::Share);
+    /// Tells the homes of failed requests.
+    fn tell_homes(&mut self, node: usize) {
         if self.setup.marks != Marks::Digest {
             return;
         }
-        let now = self.schedule.now();
-        for from in 0..self.setup.nodes {
-            let marks = self.nodes[from].admission.sense_mut().take_unshared(1024);
-            for to in (0..self.setup.nodes).filter(|to| *to != from) {
-                self.nodes[to].admission.sense_mut().merge(now, &marks);
-            }
+        for mark in self.nodes[node].admission.sense_mut().take_unshared(usize::MAX) {
+            let home = self.home(mark);
+            self.schedule.after(PEER_DELAY, Event::AtHome { home, mark });
         }
     }
+
+    fn home(&self, mark: Fingerprint) -> usize {
+        let home = sense_home(mark, &self.node_ids).unwrap();
+        self.node_ids.iter().position(|id| id == home).unwrap()
+    }
 }
 
 fn xxh(n: u64) -> u64 {
@@ -844,9 +890,9 @@
         trigger_for: Duration::ZERO,
         run_for: Duration::from_secs(40),
         rates: vec![rate; base.rates.len()],
+        surge: (1.0, 10),
         ..base
     };
-    let mut loud = quiet.clone();
-    loud.rates[0] *= 10.0;
+    let loud = Setup { surge: (10.0, 10), ..quiet.clone() };
     (run(quiet), run(loud))
 }
