platform: one call budget a node in front of the key-value service

Cause: the service takes a few hundred writes a second from all nodes together, and nothing held a node to its share. Change: Budget gives each class of calls a reserve out of half of the node's share and lets all draw on the other half; the share follows the member count, and a changed share starts empty. Every call is counted by class and result, a watch as one, calls given up included. Parts of the configuration are larger and fewer, so that an import fits a node's share.

--- a/components/config/src/store/apply.rs
+++ b/components/config/src/store/apply.rs
@@ -19,9 +19,12 @@
     ObjectKey, Snapshot, Timestamp, change,
 };
 
-/// Time limit of a change.
+/// Time limit of a change, but for writing its values.
 const APPLY_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time by which each value that a change writes extends its time limit.
+const VALUE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// How often a change without an expected revision starts again when another comes first.
 const MAX_RACES: usize = 16;
 
@@ -92,6 +95,7 @@
             return Ok(Some(Applied { effect, ..already_applied(&base, base.head.revision) }));
         }
         let prepared = self.prepare(&base, change, plan).await?;
+        let deadline = deadline + VALUE_TIMEOUT * prepared.values.len() as u32;
         if let Err(err) = self.write_values(&prepared, deadline).await {
             self.discard(&prepared).await;
             return Err(ApplyError::NotApplied(err.into()));
--- a/components/config/src/store/parts.rs
+++ b/components/config/src/store/parts.rs
@@ -23,13 +23,13 @@
 const MAX_INLINE_BYTES: usize = 16 * 1024;
 
 /// Size of an average part, in bytes.
-const PART_BYTES: usize = 32 * 1024;
+const PART_BYTES: usize = 64 * 1024;
 
 /// Largest part, in bytes.
 const MAX_PART_BYTES: usize = 512 * 1024;
 
 /// Most parts.
-const MAX_PARTS: usize = 256;
+const MAX_PARTS: usize = 128;
 
 /// Largest configuration, in bytes.
 pub(super) const MAX_CONFIG_BYTES: usize = MAX_PARTS * PART_BYTES;
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -3,12 +3,14 @@
 //! The traits are the only way that the rest of the system meets the
 //! platform. Futures are not `Send`: each runs on the thread that made it.
 
+mod budget;
 mod cloud;
 mod http;
 mod instances;
 mod kv;
 mod weights;
 
+pub use budget::{Budget, BudgetLimits, CallClass};
 pub use cloud::{
     Cloud, CloudError, Instance, InstanceState, Offer, Purchase, ReclaimNotice, StartInstance,
 };
--- /dev/null
+++ b/components/platform/tests/budget.rs
@@ -0,0 +1,168 @@
+//! The call budget: its total, its classes and its metrics.
+
+use std::{future::Future, sync::Arc, time::Duration};
+
+use futures_util::future::join_all;
+use lycheelatch_fakes::{Fault, MemoryKv};
+use lycheelatch_platform::{
+    Budget, BudgetLimits, CallClass, KeyValue, KvError, KvKey, Version, WatchIndex,
+};
+use prometheus::Registry;
+use proptest::prelude::*;
+use tokio::time::{Instant, sleep};
+
+fn run<T>(test: impl Future<Output = T>) -> T {
+    actix::System::new().block_on(async {
+        tokio::time::pause();
+        test.await
+    })
+}
+
+fn budget(kv: &MemoryKv, writes_per_second: f64, max_wait: Duration) -> (Arc<Budget>, Registry) {
+    let registry = Registry::new();
+    let limits = BudgetLimits { writes_per_second, reads_per_second: 100.0, max_wait };
+    (Budget::new(Arc::new(kv.clone()), limits, &registry).unwrap(), registry)
+}
+
+async fn write(kv: &dyn KeyValue) -> Result<(), KvError> {
+    kv.compare_and_swap(&KvKey::new("k"), Some(Version(0)), "v".into()).await.map(|_| ())
+}
+
+/// Writes as often as it is let until `end` and returns how often that was.
+async fn flood(kv: Arc<dyn KeyValue>, end: Instant) -> u64 {
+    let mut written = 0;
+    while Instant::now() < end {
+        match write(kv.as_ref()).await {
+            Ok(()) => written += 1,
+            Err(_) => sleep(Duration::from_millis(10)).await,
+        }
+    }
+    written
+}
+
+#[test]
+fn class_flooded_by_another_keeps_its_reserve() {
+    run(async {
+        let kv = MemoryKv::new();
+        let (budget, _) = budget(&kv, 100.0, Duration::from_millis(100));
+        let end = Instant::now() + Duration::from_secs(60);
+        let claims = (0..20).map(|_| flood(budget.class(CallClass::Claims), end));
+        let claims = join_all(claims);
+        let registration = flood(budget.class(CallClass::Registration), end);
+        let (_, registration) = futures_util::future::join(claims, registration).await;
+        // A tenth of half of the share.
+        assert!(registration >= 60 * 5, "{registration}");
+    });
+}
+
+#[test]
+fn set_members_shares_out() {
+    run(async {
+        let kv = MemoryKv::new();
+        let (budget, registry) = budget(&kv, 390.0, Duration::ZERO);
+        budget.set_members(390);
+        let end = Instant::now() + Duration::from_secs(600);
+        let floods = CallClass::ALL.map(|class| flood(budget.class(class), end));
+        let written: u64 = join_all(floods).await.into_iter().sum();
+        assert!((590..=640).contains(&written), "{written}");
+        let shown = prometheus::TextEncoder::new().encode_to_string(&registry.gather()).unwrap();
+        assert!(shown.contains("lycheelatch_kv_share_calls_per_second{kind=\"write\"} 1\n"));
+    });
+}
+
+#[test]
+fn set_members_flapping_adds_no_calls() {
+    run(async {
+        let kv = MemoryKv::new();
+        let (budget, _) = budget(&kv, 60.0, Duration::ZERO);
+        let end = Instant::now() + Duration::from_secs(60);
+        let flap = async {
+            for i in 0..120 {
+                budget.set_members(6 + i % 2 * 3);
+                sleep(Duration::from_millis(500)).await;
+            }
+        };
+        let claims = flood(budget.class(CallClass::Claims), end);
+        let ((), written) = futures_util::future::join(flap, claims).await;
+        assert!(written <= 60 * 10, "{written}");
+    });
+}
+
+#[test]
+fn call_without_room_is_throttled_in_time() {
+    run(async {
+        let kv = MemoryKv::new();
+        let (budget, registry) = budget(&kv, 0.5, Duration::from_secs(1));
+        let class = budget.class(CallClass::Leases);
+        while write(class.as_ref()).await.is_ok() {}
+        let started = Instant::now();
+        assert_eq!(write(class.as_ref()).await, Err(KvError::Throttled));
+        assert!(started.elapsed() <= Duration::from_secs(1));
+        let shown = prometheus::TextEncoder::new().encode_to_string(&registry.gather()).unwrap();
+        let line = "{call=\"compare-and-swap\",class=\"leases\",result=\"throttled\"} 2";
+        assert!(shown.contains(line), "{shown}");
+    });
+}
+
+#[test]
+fn calls_are_counted_by_result() {
+    run(async {
+        let kv = MemoryKv::new();
+        let (budget, registry) = budget(&kv, 100.0, Duration::ZERO);
+        let class = budget.class(CallClass::Configuration);
+        kv.faults.script([Fault::Refuse, Fault::LoseAnswer, Fault::None]);
+        let prefix = KvKey::new("config/");
+        for _ in 0..3 {
+            let _ = class.watch(&prefix, WatchIndex(0), Duration::ZERO).await;
+        }
+        let shown = prometheus::TextEncoder::new().encode_to_string(&registry.gather()).unwrap();
+        for result in ["unavailable", "answer-lost", "ok"] {
+            let line = format!("{{call=\"watch\",class=\"configuration\",result=\"{result}\"}} 1");
+            assert!(shown.contains(&line), "{shown}");
+        }
+        assert_eq!(kv.calls().reads, 3, "a watch counts as one call");
+    });
+}
+
+#[test]
+fn call_given_up_is_counted() {
+    run(async {
+        let kv = MemoryKv::new();
+        let (budget, registry) = budget(&kv, 100.0, Duration::ZERO);
+        kv.faults.set_standing(Fault::Silent);
+        let class = budget.class(CallClass::Claims);
+        let given_up = tokio::time::timeout(Duration::from_secs(1), write(class.as_ref())).await;
+        assert!(given_up.is_err());
+        let shown = prometheus::TextEncoder::new().encode_to_string(&registry.gather()).unwrap();
+        assert!(shown.contains("class=\"claims\",result=\"cancelled\"} 1"), "{shown}");
+    });
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(40))]
+
+    #[test]
+    fn calls_never_exceed_the_share(
+        rate in 0.5..200.0_f64,
+        lanes in prop::collection::vec((0..4_usize, 0..2_000_u64), 1..8),
+        seconds in 1..60_u64,
+    ) {
+        run(async {
+            let kv = MemoryKv::new();
+            let (budget, _) = budget(&kv, rate, Duration::from_millis(200));
+            let end = Instant::now() + Duration::from_secs(seconds);
+            let lanes = lanes.iter().map(|(class, start_ms)| {
+                let class = budget.class(CallClass::ALL[*class]);
+                async move {
+                    sleep(Duration::from_millis(*start_ms)).await;
+                    flood(class, end).await
+                }
+            });
+            let written: u64 = join_all(lanes).await.into_iter().sum();
+            // The burst is 10 seconds of the rate, and two calls of each limiter at least.
+            let most = rate * (seconds as f64 + 10.0 + 0.2) + 10.0 + 5.0;
+            assert!(written as f64 <= most, "{written} of {most}");
+            assert_eq!(kv.calls().writes, written);
+        });
+    }
+}
