operator: JSON API over the configuration, its history and the node

Cause: nothing let operators reach ConfigStore or the node. Change: endpoints to apply, delete, get, diff, page through history and audit, and, through the trait NodeControl, status, route and drain; tokens with the roles read and change, compared in constant time; refusals as problem JSON that names every field; bodies bounded; dry runs.

--- a/components/config/tests/races.rs
+++ b/components/config/tests/races.rs
@@ -182,7 +182,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(150))]
+    #![proptest_config(ProptestConfig::with_cases(100))]
 
     #[test]
     fn apply_racing_operators_and_faults(
--- /dev/null
+++ b/components/operator/src/changes.rs
@@ -0,0 +1,141 @@
+//! Endpoints that read and change the configuration.
+
+use actix_web::{HttpRequest, Responder, web};
+use lycheelatch_config::{AuditQuery, Change, Document, Edit, ObjectKey, ObjectKind};
+use lycheelatch_prelude::{ChangeId, Name, Revision};
+use serde::de::DeserializeOwned;
+
+use crate::{
+    ApplyRequest, ChangeAnswer, ChangeOptions, DeleteRequest, DiffAnswer, ObjectsAnswer,
+    OperatorApi, Problem, ProblemKind, Role, params::Params,
+};
+
+/// Records on a page when the operator names no number.
+const DEFAULT_LIMIT: usize = 50;
+
+type Api = web::Data<OperatorApi>;
+type Body = Result<web::Bytes, actix_web::Error>;
+
+pub(crate) async fn apply(api: Api, req: HttpRequest, body: Body) -> impl Responder {
+    let author = api.authorize(&req, Role::Change)?;
+    let ApplyRequest { options, document } = read_body(body)?;
+    let document = Document::from_value(document)
+        .map_err(|errors| Problem::with_errors(ProblemKind::Invalid, errors))?;
+    let change = change_of(author, &options, vec![Edit::Apply(document)]);
+    run(&api, change, options.dry_run).await
+}
+
+pub(crate) async fn delete(api: Api, req: HttpRequest, body: Body) -> impl Responder {
+    let author = api.authorize(&req, Role::Change)?;
+    let DeleteRequest { options, objects } = read_body(body)?;
+    let edits = objects.into_iter().map(Edit::Remove).collect();
+    let change = change_of(author, &options, edits);
+    run(&api, change, options.dry_run).await
+}
+
+fn change_of(
+    author: lycheelatch_prelude::OperatorName,
+    options: &ChangeOptions,
+    edits: Vec<Edit>,
+) -> Change {
+    let id = options.change_id.unwrap_or_else(ChangeId::new_unique);
+    Change { id, author, expected: options.expect_revision, edits }
+}
+
+async fn run(
+    api: &OperatorApi,
+    change: Change,
+    is_dry_run: bool,
+) -> Result<web::Json<ChangeAnswer>, Problem> {
+    if is_dry_run {
+        return Ok(web::Json(api.store.dry_run(&change).await?.into()));
+    }
+    let (id, author) = (change.id, change.author.clone());
+    let applied = api.store.apply(change).await.inspect_err(|err| {
+        log::warn!("operator: change {id} by {author} was not accepted: {err}");
+    })?;
+    log::info!("operator: change {id} by {author} holds at revision {}", applied.revision);
+    api.current.advance(applied.snapshot.as_ref().clone());
+    Ok(web::Json(applied.into()))
+}
+
+pub(crate) async fn objects(api: Api, req: HttpRequest) -> impl Responder {
+    api.authorize(&req, Role::Read)?;
+    let mut params = Params::of(&req)?;
+    let kind: Option<KindParam> = params.optional("kind");
+    let name: Option<Name> = params.optional("name");
+    params.finish()?;
+    let is_wanted = |key: &ObjectKey| {
+        kind.as_ref().is_none_or(|kind| kind.0 == key.kind)
+            && name.as_ref().is_none_or(|name| *name == key.name)
+    };
+    let answer = ObjectsAnswer::new(&api.current.get(), is_wanted);
+    if let Some(name) = name.filter(|_| answer.document.is_empty()) {
+        let detail = format!("no object is named {name}");
+        return Err(Problem::new(ProblemKind::NotFound, detail));
+    }
+    Ok(web::Json(answer))
+}
+
+pub(crate) async fn diff(api: Api, req: HttpRequest) -> impl Responder {
+    api.authorize(&req, Role::Read)?;
+    let mut params = Params::of(&req)?;
+    let from = params.required("from").map(Revision);
+    let to = params.required("to").map(Revision);
+    params.finish()?;
+    let (from, to) = (from.unwrap_or_default(), to.unwrap_or_default());
+    let changes = api.store.diff(from, to).await.map_err(Problem::from)?;
+    Ok::<_, Problem>(web::Json(DiffAnswer { from, to, changes }))
+}
+
+pub(crate) async fn history(api: Api, req: HttpRequest) -> impl Responder {
+    api.authorize(&req, Role::Read)?;
+    let mut params = Params::of(&req)?;
+    let before = params.optional("before").map(Revision);
+    let limit = params.optional("limit").unwrap_or(DEFAULT_LIMIT);
+    params.finish()?;
+    Ok::<_, Problem>(web::Json(api.store.history(before, limit).await?))
+}
+
+pub(crate) async fn audit(api: Api, req: HttpRequest) -> impl Responder {
+    api.authorize(&req, Role::Read)?;
+    let mut params = Params::of(&req)?;
+    let before = params.optional("before").map(Revision);
+    let limit = params.optional("limit").unwrap_or(DEFAULT_LIMIT);
+    let author = params.optional("author");
+    let kind: Option<KindParam> = params.optional("kind");
+    let name: Option<Name> =
+        if kind.is_some() { params.required("name") } else { params.optional("name") };
+    let kind = if name.is_some() { kind.or_else(|| params.required("kind")) } else { kind };
+    params.finish()?;
+    let object = kind.zip(name).map(|(kind, name)| ObjectKey { kind: kind.0, name });
+    let query = AuditQuery { before, limit, author, object };
+    Ok::<_, Problem>(web::Json(api.store.audit(&query).await?))
+}
+
+/// Reads a JSON body.
+pub(crate) fn read_body<T: DeserializeOwned>(body: Body) -> Result<T, Problem> {
+    let body = body.map_err(|err| {
+        let is_large = err.as_response_error().status_code().as_u16() == 413;
+        let kind = if is_large { ProblemKind::TooLarge } else { ProblemKind::Malformed };
+        Problem::new(kind, err.to_string())
+    })?;
+    serde_json::from_slice(&body)
+        .map_err(|err| Problem::new(ProblemKind::Malformed, format!("body: {err}")))
+}
+
+/// Kind of objects, as a parameter names it.
+struct KindParam(ObjectKind);
+
+impl std::str::FromStr for KindParam {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<KindParam, &'static str> {
+        let is_named = |kind: &&ObjectKind| kind.plural() == text;
+        ObjectKind::ALL
+            .iter()
+            .find(is_named)
+            .map(|kind| KindParam(*kind))
+            .ok_or("must be services, workspaces or rules")
+    }
+}
--- a/components/operator/src/lib.rs
+++ b/components/operator/src/lib.rs
@@ -1,1 +1,76 @@
-//! The operators' API over HTTP.
+//! The operators' API: JSON over HTTP on a port of its own.
+//!
+//! Reading needs the role `read`, changing the role `change`. `/metrics`,
+//! `/healthz` and `/readyz` need no token. Refusals are RFC 9457 problem JSON.
+
+mod auth;
+mod changes;
+mod node;
+mod params;
+mod problem;
+mod system;
+mod wire;
+
+use std::sync::Arc;
+
+use actix_web::{HttpRequest, web};
+use lycheelatch_config::{ConfigStore, CurrentConfig};
+use lycheelatch_prelude::OperatorName;
+use prometheus::Registry;
+
+pub use auth::{OperatorToken, Role};
+pub use node::{
+    ControlError, DrainAnswer, DrainTarget, MemberStatus, NodeControl, NodeStatus, Readiness,
+    RouteCandidate, RouteExplanation, RouteQuery, UpstreamStatus,
+};
+pub use problem::{ConflictInfo, FieldError, PROBLEM_TYPE, Problem, ProblemKind};
+pub use wire::{
+    ApplyRequest, ChangeAnswer, ChangeEffect, ChangeOptions, DeleteRequest, DiffAnswer,
+    ObjectsAnswer, ObjectsDocument, VersionAnswer,
+};
+
+/// Largest body of a request, in bytes.
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+
+/// What the endpoints work with.
+pub struct OperatorApi {
+    /// The configuration and its history.
+    pub store: Arc<ConfigStore>,
+    /// The configuration in force at the node.
+    pub current: Arc<CurrentConfig>,
+    /// The rest of the node.
+    pub node: Arc<dyn NodeControl>,
+    /// Tokens of the operators.
+    pub tokens: Vec<OperatorToken>,
+    /// Metrics to show.
+    pub registry: Registry,
+}
+
+impl OperatorApi {
+    /// Returns what adds the endpoints to an application.
+    pub fn configure(self: Arc<Self>) -> impl Fn(&mut web::ServiceConfig) + Clone {
+        let api = web::Data::from(self);
+        move |cfg| {
+            cfg.app_data(api.clone())
+                .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
+                .route("/v1/apply", web::post().to(changes::apply))
+                .route("/v1/delete", web::post().to(changes::delete))
+                .route("/v1/objects", web::get().to(changes::objects))
+                .route("/v1/diff", web::get().to(changes::diff))
+                .route("/v1/history", web::get().to(changes::history))
+                .route("/v1/audit", web::get().to(changes::audit))
+                .route("/v1/status", web::get().to(system::status))
+                .route("/v1/route", web::post().to(system::route))
+                .route("/v1/drain", web::post().to(system::drain))
+                .route("/v1/version", web::get().to(system::version))
+                .route("/metrics", web::get().to(system::metrics))
+                .route("/healthz", web::get().to(system::healthz))
+                .route("/readyz", web::get().to(system::readyz))
+                .default_service(web::to(system::not_found));
+        }
+    }
+
+    fn authorize(&self, req: &HttpRequest, needed: Role) -> Result<OperatorName, Problem> {
+        auth::authorize(&self.tokens, req.headers(), needed)
+    }
+}
--- /dev/null
+++ b/components/operator/src/problem.rs
@@ -0,0 +1,213 @@
+//! Refusals as RFC 9457 problem JSON.
+
+use std::fmt;
+
+use actix_web::{HttpResponse, ResponseError, http::StatusCode};
+use lycheelatch_config::{ApplyError, ChangeRecord, ConfigError, Conflict};
+use lycheelatch_prelude::{ChangeId, InvalidValue, OperatorName, Revision};
+use serde::{Deserialize, Serialize};
+
+/// Media type of a problem.
+pub const PROBLEM_TYPE: &str = "application/problem+json";
+
+/// What kind of problem it is; clients tell problems apart by it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum ProblemKind {
+    /// The request can't be read.
+    #[serde(rename = "urn:lycheelatch:problem:malformed")]
+    Malformed,
+    /// The request has no known token.
+    #[serde(rename = "urn:lycheelatch:problem:unauthenticated")]
+    Unauthenticated,
+    /// The operator's role does not allow it.
+    #[serde(rename = "urn:lycheelatch:problem:forbidden")]
+    Forbidden,
+    /// There is no such thing.
+    #[serde(rename = "urn:lycheelatch:problem:not-found")]
+    NotFound,
+    /// The configuration would not be valid.
+    #[serde(rename = "urn:lycheelatch:problem:invalid")]
+    Invalid,
+    /// The expected revision is not the latest one.
+    #[serde(rename = "urn:lycheelatch:problem:conflict")]
+    Conflict,
+    /// The body or the configuration is larger than what is taken.
+    #[serde(rename = "urn:lycheelatch:problem:too-large")]
+    TooLarge,
+    /// Nothing was done, because something that it needs does not answer.
+    #[serde(rename = "urn:lycheelatch:problem:unavailable")]
+    Unavailable,
+    /// The change may or may not have been applied.
+    #[serde(rename = "urn:lycheelatch:problem:outcome-unknown")]
+    OutcomeUnknown,
+    /// Something went wrong inside.
+    #[serde(rename = "urn:lycheelatch:problem:internal")]
+    Internal,
+}
+
+impl ProblemKind {
+    fn title(self) -> &'static str {
+        match self {
+            ProblemKind::Malformed => "The request can't be read",
+            ProblemKind::Unauthenticated => "The request has no known operator token",
+            ProblemKind::Forbidden => "The operator's role does not allow this",
+            ProblemKind::NotFound => "There is no such thing",
+            ProblemKind::Invalid => "The configuration would not be valid",
+            ProblemKind::Conflict => "The expected revision is not the latest one",
+            ProblemKind::TooLarge => "It is larger than what is taken",
+            ProblemKind::Unavailable => "Nothing was done; try again later",
+            ProblemKind::OutcomeUnknown => "The change may or may not have been applied",
+            ProblemKind::Internal => "Something went wrong inside",
+        }
+    }
+
+    fn status(self) -> StatusCode {
+        match self {
+            ProblemKind::Malformed => StatusCode::BAD_REQUEST,
+            ProblemKind::Unauthenticated => StatusCode::UNAUTHORIZED,
+            ProblemKind::Forbidden => StatusCode::FORBIDDEN,
+            ProblemKind::NotFound => StatusCode::NOT_FOUND,
+            ProblemKind::Invalid => StatusCode::UNPROCESSABLE_ENTITY,
+            ProblemKind::Conflict => StatusCode::CONFLICT,
+            ProblemKind::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            ProblemKind::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
+            ProblemKind::OutcomeUnknown => StatusCode::GATEWAY_TIMEOUT,
+            ProblemKind::Internal => StatusCode::INTERNAL_SERVER_ERROR,
+        }
+    }
+}
+
+/// A refusal, as the operator API sends it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Problem {
+    /// What kind of problem it is.
+    #[serde(rename = "type")]
+    pub kind: ProblemKind,
+    /// Short summary, the same for each problem of the kind.
+    pub title: String,
+    /// HTTP status.
+    pub status: u16,
+    /// What happened this time.
+    pub detail: String,
+    /// Every wrong field.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub errors: Vec<FieldError>,
+    /// What stands in the way of a change that expects an older revision.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub conflict: Option<Box<ConflictInfo>>,
+    /// Identity to send a change of unknown outcome again with.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub change_id: Option<ChangeId>,
+}
+
+/// One wrong field.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FieldError {
+    /// Path of the field.
+    pub field: String,
+    /// The value as given, shortened when it is long.
+    pub value: String,
+    /// Why it can't be taken.
+    pub reason: String,
+}
+
+/// What stands in the way of a change that expects an older revision.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ConflictInfo {
+    /// Revision that the operator expected.
+    pub expected: Revision,
+    /// Latest revision.
+    pub latest: Revision,
+    /// What changed in between, newest first.
+    pub between: Vec<ChangeRecord>,
+}
+
+impl Problem {
+    /// Creates a problem of a kind.
+    pub fn new(kind: ProblemKind, detail: impl Into<String>) -> Problem {
+        Problem {
+            kind,
+            title: kind.title().to_owned(),
+            status: kind.status().as_u16(),
+            detail: detail.into(),
+            errors: Vec::new(),
+            conflict: None,
+            change_id: None,
+        }
+    }
+
+    /// Creates a problem that names wrong fields.
+    pub fn with_errors(kind: ProblemKind, errors: Vec<InvalidValue>) -> Problem {
+        let detail = format!("{} wrong fields", errors.len());
+        let errors = errors.into_iter().map(FieldError::from).collect();
+        Problem { errors, ..Problem::new(kind, detail) }
+    }
+
+    pub(crate) fn unauthenticated() -> Problem {
+        Problem::new(ProblemKind::Unauthenticated, "send a token as Authorization: Bearer")
+    }
+
+    pub(crate) fn forbidden(operator: &OperatorName) -> Problem {
+        Problem::new(ProblemKind::Forbidden, format!("{operator} may only read"))
+    }
+}
+
+impl From<InvalidValue> for FieldError {
+    fn from(err: InvalidValue) -> FieldError {
+        FieldError { field: err.field, value: err.value, reason: err.reason }
+    }
+}
+
+impl From<ConfigError> for Problem {
+    fn from(err: ConfigError) -> Problem {
+        let kind = match &err {
+            ConfigError::Kv(_) => ProblemKind::Unavailable,
+            ConfigError::BadStored { .. } | ConfigError::Reverted { .. } => ProblemKind::Internal,
+        };
+        Problem::new(kind, err.to_string())
+    }
+}
+
+impl From<ApplyError> for Problem {
+    fn from(err: ApplyError) -> Problem {
+        let detail = err.to_string();
+        match err {
+            ApplyError::Invalid(errors) => Problem::with_errors(ProblemKind::Invalid, errors),
+            ApplyError::Conflict(conflict) => Problem {
+                conflict: Some(Box::new(conflict.into())),
+                ..Problem::new(ProblemKind::Conflict, detail)
+            },
+            ApplyError::TooLarge { .. } => Problem::new(ProblemKind::TooLarge, detail),
+            ApplyError::Contended => Problem::new(ProblemKind::Unavailable, detail),
+            ApplyError::NotApplied(err) => Problem { detail, ..Problem::from(err) },
+            ApplyError::Unknown(id, _) => {
+                Problem { change_id: Some(id), ..Problem::new(ProblemKind::OutcomeUnknown, detail) }
+            }
+        }
+    }
+}
+
+impl From<Conflict> for ConflictInfo {
+    fn from(conflict: Conflict) -> ConflictInfo {
+        let Conflict { expected, latest, between } = conflict;
+        ConflictInfo { expected, latest, between }
+    }
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.title, self.detail)
+    }
+}
+
+impl std::error::Error for Problem {}
+
+impl ResponseError for Problem {
+    fn status_code(&self) -> StatusCode {
+        self.kind.status()
+    }
+
+    fn error_response(&self) -> HttpResponse {
+        HttpResponse::build(self.kind.status()).content_type(PROBLEM_TYPE).json(self)
+    }
+}
--- /dev/null
+++ b/components/operator/tests/api.rs
@@ -0,0 +1,263 @@
+//! The endpoints, called without a network.
+
+use std::sync::Arc;
+
+use actix_web::{
+    App, Error,
+    body::MessageBody,
+    dev::{Service, ServiceResponse},
+    http::StatusCode,
+    test::{TestRequest, call_service, init_service, read_body},
+};
+use async_trait::async_trait;
+use lycheelatch_config::{ConfigStore, CurrentConfig, TokenHash};
+use lycheelatch_fakes::{Fault, MemoryKv};
+use lycheelatch_operator::{
+    ControlError, DrainAnswer, DrainTarget, NodeControl, NodeStatus, OperatorApi, OperatorToken,
+    Readiness, Role, RouteExplanation, RouteQuery,
+};
+use lycheelatch_prelude::Revision;
+use prometheus::Registry;
+use serde_json::{Value, json};
+
+const READ_TOKEN: &str = "token-of-the-reader";
+const CHANGE_TOKEN: &str = "token-of-the-changer";
+
+struct Node;
+
+#[async_trait(?Send)]
+impl NodeControl for Node {
+    async fn status(&self) -> NodeStatus {
+        NodeStatus {
+            node: "entry-1".parse().unwrap(),
+            zone: "lima-a".parse().unwrap(),
+            region: "lima".parse().unwrap(),
+            version: "0".to_owned(),
+            readiness: self.readiness(),
+            revision: Revision(0),
+            key_value_up: true,
+            in_flight: 0,
+            members: Vec::new(),
+            upstreams: Vec::new(),
+        }
+    }
+
+    async fn route(&self, query: &RouteQuery) -> Result<RouteExplanation, ControlError> {
+        Err(ControlError::NotFound { kind: "service", name: query.service.to_string() })
+    }
+
+    async fn drain(&self, _target: &DrainTarget) -> Result<DrainAnswer, ControlError> {
+        Ok(DrainAnswer { in_flight: 3 })
+    }
+
+    fn readiness(&self) -> Readiness {
+        Readiness::NotReady("the configuration is not there yet".to_owned())
+    }
+}
+
+fn api(kv: &MemoryKv) -> Arc<OperatorApi> {
+    let token = |name: &str, role, token| OperatorToken {
+        name: name.parse().unwrap(),
+        role,
+        hash: TokenHash::new(token),
+    };
+    Arc::new(OperatorApi {
+        store: Arc::new(ConfigStore::new(Arc::new(kv.clone()))),
+        current: Arc::new(CurrentConfig::new()),
+        node: Arc::new(Node),
+        tokens: vec![
+            token("rosa", Role::Read, READ_TOKEN),
+            token("mair", Role::Change, CHANGE_TOKEN),
+        ],
+        registry: Registry::new(),
+    })
+}
+
+fn get(path: &str, token: &str) -> TestRequest {
+    TestRequest::get().uri(path).insert_header(("Authorization", format!("Bearer {token}")))
+}
+
+fn post(path: &str, token: &str, body: &Value) -> TestRequest {
+    let req = TestRequest::post().uri(path).set_payload(body.to_string());
+    req.insert_header(("Authorization", format!("Bearer {token}")))
+}
+
+async fn send<S, B>(app: &S, req: TestRequest) -> (StatusCode, Value)
+where
+    S: Service<actix_http::Request, Response = ServiceResponse<B>, Error = Error>,
+    B: MessageBody,
+{
+    let response = call_service(app, req.to_request()).await;
+    let status = response.status();
+    let content_type = response.headers().get("content-type").unwrap().to_str().unwrap().to_owned();
+    let body = read_body(response).await;
+    if !status.is_success() {
+        assert_eq!(content_type, "application/problem+json");
+    }
+    let body: Value = serde_json::from_slice(&body).unwrap();
+    if !status.is_success() {
+        assert_eq!(body["status"], status.as_u16());
+    }
+    (status, body)
+}
+
+fn document() -> Value {
+    json!({
+        "services": [{ "name": "sack-desk", "kind": "plain" }],
+        "workspaces": [{ "name": "lima", "tokens": [{ "token": "a-token-of-the-workspace" }] }],
+    })
+}
+
+#[actix_web::test]
+async fn apply_then_get_history_audit_diff() {
+    let api = api(&MemoryKv::new());
+    let app = init_service(App::new().configure(api.clone().configure())).await;
+    let body = json!({ "document": document(), "options": { "expect_revision": 0 } });
+    let (status, answer) = send(&app, post("/v1/apply", CHANGE_TOKEN, &body)).await;
+    assert_eq!((status, &answer["effect"]), (StatusCode::OK, &json!("committed")));
+    assert_eq!(api.current.revision(), Revision(1), "in force at this node at once");
+
+    let (_, objects) = send(&app, get("/v1/objects", READ_TOKEN)).await;
+    assert_eq!(objects["revision"], 1);
+    assert!(objects["document"]["workspaces"][0]["tokens"][0]["id"].is_string());
+    let again = json!({ "document": objects["document"] });
+    let (_, answer) = send(&app, post("/v1/apply", CHANGE_TOKEN, &again)).await;
+    assert_eq!(answer["effect"], "unchanged");
+
+    let (_, objects) = send(&app, get("/v1/objects?kind=services", READ_TOKEN)).await;
+    assert!(objects["document"].get("workspaces").is_none());
+    let (_, history) = send(&app, get("/v1/history?limit=1", READ_TOKEN)).await;
+    assert_eq!(history["entries"][0]["author"], "mair");
+    let path = "/v1/audit?kind=workspaces&name=lima";
+    let (_, audit) = send(&app, get(path, READ_TOKEN)).await;
+    assert_eq!(audit["records"][0]["changes"].as_array().unwrap().len(), 2);
+    let (_, diff) = send(&app, get("/v1/diff?from=0&to=1", READ_TOKEN)).await;
+    assert_eq!(diff["changes"].as_array().unwrap().len(), 2);
+    for shown in [objects, history, audit, diff] {
+        assert!(!shown.to_string().contains("a-token-of-the-workspace"));
+    }
+}
+
+#[actix_web::test]
+async fn apply_dry_run_changes_nothing() {
+    let kv = MemoryKv::new();
+    let app = init_service(App::new().configure(api(&kv).configure())).await;
+    let body = json!({ "document": document(), "options": { "dry_run": true } });
+    let (_, answer) = send(&app, post("/v1/apply", CHANGE_TOKEN, &body)).await;
+    assert_eq!(answer["effect"], "dry-run");
+    assert_eq!(answer["changes"].as_array().unwrap().len(), 2);
+    assert!(kv.peek("").is_empty());
+}
+
+#[actix_web::test]
+async fn apply_conflict_shows_what_came_between() {
+    let app = init_service(App::new().configure(api(&MemoryKv::new()).configure())).await;
+    let body = json!({ "document": document() });
+    send(&app, post("/v1/apply", CHANGE_TOKEN, &body)).await;
+    let objects = json!([{ "kind": "service", "name": "sack-desk" }]);
+    let body = json!({ "objects": objects, "options": { "expect_revision": 0 } });
+    let (status, problem) = send(&app, post("/v1/delete", CHANGE_TOKEN, &body)).await;
+    assert_eq!(status, StatusCode::CONFLICT);
+    assert_eq!(problem["conflict"]["latest"], 1);
+    assert_eq!(problem["conflict"]["between"][0]["author"], "mair");
+    let body = json!({ "objects": objects, "options": { "expect_revision": 1 } });
+    let (status, _) = send(&app, post("/v1/delete", CHANGE_TOKEN, &body)).await;
+    assert_eq!(status, StatusCode::OK);
+}
+
+#[actix_web::test]
+async fn apply_invalid_names_every_error() {
+    let app = init_service(App::new().configure(api(&MemoryKv::new()).configure())).await;
+    let body = json!({ "document": { "services": [{ "name": "a b" }], "gizmos": 1 } });
+    let (status, problem) = send(&app, post("/v1/apply", CHANGE_TOKEN, &body)).await;
+    assert_eq!(status, StatusCode::UNPROCESSABLE_ENTITY);
+    let fields: Vec<&str> = problem["errors"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|e| e["field"].as_str().unwrap())
+        .collect();
+    assert_eq!(fields, ["services[0].name", "services[0].kind", "gizmos"]);
+}
+
+#[actix_web::test]
+async fn apply_outage_tells_unapplied_from_unknown() {
+    let kv = MemoryKv::new();
+    let app = init_service(App::new().configure(api(&kv).configure())).await;
+    kv.faults.set_standing(Fault::Refuse);
+    tokio::time::pause();
+    let body = json!({ "document": document() });
+    let (status, problem) = send(&app, post("/v1/apply", CHANGE_TOKEN, &body)).await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(problem["detail"].as_str().unwrap().starts_with("the change was not applied"));
+    kv.faults.script([Fault::None, Fault::LoseAnswer]);
+    let (status, problem) = send(&app, post("/v1/apply", CHANGE_TOKEN, &body)).await;
+    assert_eq!(status, StatusCode::GATEWAY_TIMEOUT);
+    assert_eq!(problem["type"], "urn:lycheelatch:problem:outcome-unknown");
+    kv.faults.clear();
+    let options = json!({ "change_id": problem["change_id"] });
+    let body = json!({ "document": document(), "options": options });
+    let (_, answer) = send(&app, post("/v1/apply", CHANGE_TOKEN, &body)).await;
+    assert_eq!(answer["effect"], "already-applied");
+}
+
+#[actix_web::test]
+async fn authorize_roles() {
+    let app = init_service(App::new().configure(api(&MemoryKv::new()).configure())).await;
+    let body = json!({ "document": {} });
+    let (status, _) = send(&app, post("/v1/apply", READ_TOKEN, &body)).await;
+    assert_eq!(status, StatusCode::FORBIDDEN);
+    let (status, _) = send(&app, post("/v1/drain", READ_TOKEN, &json!("node"))).await;
+    assert_eq!(status, StatusCode::FORBIDDEN);
+    let (status, _) = send(&app, get("/v1/history", "no-such-token")).await;
+    assert_eq!(status, StatusCode::UNAUTHORIZED);
+    let (status, _) = send(&app, TestRequest::get().uri("/v1/status")).await;
+    assert_eq!(status, StatusCode::UNAUTHORIZED);
+    let (status, _) = send(&app, get("/v1/status", CHANGE_TOKEN)).await;
+    assert_eq!(status, StatusCode::OK);
+}
+
+#[actix_web::test]
+async fn get_wrong_parameters_are_named() {
+    let app = init_service(App::new().configure(api(&MemoryKv::new()).configure())).await;
+    let (status, problem) =
+        send(&app, get("/v1/history?limit=x&before=-1&page=2", READ_TOKEN)).await;
+    assert_eq!(status, StatusCode::BAD_REQUEST);
+    assert_eq!(problem["errors"].as_array().unwrap().len(), 3);
+    let (status, _) = send(&app, get("/v1/objects?name=no-such", READ_TOKEN)).await;
+    assert_eq!(status, StatusCode::NOT_FOUND);
+    let (status, _) = send(&app, get("/v1/nothing", READ_TOKEN)).await;
+    assert_eq!(status, StatusCode::NOT_FOUND);
+}
+
+#[actix_web::test]
+async fn post_bad_bodies() {
+    let app = init_service(App::new().configure(api(&MemoryKv::new()).configure())).await;
+    let req = post("/v1/apply", CHANGE_TOKEN, &json!({ "documents": {} }));
+    assert_eq!(send(&app, req).await.0, StatusCode::BAD_REQUEST);
+    let req = post("/v1/apply", CHANGE_TOKEN, &json!({})).set_payload("{");
+    assert_eq!(send(&app, req).await.0, StatusCode::BAD_REQUEST);
+    let large = vec![b' '; 17 * 1024 * 1024];
+    let req = post("/v1/apply", CHANGE_TOKEN, &json!({})).set_payload(large);
+    assert_eq!(send(&app, req).await.0, StatusCode::PAYLOAD_TOO_LARGE);
+}
+
+#[actix_web::test]
+async fn node_endpoints() {
+    let app = init_service(App::new().configure(api(&MemoryKv::new()).configure())).await;
+    let (_, status) = send(&app, get("/v1/status", READ_TOKEN)).await;
+    assert_eq!(status["zone"], "lima-a");
+    let query = json!({ "service": "no-such", "labels": { "tier": "gold" } });
+    let (status, problem) = send(&app, post("/v1/route", READ_TOKEN, &query)).await;
+    assert_eq!(status, StatusCode::NOT_FOUND);
+    assert_eq!(problem["detail"], "there is no service no-such");
+    let target = json!({ "upstream": "runner-1" });
+    let (_, answer) = send(&app, post("/v1/drain", CHANGE_TOKEN, &target)).await;
+    assert_eq!(answer["in_flight"], 3);
+    let (_, version) = send(&app, get("/v1/version", READ_TOKEN)).await;
+    assert!(version["version"].is_string());
+    for (path, expected) in [("/healthz", 200), ("/readyz", 503), ("/metrics", 200)] {
+        let req = TestRequest::get().uri(path).to_request();
+        assert_eq!(call_service(&app, req).await.status(), expected);
+    }
+}
