Add the operators' command line

Cause: operators could reach the API only with a hand-written client. Change: lycheelatch apply, get, delete, diff, history, audit, status, route, drain, check, version and completions, with tables or JSON, stable exit codes, and server and token from flags, environment or a settings file. A change whose outcome is unknown is sent again under the same id; only a conflict rules out that an earlier send took effect. Dry runs need the role read only. A first form of the test of an absent node met the port of another test once; it now holds the port of its own.

--- a/components/config/src/document.rs
+++ b/components/config/src/document.rs
@@ -78,6 +78,15 @@
         self.len() == 0
     }
 
+    /// Returns every error that the document would have as a whole configuration.
+    ///
+    /// Short ids of tokens are taken for those of tokens that are there.
+    pub fn check(&self) -> Vec<InvalidValue> {
+        let mut unknown_ids = Vec::new();
+        let objects = self.resolve(&Snapshot::default(), &mut unknown_ids);
+        objects.into_iter().collect::<Snapshot>().validate()
+    }
+
     /// Returns the objects of the document, with the tokens that `base` has.
     pub(crate) fn resolve(&self, base: &Snapshot, errors: &mut Vec<InvalidValue>) -> Vec<Object> {
         let services = self.services.iter().cloned().map(Object::Service);
--- a/components/operator/src/changes.rs
+++ b/components/operator/src/changes.rs
@@ -17,8 +17,11 @@
 type Body = Result<web::Bytes, actix_web::Error>;
 
 pub(crate) async fn apply(api: Api, req: HttpRequest, body: Body) -> impl Responder {
-    let author = api.authorize(&req, Role::Change)?;
+    let mut author = api.authorize(&req, Role::Read)?;
     let ApplyRequest { options, document } = read_body(body)?;
+    if !options.dry_run {
+        author = api.authorize(&req, Role::Change)?;
+    }
     let document = Document::from_value(document)
         .map_err(|errors| Problem::with_errors(ProblemKind::Invalid, errors))?;
     let change = change_of(author, &options, vec![Edit::Apply(document)]);
--- /dev/null
+++ b/src/cmd/check.rs
@@ -0,0 +1,68 @@
+//! `lycheelatch check`: checks a file without a node.
+
+use std::io::Read;
+
+use clap::ArgMatches;
+use lycheelatch_config::{Document, ObjectKind};
+use lycheelatch_prelude::InvalidValue;
+use lycheelatch_settings::{Settings, SettingsError};
+use serde::Serialize;
+use serde_json::Value;
+
+use super::read_text;
+use crate::{
+    CliError, Output,
+    cli::{format_of, text},
+};
+
+/// What a file was found to be.
+#[derive(Serialize)]
+#[serde(tag = "file", rename_all = "kebab-case")]
+enum Checked {
+    Configuration { objects: usize },
+    Settings,
+}
+
+pub(super) fn run(args: &ArgMatches, stdin: &mut dyn Read) -> Result<Output, CliError> {
+    let path = text(args, "file").unwrap_or_default();
+    let content = read_text(&path, stdin)?;
+    let is_configuration = match text(args, "as").as_deref() {
+        Some(kind) => kind == "configuration",
+        None => looks_like_configuration(&content),
+    };
+    let checked =
+        if is_configuration { check_configuration(&content) } else { check_settings(&content) };
+    let checked = checked.map_err(|errors| CliError::Invalid { path, errors })?;
+    Ok(Output::done(format_of(args).show(&checked, table)))
+}
+
+fn looks_like_configuration(content: &str) -> bool {
+    let value: Value = serde_json::from_str(content).unwrap_or_default();
+    ObjectKind::ALL.iter().any(|kind| value.get(kind.plural()).is_some())
+}
+
+fn check_configuration(content: &str) -> Result<Checked, Vec<InvalidValue>> {
+    let document = Document::from_json(content.as_bytes())?;
+    let errors = document.check();
+    if errors.is_empty() {
+        return Ok(Checked::Configuration { objects: document.len() });
+    }
+    Err(errors)
+}
+
+fn check_settings(content: &str) -> Result<Checked, Vec<InvalidValue>> {
+    match Settings::from_json(content) {
+        Ok(_) => Ok(Checked::Settings),
+        Err(SettingsError::Invalid(errors)) => Err(errors),
+        Err(SettingsError::Syntax(reason)) => Err(vec![InvalidValue::new("file", "", reason)]),
+    }
+}
+
+fn table(checked: &Checked) -> String {
+    match checked {
+        Checked::Configuration { objects } => {
+            format!("a configuration of {objects} objects, no errors\n")
+        }
+        Checked::Settings => "settings of a node, no errors\n".to_owned(),
+    }
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,105 @@
+//! The subcommands, one in each file.
+
+mod apply;
+mod audit;
+mod check;
+mod completions;
+mod delete;
+mod diff;
+mod drain;
+mod get;
+mod history;
+mod route;
+mod status;
+mod version;
+
+use std::io::Read;
+
+use clap::ArgMatches;
+use lycheelatch_operator::{ChangeAnswer, ChangeEffect, ChangeOptions};
+use lycheelatch_prelude::{ChangeId, InvalidValue, Revision};
+use serde_json::Value;
+
+use crate::{
+    CliError, Output,
+    client::NodeClient,
+    output::change_lines,
+    settings::{ClientSettings, read_file},
+};
+
+/// Runs the subcommand that `matches` name.
+pub(crate) async fn run(matches: &ArgMatches, stdin: &mut dyn Read) -> Result<Output, CliError> {
+    match matches.subcommand() {
+        Some(("apply", args)) => apply::run(args, stdin).await,
+        Some(("get", args)) => get::run(args).await,
+        Some(("delete", args)) => delete::run(args).await,
+        Some(("diff", args)) => diff::run(args, stdin).await,
+        Some(("history", args)) => history::run(args).await,
+        Some(("audit", args)) => audit::run(args).await,
+        Some(("status", args)) => status::run(args).await,
+        Some(("route", args)) => route::run(args).await,
+        Some(("drain", args)) => drain::run(args).await,
+        Some(("check", args)) => check::run(args, stdin),
+        Some(("version", args)) => version::run(args).await,
+        Some(("completions", args)) => Ok(completions::run(args)),
+        _ => unreachable!("clap requires a known subcommand"),
+    }
+}
+
+fn client(args: &ArgMatches) -> Result<NodeClient, CliError> {
+    Ok(NodeClient::new(ClientSettings::of(args)?))
+}
+
+/// Reads a file, or the standard input for `-`.
+fn read_text(path: &str, stdin: &mut dyn Read) -> Result<String, CliError> {
+    if path != "-" {
+        return read_file(path);
+    }
+    let mut text = String::new();
+    let read = stdin.read_to_string(&mut text);
+    read.map_err(|err| CliError::File { path: "-".into(), reason: err.to_string() })?;
+    Ok(text)
+}
+
+/// Reads the file of `--file` as JSON.
+fn read_json(args: &ArgMatches, stdin: &mut dyn Read) -> Result<Value, CliError> {
+    let path = crate::cli::text(args, "file").unwrap_or_default();
+    serde_json::from_str(&read_text(&path, stdin)?).map_err(|err| CliError::Invalid {
+        path,
+        errors: vec![InvalidValue::new("document", "", err.to_string())],
+    })
+}
+
+/// Returns the options of a change, with an identity of its own if none is given.
+fn change_options(args: &ArgMatches) -> Result<(ChangeId, ChangeOptions), CliError> {
+    let id = match crate::cli::text(args, "change-id") {
+        Some(text) => parse_change_id(&text)?,
+        None => ChangeId::new_unique(),
+    };
+    let options = ChangeOptions {
+        change_id: Some(id),
+        expect_revision: args.get_one::<u64>("expect-revision").copied().map(Revision),
+        dry_run: args.get_flag("dry-run"),
+    };
+    Ok((id, options))
+}
+
+fn parse_change_id(text: &str) -> Result<ChangeId, CliError> {
+    let id = serde_json::from_value(Value::from(text));
+    let reason = "must be the id that an earlier call showed";
+    id.map_err(|_| CliError::Argument(InvalidValue::new("change-id", text, reason)))
+}
+
+fn change_table(answer: &ChangeAnswer) -> String {
+    let ChangeAnswer { effect, revision, changes } = answer;
+    let summary = match effect {
+        ChangeEffect::Committed => format!("applied at revision {revision}"),
+        ChangeEffect::Unchanged => format!("nothing to change at revision {revision}"),
+        ChangeEffect::AlreadyApplied => format!("applied before, at revision {revision}"),
+        ChangeEffect::DryRun if changes.is_empty() => {
+            format!("nothing would change at revision {revision}")
+        }
+        ChangeEffect::DryRun => format!("would be applied at revision {revision}"),
+    };
+    format!("{}{summary}\n", change_lines(changes))
+}
--- /dev/null
+++ b/src/cmd/version.rs
@@ -0,0 +1,31 @@
+//! `lycheelatch version`: shows the versions of this program and of the node.
+
+use clap::ArgMatches;
+use lycheelatch_operator::VersionAnswer;
+use serde::Serialize;
+
+use super::client;
+use crate::{CliError, Output, cli::format_of};
+
+/// Versions of both programs.
+#[derive(Serialize)]
+struct Versions {
+    client: String,
+    /// None if no node is named.
+    node: Option<String>,
+}
+
+pub(super) async fn run(args: &ArgMatches) -> Result<Output, CliError> {
+    let node = match client(args) {
+        Ok(client) => Some(client.get::<VersionAnswer>("/v1/version", &[]).await?.version),
+        Err(CliError::NoServer | CliError::NoToken) => None,
+        Err(err) => return Err(err),
+    };
+    let versions = Versions { client: env!("CARGO_PKG_VERSION").to_owned(), node };
+    Ok(Output::done(format_of(args).show(&versions, table)))
+}
+
+fn table(versions: &Versions) -> String {
+    let node = versions.node.as_deref().unwrap_or("not asked");
+    format!("lycheelatch {}\nnode {node}\n", versions.client)
+}
--- /dev/null
+++ b/tests/cli.rs
@@ -0,0 +1,363 @@
+//! The command line against a node's operator port on loopback.
+
+use std::{
+    io::Cursor,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+};
+
+use actix_web::{App, HttpServer, dev::ServerHandle, web};
+use async_trait::async_trait;
+use lycheelatch::{Code, Output, command, run};
+use lycheelatch_config::{ConfigStore, CurrentConfig, TokenHash};
+use lycheelatch_fakes::{Fault, MemoryKv};
+use lycheelatch_operator::{
+    ChangeAnswer, ChangeEffect, ControlError, DrainAnswer, DrainTarget, MemberStatus, NodeControl,
+    NodeStatus, OperatorApi, OperatorToken, Problem, ProblemKind, Readiness, Role, RouteCandidate,
+    RouteExplanation, RouteQuery, UpstreamStatus,
+};
+use lycheelatch_prelude::Revision;
+use prometheus::Registry;
+use serde_json::{Value, json};
+
+const READ_TOKEN: &str = "token-of-the-reader";
+const CHANGE_TOKEN: &str = "token-of-the-changer";
+
+struct Node;
+
+#[async_trait(?Send)]
+impl NodeControl for Node {
+    async fn status(&self) -> NodeStatus {
+        let zone = || "aberteifi".parse().unwrap();
+        NodeStatus {
+            node: "entry-1".parse().unwrap(),
+            zone: zone(),
+            region: "ceredigion".parse().unwrap(),
+            version: "0".to_owned(),
+            readiness: Readiness::Ready,
+            revision: Revision(4),
+            key_value_up: true,
+            in_flight: 2,
+            members: vec![MemberStatus {
+                node: "entry-2".parse().unwrap(),
+                zone: zone(),
+                state: "suspect".to_owned(),
+                addr: "10.0.0.2:7000".to_owned(),
+            }],
+            upstreams: vec![UpstreamStatus {
+                upstream: "runner-7".parse().unwrap(),
+                service: "gwehydd-llm".parse().unwrap(),
+                zone: zone(),
+                state: "leaving".to_owned(),
+                in_flight: 5,
+            }],
+        }
+    }
+
+    async fn route(&self, query: &RouteQuery) -> Result<RouteExplanation, ControlError> {
+        if query.service.as_str() != "gwehydd-llm" {
+            let name = query.service.to_string();
+            return Err(ControlError::NotFound { kind: "service", name });
+        }
+        Ok(RouteExplanation {
+            revision: Revision(4),
+            labels: query.labels.clone(),
+            rules: vec!["gold-first".to_owned()],
+            chosen: Some("runner-7".parse().unwrap()),
+            candidates: vec![RouteCandidate {
+                upstream: "runner-7".parse().unwrap(),
+                zone: "aberteifi".parse().unwrap(),
+                is_allowed: true,
+                reasons: vec!["preferred by gold-first".to_owned()],
+            }],
+        })
+    }
+
+    async fn drain(&self, target: &DrainTarget) -> Result<DrainAnswer, ControlError> {
+        match target {
+            DrainTarget::Node => Ok(DrainAnswer { in_flight: 2 }),
+            DrainTarget::Upstream(_) => Ok(DrainAnswer { in_flight: 5 }),
+        }
+    }
+
+    fn readiness(&self) -> Readiness {
+        Readiness::Ready
+    }
+}
+
+/// A node's operator port on loopback.
+struct Port {
+    addr: SocketAddr,
+    server: ServerHandle,
+    kv: MemoryKv,
+}
+
+impl Port {
+    fn start() -> Port {
+        let token = |name: &str, role, token| OperatorToken {
+            name: name.parse().unwrap(),
+            role,
+            hash: TokenHash::new(token),
+        };
+        let kv = MemoryKv::new();
+        let api = Arc::new(OperatorApi {
+            store: Arc::new(ConfigStore::new(Arc::new(kv.clone()))),
+            current: Arc::new(CurrentConfig::new()),
+            node: Arc::new(Node),
+            tokens: vec![
+                token("rosa", Role::Read, READ_TOKEN),
+                token("mair", Role::Change, CHANGE_TOKEN),
+            ],
+            registry: Registry::new(),
+        });
+        let server = HttpServer::new(move || App::new().configure(api.clone().configure()))
+            .workers(1)
+            .disable_signals()
+            .bind("127.0.0.1:0")
+            .unwrap();
+        let addr = server.addrs()[0];
+        let server = server.run();
+        let handle = server.handle();
+        actix_rt::spawn(server);
+        Port { addr, server: handle, kv }
+    }
+
+    async fn call(&self, token: &str, args: &[&str], stdin: &str) -> Output {
+        let server = format!("http://{}", self.addr);
+        let first = ["lycheelatch", "--server", &server, "--token", token];
+        call(&[&first, args].concat(), stdin).await
+    }
+
+    async fn change(&self, args: &[&str], stdin: &Value) -> Output {
+        self.call(CHANGE_TOKEN, args, &stdin.to_string()).await
+    }
+
+    async fn read(&self, args: &[&str]) -> Output {
+        self.call(READ_TOKEN, args, "").await
+    }
+}
+
+async fn call(args: &[&str], stdin: &str) -> Output {
+    let matches = command().try_get_matches_from(args).unwrap();
+    run(&matches, &mut Cursor::new(stdin.to_owned())).await
+}
+
+fn service(max_queue_ms: u64) -> Value {
+    let limits = json!({ "max_queue_ms": max_queue_ms });
+    json!({ "services": [{ "name": "archeb-app", "kind": "plain", "limits": limits }] })
+}
+
+#[actix_rt::test]
+async fn apply_get_history_audit_diff() {
+    let port = Port::start();
+    let output = port.change(&["apply", "-f", "-"], &service(100)).await;
+    assert_eq!((output.code, &*output.stderr), (Code::Done, ""));
+    assert_eq!(output.stdout, "+ services[archeb-app]\napplied at revision 1\n");
+
+    let output = port.change(&["diff", "-f", "-"], &service(100)).await;
+    assert_eq!((output.code, &*output.stdout), (Code::Done, ""));
+    let output = port.call(READ_TOKEN, &["diff", "-f", "-"], &service(200).to_string()).await;
+    assert_eq!(output.code, Code::Differs);
+    assert_eq!(output.stdout, "~ services[archeb-app].limits.max_queue_ms: 100 -> 200\n");
+    let output = port.change(&["apply", "-f", "-", "--dry-run"], &service(200)).await;
+    assert!(output.stdout.ends_with("would be applied at revision 2\n"));
+    port.change(&["apply", "-f", "-", "--expect-revision", "1"], &service(200)).await;
+
+    let output = port.read(&["get"]).await;
+    assert!(output.stdout.contains("services  archeb-app  plain\n"), "{}", output.stdout);
+    assert!(output.stdout.ends_with("revision 2\n"));
+    let output = port.read(&["history", "--limit", "1"]).await;
+    assert!(output.stdout.contains("mair  ~services[archeb-app]\nmore: --before 2\n"));
+    let output = port.read(&["audit", "--author", "mair", "--limit", "1"]).await;
+    assert!(output.stdout.starts_with("revision 2  20"), "{}", output.stdout);
+    assert!(output.stdout.contains("  ~ services[archeb-app].limits.max_queue_ms: 100 -> 200\n"));
+    let output = port.read(&["diff", "--from", "0", "--to", "2"]).await;
+    assert_eq!((output.code, &*output.stdout), (Code::Differs, "+ services[archeb-app]\n"));
+    port.server.stop(false).await;
+}
+
+#[actix_rt::test]
+async fn get_json_can_be_applied_again() {
+    let port = Port::start();
+    let token = json!([{ "token": "a-token-of-the-workspace" }]);
+    let document = json!({ "workspaces": [{ "name": "caerwen", "tokens": token }] });
+    port.change(&["apply", "-f", "-"], &document).await;
+    let output = port.read(&["get", "workspaces", "-o", "json"]).await;
+    assert!(!output.stdout.contains("a-token-of-the-workspace"));
+    let answer: Value = serde_json::from_str(&output.stdout).unwrap();
+    let output = port.change(&["apply", "-f", "-"], &answer["document"]).await;
+    assert_eq!(output.stdout, "nothing to change at revision 1\n");
+    let output = port.change(&["check", "-"], &answer["document"]).await;
+    assert_eq!(output.stdout, "a configuration of 1 objects, no errors\n");
+    port.server.stop(false).await;
+}
+
+#[actix_rt::test]
+async fn delete_conflict_names_what_came_between() {
+    let port = Port::start();
+    port.change(&["apply", "-f", "-"], &service(1)).await;
+    let args = ["delete", "services", "archeb-app", "--expect-revision", "0"];
+    let output = port.change(&args, &Value::Null).await;
+    assert_eq!(output.code, Code::Conflict);
+    assert!(output.stderr.contains("expects revision 0, and the latest is 1"));
+    assert!(output.stderr.contains("  + services[archeb-app]\n"), "{}", output.stderr);
+    let output = port.change(&["delete", "services", "archeb-app"], &Value::Null).await;
+    assert_eq!(output.stdout, "- services[archeb-app]\napplied at revision 2\n");
+    port.server.stop(false).await;
+}
+
+#[actix_rt::test]
+async fn apply_invalid_names_every_error() {
+    let port = Port::start();
+    let document = json!({ "services": [{ "name": "a b", "kind": "plain", "x": 1 }] });
+    let output = port.change(&["apply", "-f", "-"], &document).await;
+    assert_eq!(output.code, Code::Invalid);
+    assert!(output.stderr.contains("services[0].name \"a b\""), "{}", output.stderr);
+    assert!(output.stderr.contains("services[0].x \"1\""), "{}", output.stderr);
+    port.server.stop(false).await;
+}
+
+#[actix_rt::test]
+async fn apply_lost_answer_is_learned_by_sending_again() {
+    let port = Port::start();
+    // The swap takes effect, its answer is lost, and so is the node's patience.
+    port.kv.faults.script([Fault::None, Fault::LoseAnswer]);
+    port.kv.faults.script(std::iter::repeat_n(Fault::Refuse, 3));
+    let output = port.change(&["apply", "-f", "-"], &service(1)).await;
+    assert_eq!(output.code, Code::Done, "{}", output.stderr);
+    let output = port.read(&["history"]).await;
+    assert_eq!(output.stdout.lines().count(), 2, "one change");
+    port.server.stop(false).await;
+}
+
+/// Sends a change to a node that gives these answers in turn.
+async fn change_answered_with(answers: Vec<Result<ChangeEffect, ProblemKind>>) -> (Output, usize) {
+    let answers = Arc::new(Mutex::new(answers.into_iter()));
+    let ids = Arc::new(Mutex::new(Vec::new()));
+    let (next, seen) = (answers.clone(), ids.clone());
+    let server = HttpServer::new(move || {
+        let (next, seen) = (next.clone(), seen.clone());
+        let apply = move |body: web::Json<Value>| {
+            seen.lock().unwrap().push(body["options"]["change_id"].clone());
+            let answer = next.lock().unwrap().next().unwrap();
+            let answer = answer.map_err(|kind| Problem::new(kind, "told to"));
+            let answer = answer.map(|effect| {
+                web::Json(ChangeAnswer { effect, revision: Revision(1), changes: Vec::new() })
+            });
+            async move { answer }
+        };
+        App::new().route("/v1/apply", web::post().to(apply))
+    });
+    let server = server.workers(1).disable_signals().bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}", server.addrs()[0]);
+    let server = server.run();
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    let args = ["lycheelatch", "--server", &url, "--token", CHANGE_TOKEN, "apply", "-f", "-"];
+    let output = call(&args, &service(1).to_string()).await;
+    handle.stop(false).await;
+    let ids = ids.lock().unwrap();
+    assert!(ids.iter().all(|id| *id == ids[0]), "every send has the same id");
+    (output, ids.len())
+}
+
+#[actix_rt::test]
+async fn apply_unknown_outcome_is_sent_again() {
+    use ProblemKind::{Conflict, OutcomeUnknown, Unavailable};
+
+    let answers = vec![Err(OutcomeUnknown), Ok(ChangeEffect::AlreadyApplied)];
+    let (output, sends) = change_answered_with(answers).await;
+    assert_eq!((output.code, sends), (Code::Done, 2));
+    let answers = vec![Err(OutcomeUnknown), Err(Conflict)];
+    let (output, sends) = change_answered_with(answers).await;
+    assert_eq!((output.code, sends), (Code::Conflict, 2));
+    // That a later send did nothing says nothing of the first.
+    let answers = vec![Err(OutcomeUnknown), Err(Unavailable), Err(Unavailable)];
+    let (output, sends) = change_answered_with(answers).await;
+    assert_eq!((output.code, sends), (Code::OutcomeUnknown, 3));
+    assert!(output.stderr.contains("--change-id "));
+    let (output, sends) = change_answered_with(vec![Err(Unavailable)]).await;
+    assert_eq!((output.code, sends), (Code::Unavailable, 1));
+}
+
+#[actix_rt::test]
+async fn call_without_role_or_object() {
+    let port = Port::start();
+    let output = port.call(READ_TOKEN, &["apply", "-f", "-"], "{}").await;
+    assert_eq!(output.code, Code::Refused);
+    let output = port.call("not-a-token", &["get"], "").await;
+    assert_eq!(output.code, Code::Refused);
+    let output = port.read(&["get", "services", "no-such"]).await;
+    assert_eq!(output.code, Code::NotFound);
+    port.server.stop(false).await;
+}
+
+#[actix_rt::test]
+async fn call_refused_connection_is_never_sent() {
+    // A socket that is bound and does not listen keeps its port from other tests.
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let url = format!("http://{}", socket.local_addr().unwrap());
+    let first = ["lycheelatch", "--server", &url, "--token", CHANGE_TOKEN];
+    let output = call(&[&first[..], &["get"]].concat(), "").await;
+    assert_eq!(output.code, Code::Unavailable);
+    let output = call(&[&first[..], &["apply", "-f", "-"]].concat(), "{}").await;
+    assert_eq!(output.code, Code::Unavailable, "never sent: {}", output.stderr);
+}
+
+#[actix_rt::test]
+async fn node_subcommands() {
+    let port = Port::start();
+    let output = port.read(&["status"]).await;
+    for part in ["entry-1", "ceredigion", "suspect", "runner-7", "leaving"] {
+        assert!(output.stdout.contains(part), "{}", output.stdout);
+    }
+    let output = port.read(&["route", "gwehydd-llm", "--labels", "tier=gold"]).await;
+    assert!(output.stdout.contains("yes      preferred by gold-first"), "{}", output.stdout);
+    assert!(output.stdout.ends_with("goes to runner-7, by revision 4\n"));
+    let output = port.read(&["route", "no-such"]).await;
+    assert_eq!(output.code, Code::NotFound);
+    let output = port.change(&["drain", "--upstream", "runner-7"], &Value::Null).await;
+    assert_eq!(output.stdout, "draining, 5 in flight\n");
+    let output = port.read(&["version"]).await;
+    assert!(output.stdout.contains("node 0."), "{}", output.stdout);
+    port.server.stop(false).await;
+}
+
+#[actix_rt::test]
+async fn check_files() {
+    let output = call(&["lycheelatch", "check", "-"], &service(1).to_string()).await;
+    assert_eq!(output.code, Code::Done);
+    let bad = json!({ "rules": [{ "name": "r", "service": "no-such", "effect": "prefer" }] });
+    let output = call(&["lycheelatch", "check", "-"], &bad.to_string()).await;
+    assert_eq!(output.code, Code::Invalid);
+    assert!(output.stderr.contains("rules[r].service \"no-such\""));
+    let output = call(&["lycheelatch", "check", "-"], "{\"node\": 7}").await;
+    assert_eq!(output.code, Code::Invalid);
+    let output = call(&["lycheelatch", "check", "no-such-file.json"], "").await;
+    assert_eq!(output.code, Code::Usage);
+    assert!(output.stderr.contains("no-such-file.json"));
+}
+
+#[actix_rt::test]
+async fn call_without_settings() {
+    let output = call(&["lycheelatch", "get"], "").await;
+    assert_eq!(output.code, Code::Usage);
+    let output = call(&["lycheelatch", "--server", "10.0.0.7", "--token", "t", "get"], "").await;
+    assert!(output.stderr.contains("server \"10.0.0.7\""), "{}", output.stderr);
+    let output = call(&["lycheelatch", "version"], "").await;
+    assert!(output.stdout.ends_with("node not asked\n"));
+}
+
+#[actix_rt::test]
+async fn completions_name_subcommands() {
+    for shell in ["bash", "zsh", "fish"] {
+        let output = call(&["lycheelatch", "completions", shell], "").await;
+        assert!(output.stdout.contains("history"));
+    }
+}
+
+#[test]
+fn command_is_consistent() {
+    command().debug_assert();
+}
