--- a/components/daemon/src/callers.rs
+++ b/components/daemon/src/callers.rs
@@ -1,6 +1,6 @@
 //! The port for callers.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use actix_web::{App, HttpServer, dev::Server};
 use lycheelatch_proxy::{CallerLimits, Proxy, configure};
@@ -8,6 +8,9 @@
 
 use crate::StartError;
 
+/// Time for which a refused caller's body is still read, so that it gets its answer.
+const DISCONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// A server on the callers' port, and the address that it got.
 pub(crate) fn serve(
     cfg: &CallerSettings,
@@ -25,6 +28,7 @@
         .workers(cfg.workers)
         .max_connections(cfg.max_connections)
         .client_request_timeout(cfg.head_timeout)
+        .client_disconnect_timeout(DISCONNECT_TIMEOUT)
         .shutdown_timeout(stop.notice.as_secs().max(1))
         .disable_signals()
         .bind_auto_h2c(cfg.listen)
--- a/components/proxy/src/http.rs
+++ b/components/proxy/src/http.rs
@@ -24,6 +24,7 @@
     relay::{refuse, relay_stream, relay_whole},
     resume::resume,
     settle::settle,
+    unread::answer_unread,
     whole::WholeAnswer,
 };
 
@@ -80,7 +81,10 @@
     let proxy = proxy.into_inner();
     match model_answer(&http, &mut payload, proxy, limits.max_body_bytes).await {
         Ok(answer) => answer,
-        Err(refusal) => refusal.into_response(&id_or_new(http.headers())),
+        Err(refusal) => {
+            let answer = refusal.into_response(&id_or_new(http.headers()));
+            answer_unread(answer, &mut payload).await
+        }
     }
 }
 
@@ -146,10 +150,13 @@
     let opened = open_plain(&http, &mut payload, &proxy, limits.max_body_bytes).await;
     let (mut rec, body) = match opened {
         Ok(opened) => opened,
-        Err(refusal) => return refusal.into_response(&id_or_new(http.headers())),
+        Err(refusal) => {
+            let answer = refusal.into_response(&id_or_new(http.headers()));
+            return answer_unread(answer, &mut payload).await;
+        }
     };
     if let Some(answer) = admitted(&proxy, &mut rec).await {
-        return answer;
+        return if body.is_none() { answer_unread(answer, &mut payload).await } else { answer };
     }
     let body = body
         .unwrap_or_else(|| RequestBody::Stream { length: content_length(http.headers()), payload });
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -31,6 +31,7 @@
 mod resume;
 mod running;
 mod settle;
+mod unread;
 mod whole;
 
 pub use admit::{AdmitInFlight, Permit};
--- a/components/proxy/src/model.rs
+++ b/components/proxy/src/model.rs
@@ -9,6 +9,7 @@
 use lycheelatch_upstream::{
     Engine, EngineRequest, EngineStream, ResumePoint, StreamEvent, TokenOffset, UpstreamError,
 };
+use serde_json::{Map, Value, json};
 use tokio::time::{Instant, sleep_until};
 
 use crate::{
@@ -391,6 +392,17 @@
         }
     }
 
+    /// Returns the body that engines get.
+    ///
+    /// An answer that can be taken up midway is always streamed from the
+    /// engine, also where the caller wants it in one piece.
+    fn engine_body(&self) -> Bytes {
+        if !self.ask.is_one_text || is_stream(&self.rec) {
+            return self.ask.body.clone();
+        }
+        streamed_body(&self.ask.body).unwrap_or_else(|| self.ask.body.clone())
+    }
+
     async fn generate(&self, upstream: &Upstream) -> Result<EngineStream, UpstreamError> {
         let engine = engine_of(upstream).ok_or(UpstreamError::Unsupported)?;
         let resume = (self.next > 0).then(|| ResumePoint {
@@ -400,7 +412,7 @@
         let req = EngineRequest {
             id: self.rec.id().clone(),
             path: self.ask.path.clone(),
-            body: self.ask.body.clone(),
+            body: self.engine_body(),
             stream: self.ask.is_one_text || is_stream(&self.rec),
             priority: self.rec.head.priority,
             timeout: self.rec.time_left(Instant::now()),
@@ -461,6 +473,14 @@
     Deadline,
 }
 
+/// Returns the body of the same request that asks for a stream with its usage.
+fn streamed_body(body: &[u8]) -> Option<Bytes> {
+    let mut fields: Map<String, Value> = serde_json::from_slice(body).ok()?;
+    fields.insert("stream".to_owned(), Value::Bool(true));
+    fields.insert("stream_options".to_owned(), json!({"include_usage": true}));
+    Some(serde_json::to_vec(&fields).ok()?.into())
+}
+
 fn broken(reason: &str) -> UpstreamError {
     UpstreamError::Broken { reason: reason.into() }
 }
--- a/components/proxy/tests/bad_input.rs
+++ b/components/proxy/tests/bad_input.rs
@@ -8,12 +8,14 @@
     time::Duration,
 };
 
+use tokio::time::Instant;
+
 use common::{Fixture, MAX_BODY_BYTES, Seen, TOKEN, seen};
 use lycheelatch_fakes::{EngineConfig, serve_engine, serve_plain};
 use serde_json::json;
 
-/// Bytes of an endless body that a node must not take.
-const MOST_SENT_BYTES: usize = 256 << 20;
+/// Time within which a node ends a connection whose body it refuses.
+const CLOSE_LIMIT: Duration = Duration::from_secs(20);
 
 fn assert_refused(answer: &Seen, status: u16, field: &str) {
     assert_eq!(answer.status, status, "{answer:?}");
@@ -57,29 +59,31 @@
     assert_eq!((answer.status, answer.outcome.as_str()), (413, "not-run"));
 }
 
-/// Sends chunks until the other end closes, and returns how many bytes it took.
-fn send_without_end(addr: SocketAddr) -> usize {
+/// Sends chunks until the other end closes; returns whether it did.
+fn send_until_closed(addr: SocketAddr) -> bool {
     let mut socket = TcpStream::connect(addr).unwrap();
-    socket.set_write_timeout(Some(Duration::from_secs(10))).unwrap();
+    socket.set_write_timeout(Some(CLOSE_LIMIT)).unwrap();
     let head = format!(
         "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\n\
          Transfer-Encoding: chunked\r\n\r\n"
     );
     socket.write_all(head.as_bytes()).unwrap();
     let chunk = [b"4000\r\n".as_slice(), &[b'x'; 16 * 1024], b"\r\n"].concat();
-    let mut sent = 0;
-    while sent < MOST_SENT_BYTES && socket.write_all(&chunk).is_ok() {
-        sent += chunk.len();
+    let ends = Instant::now() + CLOSE_LIMIT;
+    while Instant::now() < ends {
+        if let Err(err) = socket.write_all(&chunk) {
+            return err.kind() != std::io::ErrorKind::WouldBlock;
+        }
     }
-    sent
+    false
 }
 
 #[actix_web::test]
 async fn body_without_end_closes_the_connection() {
     let fixture = Fixture::start();
     let addr = fixture.addr;
-    let sent = actix_web::web::block(move || send_without_end(addr)).await.unwrap();
-    assert!(sent < MOST_SENT_BYTES, "the node took {sent} bytes");
+    let closed = actix_web::web::block(move || send_until_closed(addr)).await.unwrap();
+    assert!(closed, "the node goes on reading");
 }
 
 #[actix_web::test]
--- a/components/proxy/tests/common/mod.rs
+++ b/components/proxy/tests/common/mod.rs
@@ -22,6 +22,9 @@
 /// Largest body that the proxy reads whole, in bytes.
 pub(crate) const MAX_BODY_BYTES: usize = 64 * 1024;
 
+/// Time that a refused caller gets to read its answer.
+const DISCONNECT_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(200);
+
 /// A proxy with its parts.
 pub(crate) struct Fixture {
     pub(crate) addr: SocketAddr,
@@ -132,7 +135,12 @@
         let proxy = proxy.clone();
         App::new().configure(|app| configure(app, proxy, limits))
     };
-    let server = HttpServer::new(app).workers(1).disable_signals().bind(("127.0.0.1", 0)).unwrap();
+    let server = HttpServer::new(app)
+        .workers(1)
+        .client_disconnect_timeout(DISCONNECT_TIMEOUT)
+        .disable_signals()
+        .bind(("127.0.0.1", 0))
+        .unwrap();
     let addr = server.addrs()[0];
     rt::spawn(server.run());
     addr
