--- a/components/proxy/tests/bad_input.rs
+++ b/components/proxy/tests/bad_input.rs
@@ -109,9 +109,9 @@
     let fixture = Fixture::start();
     let call = fixture.call("GET", "/services/orders/stock");
     let call = call.insert_header(("x-filler", "x".repeat(256 * 1024)));
-    match call.send().await {
-        Ok(answer) => assert!(answer.status().is_client_error(), "{}", answer.status()),
-        Err(err) => println!("the connection was closed: {err}"),
+    // The connection may be closed before the answer is read.
+    if let Ok(answer) = call.send().await {
+        assert!(answer.status().is_client_error(), "{}", answer.status());
     }
     let next = fixture.call("GET", "/v1/models").send().await.unwrap();
     assert!(next.status().is_success());
