daemon: Join operators' port, configuration spread and call budget

The node now follows the configuration through its peers, serves the operators' API on a port of its own, and makes every call to the key-value service within its share. A node is ready only once the instance list was read against the latest configuration: before, the quickstart's first requests were refused because the list had been taken over under the empty configuration.

--- a/components/daemon/src/cli.rs
+++ b/components/daemon/src/cli.rs
@@ -73,7 +73,10 @@
     let mut signals = Signals::new()?;
     let peers = peers_config(&settings);
     let node = Node::start(settings, peers).await?;
-    signals.next().await;
+    tokio::select! {
+        () = signals.next() => {}
+        () = node.stop_asked() => {}
+    }
     log::info!("node: stopping; a second signal ends the process at once");
     tokio::select! {
         () = node.stop() => {}
--- a/components/daemon/src/clients.rs
+++ b/components/daemon/src/clients.rs
@@ -2,13 +2,15 @@
 
 use std::sync::Arc;
 
-use lycheelatch_platform::{Endpoint, HttpInstanceList, HttpKeyValue, InstanceList, KeyValue};
+use lycheelatch_platform::{
+    Budget, BudgetLimits, Endpoint, HttpInstanceList, HttpKeyValue, InstanceList,
+};
 use lycheelatch_settings::{EndpointSettings, PlatformSettings};
 
 /// Clients of the platform's services.
 #[derive(Clone)]
 pub(crate) struct Clients {
-    pub(crate) kv: Arc<dyn KeyValue>,
+    pub(crate) budget: Arc<Budget>,
     pub(crate) instances: Arc<dyn InstanceList>,
 }
 
@@ -17,10 +19,19 @@
 }
 
 impl Clients {
-    pub(crate) fn new(cfg: &PlatformSettings) -> Clients {
-        Clients {
-            kv: Arc::new(HttpKeyValue::new(endpoint(&cfg.key_value.endpoint))),
+    pub(crate) fn new(
+        cfg: &PlatformSettings,
+        metrics: &prometheus::Registry,
+    ) -> Result<Clients, prometheus::Error> {
+        let kv = HttpKeyValue::new(endpoint(&cfg.key_value.endpoint));
+        let limits = BudgetLimits {
+            writes_per_second: f64::from(cfg.key_value.writes_per_second),
+            reads_per_second: f64::from(cfg.key_value.reads_per_second),
+            ..BudgetLimits::default()
+        };
+        Ok(Clients {
+            budget: Budget::new(Arc::new(kv), limits, metrics)?,
             instances: Arc::new(HttpInstanceList::new(endpoint(&cfg.instances))),
-        }
+        })
     }
 }
--- a/components/daemon/src/config_task.rs
+++ b/components/daemon/src/config_task.rs
@@ -1,10 +1,11 @@
-//! Keeps the configuration in force on a node that runs alone.
+//! Keeps the configuration in force, and the budget of calls in proportion.
 
 use std::{sync::Arc, time::Duration};
 
 use lycheelatch_config::{ConfigStore, CurrentConfig};
-use lycheelatch_platform::WatchIndex;
-use tokio::time::sleep;
+use lycheelatch_peers::Members;
+use lycheelatch_platform::{Budget, WatchIndex};
+use tokio::{sync::watch, time::sleep};
 
 use crate::Health;
 
@@ -14,8 +15,12 @@
 /// Time between two tries when the key-value service fails.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
-/// Watches the key-value service and puts each new revision in force.
-pub(crate) async fn watch(store: ConfigStore, current: Arc<CurrentConfig>, health: Arc<Health>) {
+/// Watches the key-value service, on a node that runs alone, and puts each new revision in force.
+pub(crate) async fn watch(
+    store: Arc<ConfigStore>,
+    current: Arc<CurrentConfig>,
+    health: Arc<Health>,
+) {
     let mut index = WatchIndex::default();
     loop {
         match store.watch(index, WATCH_WAIT).await {
@@ -36,3 +41,21 @@
         }
     }
 }
+
+/// Notes when the configuration that peers spread is the latest.
+pub(crate) async fn await_ready(mut ready: watch::Receiver<bool>, health: Arc<Health>) {
+    if ready.wait_for(|ready| *ready).await.is_ok() {
+        health.set_config();
+    }
+}
+
+/// Keeps the node's share of calls to the key-value service in step with the members.
+pub(crate) async fn share_budget(mut members: watch::Receiver<Arc<Members>>, budget: Arc<Budget>) {
+    loop {
+        let usable = members.borrow_and_update().usable_count();
+        budget.set_members(usable);
+        if members.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/components/daemon/src/control.rs
@@ -0,0 +1,189 @@
+//! The node as operators see it.
+
+use std::{sync::Arc, time::Duration};
+
+use async_trait::async_trait;
+use lycheelatch_config::{CurrentConfig, Effect, PlacementRule};
+use lycheelatch_operator::{
+    ControlError, DrainAnswer, DrainTarget, MemberStatus, NodeControl, NodeStatus, Readiness,
+    RouteCandidate, RouteExplanation, RouteQuery, UpstreamStatus,
+};
+use lycheelatch_peers::{MemberState, PeerLink};
+use lycheelatch_platform::{KeyValue, KvKey};
+use lycheelatch_prelude::{Labels, NodeId, RegionName, ZoneName};
+use lycheelatch_proxy::{Proxy, Upstream};
+use tokio::{sync::Notify, time::timeout};
+
+use crate::Health;
+
+/// Longest wait for a sign of life of the key-value service.
+const KV_PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Key whose reading shows that the key-value service answers.
+const KV_PROBE_KEY: &str = "lycheelatch/probe";
+
+/// The node as operators see it.
+pub(crate) struct Control {
+    pub(crate) id: NodeId,
+    pub(crate) zone: ZoneName,
+    pub(crate) region: RegionName,
+    pub(crate) health: Arc<Health>,
+    pub(crate) current: Arc<CurrentConfig>,
+    pub(crate) proxy: Arc<Proxy>,
+    pub(crate) link: Option<Arc<dyn PeerLink>>,
+    pub(crate) kv: Arc<dyn KeyValue>,
+    /// Told when an operator asks the node to stop.
+    pub(crate) stop_asked: Arc<Notify>,
+}
+
+impl Control {
+    fn in_flight(&self) -> u64 {
+        u64::try_from(self.proxy.open_requests()).unwrap_or(0)
+    }
+
+    async fn key_value_up(&self) -> bool {
+        let probe = KvKey::new(KV_PROBE_KEY);
+        matches!(timeout(KV_PROBE_TIMEOUT, self.kv.get(&probe)).await, Ok(Ok(_)))
+    }
+
+    fn members(&self) -> Vec<MemberStatus> {
+        let Some(link) = &self.link else { return Vec::new() };
+        let to_status = |member: &lycheelatch_peers::Member| MemberStatus {
+            node: member.id.clone(),
+            zone: member.zone.clone(),
+            state: member_state(member.state).to_owned(),
+            addr: member.addr.to_string(),
+        };
+        link.members().0.values().map(to_status).collect()
+    }
+
+    fn upstream_state(&self, upstream: &Upstream) -> &'static str {
+        if self.proxy.registry().is_leaving(upstream) { "leaving" } else { "live" }
+    }
+
+    fn upstream_status(&self, upstream: &Upstream) -> UpstreamStatus {
+        UpstreamStatus {
+            upstream: upstream.id().clone(),
+            service: upstream.listed.service.clone(),
+            zone: upstream.listed.zone.clone(),
+            state: self.upstream_state(upstream).to_owned(),
+            in_flight: u64::from(upstream.in_flight()),
+        }
+    }
+
+    fn candidate(&self, upstream: &Upstream, rules: &[&PlacementRule]) -> RouteCandidate {
+        let mut reasons = vec![format!("{} requests in flight", upstream.in_flight())];
+        let mut is_allowed = !self.proxy.registry().is_leaving(upstream);
+        if !is_allowed {
+            reasons.push("is leaving".to_owned());
+        }
+        for rule in rules {
+            let selected = rule.upstreams.matches(&upstream.listed.labels);
+            if rule.effect == Effect::Require && !selected {
+                is_allowed = false;
+                reasons.push(format!("rule {} requires others", rule.name));
+            } else if selected {
+                reasons.push(format!("rule {} selects it", rule.name));
+            }
+        }
+        RouteCandidate {
+            upstream: upstream.id().clone(),
+            zone: upstream.listed.zone.clone(),
+            is_allowed,
+            reasons,
+        }
+    }
+}
+
+fn member_state(state: MemberState) -> &'static str {
+    match state {
+        MemberState::Alive => "alive",
+        MemberState::Suspect => "suspect",
+        MemberState::Leaving => "leaving",
+        MemberState::Dead => "dead",
+    }
+}
+
+fn not_found(kind: &'static str, name: &str) -> ControlError {
+    ControlError::NotFound { kind, name: name.to_owned() }
+}
+
+#[async_trait(?Send)]
+impl NodeControl for Control {
+    async fn status(&self) -> NodeStatus {
+        let upstreams = self.proxy.registry().all();
+        NodeStatus {
+            node: self.id.clone(),
+            zone: self.zone.clone(),
+            region: self.region.clone(),
+            version: env!("CARGO_PKG_VERSION").to_owned(),
+            readiness: self.readiness(),
+            revision: self.current.revision(),
+            key_value_up: self.key_value_up().await,
+            in_flight: self.in_flight(),
+            members: self.members(),
+            upstreams: upstreams.iter().map(|u| self.upstream_status(u)).collect(),
+        }
+    }
+
+    async fn route(&self, query: &RouteQuery) -> Result<RouteExplanation, ControlError> {
+        let config = self.current.get();
+        let service = config.services.get(&query.service);
+        let service = service.ok_or_else(|| not_found("service", query.service.as_str()))?;
+        let mut labels = Labels::default();
+        if let Some(name) = &query.workspace {
+            let workspace = config.workspaces.get(name);
+            labels = workspace.ok_or_else(|| not_found("workspace", name.as_str()))?.labels.clone();
+        }
+        for (key, value) in query.labels.iter() {
+            labels.insert(key.clone(), value.clone());
+        }
+        let rules: Vec<_> =
+            config.rules_of(&service.name).filter(|r| r.requests.matches(&labels)).collect();
+        let upstreams: Vec<_> = self
+            .proxy
+            .registry()
+            .all()
+            .into_iter()
+            .filter(|upstream| upstream.listed.service == service.name)
+            .collect();
+        let candidates: Vec<_> = upstreams.iter().map(|u| self.candidate(u, &rules)).collect();
+        let chosen = upstreams
+            .iter()
+            .zip(&candidates)
+            .filter(|(_, candidate)| candidate.is_allowed)
+            .min_by_key(|(upstream, _)| upstream.in_flight())
+            .map(|(upstream, _)| upstream.id().clone());
+        Ok(RouteExplanation {
+            revision: config.revision,
+            rules: rules.iter().map(|rule| rule.name.to_string()).collect(),
+            labels,
+            chosen,
+            candidates,
+        })
+    }
+
+    async fn drain(&self, target: &DrainTarget) -> Result<DrainAnswer, ControlError> {
+        match target {
+            DrainTarget::Node => {
+                self.health.set_stopping();
+                self.stop_asked.notify_one();
+                Ok(DrainAnswer { in_flight: self.in_flight() })
+            }
+            DrainTarget::Upstream(id) => {
+                let registry = self.proxy.registry();
+                let upstream = registry.all().into_iter().find(|upstream| upstream.id() == id);
+                let upstream = upstream.ok_or_else(|| not_found("upstream", id.as_str()))?;
+                registry.drain(id.clone());
+                Ok(DrainAnswer { in_flight: u64::from(upstream.in_flight()) })
+            }
+        }
+    }
+
+    fn readiness(&self) -> Readiness {
+        match self.health.reason_not_ready() {
+            None => Readiness::Ready,
+            Some(reason) => Readiness::NotReady(reason.to_owned()),
+        }
+    }
+}
--- a/components/daemon/src/health.rs
+++ b/components/daemon/src/health.rs
@@ -13,9 +13,21 @@
 impl Health {
     /// Returns whether the node takes traffic.
     pub fn is_ready(&self) -> bool {
-        self.has_config.load(Ordering::Relaxed)
-            && self.has_upstreams.load(Ordering::Relaxed)
-            && !self.is_stopping()
+        self.reason_not_ready().is_none()
+    }
+
+    /// Returns why the node takes no traffic.
+    pub fn reason_not_ready(&self) -> Option<&'static str> {
+        if self.is_stopping() {
+            return Some("the node is stopping");
+        }
+        if !self.has_config.load(Ordering::Relaxed) {
+            return Some("the node does not have the latest configuration yet");
+        }
+        if !self.has_upstreams.load(Ordering::Relaxed) {
+            return Some("the instance list was not read yet");
+        }
+        None
     }
 
     /// Returns whether the node stops.
@@ -23,6 +35,11 @@
         self.is_stopping.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the latest configuration is in force.
+    pub(crate) fn has_config(&self) -> bool {
+        self.has_config.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn set_config(&self) {
         self.has_config.store(true, Ordering::Relaxed);
     }
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -4,10 +4,12 @@
 mod cli;
 mod clients;
 mod config_task;
+mod control;
 mod error;
 mod health;
 mod logging;
 mod node;
+mod operators;
 mod registry_task;
 mod signals;
 
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -5,7 +5,11 @@
 use actix_web::{dev::ServerHandle, rt};
 use lycheelatch_claims::{Claims, ClaimsConfig};
 use lycheelatch_config::{ConfigStore, CurrentConfig};
-use lycheelatch_peers::{IdentityCheck, PeerLink, PeersConfig, Pem, QuicLink, TlsFiles};
+use lycheelatch_operator::OperatorApi;
+use lycheelatch_peers::{
+    ConfigSpread, IdentityCheck, PeerLink, PeersConfig, Pem, QuicLink, TlsFiles,
+};
+use lycheelatch_platform::CallClass;
 use lycheelatch_prelude::NodeId;
 use lycheelatch_proxy::{
     AdmitInFlight, HandoverReport, HttpConnect, LeastInFlight, Proxy, ProxyMetrics, ProxyParts,
@@ -13,11 +17,15 @@
 };
 use lycheelatch_settings::Settings;
 use tokio::{
+    sync::Notify,
     task::JoinHandle,
     time::{Instant, sleep},
 };
 
-use crate::{Health, StartError, callers, clients::Clients, config_task, registry_task};
+use crate::{
+    Health, StartError, callers, clients::Clients, config_task, control::Control, operators,
+    registry_task,
+};
 
 /// Time between two looks at the requests that are still open.
 const STOP_POLL: Duration = Duration::from_millis(20);
@@ -32,13 +40,16 @@
 pub struct Node {
     id: NodeId,
     callers: SocketAddr,
+    operators: SocketAddr,
     health: Arc<Health>,
     proxy: Arc<Proxy>,
     current: Arc<CurrentConfig>,
     link: Option<Arc<QuicLink>>,
     servers: Vec<ServerHandle>,
     tasks: Vec<JoinHandle<()>>,
+    stop_asked: Arc<Notify>,
     notice: Duration,
+    _spread: Option<ConfigSpread>,
 }
 
 /// Returns the settings of the links to other nodes.
@@ -74,41 +85,45 @@
         let metrics = prometheus::Registry::new();
         let health = Arc::new(Health::default());
         let current = Arc::new(CurrentConfig::new());
-        let clients = Clients::new(&settings.platform);
         let id = peers.as_ref().map(|cfg| cfg.node.clone());
         let id = id.or_else(|| settings.node.clone()).unwrap_or_else(new_node_id);
         let link = match peers {
             Some(cfg) => Some(QuicLink::start(cfg, &metrics).await.map_err(StartError::Peers)?),
             None => None,
         };
+        let clients = Clients::new(&settings.platform, &metrics)?;
         let claims = Arc::new(claims_of(&clients, link.clone()));
         let registry = Arc::new(Registry::new(Arc::new(HttpConnect)));
-        let proxy = Arc::new(Proxy::new(ProxyParts {
-            config: {
-                let current = current.clone();
-                Arc::new(move || current.get())
-            },
-            registry: registry.clone(),
-            claims: claims.clone(),
-            admit: Arc::new(AdmitInFlight::new(registry.clone())),
-            place: Arc::new(LeastInFlight::new(registry.clone())),
-            retry: Arc::new(RetryFixed),
-            metrics: ProxyMetrics::new(&metrics)?,
-            max_kept_answer_bytes: usize::try_from(settings.callers.max_kept_answer_bytes)
-                .unwrap_or(usize::MAX),
-        }));
+        let proxy = proxy_of(&settings, &current, &claims, &registry, &metrics)?;
         if let Some(link) = &link {
             proxy.join_peers(link.clone() as Arc<dyn PeerLink>);
         }
-        let (server, callers) = callers::serve(&settings.callers, &settings.stop, proxy.clone())?;
-        let handle = server.handle();
-        rt::spawn(server);
-        let tasks = vec![
-            rt::spawn(config_task::watch(
-                ConfigStore::new(clients.kv.clone()),
-                current.clone(),
-                health.clone(),
-            )),
+        let store = Arc::new(ConfigStore::new(clients.budget.class(CallClass::Configuration)));
+        let stop_asked = Arc::new(Notify::new());
+        let api = Arc::new(OperatorApi {
+            store: store.clone(),
+            current: current.clone(),
+            node: Arc::new(Control {
+                id: id.clone(),
+                zone: settings.zone.clone(),
+                region: settings.region.clone(),
+                health: health.clone(),
+                current: current.clone(),
+                proxy: proxy.clone(),
+                link: link.clone().map(|link| link as Arc<dyn PeerLink>),
+                kv: clients.budget.class(CallClass::Configuration),
+                stop_asked: stop_asked.clone(),
+            }),
+            tokens: operators::tokens(&settings.operators)?,
+            registry: metrics.clone(),
+        });
+        let (caller_server, callers) =
+            callers::serve(&settings.callers, &settings.stop, proxy.clone())?;
+        let (operator_server, operators) = operators::serve(&settings.operators, api)?;
+        let servers = vec![caller_server.handle(), operator_server.handle()];
+        rt::spawn(caller_server);
+        rt::spawn(operator_server);
+        let mut tasks = vec![
             rt::spawn(registry_task::poll(
                 clients.instances.clone(),
                 registry,
@@ -118,17 +133,38 @@
             )),
             rt::spawn(async move { claims.maintain().await }),
         ];
-        log::info!("node: {id} serves callers on {callers}");
+        let spread = match &link {
+            Some(link) => {
+                let members = link.watch_members();
+                tasks.push(rt::spawn(config_task::share_budget(members, clients.budget)));
+                let link = link.clone() as Arc<dyn PeerLink>;
+                let spread = ConfigSpread::start(link, store, current.clone(), &metrics)?;
+                tasks.push(rt::spawn(config_task::await_ready(
+                    spread.watch_ready(),
+                    health.clone(),
+                )));
+                Some(spread)
+            }
+            None => {
+                let watch = config_task::watch(store, current.clone(), health.clone());
+                tasks.push(rt::spawn(watch));
+                None
+            }
+        };
+        log::info!("node: {id} serves callers on {callers} and operators on {operators}");
         Ok(Node {
             id,
             callers,
+            operators,
             health,
             proxy,
             current,
             link,
-            servers: vec![handle],
+            servers,
             tasks,
+            stop_asked,
             notice: settings.stop.notice,
+            _spread: spread,
         })
     }
 
@@ -142,6 +178,16 @@
         self.callers
     }
 
+    /// Returns the address of the operators' port.
+    pub fn operators(&self) -> SocketAddr {
+        self.operators
+    }
+
+    /// Waits until an operator asks the node to stop.
+    pub async fn stop_asked(&self) {
+        self.stop_asked.notified().await;
+    }
+
     /// Returns whether the node takes traffic.
     pub fn health(&self) -> &Arc<Health> {
         &self.health
@@ -198,8 +244,29 @@
     }
 }
 
+fn proxy_of(
+    settings: &Settings,
+    current: &Arc<CurrentConfig>,
+    claims: &Arc<Claims>,
+    registry: &Arc<Registry>,
+    metrics: &prometheus::Registry,
+) -> Result<Arc<Proxy>, StartError> {
+    let current = current.clone();
+    let max_kept = settings.callers.max_kept_answer_bytes;
+    Ok(Arc::new(Proxy::new(ProxyParts {
+        config: Arc::new(move || current.get()),
+        registry: registry.clone(),
+        claims: claims.clone(),
+        admit: Arc::new(AdmitInFlight::new(registry.clone())),
+        place: Arc::new(LeastInFlight::new(registry.clone())),
+        retry: Arc::new(RetryFixed),
+        metrics: ProxyMetrics::new(metrics)?,
+        max_kept_answer_bytes: usize::try_from(max_kept).unwrap_or(usize::MAX),
+    })))
+}
+
 fn claims_of(clients: &Clients, link: Option<Arc<QuicLink>>) -> Claims {
-    let (kv, cfg) = (clients.kv.clone(), ClaimsConfig::default());
+    let (kv, cfg) = (clients.budget.class(CallClass::Claims), ClaimsConfig::default());
     match link {
         Some(link) => Claims::with_peers(kv, cfg, link as Arc<dyn PeerLink>),
         None => Claims::new(kv, cfg),
--- a/components/daemon/src/registry_task.rs
+++ b/components/daemon/src/registry_task.rs
@@ -3,13 +3,16 @@
 use std::{sync::Arc, time::Duration};
 
 use lycheelatch_config::CurrentConfig;
-use lycheelatch_platform::InstanceList;
+use lycheelatch_platform::{InstanceList, ListedInstance};
 use lycheelatch_proxy::Registry;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep_until};
 
 use crate::Health;
 
 /// Reads the instance list again and again; while it fails, the last one stays.
+///
+/// A new revision of the configuration takes the last list over at once, since
+/// it may name other services.
 pub(crate) async fn poll(
     list: Arc<dyn InstanceList>,
     registry: Arc<Registry>,
@@ -17,20 +20,32 @@
     health: Arc<Health>,
     interval: Duration,
 ) {
-    let mut was_failing = false;
+    let mut revisions = current.subscribe();
+    let mut last = None;
     loop {
-        match list.list().await {
-            Ok(listed) => {
-                registry.update(&current.get(), listed);
-                health.set_upstreams();
-                was_failing = false;
+        read(list.as_ref(), &mut last).await;
+        let next_read = Instant::now() + interval;
+        loop {
+            // Asked before the update, so that the update has the configuration.
+            let has_config = health.has_config();
+            revisions.borrow_and_update();
+            if let Some(listed) = &last {
+                registry.update(&current.get(), listed.clone());
+                if has_config {
+                    health.set_upstreams();
+                }
             }
-            Err(err) if !was_failing => {
-                log::warn!("instances: the list can't be read: {err}");
-                was_failing = true;
+            tokio::select! {
+                () = sleep_until(next_read) => break,
+                Ok(()) = revisions.changed() => {}
             }
-            Err(_) => {}
         }
-        sleep(interval).await;
+    }
+}
+
+async fn read(list: &dyn InstanceList, last: &mut Option<Vec<ListedInstance>>) {
+    match list.list().await {
+        Ok(listed) => *last = Some(listed),
+        Err(err) => log::warn!("instances: the list can't be read, the last one stays: {err}"),
     }
 }
--- a/components/proxy/src/registry.rs
+++ b/components/proxy/src/registry.rs
@@ -54,6 +54,7 @@
     connect: Arc<dyn Connect>,
     by_service: ArcSwap<ByService>,
     leaving: RwLock<HashSet<InstanceId>>,
+    drained: RwLock<HashSet<UpstreamId>>,
 }
 
 impl Registry {
@@ -63,6 +64,7 @@
             connect,
             by_service: ArcSwap::from_pointee(ByService::new()),
             leaving: RwLock::default(),
+            drained: RwLock::default(),
         }
     }
 
@@ -99,10 +101,16 @@
         *self.leaving.write().unwrap() = leaving;
     }
 
+    /// Sends no new work of this node to an upstream from now on.
+    pub fn drain(&self, upstream: UpstreamId) {
+        self.drained.write().unwrap().insert(upstream);
+    }
+
     /// Returns whether an upstream takes no new work.
     pub fn is_leaving(&self, upstream: &Upstream) -> bool {
         upstream.listed.state == ListedState::Leaving
             || self.leaving.read().unwrap().contains(&upstream.listed.instance)
+            || self.drained.read().unwrap().contains(upstream.id())
     }
 
     /// Returns the upstreams of a service that take new work.
