Admit, place and retry by policy

Cause: the proxy admitted by a count and placed by fewest in flight. Change: admission, placement and retries of components/policy behind the proxy's traits; requests wait for their turn; an attempt is counted until it is dropped; engines' reports and cache events are read by the nodes, at most 24 engines a node. Small changes to the proxy's traits: Place::adopt replaces observe, Permit learns the outcome, Registry counts its changes. Figures (tests/load.rs): half of six upstreams killed, proxy retries within 20 of 100 fresh, at least 290 of 300 done; 500 callers' retries after 100 fresh requests: at most 20 run, the rest refused as not-run.

--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -8,8 +8,8 @@
 use lycheelatch_peers::{IdentityCheck, PeerLink, PeersConfig, Pem, QuicLink, TlsFiles};
 use lycheelatch_prelude::NodeId;
 use lycheelatch_proxy::{
-    AdmitInFlight, HttpConnect, LeastInFlight, Proxy, ProxyMetrics, ProxyParts, Registry,
-    RetryFixed,
+    AdmitByPolicy, HttpConnect, LoadControl, PlaceByPolicy, Proxy, ProxyMetrics, ProxyParts,
+    Registry, RetryByPolicy, poll_engines, seed_of,
 };
 use lycheelatch_settings::Settings;
 use tokio::{
@@ -83,6 +83,8 @@
         };
         let claims = Arc::new(claims_of(&clients, link.clone()));
         let registry = Arc::new(Registry::new(Arc::new(HttpConnect)));
+        let seed = seed_of(&id);
+        let load = Arc::new(LoadControl::new(registry.clone(), settings.zone.clone(), seed));
         let proxy = Arc::new(Proxy::new(ProxyParts {
             config: {
                 let current = current.clone();
@@ -90,9 +92,9 @@
             },
             registry: registry.clone(),
             claims: claims.clone(),
-            admit: Arc::new(AdmitInFlight::new(registry.clone())),
-            place: Arc::new(LeastInFlight::new(registry.clone())),
-            retry: Arc::new(RetryFixed),
+            admit: Arc::new(AdmitByPolicy::new(load.clone())),
+            place: Arc::new(PlaceByPolicy::new(load.clone())),
+            retry: Arc::new(RetryByPolicy::new(load.clone())),
             metrics: ProxyMetrics::new(&metrics)?,
             max_kept_answer_bytes: usize::try_from(settings.callers.max_kept_answer_bytes)
                 .unwrap_or(usize::MAX),
@@ -114,6 +116,7 @@
                 settings.platform.instances.poll,
             )),
             rt::spawn(async move { claims.maintain().await }),
+            rt::spawn(poll_engines(load, id.clone())),
         ];
         log::info!("node: {id} serves callers on {callers}");
         Ok(Node {
--- a/components/policy/src/admission/mod.rs
+++ b/components/policy/src/admission/mod.rs
@@ -263,13 +263,7 @@
     /// Call it until it returns `None` after each release, each change of
     /// capacity and at [`Admission::next_wakeup`].
     pub fn next(&mut self, now: Instant) -> Option<Turn> {
-        let names: Vec<ServiceName> = self
-            .services
-            .iter()
-            .filter(|(_, state)| !state.queue.is_empty())
-            .map(|(name, _)| name.clone())
-            .collect();
-        names.into_iter().find_map(|name| self.next_of(now, &name))
+        self.waiting_services().into_iter().find_map(|name| self.next_of(now, &name))
     }
 
     fn next_of(&mut self, now: Instant, service: &ServiceName) -> Option<Turn> {
@@ -341,10 +335,27 @@
 
     /// Draws a retry by the proxy itself from the budgets of a permit.
     pub fn draw_retry(&mut self, now: Instant, permit: &Permit) -> bool {
-        let Some(state) = self.services.get_mut(&permit.service) else {
+        self.draw_retry_for(now, &permit.service, &permit.workspace, permit.cost)
+    }
+
+    /// Draws a retry of this cost by the proxy itself from the budgets.
+    pub fn draw_retry_for(
+        &mut self,
+        now: Instant,
+        service: &ServiceName,
+        workspace: &WorkspaceName,
+        cost: u64,
+    ) -> bool {
+        let Some(state) = self.services.get_mut(service) else {
             return false;
         };
-        state.budgets(&permit.workspace).try_retry(now, permit.cost)
+        state.budgets(workspace).try_retry(now, cost)
+    }
+
+    /// Returns the services for which requests wait.
+    pub fn waiting_services(&self) -> Vec<ServiceName> {
+        let waiting = self.services.iter().filter(|(_, state)| !state.queue.is_empty());
+        waiting.map(|(name, _)| name.clone()).collect()
     }
 
     /// Returns the time that a request of a service runs, in the mean.
--- a/components/policy/src/limit.rs
+++ b/components/policy/src/limit.rs
@@ -157,8 +157,7 @@
     pub fn finish(&mut self, now: Instant, cost: u64, pace: Pace) {
         let bound = !self.has_room() || self.in_flight as f64 >= BOUND_SHARE * self.limit;
         self.follow_peak(now);
-        self.in_flight = self.in_flight.saturating_sub(cost);
-        self.requests = self.requests.saturating_sub(1);
+        self.abandon(cost);
         match pace {
             Pace::InTime if bound => self.grow(now, cost),
             Pace::InTime => {}
@@ -167,6 +166,12 @@
         }
     }
 
+    /// Counts a request that ended without telling anything.
+    pub fn abandon(&mut self, cost: u64) {
+        self.in_flight = self.in_flight.saturating_sub(cost);
+        self.requests = self.requests.saturating_sub(1);
+    }
+
     /// Learns from the upstream's report of the requests of all nodes there.
     pub fn report(&mut self, now: Instant, running: u32, waiting: u32) {
         let (running, waiting) = (f64::from(running), f64::from(waiting));
--- a/components/policy/src/placement/candidate.rs
+++ b/components/policy/src/placement/candidate.rs
@@ -63,6 +63,8 @@
     pub avoid_zone: Option<&'a ZoneName>,
     /// Whether the request may try an upstream that failed lately.
     pub may_try: bool,
+    /// Whether it goes beyond a limit rather than being refused: it was accepted before.
+    pub may_exceed: bool,
 }
 
 impl PlacementRequest<'_> {
--- a/components/policy/src/placement/fleet_view.rs
+++ b/components/policy/src/placement/fleet_view.rs
@@ -232,6 +232,11 @@
         }
     }
 
+    /// Returns the identities of all upstreams.
+    pub(crate) fn ids(&self) -> impl Iterator<Item = &UpstreamId> {
+        self.by_id.keys()
+    }
+
     /// Returns the slot of an upstream.
     pub(crate) fn slot(&self, id: &UpstreamId) -> Option<u32> {
         self.by_id.get(id).copied()
--- a/components/policy/src/placement/mod.rs
+++ b/components/policy/src/placement/mod.rs
@@ -8,7 +8,7 @@
 mod score;
 mod upstream;
 
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
 use lycheelatch_config::{PlacementRule, Service, ServiceKind, Snapshot};
 use lycheelatch_prelude::{ServiceName, UpstreamId};
@@ -97,6 +97,11 @@
         self.fleet.put(now, service, candidate)
     }
 
+    /// Returns the identities of all upstreams.
+    pub fn upstreams(&self) -> HashSet<UpstreamId> {
+        self.fleet.ids().cloned().collect()
+    }
+
     /// Forgets an upstream.
     pub fn remove(&mut self, id: &UpstreamId) {
         self.fleet.remove(id);
@@ -218,6 +223,18 @@
         }
     }
 
+    /// Counts a request that ended without telling anything of the upstream.
+    pub fn abandoned(&mut self, mut sent: Sent) {
+        self.first_token(&mut sent);
+        let Some(slot) = self.fleet.slot_of_stay(sent.slot, sent.stay) else {
+            return;
+        };
+        if let Some((view, known)) = self.fleet.view_of(slot) {
+            view.rules.count(known.position, false);
+        }
+        self.fleet.change(slot, |known| known.limit.abandon(sent.cost));
+    }
+
     /// Counts a request that ended and learns from how it went.
     pub fn finished(&mut self, mut sent: Sent, now: Instant, seen: Observation) {
         self.first_token(&mut sent);
@@ -354,7 +371,7 @@
     for position in positions {
         let slot = scoring.view.slots[position];
         let known = fleet.known(slot);
-        if !known.limit.has_room() {
+        if !known.limit.has_room() && !scoring.req.may_exceed {
             continue;
         }
         let score = scoring.score(slot, known, affinity(position));
--- a/components/policy/src/retry.rs
+++ b/components/policy/src/retry.rs
@@ -89,21 +89,35 @@
         cx: &TryContext,
         draw: impl FnOnce() -> bool,
     ) -> RetryDecision {
-        match self.obstacle(now, failed, cx) {
-            Some(why) => RetryDecision::GiveUp(why),
-            None if !draw() => RetryDecision::GiveUp(GiveUp::Budget),
-            None => RetryDecision::Elsewhere {
+        if failed.answered {
+            return RetryDecision::GiveUp(GiveUp::Answered);
+        }
+        match self.may_retry(now, failed.reached, cx, draw) {
+            Err(why) => RetryDecision::GiveUp(why),
+            Ok(()) => RetryDecision::Elsewhere {
                 exclude: failed.upstream.clone(),
                 avoid_zone: failed.zone.clone(),
             },
         }
     }
 
-    fn obstacle(&self, now: Instant, failed: &FailedTry, cx: &TryContext) -> Option<GiveUp> {
-        if failed.answered {
-            return Some(GiveUp::Answered);
+    /// Returns whether an attempt without any answer is made again.
+    pub fn may_retry(
+        &self,
+        now: Instant,
+        reached: Reached,
+        cx: &TryContext,
+        draw: impl FnOnce() -> bool,
+    ) -> Result<(), GiveUp> {
+        match self.obstacle(now, reached, cx) {
+            Some(why) => Err(why),
+            None if !draw() => Err(GiveUp::Budget),
+            None => Ok(()),
         }
-        let may_have_run = failed.reached == Reached::MayHaveRun;
+    }
+
+    fn obstacle(&self, now: Instant, reached: Reached, cx: &TryContext) -> Option<GiveUp> {
+        let may_have_run = reached == Reached::MayHaveRun;
         if may_have_run && cx.idempotency == Idempotency::NonIdempotent {
             return Some(GiveUp::MayHaveRun);
         }
--- a/components/policy/tests/support/overload.rs
+++ b/components/policy/tests/support/overload.rs
@@ -551,6 +551,7 @@
             exclude,
             avoid_zone: avoid,
             may_try: true,
+            may_exceed: state.tries > 0,
         };
         let Ok(choice) = node.placement.choose(now, &req) else {
             self.report.placement_full += 1;
--- a/components/proxy/src/admit.rs
+++ b/components/proxy/src/admit.rs
@@ -9,11 +9,20 @@
 };
 
 use async_trait::async_trait;
+use lycheelatch_prelude::Outcome;
 
 use crate::{Filter, Flow, Record, Refusal, RefusalReason, Registry};
 
 /// Room that an admitted request takes up until it is dropped.
-pub trait Permit {}
+pub trait Permit {
+    /// Learns what became of the request, before it is dropped.
+    fn settled(&mut self, _outcome: Outcome) {}
+
+    /// Returns whether the request was taken for a retry of an earlier one.
+    fn is_retried(&self) -> bool {
+        false
+    }
+}
 
 /// Time after which a refused caller is told to try again.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/components/proxy/src/load/admit.rs
@@ -0,0 +1,171 @@
+//! Admission by policy: a request runs, waits for its turn or is refused.
+
+use std::{sync::Arc, time::Duration};
+
+use async_trait::async_trait;
+use lycheelatch_policy::{Admit, Ask, Fingerprint, Permit as Leave, RefusalReason as Why, Ticket};
+use lycheelatch_prelude::Outcome;
+use tokio::{
+    sync::oneshot,
+    time::{Instant, timeout_at},
+};
+
+use super::{LoadControl, prompt::Prompt};
+use crate::{Filter, Flow, Kind, Permit, Record, Refusal, RefusalReason};
+
+/// Time between looks at the queue by a request whose turn is overdue.
+const OVERDUE_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Admits requests by the admission policy.
+pub struct AdmitByPolicy(Arc<LoadControl>);
+
+impl AdmitByPolicy {
+    /// Creates the filter.
+    pub fn new(control: Arc<LoadControl>) -> AdmitByPolicy {
+        AdmitByPolicy(control)
+    }
+}
+
+/// Room of an admitted request.
+struct HeldPermit {
+    control: Arc<LoadControl>,
+    leave: Option<Leave>,
+    outcome: Outcome,
+}
+
+impl Permit for HeldPermit {
+    fn settled(&mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+
+    fn is_retried(&self) -> bool {
+        self.leave.as_ref().is_some_and(Leave::is_retried)
+    }
+}
+
+impl Drop for HeldPermit {
+    fn drop(&mut self) {
+        if let Some(leave) = self.leave.take() {
+            let now = Instant::now();
+            let mut state = self.control.lock();
+            state.admission.release(leave, now, self.outcome);
+            state.pump(now);
+        }
+    }
+}
+
+/// Place in the queue; given up when the caller leaves.
+struct InQueue {
+    control: Arc<LoadControl>,
+    ticket: Ticket,
+}
+
+impl Drop for InQueue {
+    fn drop(&mut self) {
+        let mut state = self.control.lock();
+        // Still waiting only if its caller has left.
+        if state.waiting.remove(&self.ticket).is_some() {
+            state.admission.cancel(Instant::now(), self.ticket);
+        }
+    }
+}
+
+#[async_trait(?Send)]
+impl Filter for AdmitByPolicy {
+    async fn apply(&self, rec: &mut Record) -> Result<Flow, Refusal> {
+        let now = Instant::now();
+        let ask = ask(rec, now);
+        let queued = {
+            let mut state = self.0.lock();
+            self.0.sync(&mut state, &rec.config, now);
+            state.update_capacities([&ask.service].into_iter());
+            let admit = state.admission.offer(now, ask);
+            match admit {
+                Admit::Run(leave) => Ok(leave),
+                Admit::Refused(refusal) => return Err(refuse(rec, refusal)),
+                Admit::Queued(ticket) => {
+                    let (tx, rx) = oneshot::channel();
+                    state.waiting.insert(ticket, tx);
+                    state.pump(now);
+                    Err((ticket, rx))
+                }
+            }
+        };
+        let leave = match queued {
+            Ok(leave) => leave,
+            Err((ticket, rx)) => self.wait(rec, ticket, rx).await?,
+        };
+        let (control, leave) = (self.0.clone(), Some(leave));
+        rec.permit = Some(Box::new(HeldPermit { control, leave, outcome: Outcome::Unknown }));
+        Ok(Flow::Continue)
+    }
+}
+
+impl AdmitByPolicy {
+    /// Waits until the turn of a request has come or it is dropped.
+    async fn wait(
+        &self,
+        rec: &Record,
+        ticket: Ticket,
+        mut rx: oneshot::Receiver<Result<Leave, lycheelatch_policy::Refusal>>,
+    ) -> Result<Leave, Refusal> {
+        let _in_queue = InQueue { control: self.0.clone(), ticket };
+        let longest = Duration::from_millis(rec.service().limits.max_queue_ms);
+        let now = Instant::now();
+        let mut until = (now + longest).min(now + rec.time_left(now).min(longest));
+        loop {
+            match timeout_at(until, &mut rx).await {
+                Ok(Ok(Ok(leave))) => return Ok(leave),
+                Ok(Ok(Err(refusal))) => return Err(refuse(rec, refusal)),
+                Ok(Err(_)) => return Err(Refusal::not_run(RefusalReason::Overloaded)),
+                Err(_) => {
+                    let now = Instant::now();
+                    self.0.lock().pump(now);
+                    until = now + OVERDUE_INTERVAL;
+                }
+            }
+        }
+    }
+}
+
+fn ask(rec: &Record, now: Instant) -> Ask {
+    Ask {
+        request: rec.id().clone(),
+        workspace: rec.workspace().name.clone(),
+        service: rec.service().name.clone(),
+        attempt: rec.head.attempt,
+        fingerprint: fingerprint(rec),
+        failed_before: false,
+        deadline: rec.deadline.unwrap_or(now),
+        cost_tokens: Prompt::of(rec).cost(),
+        priority: rec.head.priority,
+    }
+}
+
+/// Digest by which the request is known when it comes again.
+fn fingerprint(rec: &Record) -> Option<Fingerprint> {
+    let workspace = &rec.workspace().name;
+    if let Some(key) = &rec.head.key {
+        return Some(Fingerprint::of_key(workspace, key));
+    }
+    if rec.head.has_own_id {
+        return Some(Fingerprint::of_request_id(workspace, rec.id()));
+    }
+    let path = match &rec.kind {
+        Kind::Model { path, .. } | Kind::Plain { path, .. } => path,
+    };
+    rec.body.as_ref().map(|body| Fingerprint::of_body(workspace, path, body))
+}
+
+fn refuse(rec: &Record, refusal: lycheelatch_policy::Refusal) -> Refusal {
+    let reason = match refusal.reason {
+        Why::Overloaded => RefusalReason::Overloaded,
+        Why::Deadline => RefusalReason::DeadlinePassed,
+        Why::RetryBudget => RefusalReason::RetryLimited,
+        Why::WorkspaceRate | Why::WorkspaceInFlight => RefusalReason::WorkspaceLimited,
+        Why::UnknownService | Why::NoUpstream => {
+            RefusalReason::NoUpstream(rec.service().name.clone())
+        }
+    };
+    Refusal::not_run(reason).retry_after(refusal.retry_after)
+}
--- /dev/null
+++ b/components/proxy/src/load/mod.rs
@@ -0,0 +1,168 @@
+//! Admission, placement and retries by the policies of `lycheelatch-policy`.
+
+mod admit;
+mod place;
+mod poll;
+mod prompt;
+mod retry;
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicUsize, atomic::Ordering},
+};
+
+use lycheelatch_config::Snapshot;
+use lycheelatch_policy::{
+    Admission, Candidate, CandidateState, Explanation, Permit, Placement, PlacementRequest,
+    Refusal, Ticket, Turn,
+};
+use lycheelatch_prelude::{Revision, ServiceName, UpstreamId, ZoneName};
+use lycheelatch_upstream::{CacheEvents, LoadReport};
+use tokio::{sync::oneshot, time::Instant};
+
+use crate::{Registry, Upstream};
+
+pub use admit::AdmitByPolicy;
+pub use place::PlaceByPolicy;
+pub use poll::{poll_engines, seed_of};
+pub use retry::RetryByPolicy;
+
+/// Price of an instance whose price is not known, per hour.
+const UNKNOWN_PRICE: f64 = 0.0;
+
+/// What became of a waiting request.
+type TurnSender = oneshot::Sender<Result<Permit, Refusal>>;
+
+/// The policies and who waits for their decisions.
+struct State {
+    admission: Admission,
+    placement: Placement,
+    waiting: HashMap<Ticket, TurnSender>,
+    seen: Option<(Revision, u64, usize)>,
+}
+
+/// Decisions under load of one node, shared by its admission, placement and retries.
+pub struct LoadControl {
+    registry: Arc<Registry>,
+    zone: ZoneName,
+    nodes: AtomicUsize,
+    state: Mutex<State>,
+}
+
+impl LoadControl {
+    /// Creates the decisions of a node in `zone`; `seed` decides its random picks.
+    pub fn new(registry: Arc<Registry>, zone: ZoneName, seed: u64) -> LoadControl {
+        LoadControl {
+            registry,
+            zone,
+            nodes: AtomicUsize::new(1),
+            state: Mutex::new(State {
+                admission: Admission::new(seed),
+                placement: Placement::new(seed),
+                waiting: HashMap::new(),
+                seen: None,
+            }),
+        }
+    }
+
+    /// Sets how many nodes share the rates of the workspaces.
+    pub fn set_nodes(&self, nodes: usize) {
+        self.nodes.store(nodes.max(1), Ordering::Relaxed);
+    }
+
+    /// Takes an upstream's load report in.
+    pub fn report(&self, id: &UpstreamId, report: &LoadReport) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        state.placement.report(id, now, report);
+        state.pump(now);
+    }
+
+    /// Takes an upstream's cache events in.
+    pub fn cache_events(&self, id: &UpstreamId, events: &CacheEvents) {
+        self.lock().placement.cache_events(id, Instant::now(), events);
+    }
+
+    /// Explains where a request would go, and why.
+    pub fn explain(&self, config: &Snapshot, req: &PlacementRequest<'_>) -> Explanation {
+        let mut state = self.lock();
+        self.sync(&mut state, config, Instant::now());
+        state.placement.explain(Instant::now(), req)
+    }
+
+    /// Returns the availability zone of the node.
+    pub fn zone(&self) -> &ZoneName {
+        &self.zone
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        // A panic within a decision leaves counts that are a little off, not unusable ones.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes over the configuration and the upstreams, if either has changed.
+    fn sync(&self, state: &mut State, config: &Snapshot, now: Instant) {
+        let nodes = self.nodes.load(Ordering::Relaxed);
+        let seen = Some((config.revision, self.registry.changes(), nodes));
+        let is_older = state.seen.is_some_and(|(revision, ..)| config.revision < revision);
+        if state.seen == seen || is_older {
+            return;
+        }
+        state.admission.configure(config, nodes);
+        state.placement.configure(config);
+        let mut gone = state.placement.upstreams();
+        for upstream in self.registry.all() {
+            gone.remove(upstream.id());
+            state.placement.put(now, &upstream.listed.service, self.candidate(&upstream));
+        }
+        for id in gone {
+            state.placement.remove(&id);
+        }
+        state.seen = seen;
+        state.update_capacities(config.services.keys());
+        state.pump(now);
+    }
+
+    fn candidate(&self, upstream: &Upstream) -> Candidate {
+        let listed = &upstream.listed;
+        let is_leaving = self.registry.is_leaving(upstream);
+        Candidate {
+            id: listed.upstream.clone(),
+            zone: listed.zone.clone(),
+            region: listed.region.clone(),
+            labels: listed.labels.clone(),
+            price_per_hour: UNKNOWN_PRICE,
+            reclaimable: listed.purchase == lycheelatch_platform::Purchase::Reclaimable,
+            state: if is_leaving { CandidateState::Leaving } else { CandidateState::Live },
+        }
+    }
+}
+
+impl State {
+    /// Starts and drops what waits, as far as its turn has come.
+    fn pump(&mut self, now: Instant) {
+        let services = self.admission.waiting_services();
+        self.update_capacities(services.iter());
+        while let Some(turn) = self.admission.next(now) {
+            let (ticket, result) = match turn {
+                Turn::Start(ticket, permit) => (ticket, Ok(permit)),
+                Turn::Drop(ticket, refusal) => (ticket, Err(refusal)),
+            };
+            let unheard = match self.waiting.remove(&ticket) {
+                Some(tx) => tx.send(result),
+                None => Err(result),
+            };
+            if let Err(Ok(permit)) = unheard {
+                let outcome = lycheelatch_prelude::Outcome::NotRun;
+                self.admission.release(permit, now, outcome);
+            }
+        }
+    }
+
+    fn update_capacities<'a>(&mut self, services: impl Iterator<Item = &'a ServiceName>) {
+        for service in services {
+            let units = self.placement.capacity(service);
+            self.admission.set_capacity(service, units);
+        }
+    }
+}
--- /dev/null
+++ b/components/proxy/src/load/poll.rs
@@ -0,0 +1,89 @@
+//! Reads the load reports and cache events of engines.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use futures_util::future::join_all;
+use lycheelatch_prelude::{NodeId, Sequence, UpstreamId};
+use lycheelatch_upstream::{Engine, UpstreamError};
+use tokio::time::{sleep, timeout};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use super::LoadControl;
+use crate::Target;
+
+/// Time between readings of one engine.
+const POLL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Longest time that a reading takes.
+const POLL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Most engines that one node reads; each node reads others.
+const MAX_POLLED: usize = 24;
+
+/// Returns the seed of a node's random picks.
+pub fn seed_of(node: &NodeId) -> u64 {
+    xxh3_64(node.as_str().as_bytes())
+}
+
+/// Reads the load reports and cache events of this node's engines again and again.
+pub async fn poll_engines(control: Arc<LoadControl>, node: NodeId) {
+    let seed = seed_of(&node);
+    let mut after: HashMap<UpstreamId, Sequence> = HashMap::new();
+    loop {
+        let engines = engines(&control, seed);
+        after.retain(|id, _| engines.iter().any(|(engine, _)| engine == id));
+        let readings = engines.iter().map(|(id, engine)| {
+            let after = after.get(id).copied().unwrap_or_default();
+            read(&control, id, engine.as_ref(), after)
+        });
+        for (id, last) in join_all(readings).await.into_iter().flatten() {
+            after.insert(id, last);
+        }
+        sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Returns the engines that this node reads.
+fn engines(control: &LoadControl, seed: u64) -> Vec<(UpstreamId, Arc<dyn Engine>)> {
+    let mut engines: Vec<(UpstreamId, Arc<dyn Engine>)> = control
+        .registry
+        .all()
+        .iter()
+        .filter_map(|upstream| match &upstream.target {
+            Target::Engine(engine) => Some((upstream.id().clone(), engine.clone())),
+            Target::Plain(_) => None,
+        })
+        .collect();
+    if engines.len() > MAX_POLLED {
+        engines.sort_by_key(|(id, _)| xxh3_64_with_seed(id.as_str().as_bytes(), seed));
+        engines.truncate(MAX_POLLED);
+    }
+    engines
+}
+
+/// Reads one engine and returns the number of its last cache event.
+async fn read(
+    control: &LoadControl,
+    id: &UpstreamId,
+    engine: &dyn Engine,
+    after: Sequence,
+) -> Option<(UpstreamId, Sequence)> {
+    let reading = async {
+        let report = engine.load_report().await?;
+        control.report(id, &report);
+        let events = engine.cache_events(after).await?;
+        control.cache_events(id, &events);
+        Ok::<Sequence, UpstreamError>(events.last)
+    };
+    match timeout(POLL_TIMEOUT, reading).await {
+        Ok(Ok(last)) => Some((id.clone(), last)),
+        Ok(Err(err)) => {
+            log::debug!("load: {id} does not report: {err}");
+            None
+        }
+        Err(_) => {
+            log::debug!("load: {id} does not report in time");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/components/proxy/src/load/retry.rs
@@ -0,0 +1,42 @@
+//! Retries by policy: one level, within the budget and the deadline.
+
+use std::sync::Arc;
+
+use lycheelatch_policy::{RetryPolicy, TryContext};
+use tokio::time::Instant;
+
+use super::{LoadControl, prompt::Prompt};
+use crate::{Permit, Retry, RetryAsk};
+
+/// Allows retries by the retry policy.
+pub struct RetryByPolicy(Arc<LoadControl>);
+
+impl RetryByPolicy {
+    /// Creates the retries.
+    pub fn new(control: Arc<LoadControl>) -> RetryByPolicy {
+        RetryByPolicy(control)
+    }
+}
+
+impl Retry for RetryByPolicy {
+    fn allow(&self, ask: &RetryAsk<'_>) -> bool {
+        let (rec, now) = (ask.rec, Instant::now());
+        let (service, workspace) = (&rec.service().name, &rec.workspace().name);
+        let mut state = self.0.lock();
+        let cx = TryContext {
+            attempt: rec.head.attempt,
+            retried: rec.permit.as_deref().is_some_and(Permit::is_retried),
+            tries: u32::try_from(ask.attempts).unwrap_or(u32::MAX),
+            idempotency: rec.idempotency,
+            deadline: rec.deadline.unwrap_or(now),
+            expected: state.admission.run_time(service),
+        };
+        let cost = Prompt::of(rec).cost();
+        let draw = || state.admission.draw_retry_for(now, service, workspace, cost);
+        let decision = RetryPolicy.may_retry(now, ask.err.reached(), &cx, draw);
+        if let Err(why) = decision {
+            log::debug!("load: request {} is not tried again: {why}", rec.id());
+        }
+        decision.is_ok()
+    }
+}
--- a/components/proxy/src/model.rs
+++ b/components/proxy/src/model.rs
@@ -307,7 +307,7 @@
         let mut wanted = to.and_then(|id| self.proxy.registry.get(&self.rec.service().name, id));
         loop {
             let placed = match wanted.take() {
-                Some(upstream) => Placed::new(upstream),
+                Some(upstream) => self.adopt(upstream),
                 None => self.place()?,
             };
             self.attempt_started = Instant::now();
@@ -332,6 +332,7 @@
             rec: &self.rec,
             exclude,
             avoid_zone: self.attempts.last_zone.as_ref(),
+            has_begun: self.next > 0,
         };
         let placed = self.proxy.place.place(&ask(&self.attempts.tried));
         // An answer that has begun rather goes back to an upstream that was tried.
@@ -346,6 +347,12 @@
         })
     }
 
+    fn adopt(&self, upstream: Arc<Upstream>) -> Placed {
+        let (exclude, has_begun) = (self.attempts.tried.as_slice(), self.next > 0);
+        let ask = PlaceAsk { rec: &self.rec, exclude, avoid_zone: None, has_begun };
+        self.proxy.place.adopt(&ask, upstream)
+    }
+
     fn attempt_failed(&mut self, placed: &Placed, err: UpstreamError) -> Result<(), Refusal> {
         let seen = Observation {
             ok: false,
@@ -353,7 +360,7 @@
             total: self.attempt_started.elapsed(),
             tokens: 0,
         };
-        self.proxy.place.observe(&placed.upstream, seen);
+        placed.observe(seen);
         self.attempts.failed(&placed.upstream, &err);
         let may_go_on = self.next > 0 && self.attempts.tried.len() < MAX_RESUMES as usize;
         if may_go_on || self.attempts.may_retry(self.proxy.retry.as_ref(), &self.rec, &err) {
@@ -391,7 +398,7 @@
             total: self.attempt_started.elapsed(),
             tokens: self.next,
         };
-        self.proxy.place.observe(&placed.upstream, seen);
+        placed.observe(seen);
     }
 
     /// Tells the upstream that nobody waits any more.
--- a/components/proxy/src/place.rs
+++ b/components/proxy/src/place.rs
@@ -15,19 +15,41 @@
     pub exclude: &'a [UpstreamId],
     /// Availability zone of the last failure, to be avoided if another has room.
     pub avoid_zone: Option<&'a ZoneName>,
+    /// Whether a part of the answer has reached the caller.
+    pub has_begun: bool,
+}
+
+/// An attempt in flight, as its placement counts it until this is dropped.
+pub trait Attempt: Send + Sync {
+    /// Learns what became of the attempt.
+    fn observed(&self, seen: Observation);
 }
 
 /// A chosen upstream; the attempt counts as in flight until this is dropped.
 pub struct Placed {
     /// The upstream.
     pub upstream: Arc<Upstream>,
+    attempt: Option<Box<dyn Attempt>>,
 }
 
 impl Placed {
     /// Counts an attempt as in flight at `upstream`.
     pub fn new(upstream: Arc<Upstream>) -> Placed {
         upstream.started();
-        Placed { upstream }
+        Placed { upstream, attempt: None }
+    }
+
+    /// Counts an attempt that its placement counts as well.
+    pub fn with_attempt(upstream: Arc<Upstream>, attempt: Box<dyn Attempt>) -> Placed {
+        upstream.started();
+        Placed { upstream, attempt: Some(attempt) }
+    }
+
+    /// Tells the placement what became of the attempt.
+    pub fn observe(&self, seen: Observation) {
+        if let Some(attempt) = &self.attempt {
+            attempt.observed(seen);
+        }
     }
 }
 
@@ -50,13 +72,13 @@
     pub tokens: u64,
 }
 
-/// Chooses upstreams and learns from what becomes of the attempts.
+/// Chooses upstreams.
 pub trait Place: Send + Sync {
     /// Chooses an upstream.
     fn place(&self, ask: &PlaceAsk<'_>) -> Result<Placed, Refusal>;
 
-    /// Learns what became of an attempt.
-    fn observe(&self, upstream: &Upstream, seen: Observation);
+    /// Counts an attempt at an upstream that was chosen elsewhere.
+    fn adopt(&self, ask: &PlaceAsk<'_>, upstream: Arc<Upstream>) -> Placed;
 }
 
 /// Time after which a caller is told to try again when there is no upstream.
@@ -91,7 +113,9 @@
         best.map(Placed::new).ok_or_else(none)
     }
 
-    fn observe(&self, _upstream: &Upstream, _seen: Observation) {}
+    fn adopt(&self, _ask: &PlaceAsk<'_>, upstream: Arc<Upstream>) -> Placed {
+        Placed::new(upstream)
+    }
 }
 
 /// Returns whether every `require` rule that applies to the request selects the upstream.
--- a/components/proxy/src/plain.rs
+++ b/components/proxy/src/plain.rs
@@ -127,6 +127,7 @@
             rec: &self.rec,
             exclude: &self.attempts.tried,
             avoid_zone: self.attempts.last_zone.as_ref(),
+            has_begun: false,
         };
         self.proxy.place.place(&ask).map_err(|refusal| match self.attempts.may_have_run {
             true => Refusal { outcome: Outcome::Unknown, ..refusal },
@@ -141,7 +142,7 @@
         let total = started.elapsed();
         let ok = result.is_ok();
         let seen = Observation { ok, first: ok.then_some(total), total, tokens: 0 };
-        self.proxy.place.observe(&placed.upstream, seen);
+        placed.observe(seen);
     }
 
     async fn attempt(
--- a/components/proxy/src/registry.rs
+++ b/components/proxy/src/registry.rs
@@ -4,7 +4,7 @@
     collections::{BTreeMap, HashSet},
     sync::{
         Arc, RwLock,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicU32, AtomicU64, Ordering},
     },
 };
 
@@ -54,6 +54,7 @@
     connect: Arc<dyn Connect>,
     by_service: ArcSwap<ByService>,
     leaving: RwLock<HashSet<InstanceId>>,
+    changes: AtomicU64,
 }
 
 impl Registry {
@@ -63,6 +64,7 @@
             connect,
             by_service: ArcSwap::from_pointee(ByService::new()),
             leaving: RwLock::default(),
+            changes: AtomicU64::new(0),
         }
     }
 
@@ -75,7 +77,10 @@
             let upstream = self.keep_or_connect(&earlier, service, listed);
             by_service.entry(service.name.clone()).or_default().push(upstream);
         }
-        self.by_service.store(Arc::new(by_service));
+        if !is_same(&earlier, &by_service) {
+            self.by_service.store(Arc::new(by_service));
+            self.changes.fetch_add(1, Ordering::Release);
+        }
     }
 
     fn keep_or_connect(
@@ -96,7 +101,16 @@
 
     /// Sets the instances that are announced to go, beyond what the list says.
     pub fn set_leaving(&self, leaving: HashSet<InstanceId>) {
-        *self.leaving.write().unwrap() = leaving;
+        let mut known = self.leaving.write().unwrap();
+        if *known != leaving {
+            *known = leaving;
+            self.changes.fetch_add(1, Ordering::Release);
+        }
+    }
+
+    /// Returns a number that changes with every change of the upstreams.
+    pub fn changes(&self) -> u64 {
+        self.changes.load(Ordering::Acquire)
     }
 
     /// Returns whether an upstream takes no new work.
@@ -123,3 +137,11 @@
         self.by_service.load().values().flatten().cloned().collect()
     }
 }
+
+/// Returns whether two registries hold the same upstreams in the same order.
+fn is_same(a: &ByService, b: &ByService) -> bool {
+    let is_same_list = |a: &[Arc<Upstream>], b: &[Arc<Upstream>]| {
+        a.len() == b.len() && a.iter().zip(b).all(|(a, b)| Arc::ptr_eq(a, b))
+    };
+    a.len() == b.len() && a.iter().zip(b).all(|((a, xs), (b, ys))| a == b && is_same_list(xs, ys))
+}
--- a/components/proxy/src/settle.rs
+++ b/components/proxy/src/settle.rs
@@ -54,7 +54,9 @@
 }
 
 fn note(proxy: &Proxy, rec: &mut Record, outcome: Outcome) {
-    rec.permit = None;
+    if let Some(mut permit) = rec.permit.take() {
+        permit.settled(outcome);
+    }
     let service = rec.service.as_ref().map_or("", |service| service.name.as_str());
     let workspace = rec.workspace.as_ref().map_or("", |workspace| workspace.name.as_str());
     proxy.metrics.requests.with_label_values(&[service, workspace, outcome.as_str()]).inc();
--- /dev/null
+++ b/components/proxy/tests/load.rs
@@ -0,0 +1,160 @@
+//! Retries through the proxy stay within their budget while half the upstreams fail.
+
+use std::sync::Arc;
+
+use actix_web::{App, http::StatusCode, test};
+use lycheelatch_claims::{Claims, ClaimsConfig};
+use lycheelatch_config::{Service, ServiceKind, ServiceLimits, Snapshot, TokenHash, Workspace};
+use lycheelatch_fakes::{MemoryKv, ServedPlain, serve_plain};
+use lycheelatch_platform::{ListedInstance, ListedState, Purchase};
+use lycheelatch_prelude::{Labels, Revision};
+use lycheelatch_proxy::{
+    AdmitByPolicy, CallerLimits, HttpConnect, LoadControl, PlaceByPolicy, Proxy, ProxyMetrics,
+    ProxyParts, Registry, RetryByPolicy,
+};
+
+/// Most retries at the upstreams, as a share of fresh work.
+const MAX_RETRY_SHARE: f64 = 0.2;
+
+const TOKEN: &str = "ichu-and-totora";
+
+struct Setup {
+    proxy: Arc<Proxy>,
+    metrics: prometheus::Registry,
+    upstreams: Vec<ServedPlain>,
+}
+
+fn snapshot() -> Snapshot {
+    let service = Service {
+        name: "sack-desk".parse().unwrap(),
+        kind: ServiceKind::Plain,
+        limits: ServiceLimits::default(),
+        latency: Default::default(),
+        model: None,
+        checks_fences: false,
+        fleet: None,
+    };
+    let workspace = Workspace {
+        name: "cusco".parse().unwrap(),
+        tokens: vec![TokenHash::new(TOKEN)],
+        weight: 100,
+        services: Vec::new(),
+        limits: Default::default(),
+        labels: Labels::default(),
+    };
+    Snapshot {
+        revision: Revision(1),
+        services: [(service.name.clone(), service)].into(),
+        workspaces: [(workspace.name.clone(), workspace)].into(),
+        ..Snapshot::default()
+    }
+}
+
+fn listed(n: usize, upstream: &ServedPlain) -> ListedInstance {
+    ListedInstance {
+        instance: format!("i-{n}").parse().unwrap(),
+        upstream: format!("desk-{n}").parse().unwrap(),
+        service: "sack-desk".parse().unwrap(),
+        addr: upstream.server.addr(),
+        zone: ["lima-a", "lima-b"][n % 2].parse().unwrap(),
+        region: "lima".parse().unwrap(),
+        class: "small".parse().unwrap(),
+        purchase: Purchase::Reclaimable,
+        state: ListedState::Live,
+        labels: Labels::default(),
+    }
+}
+
+fn setup(upstreams: usize) -> Setup {
+    let upstreams: Vec<ServedPlain> = (0..upstreams).map(|_| serve_plain().unwrap()).collect();
+    let config = Arc::new(snapshot());
+    let registry = Arc::new(Registry::new(Arc::new(HttpConnect)));
+    let list = upstreams.iter().enumerate().map(|(n, upstream)| listed(n, upstream)).collect();
+    registry.update(&config, list);
+    let load = Arc::new(LoadControl::new(registry.clone(), "lima-a".parse().unwrap(), 1));
+    let metrics = prometheus::Registry::new();
+    let kv = Arc::new(MemoryKv::default());
+    let proxy = Arc::new(Proxy::new(ProxyParts {
+        config: Arc::new(move || config.clone()),
+        registry,
+        claims: Arc::new(Claims::new(kv, ClaimsConfig::default())),
+        admit: Arc::new(AdmitByPolicy::new(load.clone())),
+        place: Arc::new(PlaceByPolicy::new(load.clone())),
+        retry: Arc::new(RetryByPolicy::new(load)),
+        metrics: ProxyMetrics::new(&metrics).unwrap(),
+        max_kept_answer_bytes: 1 << 20,
+    }));
+    Setup { proxy, metrics, upstreams }
+}
+
+/// Returns the attempts at upstreams of a kind: `first` or `again`.
+fn attempts(setup: &Setup, kind: &str) -> f64 {
+    let families = setup.metrics.gather();
+    let attempts = families.iter().find(|family| family.name().contains("attempts"));
+    let metrics = attempts.map(|family| family.get_metric()).unwrap_or_default();
+    let of_kind = metrics.iter().filter(|m| m.get_label().iter().any(|l| l.value() == kind));
+    of_kind.map(|metric| metric.get_counter().get_value()).sum()
+}
+
+macro_rules! app {
+    ($setup:expr) => {{
+        let proxy = $setup.proxy.clone();
+        let limits = CallerLimits { max_body_bytes: 1 << 20 };
+        test::init_service(
+            App::new().configure(move |app| lycheelatch_proxy::configure(app, proxy, limits)),
+        )
+        .await
+    }};
+}
+
+fn look_up(attempt: u32, n: u32) -> test::TestRequest {
+    test::TestRequest::get()
+        .uri("/services/sack-desk/stock")
+        .insert_header(("authorization", format!("Bearer {TOKEN}")))
+        .insert_header(("lycheelatch-attempt", attempt.to_string()))
+        .insert_header(("x-request-id", format!("look-up-{n}-{attempt}")))
+}
+
+#[actix_web::test]
+async fn retries_of_the_proxy_stay_in_budget_when_half_fail() {
+    let setup = setup(6);
+    let app = app!(setup);
+    for n in 0..100 {
+        let answer = test::call_service(&app, look_up(1, n).to_request()).await;
+        assert_eq!(answer.status(), StatusCode::OK);
+    }
+    for upstream in &setup.upstreams[..3] {
+        upstream.server.kill().await;
+    }
+    let mut done = 0;
+    for n in 100..400 {
+        let answer = test::call_service(&app, look_up(1, n).to_request()).await;
+        done += u32::from(answer.status() == StatusCode::OK);
+    }
+    let (first, again) = (attempts(&setup, "first"), attempts(&setup, "again"));
+    assert!(again > 0.0, "no retry was needed: the test shows nothing");
+    assert!(again <= MAX_RETRY_SHARE * first, "{again} retries of {first}");
+    assert!(done >= 290, "{done} of 300 done by the upstreams that are left");
+}
+
+#[actix_web::test]
+async fn retries_of_callers_stay_in_budget() {
+    let setup = setup(2);
+    let app = app!(setup);
+    for n in 0..100 {
+        test::call_service(&app, look_up(1, n).to_request()).await;
+    }
+    let mut done = 0;
+    for n in 0..500 {
+        let answer = test::call_service(&app, look_up(2, n).to_request()).await;
+        match answer.status() {
+            StatusCode::OK => done += 1,
+            _ => {
+                assert!(answer.headers().contains_key("retry-after"));
+                assert_eq!(answer.headers().get("lycheelatch-outcome").unwrap(), "not-run");
+            }
+        }
+    }
+    assert!(done > 0, "a budget lets some retries in");
+    assert!(f64::from(done) <= MAX_RETRY_SHARE * 100.0, "{done} retries of 100 fresh requests");
+}
