--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -12,8 +12,8 @@
 use lycheelatch_platform::CallClass;
 use lycheelatch_prelude::NodeId;
 use lycheelatch_proxy::{
-    AdmitInFlight, HandoverReport, HttpConnect, LeastInFlight, Proxy, ProxyMetrics, ProxyParts,
-    Registry, RetryFixed,
+    AdmitByPolicy, HandoverReport, HttpConnect, LoadControl, PlaceByPolicy, Proxy, ProxyMetrics,
+    ProxyParts, Registry, RetryByPolicy, poll_engines, seed_of,
 };
 use lycheelatch_settings::Settings;
 use tokio::{
@@ -94,7 +94,9 @@
         let clients = Clients::new(&settings.platform, &metrics)?;
         let claims = Arc::new(claims_of(&clients, link.clone()));
         let registry = Arc::new(Registry::new(Arc::new(HttpConnect)));
-        let proxy = proxy_of(&settings, &current, &claims, &registry, &metrics)?;
+        let seed = seed_of(&id);
+        let load = Arc::new(LoadControl::new(registry.clone(), settings.zone.clone(), seed));
+        let proxy = proxy_of(&settings, &current, &claims, &registry, &load, &metrics)?;
         if let Some(link) = &link {
             proxy.join_peers(link.clone() as Arc<dyn PeerLink>);
         }
@@ -132,6 +134,7 @@
                 settings.platform.instances.poll,
             )),
             rt::spawn(async move { claims.maintain().await }),
+            rt::spawn(poll_engines(load, id.clone())),
         ];
         let spread = match &link {
             Some(link) => {
@@ -249,6 +252,7 @@
     current: &Arc<CurrentConfig>,
     claims: &Arc<Claims>,
     registry: &Arc<Registry>,
+    load: &Arc<LoadControl>,
     metrics: &prometheus::Registry,
 ) -> Result<Arc<Proxy>, StartError> {
     let current = current.clone();
@@ -257,9 +261,9 @@
         config: Arc::new(move || current.get()),
         registry: registry.clone(),
         claims: claims.clone(),
-        admit: Arc::new(AdmitInFlight::new(registry.clone())),
-        place: Arc::new(LeastInFlight::new(registry.clone())),
-        retry: Arc::new(RetryFixed),
+        admit: Arc::new(AdmitByPolicy::new(load.clone())),
+        place: Arc::new(PlaceByPolicy::new(load.clone())),
+        retry: Arc::new(RetryByPolicy::new(load.clone())),
         metrics: ProxyMetrics::new(metrics)?,
         max_kept_answer_bytes: usize::try_from(max_kept).unwrap_or(usize::MAX),
     })))
--- a/components/proxy/src/model.rs
+++ b/components/proxy/src/model.rs
@@ -337,7 +337,7 @@
         let mut wanted = to.and_then(|id| self.proxy.registry.get(&self.rec.service().name, id));
         loop {
             let placed = match wanted.take() {
-                Some(upstream) => Placed::new(upstream),
+                Some(upstream) => self.adopt(upstream),
                 None => self.place()?,
             };
             if !self.attempts.start() {
@@ -365,6 +365,7 @@
             rec: &self.rec,
             exclude,
             avoid_zone: self.attempts.last_zone.as_ref(),
+            has_begun: self.next > 0,
         };
         let placed = self.proxy.place.place(&ask(&self.attempts.tried));
         // An answer that has begun rather goes back to an upstream that was tried.
@@ -378,6 +379,12 @@
         })
     }
 
+    fn adopt(&self, upstream: Arc<Upstream>) -> Placed {
+        let (exclude, has_begun) = (self.attempts.tried.as_slice(), self.next > 0);
+        let ask = PlaceAsk { rec: &self.rec, exclude, avoid_zone: None, has_begun };
+        self.proxy.place.adopt(&ask, upstream)
+    }
+
     fn attempt_failed(&mut self, placed: &Placed, err: UpstreamError) -> Result<(), Refusal> {
         let seen = Observation {
             ok: false,
@@ -386,7 +393,7 @@
             tokens: 0,
         };
         if !self.attempts.is_silent_first(&placed.upstream, &err) {
-            self.proxy.place.observe(&placed.upstream, seen);
+            placed.observe(seen);
         }
         self.attempts.failed(&placed.upstream, &err);
         let retry = self.proxy.retry.as_ref();
@@ -438,7 +445,7 @@
             total: self.attempt_started.elapsed(),
             tokens: self.next,
         };
-        self.proxy.place.observe(&placed.upstream, seen);
+        placed.observe(seen);
     }
 
     /// Tells the upstream that nobody waits any more.
--- a/components/proxy/src/plain.rs
+++ b/components/proxy/src/plain.rs
@@ -137,6 +137,7 @@
             rec: &self.rec,
             exclude: &self.attempts.tried,
             avoid_zone: self.attempts.last_zone.as_ref(),
+            has_begun: false,
         };
         let placed = self.proxy.place.place(&ask);
         placed.map_err(|refusal| Refusal {
@@ -157,7 +158,7 @@
         let total = started.elapsed();
         let ok = result.is_ok();
         let seen = Observation { ok, first: ok.then_some(total), total, tokens: 0 };
-        self.proxy.place.observe(&placed.upstream, seen);
+        placed.observe(seen);
     }
 
     async fn attempt(
