config: shrink what a watcher reads at each change

Cause: the head spent 90 bytes on each of 256 recent ids, and parts and the tail of records were larger than a watcher's share of 15 kB/s warrants.

--- a/components/config/src/store/apply.rs
+++ b/components/config/src/store/apply.rs
@@ -145,8 +145,7 @@
         let changed = keys_of(&plan.changes);
         let new =
             base.parts.store(&base.head.state, &plan.snapshot, &changed).map_err(too_large)?;
-        let latest_at = base.head.recent.back().map_or(Timestamp(0), |recent| recent.at);
-        let at = Timestamp::now().max(latest_at);
+        let at = Timestamp::now().max(base.head.at);
         let record = ChangeRecord {
             revision: plan.snapshot.revision,
             id: change.id,
@@ -161,9 +160,8 @@
         retired.extend(pages.retired.map(|key| key.to_string()));
         self.remove_retired(&mut head, at, retired.len() + EXTRA_REMOVALS).await;
         head.retired.extend(retired.into_iter().map(|key| Retired { key, at }));
-        head.revision = plan.snapshot.revision;
         head.state = new.state;
-        head.remember(change.id, head.revision, at);
+        head.advance(change.id, at);
         let parts = new.new_parts.into_iter().map(|(id, value)| (part_key(id), value));
         Ok(Prepared {
             head,
--- a/components/config/src/store/head.rs
+++ b/components/config/src/store/head.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use base64::{Engine as _, engine::general_purpose::STANDARD_NO_PAD};
 use bytes::Bytes;
 use lycheelatch_platform::KvKey;
 use lycheelatch_prelude::{ChangeId, Revision};
@@ -25,8 +26,9 @@
     pub(super) format: u32,
     pub(super) revision: Revision,
     pub(super) state: State,
-    /// Ids of the latest changes, oldest first.
-    pub(super) recent: VecDeque<Recent>,
+    /// When the revision was committed.
+    pub(super) at: Timestamp,
+    recent: RecentIds,
     /// The latest records, oldest first, that no history page holds yet.
     pub(super) tail: Vec<ChangeRecord>,
     /// The latest history page.
@@ -45,12 +47,26 @@
     Parts(Vec<Uuid>),
 }
 
-/// One of the latest changes.
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-pub(super) struct Recent {
-    pub(super) id: ChangeId,
-    pub(super) revision: Revision,
-    pub(super) at: Timestamp,
+/// Ids of the latest changes, oldest first; the last one made the head's revision.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+struct RecentIds(VecDeque<ChangeId>);
+
+impl From<RecentIds> for String {
+    fn from(ids: RecentIds) -> String {
+        let bytes: Vec<u8> = ids.0.iter().flat_map(|id| id.0.into_bytes()).collect();
+        STANDARD_NO_PAD.encode(bytes)
+    }
+}
+
+impl TryFrom<String> for RecentIds {
+    type Error = base64::DecodeError;
+
+    fn try_from(text: String) -> Result<RecentIds, base64::DecodeError> {
+        let bytes = STANDARD_NO_PAD.decode(text)?;
+        let ids = bytes.chunks(size_of::<Uuid>()).map_while(|id| Uuid::from_slice(id).ok());
+        Ok(RecentIds(ids.map(ChangeId).collect()))
+    }
 }
 
 /// A key that nothing refers to any more.
@@ -77,7 +93,8 @@
             format: FORMAT,
             revision: Revision::default(),
             state: State::Inline(Vec::new()),
-            recent: VecDeque::new(),
+            at: Timestamp::default(),
+            recent: RecentIds::default(),
             tail: Vec::new(),
             page: None,
             retired: VecDeque::new(),
@@ -96,14 +113,17 @@
 
     /// Returns the revision that the change `id` made, if it is one of the latest.
     pub(super) fn revision_of(&self, id: ChangeId) -> Option<Revision> {
-        self.recent.iter().find(|recent| recent.id == id).map(|recent| recent.revision)
+        let age = self.recent.0.iter().rev().position(|recent| *recent == id)?;
+        Some(Revision(self.revision.0 - age as u64))
     }
 
-    /// Remembers the id of a new change.
-    pub(super) fn remember(&mut self, id: ChangeId, revision: Revision, at: Timestamp) {
-        self.recent.push_back(Recent { id, revision, at });
-        if self.recent.len() > MAX_RECENT {
-            self.recent.pop_front();
+    /// Moves the head to the revision that the change `id` makes.
+    pub(super) fn advance(&mut self, id: ChangeId, at: Timestamp) {
+        self.revision = self.revision.next();
+        self.at = at;
+        self.recent.0.push_back(id);
+        if self.recent.0.len() > MAX_RECENT {
+            self.recent.0.pop_front();
         }
     }
 }
--- a/components/config/src/store/history.rs
+++ b/components/config/src/store/history.rs
@@ -16,7 +16,7 @@
 const PAGE_PREFIX: &str = "config/history/";
 
 /// Largest sum of the records that the head holds, in bytes.
-const MAX_TAIL_BYTES: usize = 16 * 1024;
+const MAX_TAIL_BYTES: usize = 8 * 1024;
 
 /// Size from which a page takes no more records, in bytes.
 const PAGE_BYTES: usize = 128 * 1024;
--- a/components/config/src/store/parts.rs
+++ b/components/config/src/store/parts.rs
@@ -20,10 +20,10 @@
 pub(super) const PART_PREFIX: &str = "config/part/";
 
 /// Largest configuration that the head holds itself, in bytes.
-const MAX_INLINE_BYTES: usize = 16 * 1024;
+const MAX_INLINE_BYTES: usize = 12 * 1024;
 
 /// Size of an average part, in bytes.
-const PART_BYTES: usize = 64 * 1024;
+const PART_BYTES: usize = 32 * 1024;
 
 /// Largest part, in bytes.
 const MAX_PART_BYTES: usize = 512 * 1024;
