--- a/components/config/examples/config_cost.rs
+++ b/components/config/examples/config_cost.rs
@@ -138,6 +138,8 @@
     apply_writes: f64,
     apply_bytes_written: f64,
     apply_micros: f64,
+    head_bytes: f64,
+    part_bytes: f64,
     watch_reads: f64,
     watch_bytes_read: f64,
     watch_micros: f64,
@@ -220,6 +222,8 @@
         apply_writes: mean(apply.writes),
         apply_bytes_written: mean(apply.bytes_written),
         apply_micros: mean(apply.micros),
+        head_bytes: head_bytes(&kv.kv),
+        part_bytes: part_bytes(&kv.kv),
         watch_reads: mean(watch.reads),
         watch_bytes_read: mean(watch.bytes_read),
         watch_micros: mean(watch.micros),
@@ -248,6 +252,21 @@
     }
 }
 
+/// Returns the size of the head without the keys that are retired, which stay a minute.
+fn head_bytes(kv: &MemoryKv) -> f64 {
+    let head = kv.peek("config/head").pop().expect("a head");
+    let mut head: Value = serde_json::from_slice(&head.value).expect("the head is JSON");
+    head["retired"] = json!([]);
+    head.to_string().len() as f64
+}
+
+/// Returns the mean size of a part; 0 if the head holds the objects.
+fn part_bytes(kv: &MemoryKv) -> f64 {
+    let parts = kv.peek("config/part/");
+    let bytes: usize = parts.iter().map(|part| part.value.len()).sum();
+    bytes as f64 / parts.len().max(1) as f64
+}
+
 /// Returns the resident bytes that one more copy of a snapshot takes.
 fn memory_of(snapshot: &Snapshot) -> f64 {
     let bytes = snapshot.encode();
@@ -280,13 +299,15 @@
 
 fn main() -> std::io::Result<()> {
     let mut out = std::io::stdout();
-    let columns: [(&str, fn(&Row) -> f64); 12] = [
+    let columns: [(&str, fn(&Row) -> f64); 14] = [
         ("snapshot bytes", |row| row.snapshot_bytes as f64),
         ("memory bytes", |row| row.memory_bytes),
         ("apply reads", |row| row.apply_reads),
         ("apply writes", |row| row.apply_writes),
         ("apply bytes written", |row| row.apply_bytes_written),
         ("apply us", |row| row.apply_micros),
+        ("head bytes", |row| row.head_bytes),
+        ("part bytes", |row| row.part_bytes),
         ("watch reads", |row| row.watch_reads),
         ("watch bytes read", |row| row.watch_bytes_read),
         ("watch us", |row| row.watch_micros),
--- a/components/config/src/delta.rs
+++ b/components/config/src/delta.rs
@@ -4,7 +4,7 @@
 use lycheelatch_prelude::Revision;
 use serde::{Deserialize, Serialize};
 
-use crate::{Object, ObjectKey, Snapshot};
+use crate::{Object, ObjectKey, Snapshot, object::ObjectRef};
 
 /// Format of encoded deltas and snapshots.
 const WIRE_FORMAT: u32 = 1;
@@ -50,13 +50,14 @@
 impl Delta {
     /// Returns what leads from `before` to `after`.
     pub fn between(before: &Snapshot, after: &Snapshot) -> Delta {
-        let changed = |object: &Object| before.object(&object.key()).as_ref() != Some(object);
-        let removed = |key: &ObjectKey| after.object(key).is_none();
+        let is_changed = |object: &ObjectRef<'_>| object.same_in(before) != Some(*object);
+        let is_removed = |object: &ObjectRef<'_>| object.same_in(after).is_none();
+        let removed = before.object_refs().filter(is_removed);
         Delta {
             from: before.revision,
             to: after.revision,
-            puts: after.objects().filter(changed).collect(),
-            removals: before.objects().map(|object| object.key()).filter(removed).collect(),
+            puts: after.object_refs().filter(is_changed).map(ObjectRef::to_object).collect(),
+            removals: removed.map(|object| object.to_object().key()).collect(),
         }
     }
 
--- a/components/config/src/object.rs
+++ b/components/config/src/object.rs
@@ -92,12 +92,60 @@
     view
 }
 
+/// One object of any kind, where a snapshot has it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum ObjectRef<'a> {
+    Service(&'a Service),
+    Workspace(&'a Workspace),
+    Rule(&'a PlacementRule),
+}
+
+impl ObjectRef<'_> {
+    pub(crate) fn kind(self) -> ObjectKind {
+        match self {
+            ObjectRef::Service(_) => ObjectKind::Service,
+            ObjectRef::Workspace(_) => ObjectKind::Workspace,
+            ObjectRef::Rule(_) => ObjectKind::Rule,
+        }
+    }
+
+    pub(crate) fn name(&self) -> &str {
+        match self {
+            ObjectRef::Service(service) => service.name.as_str(),
+            ObjectRef::Workspace(workspace) => workspace.name.as_str(),
+            ObjectRef::Rule(rule) => rule.name.as_str(),
+        }
+    }
+
+    pub(crate) fn to_object(self) -> Object {
+        match self {
+            ObjectRef::Service(service) => Object::Service(service.clone()),
+            ObjectRef::Workspace(workspace) => Object::Workspace(workspace.clone()),
+            ObjectRef::Rule(rule) => Object::Rule(rule.clone()),
+        }
+    }
+
+    /// Returns the object of the same key in `other`.
+    pub(crate) fn same_in(self, other: &Snapshot) -> Option<ObjectRef<'_>> {
+        match self {
+            ObjectRef::Service(s) => other.services.get(&s.name).map(ObjectRef::Service),
+            ObjectRef::Workspace(w) => other.workspaces.get(&w.name).map(ObjectRef::Workspace),
+            ObjectRef::Rule(r) => other.rules.get(&r.name).map(ObjectRef::Rule),
+        }
+    }
+}
+
 impl Snapshot {
     /// Returns every object, ordered by kind and name.
     pub fn objects(&self) -> impl Iterator<Item = Object> {
-        let services = self.services.values().cloned().map(Object::Service);
-        let workspaces = self.workspaces.values().cloned().map(Object::Workspace);
-        let rules = self.rules.values().cloned().map(Object::Rule);
+        self.object_refs().map(ObjectRef::to_object)
+    }
+
+    /// Returns every object in place, ordered by kind and name.
+    pub(crate) fn object_refs(&self) -> impl Iterator<Item = ObjectRef<'_>> {
+        let services = self.services.values().map(ObjectRef::Service);
+        let workspaces = self.workspaces.values().map(ObjectRef::Workspace);
+        let rules = self.rules.values().map(ObjectRef::Rule);
         services.chain(workspaces).chain(rules)
     }
 
--- a/components/config/src/store/parts.rs
+++ b/components/config/src/store/parts.rs
@@ -8,13 +8,13 @@
 use bytes::Bytes;
 use lycheelatch_platform::{Entry, KvKey};
 use uuid::Uuid;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{
     calls::Calls,
     head::{State, decode, encode},
 };
-use crate::{ConfigError, Object, ObjectKey, Snapshot};
+use crate::{ConfigError, Object, ObjectKey, ObjectKind, Snapshot};
 
 /// Prefix of the keys of parts.
 pub(super) const PART_PREFIX: &str = "config/part/";
@@ -123,12 +123,13 @@
         changed: &BTreeSet<ObjectKey>,
     ) -> Option<NewState> {
         let touched: BTreeSet<usize> =
-            changed.iter().map(|key| part_index(key, ids.len())).collect();
+            changed.iter().map(|key| part_of_key(key, ids.len())).collect();
         let mut buckets: HashMap<usize, Vec<Object>> =
             touched.iter().map(|index| (*index, Vec::new())).collect();
-        for object in snapshot.objects() {
-            if let Some(bucket) = buckets.get_mut(&part_index(&object.key(), ids.len())) {
-                bucket.push(object);
+        for object in snapshot.object_refs() {
+            let index = part_index(object.kind(), object.name(), ids.len());
+            if let Some(bucket) = buckets.get_mut(&index) {
+                bucket.push(object.to_object());
             }
         }
         let mut ids = ids.to_vec();
@@ -200,7 +201,7 @@
 fn store_in(objects: &[Object], count: usize) -> NewState {
     let mut buckets = vec![Vec::new(); count];
     for object in objects {
-        buckets[part_index(&object.key(), count)].push(object.clone());
+        buckets[part_of_key(&object.key(), count)].push(object.clone());
     }
     let mut parts = Parts::default();
     let new_parts: Vec<(Uuid, Bytes)> = buckets.into_iter().map(|b| parts.add(b)).collect();
@@ -208,7 +209,16 @@
     NewState { state, new_parts, parts }
 }
 
-fn part_index(key: &ObjectKey, count: usize) -> usize {
-    let hash = xxh3_64(key.to_string().as_bytes());
-    (hash % count as u64) as usize
+fn part_of_key(key: &ObjectKey, count: usize) -> usize {
+    part_index(key.kind, key.name.as_str(), count)
+}
+
+fn part_index(kind: ObjectKind, name: &str, count: usize) -> usize {
+    // The seeds are part of the stored form.
+    let seed = match kind {
+        ObjectKind::Service => 1,
+        ObjectKind::Workspace => 2,
+        ObjectKind::Rule => 3,
+    };
+    (xxh3_64_with_seed(name.as_bytes(), seed) % count as u64) as usize
 }
