config: date changes by a clock that tests can move; never discard what may hold

Cause: replaced values were removed by the machine's clock, so no test saw it; and a swap whose conflict came from its own earlier success would have had its values discarded.

--- a/components/config/examples/config_cost.rs
+++ b/components/config/examples/config_cost.rs
@@ -15,7 +15,8 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use lycheelatch_config::{
-    AuditQuery, Change, ConfigStore, CurrentConfig, Delta, Document, Edit, Snapshot,
+    AuditQuery, Change, ConfigStore, CurrentConfig, Delta, Document, Edit, Snapshot, Timestamp,
+    WallClock,
 };
 use lycheelatch_fakes::MemoryKv;
 use lycheelatch_platform::{
@@ -31,9 +32,22 @@
 /// Changes of each measurement.
 const CHANGES: usize = 300;
 
+/// Mean time between changes at 5,900 changes a day, in milliseconds.
+const CHANGE_INTERVAL_MS: u64 = 24 * 60 * 60 * 1000 / 5_900;
+
 /// Copies of a snapshot that its memory is worked out from.
 const COPIES: usize = 20;
 
+/// A clock that goes on by the mean time between changes each time it is asked.
+#[derive(Default)]
+struct StepClock(AtomicU64);
+
+impl WallClock for StepClock {
+    fn now(&self) -> Timestamp {
+        Timestamp(1_796_000_000_000 + self.0.fetch_add(CHANGE_INTERVAL_MS, Ordering::Relaxed))
+    }
+}
+
 /// A key-value service that counts calls and the bytes of values.
 #[derive(Clone, Default)]
 struct Counted {
@@ -180,7 +194,8 @@
 
 async fn measure(objects: usize) -> Row {
     let kv = Counted::default();
-    let writer = ConfigStore::new(Arc::new(kv.clone()));
+    let clock = Arc::new(StepClock::default());
+    let writer = ConfigStore::with_clock(Arc::new(kv.clone()), clock);
     let watcher = ConfigStore::new(Arc::new(kv.clone()));
     fill(&writer, objects).await;
     let (mut index, _) = watcher.watch(WatchIndex(0), Duration::ZERO).await.expect("a snapshot");
@@ -252,12 +267,9 @@
     }
 }
 
-/// Returns the size of the head without the keys that are retired, which stay a minute.
+/// Returns the size of the head.
 fn head_bytes(kv: &MemoryKv) -> f64 {
-    let head = kv.peek("config/head").pop().expect("a head");
-    let mut head: Value = serde_json::from_slice(&head.value).expect("the head is JSON");
-    head["retired"] = json!([]);
-    head.to_string().len() as f64
+    kv.peek("config/head").pop().expect("a head").value.len() as f64
 }
 
 /// Returns the mean size of a part; 0 if the head holds the objects.
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -30,7 +30,7 @@
     ServiceKind, ServiceLimits, Workspace, WorkspaceLimits,
 };
 pub use object::{Object, ObjectKey, ObjectKind};
-pub use record::{Action, ChangeRecord, ObjectChange, Timestamp};
+pub use record::{Action, ChangeRecord, ObjectChange, SystemClock, Timestamp, WallClock};
 pub use selector::{Requirement, Selector};
 pub use snapshot::Snapshot;
 pub use store::{AuditPage, AuditQuery, ChangedObject, ConfigStore, HistoryEntry, HistoryPage};
--- a/components/config/src/record.rs
+++ b/components/config/src/record.rs
@@ -14,9 +14,18 @@
 )]
 pub struct Timestamp(pub u64);
 
-impl Timestamp {
+/// A clock that tells the time of day.
+pub trait WallClock: Send + Sync {
     /// Returns the present moment.
-    pub fn now() -> Timestamp {
+    fn now(&self) -> Timestamp;
+}
+
+/// The machine's clock.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct SystemClock;
+
+impl WallClock for SystemClock {
+    fn now(&self) -> Timestamp {
         let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Timestamp(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
     }
--- a/components/config/src/store/apply.rs
+++ b/components/config/src/store/apply.rs
@@ -111,8 +111,8 @@
     ) -> Result<Option<Applied>, ApplyError> {
         match swap {
             Ok(Swap::Committed) => Ok(Some(self.committed(prepared))),
+            // Its values may be those that hold: only a sweep may remove them.
             Ok(Swap::CommittedBefore(loaded, revision)) => {
-                self.discard(&prepared).await;
                 Ok(Some(already_applied(&loaded, revision)))
             }
             Ok(Swap::Raced) => {
@@ -145,7 +145,7 @@
         let changed = keys_of(&plan.changes);
         let new =
             base.parts.store(&base.head.state, &plan.snapshot, &changed).map_err(too_large)?;
-        let at = Timestamp::now().max(base.head.at);
+        let at = self.clock.now().max(base.head.at);
         let record = ChangeRecord {
             revision: plan.snapshot.revision,
             id: change.id,
--- a/components/config/src/store/mod.rs
+++ b/components/config/src/store/mod.rs
@@ -20,7 +20,7 @@
 use lycheelatch_prelude::Revision;
 
 use self::{calls::Calls, head::Head, parts::Parts};
-use crate::{ConfigError, Snapshot};
+use crate::{ConfigError, Snapshot, SystemClock, WallClock};
 
 pub use query::{AuditPage, AuditQuery, ChangedObject, HistoryEntry, HistoryPage};
 
@@ -30,6 +30,7 @@
 /// service, and all of them may be replaced at any time.
 pub struct ConfigStore {
     calls: Calls,
+    clock: Arc<dyn WallClock>,
     cache: Mutex<Cache>,
 }
 
@@ -52,7 +53,12 @@
 impl ConfigStore {
     /// Creates a store on a key-value service.
     pub fn new(kv: Arc<dyn KeyValue>) -> ConfigStore {
-        ConfigStore { calls: Calls::new(kv), cache: Mutex::default() }
+        ConfigStore::with_clock(kv, Arc::new(SystemClock))
+    }
+
+    /// Creates a store that dates changes by `clock`.
+    pub fn with_clock(kv: Arc<dyn KeyValue>, clock: Arc<dyn WallClock>) -> ConfigStore {
+        ConfigStore { calls: Calls::new(kv), clock, cache: Mutex::default() }
     }
 
     /// Reads the latest revision; revision 0 if there has been no change.
--- a/components/config/src/store/query.rs
+++ b/components/config/src/store/query.rs
@@ -5,6 +5,7 @@
 use lycheelatch_platform::{CasOutcome, KvKey};
 use lycheelatch_prelude::{ChangeId, OperatorName, Revision};
 use serde::{Deserialize, Serialize};
+use uuid::Uuid;
 
 use super::{
     ConfigStore,
@@ -201,7 +202,7 @@
                 State::Inline(_) => false,
             };
             let is_retired = loaded.head.retired.iter().any(|r| r.key == entry.key.as_str());
-            if is_named || is_retired || age_of(id) < MIN_SWEPT_AGE {
+            if is_named || is_retired || age_of(id, self.clock.now()) < MIN_SWEPT_AGE {
                 continue;
             }
             if self.calls.delete(&entry.key, entry.version).await? == CasOutcome::Written {
@@ -212,8 +213,8 @@
     }
 }
 
-fn age_of(id: uuid::Uuid) -> Duration {
+fn age_of(id: Uuid, now: Timestamp) -> Duration {
     let Some(made) = id.get_timestamp() else { return Duration::ZERO };
     let (seconds, _) = made.to_unix();
-    Duration::from_millis(Timestamp::now().0.saturating_sub(seconds * 1000))
+    Duration::from_millis(now.0.saturating_sub(seconds * 1000))
 }
--- a/components/config/tests/common/mod.rs
+++ b/components/config/tests/common/mod.rs
@@ -1,26 +1,44 @@
 //! Helpers that the tests of the configuration share.
 #![allow(dead_code, reason = "each test binary uses some of them")]
 
-use std::{collections::BTreeMap, future::Future, sync::Arc};
+use std::{cell::Cell, collections::BTreeMap, future::Future, sync::Arc};
 
 use lycheelatch_config::{
     ApplyError, AuditQuery, Change, ChangeRecord, ConfigStore, Document, Edit, Object, ObjectKey,
-    ObjectKind, Snapshot,
+    ObjectKind, Snapshot, Timestamp, WallClock,
 };
 use lycheelatch_fakes::MemoryKv;
 use lycheelatch_prelude::{ChangeId, Revision};
 use serde_json::{Value, json};
+use tokio::time::Instant;
 
 /// Runs a test with a paused clock.
 pub(crate) fn run<T>(test: impl Future<Output = T>) -> T {
     actix::System::new().block_on(async {
         tokio::time::pause();
+        START.set(Some(Instant::now()));
         test.await
     })
 }
 
+/// A wall clock that goes with the runtime's clock.
+struct RuntimeClock(Instant);
+
+impl WallClock for RuntimeClock {
+    fn now(&self) -> Timestamp {
+        let elapsed = self.0.elapsed().as_millis();
+        Timestamp(1_796_000_000_000 + u64::try_from(elapsed).unwrap())
+    }
+}
+
+thread_local! {
+    /// The same moment for all stores of a test.
+    static START: Cell<Option<Instant>> = const { Cell::new(None) };
+}
+
 pub(crate) fn store(kv: &MemoryKv) -> ConfigStore {
-    ConfigStore::new(Arc::new(kv.clone()))
+    let start = START.get().unwrap_or_else(Instant::now);
+    ConfigStore::with_clock(Arc::new(kv.clone()), Arc::new(RuntimeClock(start)))
 }
 
 pub(crate) fn change(expected: Option<u64>, edits: Vec<Edit>) -> Change {
--- a/components/config/tests/races.rs
+++ b/components/config/tests/races.rs
@@ -33,6 +33,8 @@
     ApplyLarge { value: u64 },
     /// Sends the last change again, to another node.
     SendAgain,
+    /// Sends the last change again, to two nodes at once.
+    SendTwice,
     /// Waits.
     Wait { ms: u64 },
 }
@@ -44,7 +46,9 @@
         1 => (0..4_u8).prop_map(|object| Step::Remove { object }),
         1 => (1..50_u64).prop_map(|value| Step::ApplyLarge { value }),
         2 => Just(Step::SendAgain),
+        2 => Just(Step::SendTwice),
         1 => (1..3_000_u64).prop_map(|ms| Step::Wait { ms }),
+        1 => (60_000..90_000_u64).prop_map(|ms| Step::Wait { ms }),
     ];
     prop::collection::vec(step, 1..8)
 }
@@ -109,7 +113,7 @@
                 .collect();
             Some(change(None, vec![document(json!({ "services": services }))]))
         }
-        Step::SendAgain | Step::Wait { .. } => None,
+        Step::SendAgain | Step::SendTwice | Step::Wait { .. } => None,
     }
 }
 
@@ -120,7 +124,7 @@
     for step in steps {
         match step {
             Step::Wait { ms } => tokio::time::sleep(Duration::from_millis(*ms)).await,
-            Step::SendAgain => node = (node + 1) % NODES,
+            Step::SendAgain | Step::SendTwice => node = (node + 1) % NODES,
             step => last = change_of(step, seen),
         }
         if matches!(step, Step::Wait { .. }) {
@@ -128,6 +132,13 @@
         }
         let Some(change) = last.clone() else { continue };
         let id = change.id;
+        if matches!(step, Step::SendTwice) {
+            let other = stores[(node + 1) % NODES].apply(change.clone());
+            let (first, second) = join(stores[node].apply(change), other).await;
+            told.note(id, &first);
+            told.note(id, &second);
+            continue;
+        }
         let answer = stores[node].apply(change).await;
         told.note(id, &answer);
         if let Ok(applied) = answer {
@@ -152,7 +163,7 @@
             current.advance(snapshot);
         }
         assert!(current.revision() >= before, "the revision in force never falls");
-        tokio::time::sleep(Duration::from_millis(100)).await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
     }
     seen
 }
--- a/components/config/tests/store.rs
+++ b/components/config/tests/store.rs
@@ -239,6 +239,28 @@
     });
 }
 
+#[test]
+fn apply_old_values_are_removed_later() {
+    run(async {
+        let kv = MemoryKv::new();
+        let store = store(&kv);
+        let edits = (0..500).map(|i| service(&format!("s{i}"), 1)).collect();
+        store.apply(change(None, edits)).await.unwrap();
+        let parts = kv.peek("config/part/").len();
+        for i in 0..200 {
+            store.apply(change(None, vec![service(&format!("s{i}"), 2)])).await.unwrap();
+            tokio::time::sleep(Duration::from_secs(5)).await;
+        }
+        // Twelve changes fall in the minute for which a replaced part stays.
+        assert!(kv.peek("config/part/").len() <= parts + 14);
+        let audit = whole_audit(&store, 200).await;
+        assert_eq!(audit.len(), 201);
+        // Timers are exact to a millisecond.
+        assert!((995_000..995_200).contains(&(audit[200].at.0 - audit[1].at.0)));
+        assert_eq!(common::store(&kv).load().await.unwrap(), store.load().await.unwrap());
+    });
+}
+
 #[test]
 fn history_pages_over_many_changes() {
     run(async {
