--- a/components/peers/src/membership/mod.rs
+++ b/components/peers/src/membership/mod.rs
@@ -196,6 +196,7 @@
             Body::Nack { seq } => self.take_nack(seq),
             Body::Gossip | Body::SyncPush => {}
             Body::Sync { holdings } => {
+                self.refute_holding(now, from, &holdings);
                 let (updates, wanted) = self.table.compare(&self.local, &holdings);
                 self.send(from, Body::SyncAnswer { wanted }, updates);
             }
@@ -252,6 +253,17 @@
         }
     }
 
+    /// Refutes what a comparison says against the local node.
+    fn refute_holding(&mut self, now: Instant, from: &NodeId, holdings: &[Holding]) {
+        let own = msg::id_hash(&self.local.id);
+        let is_doubt = |h: &&Holding| h.id_hash == own && h.state != MemberState::Alive;
+        if let Some(holding) = holdings.iter().find(is_doubt) {
+            let (id, by) = (self.local.id.clone(), from.clone());
+            let incarnation = holding.incarnation;
+            self.refute(&Update::Suspect { id, incarnation, by }, now);
+        }
+    }
+
     fn raise_incarnation(&mut self, above: Incarnation, now: Instant) {
         self.local.incarnation = above.next();
         self.news.push(Update::Alive(self.local.clone()));
--- a/components/peers/src/membership/probe.rs
+++ b/components/peers/src/membership/probe.rs
@@ -179,6 +179,7 @@
                 updates.push(Update::Alive(self.local.clone()));
             }
         }
+        updates.extend(self.table.doubt(from, &self.local.id));
         self.send(from, Body::Ack { seq }, updates);
     }
 
--- a/components/peers/src/membership/table.rs
+++ b/components/peers/src/membership/table.rs
@@ -154,6 +154,13 @@
         true
     }
 
+    /// Returns what speaks against a member, for it to refute.
+    pub(crate) fn doubt(&self, id: &NodeId, by: &NodeId) -> Option<Update> {
+        let entry = self.get(id).filter(|e| !matches!(e.status, Status::Up))?;
+        let incarnation = entry.record.incarnation;
+        Some(Update::Suspect { id: id.clone(), incarnation, by: by.clone() })
+    }
+
     /// Returns the suspected members whose time to refute is over.
     pub(crate) fn overdue(&self, now: Instant, scale: u32) -> Vec<(NodeId, Incarnation)> {
         let is_over = |e: &&Entry| match &e.status {
