peers: Spread the configuration as deltas from two watchers a zone

Cause: each node reading the key-value service would make its calls grow with nodes. Change: ConfigSpread: two watchers per availability zone by rendezvous hashing, deltas spread by whoever learns of a revision first, questions to a neighbour each 2 s, readiness by the answers of every zone or by the service itself. A watch of an empty service answers at once; a pause keeps it from spinning.

--- a/components/peers/examples/members.rs
+++ b/components/peers/examples/members.rs
@@ -9,11 +9,12 @@
 #[path = "../tests/membership/net.rs"]
 mod net;
 
-use std::time::{Duration, Instant as WallInstant};
+use std::time::Duration;
 
 use lycheelatch_peers::{MemberState, TICK};
 use lycheelatch_prelude::NodeId;
 use net::{Faults, Net};
+use tokio::time::Instant;
 
 /// Sizes of the cluster.
 const SIZES: [usize; 7] = [5, 10, 20, 30, 100, 200, 390];
@@ -40,9 +41,9 @@
     for n in 0..nodes {
         net.start(n);
     }
-    let join = settle(&mut net, |net| agrees(net)).0;
+    let join = settle(&mut net, agrees).0;
     net.run(Duration::from_secs(20));
-    let wall = WallInstant::now();
+    let wall = Instant::now();
     let rest = traffic(&mut net, PHASE);
     let cpu = wall.elapsed().as_secs_f64() * 1e6 / nodes as f64 / PHASE.as_secs_f64();
     let false_deaths = count_dead(&net);
@@ -53,7 +54,7 @@
     for node in net.nodes.values_mut().filter(|n| n.record.zone == zone) {
         node.is_crashed = true;
     }
-    let (zone_time, zone_peak) = settle(&mut net, |net| agrees(net));
+    let (zone_time, zone_peak) = settle(&mut net, agrees);
     println!(
         "{nodes} {:.1} {:.0} {:.0} {:.2} {:.0} {:.1} {:.1} {:.1} {:.0} {false_deaths} {cpu:.0}",
         join.as_secs_f64(),
--- a/components/peers/src/lib.rs
+++ b/components/peers/src/lib.rs
@@ -7,15 +7,18 @@
 
 mod authority;
 mod config;
+mod config_spread;
 mod link;
 mod member;
 mod membership;
 mod metrics;
+mod overlay;
 mod quic;
 mod tls;
 
 pub use authority::{AuthorityError, CertificateAuthority, IssuedCertificate};
 pub use config::{IdentityCheck, PeersConfig, Pem, TlsFiles};
+pub use config_spread::{ConfigSpread, watchers};
 pub use link::{PeerError, PeerHandler, PeerLink, Topic};
 pub use member::{Member, MemberState, Members};
 pub use membership::{
--- a/components/peers/src/membership/mod.rs
+++ b/components/peers/src/membership/mod.rs
@@ -12,7 +12,6 @@
 
 mod msg;
 mod news;
-mod overlay;
 mod probe;
 mod suspicion;
 mod table;
@@ -30,7 +29,7 @@
     suspicion::Health,
     table::{Status, Table},
 };
-use crate::{Member, MemberState, Members};
+use crate::{Member, MemberState, Members, overlay};
 
 /// Time between calls of [`Membership::tick`].
 pub const TICK: Duration = Duration::from_millis(100);
