--- a/components/peers/tests/config_spread/main.rs
+++ b/components/peers/tests/config_spread/main.rs
@@ -85,7 +85,7 @@
 fn start_in_an_outage_waits_for_zones_that_are_silent() {
     run(async {
         let mut cluster = Cluster::start(8, 2).await;
-        let zone_1: Vec<NodeId> = (1..8).step_by(2).map(|n| id(n)).collect();
+        let zone_1: Vec<NodeId> = (1..8).step_by(2).map(id).collect();
         for id in &zone_1 {
             cluster.set_cut(id, true);
         }
