peers: Find seeds by the key-value service and the instance list

Cause: seeds of the settings go stale as all nodes are replaced. Handshakes of accepted connections have a time limit, a dropped link stops its thread, and a contact to a dead member no longer counts as a replaced connection.

--- a/components/peers/examples/members.rs
+++ b/components/peers/examples/members.rs
@@ -20,6 +20,8 @@
 const SIZES: [usize; 7] = [5, 10, 20, 30, 100, 200, 390];
 /// Time that each phase is measured for.
 const PHASE: Duration = Duration::from_secs(120);
+/// Time after the join before rest is measured, in which its news dies down.
+const SETTLING: Duration = Duration::from_secs(120);
 /// Dead nodes whose detection is timed at each size.
 const DEATHS: usize = 5;
 /// Longest time that a phase may take to settle.
@@ -42,7 +44,7 @@
         net.start(n);
     }
     let join = settle(&mut net, agrees).0;
-    net.run(Duration::from_secs(20));
+    net.run(SETTLING);
     let wall = Instant::now();
     let rest = traffic(&mut net, PHASE);
     let cpu = wall.elapsed().as_secs_f64() * 1e6 / nodes as f64 / PHASE.as_secs_f64();
--- a/components/peers/src/lib.rs
+++ b/components/peers/src/lib.rs
@@ -14,6 +14,7 @@
 mod metrics;
 mod overlay;
 mod quic;
+mod seeds;
 mod tls;
 
 pub use authority::{AuthorityError, CertificateAuthority, IssuedCertificate};
@@ -26,4 +27,5 @@
 };
 pub use metrics::PeerMetrics;
 pub use quic::{QuicLink, StartError};
+pub use seeds::{KvSeeds, ListedSeeds, SeedError, SeedFinder, SeedSource};
 pub use tls::TlsError;
--- a/components/peers/src/membership/mod.rs
+++ b/components/peers/src/membership/mod.rs
@@ -56,6 +56,7 @@
     local: Record,
     table: Table,
     seeds: Vec<SocketAddr>,
+    found_seeds: Vec<SocketAddr>,
     news: News,
     health: Health,
     probe: Option<Probe>,
@@ -88,6 +89,7 @@
             local,
             table,
             seeds,
+            found_seeds: Vec::new(),
             news: News::new(now),
             health: Health::default(),
             probe: None,
@@ -127,9 +129,12 @@
         self.health.scale()
     }
 
-    /// Replaces the seeds.
-    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
-        self.seeds = seeds;
+    /// Replaces the seeds that were found beside those of the settings.
+    pub fn set_found_seeds(&mut self, now: Instant, seeds: Vec<SocketAddr>) {
+        if self.found_seeds != seeds && self.table.live().next().is_none() {
+            self.next_reconnect = now;
+        }
+        self.found_seeds = seeds;
     }
 
     /// Announces that the local node stops in good order.
@@ -334,7 +339,8 @@
     fn contact_seeds(&mut self, all: bool) {
         let used: Vec<SocketAddr> = self.table.live().map(|e| e.record.addr).collect();
         let is_unused = |addr: &SocketAddr| *addr != self.local.addr && !used.contains(addr);
-        let unused: Vec<SocketAddr> = self.seeds.iter().copied().filter(is_unused).collect();
+        let known = self.seeds.iter().chain(&self.found_seeds).copied();
+        let unused: Vec<SocketAddr> = known.filter(is_unused).collect();
         let count = if all { unused.len().min(overlay::DEGREE) } else { 1 };
         let picked: Vec<SocketAddr> =
             unused.choose_multiple(&mut self.rng, count).copied().collect();
--- a/components/peers/src/quic/mod.rs
+++ b/components/peers/src/quic/mod.rs
@@ -132,9 +132,9 @@
         self.shared.endpoint.local_addr().ok()
     }
 
-    /// Replaces the seeds, for instance by what the key-value service lists.
-    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
-        self.shared.with_membership(|m| m.set_seeds(seeds));
+    /// Replaces the seeds that were found beside those of the settings.
+    pub fn set_found_seeds(&self, seeds: Vec<SocketAddr>) {
+        self.shared.with_membership(|m| m.set_found_seeds(Instant::now(), seeds));
     }
 
     /// Returns a receiver that is told of each change of the members.
@@ -205,6 +205,12 @@
     }
 }
 
+impl Drop for QuicLink {
+    fn drop(&mut self) {
+        self.thread.stop();
+    }
+}
+
 /// Sends a frame on a stream of its own and returns the answer.
 async fn exchange(conn: &Connection, frame: Bytes) -> Result<Bytes, String> {
     let (mut tx, mut rx) = conn.open_bi().await.map_err(|err| err.to_string())?;
@@ -236,7 +242,7 @@
         incarnation: Default::default(),
         leaving: false,
     };
-    let hello = Hello { node: record.id.clone(), addr: record.addr };
+    let hello = Hello { node: record.id.clone() };
     let membership = Membership::new(record, cfg.seeds, Instant::now(), rand::random());
     let shared = Arc::new(Shared {
         hello,
--- a/components/peers/src/quic/path.rs
+++ b/components/peers/src/quic/path.rs
@@ -18,7 +18,7 @@
 use crate::PeerError;
 
 /// Time that a handshake may take, the exchange of names included.
-const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+pub(crate) const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time without a datagram after which a connection is tried before it is used.
 const TRUSTED_IDLE: Duration = Duration::from_secs(10);
 /// Time that a try of a connection may take.
@@ -128,9 +128,12 @@
     node: &NodeId,
     addr: Option<SocketAddr>,
 ) -> Result<Path, PeerError> {
+    let had_one = shared.paths.get(node).is_some();
     let path = dial_node(shared, node, addr, true).await?;
-    shared.metrics.replaced.inc();
-    log::info!("peers: replaced the silent connection to {node}");
+    if had_one {
+        shared.metrics.replaced.inc();
+        log::info!("peers: replaced the silent connection to {node}");
+    }
     Ok(path)
 }
 
--- a/components/peers/src/quic/serve.rs
+++ b/components/peers/src/quic/serve.rs
@@ -4,8 +4,11 @@
 
 use bytes::Bytes;
 use lycheelatch_prelude::NodeId;
-use quinn::{Connection, Incoming, RecvStream, SendStream};
-use tokio::{task::spawn_local, time::Instant};
+use quinn::{Connection, ConnectionError, Incoming, RecvStream, SendStream};
+use tokio::{
+    task::spawn_local,
+    time::{Instant, timeout},
+};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{
@@ -40,10 +43,10 @@
         log::debug!("peers: refused a connection from {addr}: {reason}");
     };
     let conn = match incoming.accept() {
-        Ok(connecting) => connecting.await,
-        Err(err) => Err(err),
+        Ok(connecting) => timeout(path::HANDSHAKE_TIMEOUT, connecting).await,
+        Err(err) => Ok(Err(err)),
     };
-    let conn = match conn {
+    let conn = match conn.unwrap_or(Err(ConnectionError::TimedOut)) {
         Ok(conn) => conn,
         Err(err) => return refused(&err.to_string()),
     };
--- a/components/peers/src/quic/wire.rs
+++ b/components/peers/src/quic/wire.rs
@@ -4,7 +4,7 @@
 //! spread message, a two-way one a request and its answer. A payload follows
 //! its header without a length, up to the end of the stream.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use lycheelatch_prelude::NodeId;
@@ -56,8 +56,6 @@
 pub(crate) struct Hello {
     /// Identity of the node.
     pub(crate) node: NodeId,
-    /// Address of its peer endpoint.
-    pub(crate) addr: SocketAddr,
 }
 
 /// Header of the answer to a call.
--- a/components/peers/tests/membership/main.rs
+++ b/components/peers/tests/membership/main.rs
@@ -267,7 +267,7 @@
     let id = net.start(5);
     let good = net.nodes.values().next().unwrap().record.addr;
     let wrong = ["10.9.9.9:1".parse().unwrap(), "10.9.9.8:1".parse().unwrap(), good];
-    net.nodes.get_mut(&id).unwrap().machine.set_seeds(wrong.to_vec());
+    net.nodes.get_mut(&id).unwrap().machine.set_found_seeds(now, wrong.to_vec());
     let took = run_until_agreed(&mut net, &mut Watch::default(), MAX_JOIN);
     assert!(took < Duration::from_secs(5), "{took:?}");
     assert!(net.now > now);
--- a/components/peers/tests/quic/main.rs
+++ b/components/peers/tests/quic/main.rs
@@ -3,4 +3,5 @@
 mod common;
 mod link;
 mod relay;
+mod seeds;
 mod silent;
