policy: placement keeps what events confirm, and the recompute experiment

Cause: blocks aged out of the memory although other nodes' use kept them in the engine's cache; an unsure first choice lost to a node's own copies. Change: blocks of engines that send events stay until an event, a gap or eight cache sizes; the first choice counts as holding the prompt where nothing tells; shared beginnings are known after 4 uses.

--- a/components/policy/src/placement/score.rs
+++ b/components/policy/src/placement/score.rs
@@ -35,7 +35,7 @@
 const AVOID_ZONE_MS: f64 = 1000.0;
 
 /// Part of a prompt expected at its first choice, when nothing tells what it holds.
-const FIRST_CHOICE_HELD: f64 = 0.8;
+const FIRST_CHOICE_HELD: f64 = 1.0;
 
 /// Part of a prompt expected at its second choice.
 const SECOND_CHOICE_HELD: f64 = 0.2;
--- a/components/policy/src/placement/upstream.rs
+++ b/components/policy/src/placement/upstream.rs
@@ -131,6 +131,7 @@
     /// Notes that cache events came.
     pub(crate) fn heard_events(&mut self, now: Instant) {
         self.events_at = Some(now);
+        self.cache.set_told();
     }
 
     fn others(&self, now: Instant) -> Option<&Others> {
--- a/components/policy/src/prefix_memory.rs
+++ b/components/policy/src/prefix_memory.rs
@@ -14,7 +14,7 @@
 const SHARED_CHILDREN: u32 = 4;
 
 /// Uses of a block below which it is not taken for a shared beginning.
-const SHARED_USES: u32 = 16;
+const SHARED_USES: u32 = 4;
 
 /// Share of one upstream's fair part of the prompts from which a beginning is shared.
 const SHARED_PART: f64 = 0.5;
@@ -25,6 +25,11 @@
 /// Blocks that are remembered in each of two generations.
 const GENERATION_BLOCKS: usize = 57_344;
 
+/// Sizes of a cache after which a block counts as dropped though no event said so.
+///
+/// Other nodes' use of a block keeps it in the cache and causes no event.
+const TOLD_LIFETIMES: u64 = 8;
+
 /// Tokens in one unit of a cache's clock.
 const CLOCK_UNIT: u64 = 64;
 
@@ -60,12 +65,19 @@
     pub(crate) epoch: u32,
     stored_tokens: u64,
     total_tokens: u64,
+    /// Whether the engine tells which blocks it drops.
+    is_told: bool,
 }
 
 impl CacheClock {
     /// Creates the clock of an empty cache.
     pub(crate) fn new(epoch: u32, total_tokens: u64) -> CacheClock {
-        CacheClock { epoch, stored_tokens: 0, total_tokens }
+        CacheClock { epoch, stored_tokens: 0, total_tokens, is_told: false }
+    }
+
+    /// Notes that the engine tells which blocks it drops.
+    pub(crate) fn set_told(&mut self) {
+        self.is_told = true;
     }
 
     /// Counts tokens that entered the cache.
@@ -94,7 +106,8 @@
 
     fn holds(&self, holder: &Holder) -> bool {
         let age = u64::from(self.stamp().wrapping_sub(holder.stamp)) * CLOCK_UNIT;
-        holder.epoch == self.epoch && age < self.total_tokens
+        let lifetime = if self.is_told { TOLD_LIFETIMES } else { 1 } * self.total_tokens;
+        holder.epoch == self.epoch && age < lifetime
     }
 }
 
--- a/components/policy/tests/support/mod.rs
+++ b/components/policy/tests/support/mod.rs
@@ -3,3 +3,4 @@
 
 pub mod clock;
 pub mod overload;
+pub mod recompute;
