policy: groups in large services, load digests, figures of one decision

Cause: a decision at 8,000 engines took 15 us at p50 and 37 us at p99. Change: above 512 eligible upstreams the prefix order is worked out over 64 groups; upstreams that can't hold the prompt are not looked up. A digest carries a home's loads in a byte each.

--- a/components/policy/src/bits.rs
+++ b/components/policy/src/bits.rs
@@ -80,11 +80,6 @@
             })
         })
     }
-
-    /// Returns the words, for scans over all positions.
-    pub(crate) fn words(&self) -> &[u64] {
-        &self.0
-    }
 }
 
 #[cfg(test)]
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -6,6 +6,7 @@
 mod ejection;
 mod fair_queue;
 mod limit;
+mod load_digest;
 mod outcome;
 mod placement;
 mod prefix;
@@ -18,6 +19,7 @@
 pub use ejection::{Change, OutlierEjection};
 pub use fair_queue::{FairQueue, Waiting};
 pub use limit::{ConcurrencyLimit, Pace};
+pub use load_digest::{DigestError, LoadDigest, ObservedLoad, report_home};
 pub use outcome::{AttemptEvent, AttemptNumber, LifeState, LifeStep, RequestEvent, RequestLife};
 pub use placement::{
     Affinity, Candidate, CandidateState, Choice, Explanation, Observation, Placement,
--- a/components/policy/src/placement/explain.rs
+++ b/components/policy/src/placement/explain.rs
@@ -73,7 +73,7 @@
                 let slot = view.slots[position];
                 let known = self.fleet.known(slot);
                 let affinity = affinity(position, first, second);
-                let score = scoring.score(slot, known, affinity);
+                let score = scoring.score(slot, known, affinity, true);
                 ScoredUpstream {
                     upstream: known.candidate.id.clone(),
                     zone: known.candidate.zone.clone(),
--- a/components/policy/src/placement/fleet_view.rs
+++ b/components/policy/src/placement/fleet_view.rs
@@ -6,7 +6,7 @@
 use lycheelatch_prelude::{RegionName, ServiceName, UpstreamId, ZoneName};
 use tokio::time::Instant;
 
-use super::{Candidate, CandidateState, rules::WorkedRules, upstream::Known};
+use super::{Candidate, CandidateState, rendezvous::Groups, rules::WorkedRules, upstream::Known};
 use crate::{
     ConcurrencyLimit,
     bits::BitSet,
@@ -36,6 +36,7 @@
     pub(crate) service: Service,
     pub(crate) slots: Vec<u32>,
     pub(crate) seeds: Vec<u64>,
+    pub(crate) groups: Groups,
     /// Live upstreams.
     pub(crate) live: BitSet,
     /// Live upstreams that are not left out for failures.
@@ -58,6 +59,7 @@
             service,
             slots: Vec::new(),
             seeds: Vec::new(),
+            groups: Groups::default(),
             live: BitSet::default(),
             usable: BitSet::default(),
             out: Vec::new(),
@@ -183,6 +185,7 @@
         let slot = self.free.pop().unwrap_or(self.known.len() as u32);
         view.slots.push(slot);
         view.seeds.push(known.seed);
+        view.groups.put(known.seed, known.position);
         view.rules.put(known.position, &known.candidate.labels, 0);
         let id = known.candidate.id.clone();
         self.by_id.insert(id.clone(), slot);
@@ -210,6 +213,8 @@
         view.capacity -= known.limit.capacity(view.usable.get(position));
         view.requests -= known.limit.requests();
         view.out.retain(|other| *other != slot);
+        let last_seed = view.seeds[last];
+        view.groups.swap_remove((known.seed, position), (last_seed, last));
         view.slots.swap_remove(position);
         view.seeds.swap_remove(position);
         view.rules.swap_remove(position, last, known.limit.requests());
@@ -338,7 +343,7 @@
         let ids = self.by_id.capacity() * (size_of::<(UpstreamId, u32)>() + 1);
         let views = self.services.values().map(|view| {
             let arrays = view.slots.capacity() * 4 + view.seeds.capacity() * 8;
-            arrays + view.memory.bytes()
+            arrays + view.groups.bytes() + view.memory.bytes()
         });
         records + ids + views.sum::<usize>()
     }
--- a/components/policy/src/placement/mod.rs
+++ b/components/policy/src/placement/mod.rs
@@ -324,7 +324,8 @@
         let (first, second) = choices(&scoring, eligible);
         let affinity = |position| affinity(position, first, second);
         if view.slots.len() <= FULL_SCAN {
-            return best_of(&scoring, &self.fleet, eligible.iter(), affinity);
+            let all = eligible.iter().map(|position| (position, true));
+            return best_of(&scoring, &self.fleet, all, affinity);
         }
         let mut picks = Picks::default();
         view.memory.matches(req.prefix, |found| {
@@ -333,6 +334,7 @@
             }
         });
         first.into_iter().chain(second).for_each(|position| picks.add(position, eligible));
+        picks.informed = picks.len;
         for _ in 0..RANDOM_PICKS {
             let start = self.rng.random_range(0..view.slots.len());
             if let Some(position) = eligible.next_from(start) {
@@ -348,7 +350,8 @@
             let known = self.fleet.known(view.slots[*position]);
             eligible.get(*position) && known.limit.has_room()
         });
-        best_of(&scoring, &self.fleet, with_room.into_iter(), affinity)
+        let with_room = with_room.into_iter().map(|position| (position, true));
+        best_of(&scoring, &self.fleet, with_room, affinity)
     }
 }
 
@@ -361,20 +364,22 @@
 }
 
 /// Returns the upstream with the lowest score among those with room.
+///
+/// Each position comes with whether it may hold a part of the prompt.
 fn best_of(
     scoring: &Scoring<'_>,
     fleet: &FleetView,
-    positions: impl Iterator<Item = usize>,
+    positions: impl Iterator<Item = (usize, bool)>,
     affinity: impl Fn(usize) -> Affinity,
 ) -> Option<(u32, Score)> {
     let mut best: Option<(u32, Score)> = None;
-    for position in positions {
+    for (position, may_hold) in positions {
         let slot = scoring.view.slots[position];
         let known = fleet.known(slot);
         if !known.limit.has_room() && !scoring.req.may_exceed {
             continue;
         }
-        let score = scoring.score(slot, known, affinity(position));
+        let score = scoring.score(slot, known, affinity(position), may_hold);
         if best.as_ref().is_none_or(|(_, b)| score.terms.total() < b.terms.total()) {
             best = Some((slot, score));
         }
@@ -387,6 +392,8 @@
 struct Picks {
     positions: [usize; MAX_SCORED],
     len: usize,
+    /// How many of the first ones may hold a part of the prompt.
+    informed: usize,
 }
 
 impl Picks {
@@ -398,8 +405,9 @@
         }
     }
 
-    fn iter(&self) -> impl Iterator<Item = usize> {
-        self.positions[..self.len].iter().copied()
+    fn iter(&self) -> impl Iterator<Item = (usize, bool)> {
+        let positions = self.positions[..self.len].iter().copied();
+        positions.enumerate().map(|(i, position)| (position, i < self.informed))
     }
 }
 
@@ -424,7 +432,7 @@
         true => Some(&weight),
         false => None,
     };
-    let order = first_choices(key.0, &view.seeds, eligible, weight);
+    let order = first_choices(key.0, &view.seeds, &view.groups, eligible, weight);
     let mut positions = order.positions();
     (positions.next(), positions.next())
 }
--- a/components/policy/src/placement/score.rs
+++ b/components/policy/src/placement/score.rs
@@ -108,9 +108,18 @@
 }
 
 impl Scoring<'_> {
-    /// Scores one upstream.
-    pub(crate) fn score(&self, slot: u32, known: &Known, affinity: Affinity) -> Score {
-        let held = self.view.memory.held_tokens(self.req.prefix, slot, &known.cache);
+    /// Scores one upstream; one that can't hold a part of the prompt is not looked up.
+    pub(crate) fn score(
+        &self,
+        slot: u32,
+        known: &Known,
+        affinity: Affinity,
+        may_hold: bool,
+    ) -> Score {
+        let held = match may_hold {
+            true => self.view.memory.held_tokens(self.req.prefix, slot, &known.cache),
+            false => 0,
+        };
         let held = held.min(self.req.prompt_tokens);
         let pull = self.pull(known, affinity, held);
         let terms = Terms {
--- a/components/policy/tests/support/mod.rs
+++ b/components/policy/tests/support/mod.rs
@@ -2,5 +2,6 @@
 #![allow(dead_code, missing_docs, unreachable_pub)]
 
 pub mod clock;
+pub mod fleet;
 pub mod overload;
 pub mod recompute;
--- a/components/policy/tests/support/recompute.rs
+++ b/components/policy/tests/support/recompute.rs
@@ -11,8 +11,8 @@
 
 use lycheelatch_config::{Service, ServiceKind, ServiceLimits};
 use lycheelatch_policy::{
-    BLOCK_TOKENS, BlockHash, Candidate, CandidateState, Observation, Placement, PlacementRequest,
-    Sent,
+    BLOCK_TOKENS, BlockHash, Candidate, CandidateState, Observation, ObservedLoad, Placement,
+    PlacementRequest, Sent,
 };
 use lycheelatch_prelude::{Labels, Sequence, ServiceName, UpstreamId, WorkspaceName, ZoneName};
 use lycheelatch_upstream::{CacheEvent, CacheEvents, LoadReport, Role};
@@ -55,6 +55,19 @@
     Oracle,
 }
 
+/// What nodes hear of the engines' load, besides their own requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Knowledge {
+    /// Nothing.
+    Own,
+    /// Every engine's report, each second.
+    Reports,
+    /// The reports of this many engines, others at each node.
+    Subset(usize),
+    /// Digests of all engines, every so many seconds.
+    Digests(u64),
+}
+
 /// Settings of one run.
 #[derive(Debug, Clone)]
 pub struct Setup {
@@ -69,8 +82,8 @@
     pub histories: usize,
     /// Whether nodes read the engines' cache events.
     pub has_events: bool,
-    /// Whether nodes hear of the engines' load.
-    pub has_reports: bool,
+    /// What nodes hear of the engines' load.
+    pub knowledge: Knowledge,
     /// When the engines of one availability zone go, if they do.
     pub zone_lost_at: Option<Duration>,
     pub run_for: Duration,
@@ -89,7 +102,7 @@
             conversations: 60,
             histories: 40,
             has_events: true,
-            has_reports: true,
+            knowledge: Knowledge::Reports,
             zone_lost_at: None,
             run_for: Duration::from_secs(300),
         }
@@ -496,12 +509,34 @@
             role: Role::Mixed,
             models: Vec::new(),
         };
-        for placement in &mut self.placements {
-            if self.setup.has_reports {
-                placement.report(&self.ids[engine], now, &report);
-            }
+        for node in 0..self.setup.nodes {
+            self.hear_load(node, engine, &report);
             if self.setup.has_events {
-                placement.cache_events(&self.ids[engine], now, events);
+                self.placements[node].cache_events(&self.ids[engine], now, events);
+            }
+        }
+    }
+
+    /// Tells a node of an engine's load, as far as it hears of it.
+    fn hear_load(&mut self, node: usize, engine: usize, report: &LoadReport) {
+        let (now, id) = (self.schedule.now(), &self.ids[engine]);
+        let placement = &mut self.placements[node];
+        match self.setup.knowledge {
+            Knowledge::Own => {}
+            Knowledge::Reports => placement.report(id, now, report),
+            Knowledge::Subset(size) => {
+                let first = node * size;
+                let place =
+                    (engine + self.setup.engines - first % self.setup.engines) % self.setup.engines;
+                if place < size {
+                    placement.report(id, now, report);
+                }
+            }
+            Knowledge::Digests(seconds) => {
+                if self.schedule.elapsed().as_secs().is_multiple_of(seconds) {
+                    let seen = ObservedLoad::new(report.running, report.waiting).rounded();
+                    placement.digest(id, now, seen.running, seen.waiting);
+                }
             }
         }
     }
