policy: computing again weighs more, and reports age

Change: computing tokens again weighs 2.5 times waiting, since it delays the others too; what waited at the report is taken to be computed since.

--- a/components/policy/src/placement/score.rs
+++ b/components/policy/src/placement/score.rs
@@ -11,7 +11,7 @@
 const PREFILL_TOKENS_PER_MS: f64 = 8.0;
 
 /// Weight of computing tokens again against waiting.
-const RECOMPUTE_WEIGHT: f64 = 1.5;
+const RECOMPUTE_WEIGHT: f64 = 2.5;
 
 /// Delay by each request that an upstream has already.
 const REQUEST_MS: f64 = 2.0;
@@ -156,7 +156,7 @@
 
     fn wait_ms(&self, known: &Known) -> f64 {
         let fresh_tokens = self.view.fresh_tokens.get_or(0.0);
-        let ahead_tokens = known.prefilling as f64 + known.others_waiting(self.now) * fresh_tokens;
+        let ahead_tokens = known.prefilling as f64 + self.others_ahead(known, fresh_tokens);
         let prefill = ahead_tokens / PREFILL_TOKENS_PER_MS;
         let waiting = match self.req.prompt_tokens {
             0 => known.others_waiting(self.now) * PLAIN_WAITING_MS,
@@ -169,6 +169,15 @@
         }
     }
 
+    /// Returns the prompt tokens of other nodes that are still to be computed.
+    ///
+    /// The engine has gone on since its report; what waited briefly is done by now.
+    fn others_ahead(&self, known: &Known, fresh_tokens: f64) -> f64 {
+        let waited = known.others_waiting(self.now) * fresh_tokens;
+        let done = known.report_age(self.now).as_secs_f64() * 1000.0 * PREFILL_TOKENS_PER_MS;
+        (waited - done).max(0.0)
+    }
+
     fn zone_ms(&self, known: &Known) -> f64 {
         if known.candidate.zone == *self.req.zone_of_caller {
             return 0.0;
--- a/components/policy/src/placement/upstream.rs
+++ b/components/policy/src/placement/upstream.rs
@@ -109,6 +109,11 @@
         self.others(now).map_or(0.0, |others| others.waiting)
     }
 
+    /// Returns the time since the last report came, zero without one.
+    pub(crate) fn report_age(&self, now: Instant) -> Duration {
+        self.others(now).map_or(Duration::ZERO, |others| now.saturating_duration_since(others.at))
+    }
+
     /// Returns whether nothing waits at the upstream, as far as is known.
     pub(crate) fn is_quiet(&self, now: Instant) -> bool {
         self.others(now).is_none_or(|others| others.is_quiet)
