--- /dev/null
+++ b/components/policy/tests/support/overload/upstream.rs
@@ -0,0 +1,282 @@
+//! What upstreams do, and what becomes of calls.
+
+use super::*;
+
+impl Run {
+    pub(super) fn at_upstream(&mut self, call: usize) {
+        let upstream = self.calls[call].upstream;
+        let state = &mut self.upstreams[upstream];
+        if state.gone {
+            match self.setup.trigger {
+                Trigger::Crash => {
+                    let error = Some(Reached::NotRun);
+                    self.schedule.after(UPSTREAM_DELAY, Event::Answered { call, error });
+                }
+                Trigger::Silence => {
+                    self.schedule.after(Duration::from_secs(1), Event::Silent { call });
+                }
+            }
+            return;
+        }
+        state.queue.push_back(call);
+        self.serve(upstream);
+    }
+
+    pub(super) fn serve(&mut self, upstream: usize) {
+        let life = self.upstreams[upstream].life;
+        while self.upstreams[upstream].busy.len() < self.setup.slots {
+            let Some(call) = self.upstreams[upstream].queue.pop_front() else {
+                return;
+            };
+            self.upstreams[upstream].busy.push(call);
+            let time = exponential(&mut self.rng, self.setup.mean_service.as_secs_f64());
+            self.schedule.after(time, Event::Served { upstream, call, life });
+        }
+    }
+
+    pub(super) fn served(&mut self, upstream: usize, call: usize, life: u32) {
+        let state = &mut self.upstreams[upstream];
+        if state.life != life {
+            return;
+        }
+        state.busy.retain(|other| *other != call);
+        self.schedule.after(UPSTREAM_DELAY, Event::Answered { call, error: None });
+        self.serve(upstream);
+    }
+
+    pub(super) fn trigger_starts(&mut self) {
+        let half = self.setup.half();
+        for state in self.upstreams.iter_mut().take(half) {
+            state.gone = true;
+            state.life += 1;
+            for call in state.queue.drain(..).chain(state.busy.drain(..)) {
+                let event = match self.setup.trigger {
+                    Trigger::Crash => Event::Answered { call, error: Some(Reached::MayHaveRun) },
+                    Trigger::Silence => Event::Silent { call },
+                };
+                let after = match self.setup.trigger {
+                    Trigger::Crash => UPSTREAM_DELAY,
+                    Trigger::Silence => Duration::from_secs(1),
+                };
+                self.schedule.after(after, event);
+            }
+        }
+    }
+
+    pub(super) fn answered(&mut self, call: usize, error: Option<Reached>) {
+        if !self.calls[call].open {
+            return;
+        }
+        let (node, ok) = (self.calls[call].node, error.is_none());
+        self.observe(call, ok);
+        let Some(reached) = error else {
+            return self.settle(call, Outcome::Complete);
+        };
+        if self.setup.strategy != Strategy::Policy {
+            let upstream = self.calls[call].upstream;
+            self.nodes[node].left_out[upstream] = self.schedule.elapsed() + BASELINE_LEFT_OUT;
+            return self.settle(call, Outcome::Failed);
+        }
+        self.decide_retry(call, reached);
+        self.turns(node);
+    }
+
+    pub(super) fn decide_retry(&mut self, call: usize, reached: Reached) {
+        let now = self.schedule.now();
+        let state = &self.calls[call];
+        let permit = state.permit.as_ref().unwrap();
+        let node = &mut self.nodes[state.node];
+        let failed = FailedTry {
+            upstream: self.ids[state.upstream].clone(),
+            zone: self.zones[state.upstream % self.zones.len()].clone(),
+            reached,
+            answered: false,
+        };
+        let told = if self.setup.marks == Marks::Attempt { state.attempt } else { 1 };
+        let cx = TryContext {
+            attempt: Attempt(told),
+            retried: permit.is_retried(),
+            tries: state.tries,
+            idempotency: Idempotency::Idempotent,
+            deadline: now + self.setup.timeout,
+            expected: node.admission.run_time(&self.service),
+        };
+        let draw = || node.admission.draw_retry(now, permit);
+        match RetryPolicy.decide(now, &failed, &cx, draw) {
+            RetryDecision::Elsewhere { exclude, avoid_zone } => {
+                self.place(call, &[exclude], Some(&avoid_zone));
+            }
+            RetryDecision::GiveUp(_) => self.settle(call, Outcome::Failed),
+        }
+    }
+
+    pub(super) fn observe(&mut self, call: usize, ok: bool) {
+        let now = self.schedule.now();
+        let state = &mut self.calls[call];
+        let latency = self.schedule.elapsed() - state.sent_at;
+        let seen = Observation { ok, latency, first_token: None, tokens: 0 };
+        let node = &mut self.nodes[state.node];
+        if let Some(sent) = state.sent.take() {
+            node.placement.finished(sent, now, seen);
+        }
+        if self.setup.strategy != Strategy::Policy {
+            node.in_flight[state.upstream] -= 1;
+        }
+    }
+
+    /// Ends a call and tells its caller.
+    pub(super) fn settle(&mut self, call: usize, outcome: Outcome) {
+        let now = self.schedule.now();
+        let state = &mut self.calls[call];
+        state.open = false;
+        let (work, attempt, node) = (state.work, state.attempt, state.node);
+        if let Some(permit) = state.permit.take() {
+            self.nodes[node].admission.release(permit, now, outcome);
+        }
+        if outcome != Outcome::Complete {
+            let retry_after = Duration::ZERO;
+            let told =
+                if self.setup.marks == Marks::Digest { 2 * PEER_DELAY } else { Duration::ZERO };
+            self.schedule.after(told + CALLER_DELAY, Event::Refused { work, attempt, retry_after });
+            return self.turns_if_policy(node);
+        }
+        self.complete(work, attempt);
+        self.turns_if_policy(node);
+    }
+
+    pub(super) fn turns_if_policy(&mut self, node: usize) {
+        if self.setup.strategy == Strategy::Policy {
+            self.turns(node);
+        }
+    }
+
+    pub(super) fn complete(&mut self, work: usize, attempt: u32) {
+        let state = &mut self.work[work];
+        if state.done || state.attempt != attempt {
+            return;
+        }
+        state.done = true;
+        let (arrived, workspace) = (state.arrived, state.workspace);
+        if state.told_to_wait {
+            self.report.came_back_done += 1;
+        }
+        let latency = self.schedule.elapsed() + CALLER_DELAY - arrived;
+        let second = &mut self.report.seconds[arrived.as_secs() as usize];
+        second.done += 1;
+        if attempt == 1 {
+            second.fresh_done += 1;
+            if arrived.as_secs() >= self.setup.surge.1 {
+                self.report.latencies[workspace].push(latency.as_secs_f64() * 1000.0);
+            }
+            self.second().fresh_goodput += 1;
+        }
+    }
+
+    pub(super) fn caller_gone(&mut self, work: usize, attempt: u32) {
+        let state = &mut self.work[work];
+        if state.done || state.attempt != attempt {
+            return;
+        }
+        let now = self.schedule.now();
+        if let Some((node, ticket)) = state.ticket.take() {
+            self.nodes[node].admission.cancel(now, ticket);
+            self.nodes[node].waiting.remove(&ticket);
+        }
+        if let Some(call) = state.call.take().filter(|call| self.calls[*call].open) {
+            let node = self.calls[call].node;
+            self.observe(call, false);
+            self.calls[call].open = false;
+            if let Some(permit) = self.calls[call].permit.take() {
+                self.nodes[node].admission.release(permit, now, Outcome::Failed);
+            }
+            self.turns_if_policy(node);
+        }
+        self.send(work, Duration::ZERO);
+    }
+
+    pub(super) fn reports(&mut self) {
+        self.schedule.after(REPORT_INTERVAL, Event::Reports);
+        let loads: Vec<(u32, u32)> = self
+            .upstreams
+            .iter()
+            .map(|u| if u.gone { (0, 0) } else { (u.busy.len() as u32, u.queue.len() as u32) })
+            .collect();
+        for node in 0..self.setup.nodes {
+            let event = Event::ReportsCome { node, loads: loads.clone() };
+            self.schedule.after(REPORT_LAG, event);
+        }
+    }
+
+    pub(super) fn reports_come(&mut self, node: usize, loads: &[(u32, u32)]) {
+        let now = self.schedule.now();
+        for (id, (running, waiting)) in self.ids.iter().zip(loads) {
+            if self.upstreams[self.ids.iter().position(|i| i == id).unwrap()].gone {
+                continue;
+            }
+            let report = load_report(*running, *waiting);
+            self.nodes[node].placement.report(id, now, &report);
+        }
+        self.turns_if_policy(node);
+    }
+
+    /// Tells the homes of failed requests.
+    pub(super) fn tell_homes(&mut self, node: usize) {
+        if self.setup.marks != Marks::Digest {
+            return;
+        }
+        for mark in self.nodes[node].admission.sense_mut().take_unshared(usize::MAX) {
+            let home = self.home(mark);
+            self.schedule.after(PEER_DELAY, Event::AtHome { home, mark });
+        }
+    }
+
+    pub(super) fn home(&self, mark: Fingerprint) -> usize {
+        let home = sense_home(mark, &self.node_ids).unwrap();
+        self.node_ids.iter().position(|id| id == home).unwrap()
+    }
+}
+
+pub(super) fn xxh(n: u64) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(&n.to_le_bytes())
+}
+
+pub(super) fn exponential(rng: &mut SmallRng, mean_secs: f64) -> Duration {
+    let uniform: f64 = rng.random_range(f64::EPSILON..1.0);
+    Duration::from_secs_f64(-uniform.ln() * mean_secs)
+}
+
+pub(super) fn service_config(name: &ServiceName) -> Service {
+    Service {
+        name: name.clone(),
+        kind: ServiceKind::Plain,
+        limits: ServiceLimits::default(),
+        latency: Default::default(),
+        model: None,
+        checks_fences: false,
+        fleet: None,
+    }
+}
+
+pub(super) fn candidate(id: &UpstreamId, zone: &ZoneName) -> Candidate {
+    Candidate {
+        id: id.clone(),
+        zone: zone.clone(),
+        region: "lima".parse().unwrap(),
+        labels: Labels::default(),
+        price_per_hour: 0.4,
+        reclaimable: true,
+        state: CandidateState::Live,
+    }
+}
+
+pub(super) fn load_report(running: u32, waiting: u32) -> LoadReport {
+    LoadReport {
+        running,
+        waiting,
+        cache_used_tokens: 0,
+        cache_total_tokens: 0,
+        tokens_per_second: 0.0,
+        role: Role::Mixed,
+        models: Vec::new(),
+    }
+}
--- /dev/null
+++ b/components/policy/tests/support/recompute/engine.rs
@@ -0,0 +1,179 @@
+//! What engines do, and what nodes hear of it.
+
+use super::{traffic::mix, *};
+
+impl Run {
+    pub(super) fn choose_baseline(&mut self, prompt: &[BlockHash]) -> usize {
+        let live: Vec<usize> = (0..self.engines.len()).filter(|e| !self.engines[*e].gone).collect();
+        self.turn += 1;
+        let load = |e: usize| self.engines[e].prefill.len() + self.engines[e].generating as usize;
+        match self.setup.chooser {
+            Chooser::LeastLoaded => {
+                let turn = self.turn;
+                let key = |e: &usize| (load(*e), (*e + turn) % self.engines.len());
+                *live.iter().min_by_key(|e| key(e)).unwrap()
+            }
+            Chooser::Rendezvous => {
+                let key = prompt.get(2).unwrap_or(&prompt[0]).0;
+                *live.iter().max_by_key(|e| mix(key ^ mix(**e as u64 + 7))).unwrap()
+            }
+            Chooser::Oracle => {
+                let cost = |e: usize| {
+                    let ahead: u64 = self.engines[e]
+                        .prefill
+                        .iter()
+                        .map(|call| self.missing(e, &self.calls[*call].prompt))
+                        .sum();
+                    let own = self.missing(e, prompt) as f64;
+                    1.5 * own + ahead as f64 + load(e) as f64 * 16.0
+                };
+                *live.iter().min_by(|a, b| cost(**a).total_cmp(&cost(**b))).unwrap()
+            }
+            _ => live[self.turn % live.len()],
+        }
+    }
+
+    pub(super) fn missing(&self, engine: usize, prompt: &[BlockHash]) -> u64 {
+        (prompt.len() - self.engines[engine].held(prompt)) as u64 * BLOCK_TOKENS
+    }
+
+    /// Begins to compute the prompt at the head of an engine's queue.
+    pub(super) fn compute(&mut self, engine: usize) {
+        let Some(call) = self.engines[engine].prefill.front().copied() else {
+            return;
+        };
+        let prompt = &self.calls[call].prompt;
+        let held = self.engines[engine].held(prompt);
+        let again = prompt[held..].iter().filter(|block| self.computed.contains(*block)).count();
+        self.report.recomputed += again as u64 * BLOCK_TOKENS;
+        let fresh_tokens = (prompt.len() - held) as u64 * BLOCK_TOKENS;
+        self.calls[call].fresh_tokens = fresh_tokens;
+        let secs = fresh_tokens as f64 / PREFILL_TOKENS_PER_SECOND;
+        let life = self.engines[engine].life;
+        let time = Duration::from_secs_f64(secs) + Duration::from_millis(5);
+        self.schedule.after(time, Event::Computed { engine, life });
+    }
+
+    pub(super) fn computed(&mut self, engine: usize, life: u32) {
+        if self.engines[engine].life != life {
+            return;
+        }
+        let Some(call) = self.engines[engine].prefill.pop_front() else {
+            return;
+        };
+        let elapsed = self.schedule.elapsed();
+        let prompt = self.calls[call].prompt.clone();
+        self.computed.extend(prompt.iter().copied());
+        let max_blocks = (self.setup.cache_tokens / BLOCK_TOKENS) as usize;
+        let state = &mut self.engines[engine];
+        state.store(&prompt, max_blocks);
+        state.generating += 1;
+        let each = TOKEN_TIME + TOKEN_TIME_PER_REQUEST * state.generating;
+        self.schedule.after(each * ANSWER_TOKENS as u32, Event::Generated { call });
+        let state = &mut self.calls[call];
+        state.first_token = elapsed - state.arrived;
+        self.report.first_token_ms.push(state.first_token.as_secs_f64() * 1000.0);
+        if let Some(sent) = &mut state.sent {
+            self.placements[state.node].first_token(sent);
+        }
+        self.compute(engine);
+    }
+
+    pub(super) fn generated(&mut self, call: usize) {
+        let state = &mut self.calls[call];
+        let engine = state.engine;
+        if self.engines[engine].gone {
+            return;
+        }
+        self.engines[engine].generating -= 1;
+        let seen = Observation {
+            ok: true,
+            latency: self.schedule.elapsed() - state.arrived,
+            first_token: Some(state.first_token),
+            tokens: ANSWER_TOKENS,
+        };
+        if let Some(sent) = state.sent.take() {
+            self.placements[state.node].finished(sent, self.schedule.now(), seen);
+        }
+    }
+
+    pub(super) fn read_events(&mut self) {
+        self.schedule.after(EVENTS_INTERVAL, Event::Events);
+        for engine in 0..self.engines.len() {
+            let gap = self.rng.random_bool(GAP_SHARE);
+            let state = &mut self.engines[engine];
+            let mut events = std::mem::take(&mut state.events);
+            state.last += events.len() as u64;
+            if gap {
+                events.truncate(events.len() / 2);
+            }
+            let load = (state.generating, state.prefill.len() as u32);
+            let events = CacheEvents { last: Sequence(state.last), gap, events };
+            self.schedule.after(EVENTS_LAG, Event::EventsCome { engine, events, load });
+        }
+    }
+
+    pub(super) fn events_come(&mut self, engine: usize, events: &CacheEvents, load: (u32, u32)) {
+        if self.engines[engine].gone {
+            return;
+        }
+        let now = self.schedule.now();
+        let report = LoadReport {
+            running: load.0,
+            waiting: load.1,
+            cache_used_tokens: 0,
+            cache_total_tokens: self.setup.cache_tokens,
+            tokens_per_second: 0.0,
+            role: Role::Mixed,
+            models: Vec::new(),
+        };
+        for node in 0..self.setup.nodes {
+            self.hear_load(node, engine, &report);
+            if self.setup.has_events {
+                self.placements[node].cache_events(&self.ids[engine], now, events);
+            }
+        }
+    }
+
+    /// Tells a node of an engine's load, as far as it hears of it.
+    pub(super) fn hear_load(&mut self, node: usize, engine: usize, report: &LoadReport) {
+        let (now, id) = (self.schedule.now(), &self.ids[engine]);
+        let placement = &mut self.placements[node];
+        match self.setup.knowledge {
+            Knowledge::Own => {}
+            Knowledge::Reports => placement.report(id, now, report),
+            Knowledge::Subset(size) => {
+                let first = node * size;
+                let place =
+                    (engine + self.setup.engines - first % self.setup.engines) % self.setup.engines;
+                if place < size {
+                    placement.report(id, now, report);
+                }
+            }
+            Knowledge::Digests(seconds) => {
+                if self.schedule.elapsed().as_secs().is_multiple_of(seconds) {
+                    let seen = ObservedLoad::new(report.running, report.waiting).rounded();
+                    placement.digest(id, now, seen.running, seen.waiting);
+                }
+            }
+        }
+    }
+
+    /// The engines of the first availability zone go; their requests start again elsewhere.
+    pub(super) fn zone_lost(&mut self) {
+        let lost: Vec<usize> = (0..self.engines.len()).step_by(self.zones.len()).collect();
+        for engine in lost {
+            let state = &mut self.engines[engine];
+            state.gone = true;
+            state.life += 1;
+            let calls: Vec<usize> = state.prefill.drain(..).collect();
+            for placement in &mut self.placements {
+                placement.set_state(&self.ids[engine], CandidateState::Leaving);
+            }
+            for call in calls {
+                let (prompt, arrived) = (self.calls[call].prompt.clone(), self.calls[call].arrived);
+                self.send(prompt, arrived);
+            }
+        }
+    }
+}
