Ask and tell the homes of failed requests

Cause: a caller's unmarked retry at another node counted as fresh. Figures (tests/load.rs, two nodes): of 40 unmarked retries at the other node at most 6 run; with the link cut all 40 run.

--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -13,7 +13,7 @@
 use lycheelatch_prelude::NodeId;
 use lycheelatch_proxy::{
     AdmitByPolicy, HandoverReport, HttpConnect, LoadControl, PlaceByPolicy, Proxy, ProxyMetrics,
-    ProxyParts, Registry, RetryByPolicy, poll_engines, seed_of,
+    ProxyParts, Registry, RetryByPolicy, poll_engines, seed_of, tell_homes,
 };
 use lycheelatch_settings::Settings;
 use tokio::{
@@ -99,6 +99,7 @@
         let proxy = proxy_of(&settings, &current, &claims, &registry, &load, &metrics)?;
         if let Some(link) = &link {
             proxy.join_peers(link.clone() as Arc<dyn PeerLink>);
+            load.join_peers(link.clone() as Arc<dyn PeerLink>);
         }
         let store = Arc::new(ConfigStore::new(clients.budget.class(CallClass::Configuration)));
         let stop_asked = Arc::new(Notify::new());
@@ -134,7 +135,8 @@
                 settings.platform.instances.poll,
             )),
             rt::spawn(async move { claims.maintain().await }),
-            rt::spawn(poll_engines(load, id.clone())),
+            rt::spawn(poll_engines(load.clone(), id.clone())),
+            rt::spawn(tell_homes(load)),
         ];
         let spread = match &link {
             Some(link) => {
--- a/components/policy/src/retry_sense.rs
+++ b/components/policy/src/retry_sense.rs
@@ -70,6 +70,7 @@
     young: Vec<u64>,
     old: Vec<u64>,
     turned: Option<Instant>,
+    inserted: Option<Instant>,
     unshared: Vec<Fingerprint>,
 }
 
@@ -79,6 +80,7 @@
             young: vec![0; FILTER_BITS / 64],
             old: vec![0; FILTER_BITS / 64],
             turned: None,
+            inserted: None,
             unshared: Vec::new(),
         }
     }
@@ -97,11 +99,19 @@
     /// Remembers a request that failed or was refused at this node.
     pub fn failed(&mut self, now: Instant, mark: Fingerprint) {
         self.turn(now);
+        self.inserted = Some(now);
         if !self.insert(mark) && self.unshared.len() < MAX_UNSHARED {
             self.unshared.push(mark);
         }
     }
 
+    /// Returns whether any failure is remembered, here or told by a peer.
+    ///
+    /// While none is, there is no need to ask a request's home.
+    pub fn is_active(&self, now: Instant) -> bool {
+        self.inserted.is_some_and(|at| now.saturating_duration_since(at) < 2 * GENERATION)
+    }
+
     /// Takes up to `max` fingerprints that their homes don't know of yet.
     pub fn take_unshared(&mut self, max: usize) -> Vec<Fingerprint> {
         let rest = self.unshared.len().saturating_sub(max);
@@ -111,6 +121,9 @@
     /// Remembers requests that failed at a peer.
     pub fn merge(&mut self, now: Instant, marks: &[Fingerprint]) {
         self.turn(now);
+        if !marks.is_empty() {
+            self.inserted = Some(now);
+        }
         for mark in marks {
             self.insert(*mark);
         }
@@ -179,6 +192,16 @@
         assert!(!sense.is_retry(now, Attempt::FIRST, Some(mark(2))));
     }
 
+    #[test]
+    fn is_active_while_failures_are_remembered() {
+        let now = Instant::now();
+        let mut sense = RetrySense::default();
+        assert!(!sense.is_active(now));
+        sense.merge(now, &[mark(1)]);
+        assert!(sense.is_active(now + GENERATION));
+        assert!(!sense.is_active(now + 2 * GENERATION));
+    }
+
     #[test]
     fn is_retry_forgets() {
         let now = Instant::now();
--- a/components/proxy/src/lib.rs
+++ b/components/proxy/src/lib.rs
@@ -45,7 +45,9 @@
 pub use handover::HandoverReport;
 pub use head::Head;
 pub use http::{CallerLimits, configure};
-pub use load::{AdmitByPolicy, LoadControl, PlaceByPolicy, RetryByPolicy, poll_engines, seed_of};
+pub use load::{
+    AdmitByPolicy, LoadControl, PlaceByPolicy, RetryByPolicy, poll_engines, seed_of, tell_homes,
+};
 pub use metrics::ProxyMetrics;
 pub use place::{Attempt, LeastInFlight, Observation, Place, PlaceAsk, Placed};
 pub use proxy::{ConfigSource, Proxy, ProxyParts};
--- a/components/proxy/src/load/admit.rs
+++ b/components/proxy/src/load/admit.rs
@@ -73,8 +73,20 @@
 #[async_trait(?Send)]
 impl Filter for AdmitByPolicy {
     async fn apply(&self, rec: &mut Record) -> Result<Flow, Refusal> {
+        let admitted = self.admit(rec).await;
+        if admitted.is_err() {
+            // The caller's retry may come to another node at once.
+            self.0.tell_homes().await;
+        }
+        admitted
+    }
+}
+
+impl AdmitByPolicy {
+    async fn admit(&self, rec: &mut Record) -> Result<Flow, Refusal> {
+        let mut ask = ask(rec, Instant::now());
+        ask.failed_before = self.0.failed_before(&ask).await;
         let now = Instant::now();
-        let ask = ask(rec, now);
         let queued = {
             let mut state = self.0.lock();
             self.0.sync(&mut state, &rec.config, now);
@@ -99,9 +111,7 @@
         rec.permit = Some(Box::new(HeldPermit { control, leave, outcome: Outcome::Unknown }));
         Ok(Flow::Continue)
     }
-}
 
-impl AdmitByPolicy {
     /// Waits until the turn of a request has come or it is dropped.
     async fn wait(
         &self,
--- a/components/proxy/src/load/mod.rs
+++ b/components/proxy/src/load/mod.rs
@@ -5,13 +5,18 @@
 mod poll;
 mod prompt;
 mod retry;
+mod sense;
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicUsize, atomic::Ordering},
+    sync::{
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
 };
 
 use lycheelatch_config::Snapshot;
+use lycheelatch_peers::PeerLink;
 use lycheelatch_policy::{
     Admission, Candidate, CandidateState, Explanation, Permit, Placement, PlacementRequest,
     Refusal, Ticket, Turn,
@@ -26,6 +31,7 @@
 pub use place::PlaceByPolicy;
 pub use poll::{poll_engines, seed_of};
 pub use retry::RetryByPolicy;
+pub use sense::tell_homes;
 
 /// Price of an instance whose price is not known, per hour.
 const UNKNOWN_PRICE: f64 = 0.0;
@@ -46,6 +52,7 @@
     registry: Arc<Registry>,
     zone: ZoneName,
     nodes: AtomicUsize,
+    link: OnceLock<Arc<dyn PeerLink>>,
     state: Mutex<State>,
 }
 
@@ -56,6 +63,7 @@
             registry,
             zone,
             nodes: AtomicUsize::new(1),
+            link: OnceLock::new(),
             state: Mutex::new(State {
                 admission: Admission::new(seed),
                 placement: Placement::new(seed),
--- a/components/proxy/tests/load.rs
+++ b/components/proxy/tests/load.rs
@@ -5,7 +5,7 @@
 use actix_web::{App, http::StatusCode, test};
 use lycheelatch_claims::{Claims, ClaimsConfig};
 use lycheelatch_config::{Service, ServiceKind, ServiceLimits, Snapshot, TokenHash, Workspace};
-use lycheelatch_fakes::{MemoryKv, ServedPlain, serve_plain};
+use lycheelatch_fakes::{MemoryKv, MemoryNet, ServedPlain, serve_plain};
 use lycheelatch_platform::{ListedInstance, ListedState, Purchase};
 use lycheelatch_prelude::{Labels, Revision};
 use lycheelatch_proxy::{
@@ -20,6 +20,7 @@
 
 struct Setup {
     proxy: Arc<Proxy>,
+    load: Arc<LoadControl>,
     metrics: prometheus::Registry,
     upstreams: Vec<ServedPlain>,
 }
@@ -80,11 +81,11 @@
         claims: Arc::new(Claims::new(kv, ClaimsConfig::default())),
         admit: Arc::new(AdmitByPolicy::new(load.clone())),
         place: Arc::new(PlaceByPolicy::new(load.clone())),
-        retry: Arc::new(RetryByPolicy::new(load)),
+        retry: Arc::new(RetryByPolicy::new(load.clone())),
         metrics: ProxyMetrics::new(&metrics).unwrap(),
         max_kept_answer_bytes: 1 << 20,
     }));
-    Setup { proxy, metrics, upstreams }
+    Setup { proxy, load, metrics, upstreams }
 }
 
 /// Returns the attempts at upstreams of a kind: `first` or `again`.
@@ -158,3 +159,55 @@
     assert!(done > 0, "a budget lets some retries in");
     assert!(f64::from(done) <= MAX_RETRY_SHARE * 100.0, "{done} retries of 100 fresh requests");
 }
+
+/// A request that only its body can be known by.
+fn unmarked(n: u32) -> test::TestRequest {
+    test::TestRequest::put()
+        .uri("/services/sack-desk/echo")
+        .insert_header(("authorization", format!("Bearer {TOKEN}")))
+        .set_payload(format!("lot {n}"))
+}
+
+/// Fails 40 unmarked requests at one node and returns how many run at another.
+async fn unmarked_retries_done(linked: bool) -> u32 {
+    let net = MemoryNet::new();
+    let (failing, healthy) = (setup(1), setup(1));
+    for (name, node) in [("node-a", &failing), ("node-b", &healthy)] {
+        let (id, zone) = (name.parse().unwrap(), "lima-a".parse().unwrap());
+        node.load.join_peers(net.join(id, zone, "lima".parse().unwrap()));
+    }
+    if !linked {
+        net.cut(&"node-a".parse().unwrap(), &"node-b".parse().unwrap());
+        net.cut(&"node-b".parse().unwrap(), &"node-a".parse().unwrap());
+    }
+    let (first, second) = (app!(failing), app!(healthy));
+    for n in 1000..1020 {
+        let answer = test::call_service(&second, unmarked(n).to_request()).await;
+        assert_eq!(answer.status(), StatusCode::OK);
+    }
+    failing.upstreams[0].server.kill().await;
+    for n in 0..40 {
+        let answer = test::call_service(&first, unmarked(n).to_request()).await;
+        assert_ne!(answer.status(), StatusCode::OK, "the node's only upstream is gone");
+    }
+    failing.load.tell_homes().await;
+    let mut done = 0;
+    for n in 0..40 {
+        let answer = test::call_service(&second, unmarked(n).to_request()).await;
+        done += u32::from(answer.status() == StatusCode::OK);
+    }
+    let answer = test::call_service(&second, unmarked(500).to_request()).await;
+    assert_eq!(answer.status(), StatusCode::OK, "fresh work runs");
+    done
+}
+
+#[actix_web::test]
+async fn unmarked_retries_are_known_at_another_node() {
+    let done = unmarked_retries_done(true).await;
+    assert!(done <= 6, "{done} of 40 unmarked retries ran: more than the budget");
+}
+
+#[actix_web::test]
+async fn unmarked_retries_run_when_their_home_is_cut_off() {
+    assert_eq!(unmarked_retries_done(false).await, 40);
+}
