Add lycheelatch hash-token

Cause: settings and configuration files take salted hashes of tokens, and nothing made one. Change: a subcommand that reads a token from the standard input and shows its hash; it never repeats the token.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -28,6 +28,8 @@
             route(),
             drain(),
             check(),
+            Command::new("hash-token")
+                .about("Reads a token from the standard input and shows its salted hash"),
             Command::new("version").about("Shows the version of this program and of the node"),
             completions(),
         ])
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -8,6 +8,7 @@
 mod diff;
 mod drain;
 mod get;
+mod hash_token;
 mod history;
 mod route;
 mod status;
@@ -40,6 +41,7 @@
         Some(("route", args)) => route::run(args).await,
         Some(("drain", args)) => drain::run(args).await,
         Some(("check", args)) => check::run(args, stdin),
+        Some(("hash-token", args)) => hash_token::run(args, stdin),
         Some(("version", args)) => version::run(args).await,
         Some(("completions", args)) => Ok(completions::run(args)),
         _ => unreachable!("clap requires a known subcommand"),
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -339,6 +339,16 @@
     assert!(output.stderr.contains("no-such-file.json"));
 }
 
+#[actix_rt::test]
+async fn hash_token_matches_and_hides_it() {
+    let output = call(&["lycheelatch", "hash-token"], "a-token-of-16-bytes\n").await;
+    let hash = TokenHash::try_from(output.stdout.trim().to_owned()).unwrap();
+    assert!(hash.matches("a-token-of-16-bytes"));
+    let output = call(&["lycheelatch", "hash-token"], "too-short\n").await;
+    assert_eq!(output.code, Code::Usage);
+    assert!(!output.stderr.contains("too-short"));
+}
+
 #[actix_rt::test]
 async fn call_without_settings() {
     let output = call(&["lycheelatch", "get"], "").await;
