platform: let an import of the configuration through a node's share

Cause: at 390 nodes a node has 0.48 writes a second for the configuration; an import of 3.5 MB was throttled after a few parts and refused. Change: each node may make 160 writes of configuration at once; only operators cause them.

--- a/components/platform/src/budget.rs
+++ b/components/platform/src/budget.rs
@@ -33,6 +33,9 @@
 /// Fewest calls that may be made at once.
 const MIN_BURST: u32 = 2;
 
+/// Fewest writes of configuration that may be made at once: one import of the largest one.
+const MIN_CONFIGURATION_BURST: u32 = 160;
+
 /// Change of the member count that a new share is worked out for, as a part of the count.
 const MIN_MEMBER_CHANGE: f64 = 0.1;
 
@@ -227,7 +230,7 @@
 impl Shares {
     fn new(limits: &BudgetLimits, members: usize) -> Shares {
         let clock = RuntimeClock { start: Instant::now() };
-        let share = |kind: Kind| KindShares::new(kind.rate(limits) / members as f64, &clock);
+        let share = |kind: Kind| KindShares::new(kind, kind.rate(limits) / members as f64, &clock);
         Shares { members, reads: share(Kind::Read), writes: share(Kind::Write), clock }
     }
 
@@ -247,25 +250,38 @@
         Err(reserved.wait_time_from(now).min(common.wait_time_from(now)))
     }
 
+    /// Uses up the calls that may be made at once, but for those that only an operator makes.
     fn drain(&self) {
-        for shares in [&self.reads, &self.writes] {
-            shares.reserved.iter().chain([&shares.common]).for_each(drain);
+        for (kind, shares) in [(Kind::Read, &self.reads), (Kind::Write, &self.writes)] {
+            for class in CallClass::ALL.into_iter().filter(|c| !is_by_operator(*c, kind)) {
+                drain(&shares.reserved[class as usize]);
+            }
+            drain(&shares.common);
         }
     }
 }
 
 impl KindShares {
-    fn new(rate: f64, clock: &RuntimeClock) -> KindShares {
-        let reserved = CallClass::ALL.map(|class| rate * RESERVED_SHARE * class.weight());
+    fn new(kind: Kind, rate: f64, clock: &RuntimeClock) -> KindShares {
+        let reserved = |class: CallClass| {
+            let is_by_operator = is_by_operator(class, kind);
+            let min_burst = if is_by_operator { MIN_CONFIGURATION_BURST } else { MIN_BURST };
+            limiter(rate * RESERVED_SHARE * class.weight(), min_burst, clock)
+        };
         KindShares {
-            reserved: reserved.map(|rate| limiter(rate, clock)),
-            common: limiter(rate * (1.0 - RESERVED_SHARE), clock),
+            reserved: CallClass::ALL.map(reserved),
+            common: limiter(rate * (1.0 - RESERVED_SHARE), MIN_BURST, clock),
         }
     }
 }
 
-fn limiter(rate: f64, clock: &RuntimeClock) -> Limiter {
-    let burst = ((rate * BURST_SECONDS) as u32).max(MIN_BURST);
+/// Returns whether calls are made only when an operator changes something, at one node.
+fn is_by_operator(class: CallClass, kind: Kind) -> bool {
+    class == CallClass::Configuration && kind == Kind::Write
+}
+
+fn limiter(rate: f64, min_burst: u32, clock: &RuntimeClock) -> Limiter {
+    let burst = ((rate * BURST_SECONDS) as u32).max(min_burst);
     let burst = NonZeroU32::new(burst).unwrap_or(NonZeroU32::MIN);
     let interval = Duration::try_from_secs_f64(1.0 / rate).unwrap_or(Duration::MAX);
     let interval = interval.clamp(Duration::from_nanos(1), Duration::from_secs(3600));
