--- a/components/config/src/store/apply.rs
+++ b/components/config/src/store/apply.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use lycheelatch_platform::{CasOutcome, KvError, KvKey};
+use lycheelatch_platform::{CasOutcome, Entry, KvError, KvKey};
 use lycheelatch_prelude::Revision;
 use tokio::time::Instant;
 
@@ -95,22 +95,27 @@
             return Ok(Some(Applied { effect, ..already_applied(&base, base.head.revision) }));
         }
         let prepared = self.prepare(&base, change, plan).await?;
+        let swept = self.list_to_sweep(prepared.head.revision).await;
         let deadline = deadline + VALUE_TIMEOUT * prepared.values.len() as u32;
         if let Err(err) = self.write_values(&prepared, deadline).await {
             self.discard(&prepared).await;
             return Err(ApplyError::NotApplied(err.into()));
         }
         let swap = self.swap_head(&base, change, &prepared.head, deadline).await;
-        self.settle(prepared, swap).await
+        self.settle(prepared, swap, swept).await
     }
 
     async fn settle(
         &self,
         prepared: Prepared,
         swap: Result<Swap, ApplyError>,
+        swept: Vec<Entry>,
     ) -> Result<Option<Applied>, ApplyError> {
         match swap {
-            Ok(Swap::Committed) => Ok(Some(self.committed(prepared))),
+            Ok(Swap::Committed) => {
+                self.sweep(&prepared.head, swept).await;
+                Ok(Some(self.committed(prepared)))
+            }
             // Its values may be those that hold: only a sweep may remove them.
             Ok(Swap::CommittedBefore(loaded, revision)) => {
                 Ok(Some(already_applied(&loaded, revision)))
--- a/components/config/src/store/mod.rs
+++ b/components/config/src/store/mod.rs
@@ -10,6 +10,7 @@
 mod history;
 mod parts;
 mod query;
+mod sweep;
 
 use std::{
     sync::{Arc, Mutex, PoisonError},
@@ -75,6 +76,7 @@
         after: WatchIndex,
         wait: Duration,
     ) -> Result<(WatchIndex, Option<Snapshot>), ConfigError> {
+        let floor = self.cache().highest;
         let watched = self.calls.watch(&head::head_key(), after, wait).await?;
         if watched.index < after {
             // The service started counting anew.
@@ -84,7 +86,7 @@
             return Ok((after, None));
         }
         let entry = watched.entries.into_iter().find(|entry| entry.key.as_str() == head::HEAD_KEY);
-        let loaded = match self.open(entry).await {
+        let loaded = match self.open(entry, floor).await {
             Err(ConfigError::BadStored { .. }) => self.read().await?,
             loaded => loaded?,
         };
@@ -99,19 +101,26 @@
 
     /// Reads the head and everything that it refers to.
     async fn read(&self) -> Result<Arc<Loaded>, ConfigError> {
-        let entry = self.calls.get(&head::head_key()).await?;
-        match self.open(entry).await {
+        match self.read_once().await {
             // A part may have been cleaned away after the head was read.
-            Err(ConfigError::BadStored { .. }) => {
-                let entry = self.calls.get(&head::head_key()).await?;
-                self.open(entry).await
-            }
+            Err(ConfigError::BadStored { .. }) => self.read_once().await,
             loaded => loaded,
         }
     }
 
-    /// Reads everything that a head refers to.
-    async fn open(&self, entry: Option<Entry>) -> Result<Arc<Loaded>, ConfigError> {
+    async fn read_once(&self) -> Result<Arc<Loaded>, ConfigError> {
+        // A revision that becomes known while the answer is on its way may be a later one.
+        let floor = self.cache().highest;
+        let entry = self.calls.get(&head::head_key()).await?;
+        self.open(entry, floor).await
+    }
+
+    /// Reads everything that a head refers to; its revision must be at least `floor`.
+    async fn open(
+        &self,
+        entry: Option<Entry>,
+        floor: Revision,
+    ) -> Result<Arc<Loaded>, ConfigError> {
         let version = entry.as_ref().map(|entry| entry.version);
         let cached = self.cache().loaded.clone();
         if let Some(loaded) = cached.as_ref().filter(|l| version.is_some() && l.version == version)
@@ -122,7 +131,9 @@
             Some(entry) => Head::decode(&entry.value)?,
             None => Head::empty(),
         };
-        self.check_forward(head.revision)?;
+        if head.revision < floor {
+            return Err(ConfigError::Reverted { seen: floor, found: head.revision });
+        }
         let known = cached.map(|loaded| loaded.parts.clone()).unwrap_or_default();
         let parts = known.fetch(&self.calls, &head.state).await?;
         let snapshot = Snapshot { revision: head.revision, ..parts.snapshot(&head.state) };
@@ -131,14 +142,6 @@
         Ok(loaded)
     }
 
-    fn check_forward(&self, found: Revision) -> Result<(), ConfigError> {
-        let seen = self.cache().highest;
-        if found < seen {
-            return Err(ConfigError::Reverted { seen, found });
-        }
-        Ok(())
-    }
-
     /// Keeps what was read for the next call, unless something later is kept.
     fn keep(&self, loaded: &Arc<Loaded>) {
         let mut cache = self.cache();
--- a/components/config/src/store/query.rs
+++ b/components/config/src/store/query.rs
@@ -1,18 +1,11 @@
 //! Reads the history and the audit trail, page by page.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::collections::BTreeMap;
 
-use lycheelatch_platform::{CasOutcome, KvKey};
 use lycheelatch_prelude::{ChangeId, OperatorName, Revision};
 use serde::{Deserialize, Serialize};
-use uuid::Uuid;
-
-use super::{
-    ConfigStore,
-    head::{Head, State},
-    history::Backwards,
-    parts::{PART_PREFIX, part_id},
-};
+
+use super::{ConfigStore, head::Head, history::Backwards};
 use crate::{Action, ChangeRecord, ConfigError, ObjectChange, ObjectKey, Timestamp};
 
 /// Most records on one page of an answer.
@@ -21,9 +14,6 @@
 /// Most records that one filtered read looks at.
 const MAX_SCANNED: usize = 5000;
 
-/// Age from which a part that nothing refers to is swept.
-const MIN_SWEPT_AGE: Duration = Duration::from_secs(60 * 60);
-
 /// One change, without the content of its objects.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct HistoryEntry {
@@ -186,35 +176,4 @@
         }
         Ok(between)
     }
-
-    /// Removes parts that a change left behind when its node died before the commit.
-    ///
-    /// Returns how many it removed. One node needs to call it, about once a day.
-    pub async fn sweep(&self) -> Result<usize, ConfigError> {
-        let entries = self.calls.list(&KvKey::new(PART_PREFIX)).await?;
-        // The head is read after the parts: what it does not name now, it never will.
-        let loaded = self.read().await?;
-        let mut removed = 0;
-        for entry in entries {
-            let Some(id) = part_id(&entry.key) else { continue };
-            let is_named = match &loaded.head.state {
-                State::Parts(ids) => ids.contains(&id),
-                State::Inline(_) => false,
-            };
-            let is_retired = loaded.head.retired.iter().any(|r| r.key == entry.key.as_str());
-            if is_named || is_retired || age_of(id, self.clock.now()) < MIN_SWEPT_AGE {
-                continue;
-            }
-            if self.calls.delete(&entry.key, entry.version).await? == CasOutcome::Written {
-                removed += 1;
-            }
-        }
-        Ok(removed)
-    }
-}
-
-fn age_of(id: Uuid, now: Timestamp) -> Duration {
-    let Some(made) = id.get_timestamp() else { return Duration::ZERO };
-    let (seconds, _) = made.to_unix();
-    Duration::from_millis(now.0.saturating_sub(seconds * 1000))
 }
