Take an answer that ends early for broken, and use no upstream connection twice

Change: connections report their end as an error, and the plain client counts the bytes; each request to an upstream has its own connection, so that nothing late on it can be another request's answer; a connection that goes silent once is replaced without blaming the upstream.

--- a/components/http/src/client.rs
+++ b/components/http/src/client.rs
@@ -9,7 +9,7 @@
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
 
-use crate::SendFailure;
+use crate::{SendFailure, transport};
 
 /// Most connections to one host from one thread.
 pub const MAX_CONNECTIONS_PER_HOST: usize = 4096;
@@ -23,6 +23,7 @@
     static CLIENT: Client = Client::builder()
         .connector(
             Connector::new()
+                .connector(transport::connector())
                 .timeout(CONNECT_TIMEOUT)
                 .conn_keep_alive(KEEP_ALIVE)
                 .limit(MAX_CONNECTIONS_PER_HOST),
--- a/components/http/src/lib.rs
+++ b/components/http/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod client;
 mod failure;
+mod transport;
 
 pub use client::{MAX_CONNECTIONS_PER_HOST, client, read_body, read_json, send, send_sized};
 pub use failure::SendFailure;
--- a/components/proxy/src/attempt.rs
+++ b/components/proxy/src/attempt.rs
@@ -42,6 +42,8 @@
 pub(crate) struct Attempts {
     pub(crate) tried: Vec<UpstreamId>,
     pub(crate) last_zone: Option<ZoneName>,
+    /// Upstreams whose connection went silent once.
+    silent: Vec<UpstreamId>,
     life: RequestLife,
     current: AttemptNumber,
 }
@@ -58,7 +60,13 @@
     }
 
     fn with(life: RequestLife) -> Attempts {
-        Attempts { tried: Vec::new(), last_zone: None, life, current: AttemptNumber(0) }
+        Attempts {
+            tried: Vec::new(),
+            last_zone: None,
+            silent: Vec::new(),
+            life,
+            current: AttemptNumber(0),
+        }
     }
 
     /// Notes that the request is about to be sent; false if it must not be.
@@ -91,12 +99,22 @@
 
     /// Notes an attempt that failed.
     pub(crate) fn failed(&mut self, upstream: &Upstream, err: &UpstreamError) {
-        self.tried.push(upstream.id().clone());
-        self.last_zone = Some(upstream.listed.zone.clone());
+        if self.is_silent_first(upstream, err) {
+            self.silent.push(upstream.id().clone());
+        } else {
+            self.tried.push(upstream.id().clone());
+            self.last_zone = Some(upstream.listed.zone.clone());
+        }
         let may_have_run = err.reached() == Reached::MayHaveRun;
         self.note(AttemptEvent::Failed { may_have_run });
     }
 
+    /// Returns whether a connection went silent where none had before: that says
+    /// nothing of the upstream, which a fresh connection may reach.
+    pub(crate) fn is_silent_first(&self, upstream: &Upstream, err: &UpstreamError) -> bool {
+        matches!(err, UpstreamError::Silent { .. }) && !self.silent.contains(upstream.id())
+    }
+
     /// Notes that the upstream is left without its being blamed.
     pub(crate) fn left(&mut self, upstream: &Upstream) {
         self.tried.push(upstream.id().clone());
@@ -119,7 +137,7 @@
         if rec.time_left(Instant::now()).is_zero() {
             return false;
         }
-        retry.allow(&RetryAsk { rec, err, attempts: self.tried.len() })
+        retry.allow(&RetryAsk { rec, err, attempts: self.current.0 as usize })
     }
 
     /// Ends the request, if it has not ended, and returns its outcome.
--- a/components/proxy/src/model.rs
+++ b/components/proxy/src/model.rs
@@ -303,7 +303,9 @@
 
     /// Goes on at another upstream after a failure.
     async fn recover(&mut self, err: UpstreamError) -> Result<(), Refusal> {
-        self.observe(false);
+        if !self.is_silent_first(&err) {
+            self.observe(false);
+        }
         if let Some(placed) = &self.placed {
             self.attempts.failed(&placed.upstream, &err);
         }
@@ -315,6 +317,11 @@
         self.connect(None).await
     }
 
+    fn is_silent_first(&self, err: &UpstreamError) -> bool {
+        let placed = self.placed.as_ref();
+        placed.is_some_and(|placed| self.attempts.is_silent_first(&placed.upstream, err))
+    }
+
     fn give_up(&mut self, reason: RefusalReason) -> Refusal {
         self.fail(reason, RequestEvent::GivenUp)
     }
@@ -378,7 +385,9 @@
             total: self.attempt_started.elapsed(),
             tokens: 0,
         };
-        self.proxy.place.observe(&placed.upstream, seen);
+        if !self.attempts.is_silent_first(&placed.upstream, &err) {
+            self.proxy.place.observe(&placed.upstream, seen);
+        }
         self.attempts.failed(&placed.upstream, &err);
         let retry = self.proxy.retry.as_ref();
         let is_allowed = match self.next {
--- a/components/proxy/src/plain.rs
+++ b/components/proxy/src/plain.rs
@@ -149,6 +149,11 @@
         let service = self.rec.service().name.as_str();
         let kind = if self.attempts.tried.is_empty() { "first" } else { "again" };
         self.proxy.metrics.attempts.with_label_values(&[service, kind]).inc();
+        let is_silent =
+            result.as_ref().is_err_and(|err| self.attempts.is_silent_first(&placed.upstream, err));
+        if is_silent {
+            return;
+        }
         let total = started.elapsed();
         let ok = result.is_ok();
         let seen = Observation { ok, first: ok.then_some(total), total, tokens: 0 };
--- a/components/proxy/tests/resume.rs
+++ b/components/proxy/tests/resume.rs
@@ -125,6 +125,19 @@
     assert_eq!((caller.others, caller.ids.len()), (3, 0), "a part came twice");
 }
 
+#[actix::test]
+async fn stream_silent_connection_is_replaced_at_the_same_upstream() {
+    tokio::time::pause();
+    for after in [0, 7] {
+        let bench = Bench::new(1, INTERVAL);
+        let node = bench.node("a").await;
+        bench.engines[0].script([EngineFault::SilentAfter(after)]);
+        let mut caller = Caller::new("r-1", 20);
+        assert_eq!(caller.ask(&node).await, Ending::Whole, "silent after {after}");
+        assert!(caller.is_exact());
+    }
+}
+
 #[actix::test]
 async fn stream_unreachable_upstream_is_replaced_or_refused_truly() {
     tokio::time::pause();
--- a/components/upstream/src/http/call.rs
+++ b/components/upstream/src/http/call.rs
@@ -39,6 +39,21 @@
     format!("http://{addr}").into()
 }
 
+/// Returns the length that the head of an answer says its body has.
+///
+/// The client takes a body that ends early for whole, so that readers must
+/// count themselves.
+pub(crate) fn declared_length<S>(answer: &ClientResponse<S>) -> Option<u64> {
+    answer.headers().get("content-length")?.to_str().ok()?.parse().ok()
+}
+
+/// Returns the failure of a body that ended after `got` of `wanted` bytes.
+pub(crate) fn ended_early(got: u64, wanted: u64) -> UpstreamError {
+    UpstreamError::Broken {
+        reason: format!("the answer ended after {got} of {wanted} bytes").into(),
+    }
+}
+
 /// Checks that an answer names the request that it was sent for, if it names one.
 pub(crate) fn check_request_id<S>(
     wanted: &RequestId,
--- a/components/upstream/src/http/engine.rs
+++ b/components/upstream/src/http/engine.rs
@@ -17,7 +17,8 @@
     StreamEvent, TokenOffset, UpstreamError,
     http::{
         call::{
-            UpstreamTimeouts, base_url, check_request_id, is_engine_refusal, refusal, says_not_run,
+            UpstreamTimeouts, base_url, check_request_id, declared_length, ended_early,
+            is_engine_refusal, refusal, says_not_run,
         },
         headers,
         stream::read_events,
@@ -69,7 +70,12 @@
     }
 
     async fn read_whole(&self, answer: ClientResponse) -> Result<EngineStream, UpstreamError> {
+        let length = declared_length(&answer);
         let body = read_body(answer, MAX_ANSWER_BYTES, self.timeouts.silence).await?;
+        let got = body.len() as u64;
+        if let Some(wanted) = length.filter(|length| got < *length) {
+            return Err(ended_early(got, wanted));
+        }
         let events = [Ok(StreamEvent::Other(body)), Ok(StreamEvent::Done)];
         Ok(Box::pin(stream::iter(events)))
     }
@@ -99,7 +105,9 @@
             .content_type("application/json")
             .insert_header((headers::REQUEST_ID, req.id.as_str()))
             .insert_header((headers::PRIORITY, req.priority.to_string()))
-            .insert_header((headers::TIMEOUT_MS, req.timeout.as_millis().to_string()));
+            .insert_header((headers::TIMEOUT_MS, req.timeout.as_millis().to_string()))
+            // Nothing that comes late on a connection can be another request's answer.
+            .force_close();
         // An answer that is not a stream has its head only when it is whole.
         let limit = if req.stream { self.timeouts.silence.min(req.timeout) } else { req.timeout };
         let answer = send(call, body, limit).await?;
--- a/components/upstream/src/http/plain.rs
+++ b/components/upstream/src/http/plain.rs
@@ -1,10 +1,10 @@
 //! A plain service over HTTP.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use actix_web::{
     body::{BodyStream as ChunkedBody, BoxBody, MessageBody, SizedStream},
-    http::Method,
+    http::{Method, StatusCode},
 };
 use async_trait::async_trait;
 use awc::ClientResponse;
@@ -16,7 +16,10 @@
 use crate::{
     BodyStream, PlainRequest, PlainResponse, PlainService, UpstreamError,
     http::{
-        call::{UpstreamTimeouts, base_url, check_request_id, refusal, says_not_run},
+        call::{
+            UpstreamTimeouts, base_url, check_request_id, declared_length, ended_early, refusal,
+            says_not_run,
+        },
         headers,
     },
 };
@@ -39,7 +42,9 @@
         let mut call = client()
             .request(method, format!("{}{}", self.base, req.path))
             .insert_header((headers::REQUEST_ID, req.id.as_str()))
-            .insert_header((headers::TIMEOUT_MS, req.timeout.as_millis().to_string()));
+            .insert_header((headers::TIMEOUT_MS, req.timeout.as_millis().to_string()))
+            // Nothing that comes late on a connection can be another request's answer.
+            .force_close();
         for (name, value) in &req.headers {
             call = call.append_header((name.as_ref(), value.as_ref()));
         }
@@ -59,35 +64,60 @@
 impl PlainService for HttpPlainService {
     async fn call(&self, req: PlainRequest) -> Result<PlainResponse, UpstreamError> {
         let call = self.request(&req)?;
-        let (id, limit) = (req.id, req.timeout);
+        let (id, limit, is_head) = (req.id, req.timeout, req.method.as_ref() == "HEAD");
         let answer = send_sized(call, body_of(req.length, req.body), limit).await?;
         check_request_id(&id, &answer)?;
         if says_not_run(&answer) {
             return Err(refusal(&answer));
         }
-        Ok(response(answer, self.timeouts))
+        Ok(response(answer, is_head, self.timeouts))
     }
 }
 
-fn response(answer: ClientResponse, timeouts: UpstreamTimeouts) -> PlainResponse {
+fn response(answer: ClientResponse, is_head: bool, timeouts: UpstreamTimeouts) -> PlainResponse {
     let headers = answer
         .headers()
         .iter()
         .map(|(name, value)| (name.as_str().into(), Bytes::copy_from_slice(value.as_bytes())))
         .collect();
-    PlainResponse { status: answer.status().as_u16(), headers, body: read_chunks(answer, timeouts) }
+    let status = answer.status();
+    let has_body = !is_head && !matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    let length = if has_body { declared_length(&answer) } else { None };
+    let body = Body { answer, got: 0, length, silence: timeouts.silence };
+    PlainResponse { status: status.as_u16(), headers, body: body.into_stream() }
 }
 
-fn read_chunks(answer: ClientResponse, timeouts: UpstreamTimeouts) -> BodyStream {
-    let silence = timeouts.silence;
-    let ms = u64::try_from(silence.as_millis()).unwrap_or(u64::MAX);
-    Box::pin(stream::unfold(Some(answer), move |answer| async move {
-        let mut answer = answer?;
-        match timeout(silence, answer.next()).await {
-            Ok(None) => None,
-            Ok(Some(Ok(chunk))) => Some((Ok(chunk), Some(answer))),
-            Ok(Some(Err(err))) => Some((Err(SendFailure::from(err).into()), None)),
-            Err(_) => Some((Err(UpstreamError::Silent { ms }), None)),
+/// The body of an answer as it comes.
+struct Body {
+    answer: ClientResponse,
+    got: u64,
+    length: Option<u64>,
+    silence: Duration,
+}
+
+impl Body {
+    fn into_stream(self) -> BodyStream {
+        Box::pin(stream::unfold(Some(self), |body| async move {
+            let mut body = body?;
+            let chunk = body.next().await?;
+            let rest = chunk.is_ok().then_some(body);
+            Some((chunk, rest))
+        }))
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, UpstreamError>> {
+        let ms = u64::try_from(self.silence.as_millis()).unwrap_or(u64::MAX);
+        match timeout(self.silence, self.answer.next()).await {
+            Ok(Some(Ok(chunk))) => {
+                self.got += chunk.len() as u64;
+                Some(Ok(chunk))
+            }
+            Ok(Some(Err(err))) => Some(Err(SendFailure::from(err).into())),
+            Ok(None) => {
+                let wanted = self.length.filter(|length| self.got < *length)?;
+                Some(Err(ended_early(self.got, wanted)))
+            }
+            Err(_) => Some(Err(UpstreamError::Silent { ms })),
         }
-    }))
+    }
 }
