--- /dev/null
+++ b/components/proxy/tests/bench/desk.rs
@@ -0,0 +1,113 @@
+//! A transfer application in memory, with a ledger.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use futures_util::stream;
+use lycheelatch_upstream::{PlainRequest, PlainResponse, PlainService, UpstreamError};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use tokio::time::sleep;
+
+/// A transfer application in memory; clones share their ledger.
+#[derive(Clone)]
+pub(crate) struct MemoryDesk(Arc<Mutex<Ledger>>);
+
+struct Ledger {
+    rng: StdRng,
+    has_faults: bool,
+    by_path: HashMap<String, u32>,
+    by_request: HashMap<String, u32>,
+}
+
+/// What the application does with one request.
+enum Act {
+    Answer,
+    Refuse,
+    Unreachable,
+    BreakBefore,
+    BreakAfter,
+    Slow,
+}
+
+impl MemoryDesk {
+    /// Creates an application with faults drawn from `seed`.
+    pub(crate) fn new(seed: u64) -> MemoryDesk {
+        MemoryDesk(Arc::new(Mutex::new(Ledger {
+            rng: StdRng::seed_from_u64(seed),
+            has_faults: false,
+            by_path: HashMap::new(),
+            by_request: HashMap::new(),
+        })))
+    }
+
+    /// Sets whether it shows faults.
+    pub(crate) fn set_faults(&self, has_faults: bool) {
+        self.0.lock().unwrap().has_faults = has_faults;
+    }
+
+    /// Returns the executions of each path.
+    pub(crate) fn by_path(&self) -> HashMap<String, u32> {
+        self.0.lock().unwrap().by_path.clone()
+    }
+
+    /// Returns the executions of each request.
+    pub(crate) fn by_request(&self) -> HashMap<String, u32> {
+        self.0.lock().unwrap().by_request.clone()
+    }
+
+    fn draw(&self) -> Act {
+        let mut ledger = self.0.lock().unwrap();
+        if !ledger.has_faults {
+            return Act::Answer;
+        }
+        match ledger.rng.random_range(0..100) {
+            0..10 => Act::Refuse,
+            10..20 => Act::Unreachable,
+            20..25 => Act::BreakBefore,
+            25..30 => Act::BreakAfter,
+            30..35 => Act::Slow,
+            _ => Act::Answer,
+        }
+    }
+
+    fn execute(&self, req: &PlainRequest) {
+        let mut ledger = self.0.lock().unwrap();
+        *ledger.by_path.entry(req.path.as_ref().to_owned()).or_default() += 1;
+        *ledger.by_request.entry(req.id.as_str().to_owned()).or_default() += 1;
+    }
+}
+
+#[async_trait(?Send)]
+impl PlainService for MemoryDesk {
+    async fn call(&self, req: PlainRequest) -> Result<PlainResponse, UpstreamError> {
+        let broken = || UpstreamError::Broken { reason: "told to break".into() };
+        let act = self.draw();
+        sleep(Duration::from_millis(2)).await;
+        match act {
+            Act::Refuse => {
+                return Err(UpstreamError::Refused { status: 503, retry_after_ms: None });
+            }
+            Act::Unreachable => {
+                return Err(UpstreamError::Connect { reason: "told to be unreachable".into() });
+            }
+            Act::BreakBefore => return Err(broken()),
+            Act::BreakAfter => {
+                self.execute(&req);
+                return Err(broken());
+            }
+            Act::Slow => {
+                self.execute(&req);
+                sleep(Duration::from_secs(3)).await;
+            }
+            Act::Answer => self.execute(&req),
+        }
+        let body = Bytes::from(format!("booked {}", req.path));
+        let body = Box::pin(stream::iter([Ok(body)]));
+        Ok(PlainResponse { status: 201, headers: Vec::new(), body })
+    }
+}
--- a/components/proxy/tests/bench/mod.rs
+++ b/components/proxy/tests/bench/mod.rs
@@ -3,10 +3,12 @@
 #![allow(dead_code, unused_imports, reason = "each test file uses a part of it")]
 
 mod caller;
+mod desk;
 mod engine;
 mod node;
 
 pub(crate) use caller::{Caller, Ending};
+pub(crate) use desk::MemoryDesk;
 pub(crate) use engine::{EngineFault, MemoryEngine, token_text};
 pub(crate) use node::{Bench, TestNode};
 
--- a/components/proxy/tests/bench/node.rs
+++ b/components/proxy/tests/bench/node.rs
@@ -5,8 +5,8 @@
 use actix_http::Request;
 use actix_web::{App, body::BoxBody, dev::ServiceResponse, test};
 use futures_util::future::LocalBoxFuture;
-use lycheelatch_claims::{Claims, ClaimsConfig};
-use lycheelatch_config::{Service, Snapshot, TokenHash, Workspace};
+use lycheelatch_claims::{Claims, ClaimsConfig, UnixMillis, WallClock};
+use lycheelatch_config::{Service, ServiceKind, Snapshot, TokenHash, Workspace};
 use lycheelatch_fakes::{MemoryKv, MemoryNet};
 use lycheelatch_peers::{MemberState, PeerLink};
 use lycheelatch_platform::{ListedInstance, ListedState, Purchase};
@@ -18,7 +18,13 @@
 use serde_json::json;
 use tokio::time::{Instant, sleep};
 
-use crate::bench::{DESK, MODEL, MemoryEngine, TOKEN};
+use crate::bench::{DESK, MODEL, MemoryDesk, MemoryEngine, TOKEN};
+
+/// Processes of the transfer application.
+const DESKS: usize = 4;
+
+/// Seed of the transfer application's faults.
+const SEED: u64 = 20261204;
 
 /// Time between two looks at the requests that are still open.
 const STOP_POLL: Duration = Duration::from_millis(10);
@@ -38,14 +44,23 @@
     pub(crate) net: MemoryNet,
     pub(crate) kv: MemoryKv,
     pub(crate) engines: Vec<MemoryEngine>,
+    pub(crate) desk: MemoryDesk,
     config: Arc<Snapshot>,
 }
 
-struct ConnectMemory(Vec<MemoryEngine>);
+struct ConnectMemory {
+    engines: Vec<MemoryEngine>,
+    desk: MemoryDesk,
+}
 
 impl Connect for ConnectMemory {
-    fn connect(&self, _service: &Service, listed: &ListedInstance) -> Target {
-        Target::Engine(Arc::new(self.0[listed.addr.port() as usize].clone()))
+    fn connect(&self, service: &Service, listed: &ListedInstance) -> Target {
+        match service.kind {
+            ServiceKind::Model => {
+                Target::Engine(Arc::new(self.engines[listed.addr.port() as usize].clone()))
+            }
+            ServiceKind::Plain => Target::Plain(Arc::new(self.desk.clone())),
+        }
     }
 }
 
@@ -67,11 +82,11 @@
     }
 }
 
-fn listed(at: usize) -> ListedInstance {
+fn listed(service: &str, at: usize) -> ListedInstance {
     ListedInstance {
-        instance: format!("i-{at}").parse().unwrap(),
-        upstream: format!("runner-{at}").parse().unwrap(),
-        service: MODEL.parse().unwrap(),
+        instance: format!("i-{service}-{at}").parse().unwrap(),
+        upstream: format!("{service}-{at}").parse().unwrap(),
+        service: service.parse().unwrap(),
         addr: SocketAddr::from(([127, 0, 0, 1], at as u16)),
         zone: "lima-a".parse().unwrap(),
         region: "lima".parse().unwrap(),
@@ -82,19 +97,33 @@
     }
 }
 
+/// Settings under which two runs of a test are the same.
+fn claims_config(id: &NodeId) -> ClaimsConfig {
+    let epoch =
+        id.as_str().bytes().fold(0u64, |epoch, byte| epoch.wrapping_mul(256) + u64::from(byte));
+    let clock = WallClock::starting_at(Instant::now(), UnixMillis(1_800_000_000_000));
+    ClaimsConfig { epoch, clock, ..ClaimsConfig::default() }
+}
+
 impl Bench {
     /// Creates engines with this time between two tokens.
     pub(crate) fn new(engines: usize, interval: Duration) -> Bench {
         let engines = (0..engines).map(|_| MemoryEngine::new(interval)).collect();
         let config = Arc::new(snapshot());
-        Bench { net: MemoryNet::new(), kv: MemoryKv::new(), engines, config }
+        Bench {
+            net: MemoryNet::new(),
+            kv: MemoryKv::new(),
+            engines,
+            desk: MemoryDesk::new(SEED),
+            config,
+        }
     }
 
     /// Starts a node.
     pub(crate) async fn node(&self, name: &str) -> Rc<TestNode> {
         let id: NodeId = name.parse().unwrap();
         let link = self.net.join(id.clone(), "lima-a".parse().unwrap(), "lima".parse().unwrap());
-        let proxy = self.proxy(link.clone());
+        let proxy = self.proxy(&id, link.clone());
         proxy.join_peers(link);
         let limits = CallerLimits { max_body_bytes: 1 << 20 };
         let app = {
@@ -109,16 +138,19 @@
         Rc::new(TestNode { id, proxy, net: self.net.clone(), serve })
     }
 
-    fn proxy(&self, link: Arc<dyn PeerLink>) -> Arc<Proxy> {
-        let connect = Arc::new(ConnectMemory(self.engines.clone()));
+    fn proxy(&self, id: &NodeId, link: Arc<dyn PeerLink>) -> Arc<Proxy> {
+        let (engines, desk) = (self.engines.clone(), self.desk.clone());
+        let connect = Arc::new(ConnectMemory { engines, desk });
         let registry = Arc::new(Registry::new(connect));
-        registry.update(&self.config, (0..self.engines.len()).map(listed).collect());
+        let runners = (0..self.engines.len()).map(|at| listed(MODEL, at));
+        let desks = (0..DESKS).map(|at| listed(DESK, at));
+        registry.update(&self.config, runners.chain(desks).collect());
         let kv = Arc::new(self.kv.clone());
         let config = self.config.clone();
         Arc::new(Proxy::new(ProxyParts {
             config: Arc::new(move || config.clone()),
             registry: registry.clone(),
-            claims: Arc::new(Claims::with_peers(kv, ClaimsConfig::default(), link)),
+            claims: Arc::new(Claims::with_peers(kv, claims_config(id), link)),
             admit: Arc::new(AdmitInFlight::new(registry.clone())),
             place: Arc::new(LeastInFlight::new(registry)),
             retry: Arc::new(RetryFixed),
