Hold the rate of bookings when writes are counted

Cause: the example slept between bookings, which the paused clock rounds up: 1,000 a second were 505. Change: bookings start at their times, and the run checks its rate.

--- a/components/claims/examples/bookings.rs
+++ b/components/claims/examples/bookings.rs
@@ -22,7 +22,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::{
     task::spawn_local,
-    time::{Instant, sleep},
+    time::{Instant, sleep, sleep_until},
 };
 use world::{Booking, Node, Told, Upstream, World};
 
@@ -205,8 +205,10 @@
             assert!(told == Told::Booked || !is_linked, "nothing fails here: {told:?}");
             (started.elapsed(), told == Told::Booked)
         }));
-        sleep(Duration::from_secs(1) / per_second as u32).await;
+        sleep_until(started + Duration::from_secs(key + 1) / per_second as u32).await;
     }
+    // The rate is held: callers start at their times, whatever the others wait for.
+    let made_in = started.elapsed().as_secs_f64();
     let mut took = Vec::new();
     for caller in callers {
         took.push(caller.await.unwrap_or_default());
@@ -214,6 +216,7 @@
     took.sort_unstable();
     let refused = took.iter().filter(|(_, is_booked)| !is_booked).count();
     let elapsed = started.elapsed().as_secs_f64();
+    assert!((bookings as f64 / made_in / per_second as f64 - 1.0).abs() < 0.01);
     let calls = fleet.world.kv.calls();
     let entries = fleet.world.kv.peek("lycheelatch/claims/");
     let bytes: usize = entries.iter().map(|entry| entry.value.len()).sum();
