--- a/components/fleet/src/knapsack.rs
+++ b/components/fleet/src/knapsack.rs
@@ -1,10 +1,10 @@
 //! Choice of the items that are worth most within a limit.
 
-/// Steps into which the limit is divided.
-const STEPS: usize = 1024;
+/// Most items for which more than the greedy choices are tried.
+const MAX_EXACT_ITEMS: usize = 64;
 
-/// Most items for which the table over all steps is computed.
-const MAX_TABLE_ITEMS: usize = 256;
+/// Most unbeaten choices that are kept; beyond it every second one is dropped.
+const MAX_CHOICES: usize = 2048;
 
 /// One item to choose or leave.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -18,13 +18,13 @@
 /// Returns which items to take so that their weights fit in `limit`.
 ///
 /// Takes the best of three choices: by value for weight, by value, and, for
-/// few items, by a table over the limit in steps.
+/// few items, by every choice that no other beats.
 pub fn best_subset(items: &[Item], limit: f64) -> Vec<bool> {
     let density = |i: &usize| items[*i].value as f64 / items[*i].weight.max(f64::MIN_POSITIVE);
     let value = |i: &usize| items[*i].value as f64;
     let mut choices = vec![greedy(items, limit, density), greedy(items, limit, value)];
-    if items.len() <= MAX_TABLE_ITEMS {
-        choices.push(by_table(items, limit));
+    if items.len() <= MAX_EXACT_ITEMS {
+        choices.push(by_choices(items, limit));
     }
     choices.into_iter().max_by_key(|choice| total_value(items, choice)).unwrap_or_default()
 }
@@ -48,36 +48,64 @@
     chosen
 }
 
-/// Solves the problem exactly with weights rounded up to whole steps.
-fn by_table(items: &[Item], limit: f64) -> Vec<bool> {
-    let mut chosen = vec![false; items.len()];
-    if limit <= 0.0 {
-        return chosen;
-    }
-    let steps: Vec<usize> = items.iter().map(|item| steps_of(item.weight, limit)).collect();
-    let mut best = vec![0_u64; STEPS + 1];
-    let mut taken = vec![false; items.len() * (STEPS + 1)];
+/// A choice among the items so far that no other beats in both weight and value.
+#[derive(Clone, Copy)]
+struct Choice {
+    weight: f64,
+    value: u64,
+    /// Index of the last item taken and of the choice that it was added to.
+    last: Option<(usize, usize)>,
+}
+
+/// Extends every choice that is not beaten by each item in turn.
+///
+/// Exact as long as no more than [`MAX_CHOICES`] choices stand at once.
+fn by_choices(items: &[Item], limit: f64) -> Vec<bool> {
+    let mut arena = vec![Choice { weight: 0.0, value: 0, last: None }];
+    let mut front = vec![0];
     for (i, item) in items.iter().enumerate() {
-        for used in (steps[i]..=STEPS).rev() {
-            let with = best[used - steps[i]] + item.value;
-            if with > best[used] {
-                best[used] = with;
-                taken[i * (STEPS + 1) + used] = true;
+        let first_new = arena.len();
+        for &from in &front {
+            let weight = arena[from].weight + item.weight;
+            if weight <= limit {
+                let value = arena[from].value + item.value;
+                arena.push(Choice { weight, value, last: Some((i, from)) });
             }
         }
+        front.extend(first_new..arena.len());
+        keep_unbeaten(&mut front, &arena);
     }
-    let mut used = STEPS;
-    for i in (0..items.len()).rev() {
-        if taken[i * (STEPS + 1) + used] {
-            chosen[i] = true;
-            used -= steps[i];
-        }
+    let mut chosen = vec![false; items.len()];
+    let mut last = front.last().and_then(|&best| arena[best].last);
+    while let Some((item, from)) = last {
+        chosen[item] = true;
+        last = arena[from].last;
     }
     chosen
 }
 
-fn steps_of(weight: f64, limit: f64) -> usize {
-    (weight / limit * STEPS as f64).ceil() as usize
+/// Leaves the unbeaten choices, in rising order of weight and value.
+fn keep_unbeaten(front: &mut Vec<usize>, arena: &[Choice]) {
+    front.sort_by(|&a, &b| {
+        let by_weight = arena[a].weight.total_cmp(&arena[b].weight);
+        by_weight.then_with(|| arena[b].value.cmp(&arena[a].value))
+    });
+    let mut best = None;
+    front.retain(|&i| {
+        let is_unbeaten = best.is_none_or(|value| arena[i].value > value);
+        if is_unbeaten {
+            best = Some(arena[i].value);
+        }
+        is_unbeaten
+    });
+    if front.len() > MAX_CHOICES {
+        let last = front.len() - 1;
+        let mut index = 0;
+        front.retain(|_| {
+            index += 1;
+            (last + 1 - index) % 2 == 0
+        });
+    }
 }
 
 #[cfg(test)]
