--- /dev/null
+++ b/components/fakes/src/engine.rs
@@ -0,0 +1,392 @@
+//! Model engine in memory, on the runtime's clock.
+//!
+//! The text of each token follows from the prompt and its offset, so that a
+//! test can tell whether an answer is whole.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use lycheelatch_prelude::{Fence, RequestId, Sequence};
+use lycheelatch_upstream::{
+    CacheEvents, Engine, EngineRequest, EngineStream, KvBlob, LoadReport, LoadedModel, Order,
+    OrderKind, Role, StreamEvent, TokenOffset, UpstreamError,
+};
+use serde::Deserialize;
+use tokio::time::{Instant, sleep};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{Fault, Faults};
+
+/// Characters of a prompt that make up a token.
+const CHARS_PER_TOKEN: usize = 4;
+
+/// How fast an engine in memory is and what it checks.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EngineSpeed {
+    /// Whether an order with an old fencing number is refused.
+    pub checks_fences: bool,
+    /// Time between two tokens of a stream.
+    pub between_tokens: Duration,
+    /// Prompt tokens computed a second, one prompt after the other.
+    pub prefill_tokens_per_second: u64,
+    /// Rate of exports, one after the other, in bytes a second.
+    pub export_bytes_per_second: u64,
+    /// Time that each export takes besides its bytes.
+    pub per_export: Duration,
+    /// Size of the KV cache of one token, in bytes.
+    pub kv_bytes_per_token: u64,
+}
+
+impl Default for EngineSpeed {
+    fn default() -> EngineSpeed {
+        EngineSpeed {
+            checks_fences: true,
+            between_tokens: Duration::from_millis(30),
+            prefill_tokens_per_second: 20_000,
+            export_bytes_per_second: 2_500_000_000,
+            per_export: Duration::from_millis(10),
+            kv_bytes_per_token: 131_072,
+        }
+    }
+}
+
+/// An order that reached an engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OrderSeen {
+    /// Fencing number on it.
+    pub fence: Fence,
+    /// What it asked for.
+    pub kind: OrderKind,
+    /// Time at which it took effect or was refused.
+    pub at: Instant,
+    /// Whether it took effect.
+    pub accepted: bool,
+}
+
+/// A request that an engine began to work on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Started {
+    /// Identity of the request.
+    pub request: RequestId,
+    /// Time at which it came in.
+    pub at: Instant,
+    /// Whether it took an earlier answer up again.
+    pub resumed: bool,
+}
+
+/// Model engine in memory; clones are the same engine.
+#[derive(Clone)]
+pub struct MemoryEngine {
+    shared: Arc<Shared>,
+    /// Faults of orders.
+    pub order_faults: Faults,
+    /// Faults of exports.
+    pub export_faults: Faults,
+    /// Faults of imports.
+    pub import_faults: Faults,
+}
+
+struct Shared {
+    speed: EngineSpeed,
+    data: Mutex<Data>,
+    is_killed: AtomicBool,
+    prefill: tokio::sync::Mutex<()>,
+    export: tokio::sync::Mutex<()>,
+}
+
+#[derive(Default)]
+struct Data {
+    cached: HashMap<RequestId, Arc<AtomicU64>>,
+    running: HashSet<RequestId>,
+    orders: Vec<OrderSeen>,
+    highest_fence: Fence,
+    models: Vec<LoadedModel>,
+    role: Role,
+    started: Vec<Started>,
+    recomputed: u64,
+}
+
+#[derive(Deserialize)]
+struct Body {
+    prompt: String,
+    max_tokens: u64,
+}
+
+/// Returns the text of one token of the answer to `prompt`.
+pub fn memory_token(prompt: &str, offset: u64) -> Arc<str> {
+    format!("{:x}.{offset} ", xxh3_64(prompt.as_bytes()) & 0xffff).into()
+}
+
+/// Returns how many tokens a prompt has.
+pub fn memory_prompt_tokens(prompt: &str) -> u64 {
+    (prompt.len() / CHARS_PER_TOKEN) as u64
+}
+
+impl MemoryEngine {
+    /// Creates an engine without models.
+    pub fn new(speed: EngineSpeed) -> MemoryEngine {
+        let shared = Shared {
+            speed,
+            data: Mutex::default(),
+            is_killed: AtomicBool::new(false),
+            prefill: tokio::sync::Mutex::default(),
+            export: tokio::sync::Mutex::default(),
+        };
+        MemoryEngine {
+            shared: Arc::new(shared),
+            order_faults: Faults::default(),
+            export_faults: Faults::default(),
+            import_faults: Faults::default(),
+        }
+    }
+
+    /// Ends the engine: every stream and call breaks from now on.
+    pub fn kill(&self) {
+        self.shared.is_killed.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns the orders that reached it, in the order of their effect.
+    pub fn orders(&self) -> Vec<OrderSeen> {
+        self.data(|data| data.orders.clone())
+    }
+
+    /// Returns the requests that it began to work on.
+    pub fn started(&self) -> Vec<Started> {
+        self.data(|data| data.started.clone())
+    }
+
+    /// Returns the tokens that it computed again for answers taken up here.
+    pub fn recomputed_tokens(&self) -> u64 {
+        self.data(|data| data.recomputed)
+    }
+
+    /// Returns the streams that run.
+    pub fn running(&self) -> usize {
+        self.data(|data| data.running.len())
+    }
+
+    fn data<T>(&self, act: impl FnOnce(&mut Data) -> T) -> T {
+        act(&mut self.shared.data.lock().unwrap())
+    }
+
+    fn check_alive(&self) -> Result<(), UpstreamError> {
+        match self.shared.is_killed.load(Ordering::Relaxed) {
+            true => Err(UpstreamError::Broken { reason: "the engine is gone".into() }),
+            false => Ok(()),
+        }
+    }
+
+    async fn show(&self, faults: &Faults) -> Result<(), UpstreamError> {
+        match faults.next() {
+            Fault::None => Ok(()),
+            Fault::Refuse => Err(UpstreamError::Refused { status: 503, retry_after_ms: None }),
+            Fault::LoseAnswer => Err(UpstreamError::Broken { reason: "told to break".into() }),
+            Fault::Slow(delay) => {
+                sleep(delay).await;
+                Ok(())
+            }
+            Fault::SlowThenLoseAnswer(delay) => {
+                sleep(delay).await;
+                Err(UpstreamError::Broken { reason: "told to break".into() })
+            }
+            Fault::Silent => std::future::pending().await,
+        }
+    }
+
+    fn begin(&self, req: &EngineRequest, needed: u64) -> (Arc<AtomicU64>, u64) {
+        self.data(|data| {
+            let at = Instant::now();
+            let resumed = req.resume.is_some();
+            data.started.push(Started { request: req.id.clone(), at, resumed });
+            data.running.insert(req.id.clone());
+            let cached = data.cached.entry(req.id.clone()).or_default().clone();
+            let missing = needed.saturating_sub(cached.load(Ordering::Relaxed));
+            if resumed {
+                data.recomputed += missing;
+            }
+            (cached, missing)
+        })
+    }
+
+    async fn prefill(&self, tokens: u64) {
+        let _one_at_a_time = self.shared.prefill.lock().await;
+        let rate = self.shared.speed.prefill_tokens_per_second as f64;
+        sleep(Duration::from_secs_f64(tokens as f64 / rate)).await;
+    }
+
+    async fn next_event(&self, run: &mut Run) -> Option<Result<StreamEvent, UpstreamError>> {
+        if run.is_done {
+            return None;
+        }
+        if let Some(missing) = run.to_compute.take() {
+            self.prefill(missing).await;
+            run.cached.store(run.prompt_tokens + run.next, Ordering::Relaxed);
+        }
+        sleep(self.shared.speed.between_tokens).await;
+        if let Err(err) = self.check_alive() {
+            run.is_done = true;
+            return Some(Err(err));
+        }
+        if run.next >= run.body.max_tokens {
+            run.is_done = true;
+            return Some(Ok(StreamEvent::Done));
+        }
+        let text = memory_token(&run.body.prompt, run.next);
+        let data = Bytes::from(text.to_string());
+        let offset = TokenOffset(run.next);
+        run.next += 1;
+        run.cached.store(run.prompt_tokens + run.next, Ordering::Relaxed);
+        Some(Ok(StreamEvent::Token { offset, text, data }))
+    }
+
+    fn take_effect(&self, order: &Order) -> Result<(), UpstreamError> {
+        let checks = self.shared.speed.checks_fences;
+        self.data(|data| {
+            let seen = data.highest_fence;
+            let accepted = !checks || order.fence >= seen;
+            let (fence, kind, at) = (order.fence, order.kind.clone(), Instant::now());
+            data.orders.push(OrderSeen { fence, kind, at, accepted });
+            if !accepted {
+                return Err(UpstreamError::StaleFence { given: order.fence, seen });
+            }
+            data.highest_fence = seen.max(order.fence);
+            match &order.kind {
+                OrderKind::Models { models, .. } => data.models = models.clone(),
+                OrderKind::Role { role } => data.role = *role,
+            }
+            Ok(())
+        })
+    }
+}
+
+/// One stream's state.
+struct Run {
+    engine: MemoryEngine,
+    id: RequestId,
+    body: Body,
+    prompt_tokens: u64,
+    next: u64,
+    to_compute: Option<u64>,
+    cached: Arc<AtomicU64>,
+    is_done: bool,
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        self.engine.data(|data| data.running.remove(&self.id));
+    }
+}
+
+#[async_trait(?Send)]
+impl Engine for MemoryEngine {
+    async fn generate(&self, req: EngineRequest) -> Result<EngineStream, UpstreamError> {
+        self.check_alive()?;
+        let body: Body = serde_json::from_slice(&req.body)
+            .map_err(|err| UpstreamError::BadAnswer { reason: err.to_string().into() })?;
+        let prompt_tokens = memory_prompt_tokens(&body.prompt);
+        let next = req.resume.as_ref().map_or(0, |resume| resume.offset.0);
+        let (cached, missing) = self.begin(&req, prompt_tokens + next);
+        let to_compute = Some(missing);
+        let run = Run {
+            engine: self.clone(),
+            id: req.id,
+            body,
+            prompt_tokens,
+            next,
+            to_compute,
+            cached,
+            is_done: false,
+        };
+        let events = stream::unfold(run, |mut run| async move {
+            let engine = run.engine.clone();
+            let event = engine.next_event(&mut run).await?;
+            Some((event, run))
+        });
+        Ok(events.boxed_local())
+    }
+
+    async fn cancel(&self, _id: &RequestId) -> Result<(), UpstreamError> {
+        self.check_alive()
+    }
+
+    async fn load_report(&self) -> Result<LoadReport, UpstreamError> {
+        self.check_alive()?;
+        let per_stream = 1.0 / self.shared.speed.between_tokens.as_secs_f64();
+        Ok(self.data(|data| LoadReport {
+            running: data.running.len() as u32,
+            waiting: 0,
+            cache_used_tokens: 0,
+            cache_total_tokens: 1_000_000,
+            tokens_per_second: data.running.len() as f64 * per_stream,
+            role: data.role,
+            models: data.models.clone(),
+        }))
+    }
+
+    async fn cache_events(&self, after: Sequence) -> Result<CacheEvents, UpstreamError> {
+        self.check_alive()?;
+        Ok(CacheEvents { last: after, gap: false, events: Vec::new() })
+    }
+
+    async fn order(&self, order: &Order) -> Result<(), UpstreamError> {
+        self.check_alive()?;
+        let lost = || UpstreamError::Broken { reason: "told to lose the answer".into() };
+        match self.order_faults.next() {
+            Fault::None => self.take_effect(order),
+            Fault::Refuse => Err(UpstreamError::Refused { status: 503, retry_after_ms: None }),
+            Fault::LoseAnswer => self.take_effect(order).and(Err(lost())),
+            Fault::Slow(delay) => {
+                // The order is on its way and arrives even if nobody waits.
+                let (engine, order) = (self.clone(), order.clone());
+                let effect = actix_rt::spawn(async move {
+                    sleep(delay).await;
+                    engine.take_effect(&order)
+                });
+                effect.await.unwrap_or_else(|_| Err(lost()))
+            }
+            Fault::SlowThenLoseAnswer(delay) => {
+                let (engine, order) = (self.clone(), order.clone());
+                actix_rt::spawn(async move {
+                    sleep(delay).await;
+                    let _lost_answer = engine.take_effect(&order);
+                });
+                Err(lost())
+            }
+            Fault::Silent => std::future::pending().await,
+        }
+    }
+
+    async fn export_kv(&self, id: &RequestId) -> Result<KvBlob, UpstreamError> {
+        self.check_alive()?;
+        let _one_at_a_time = self.shared.export.lock().await;
+        self.show(&self.export_faults).await?;
+        let cached = self.data(|data| data.cached.get(id).cloned());
+        let tokens = cached.map_or(0, |tokens| tokens.load(Ordering::Relaxed));
+        let speed = &self.shared.speed;
+        let secs =
+            (tokens * speed.kv_bytes_per_token) as f64 / speed.export_bytes_per_second as f64;
+        sleep(speed.per_export + Duration::from_secs_f64(secs)).await;
+        self.check_alive()?;
+        Ok(KvBlob { request: id.clone(), tokens, data: Bytes::new() })
+    }
+
+    async fn import_kv(&self, blob: &KvBlob) -> Result<(), UpstreamError> {
+        self.check_alive()?;
+        self.show(&self.import_faults).await?;
+        self.check_alive()?;
+        self.data(|data| {
+            let cached = data.cached.entry(blob.request.clone()).or_default();
+            cached.store(blob.tokens, Ordering::Relaxed);
+        });
+        Ok(())
+    }
+}
--- /dev/null
+++ b/components/fakes/src/instances.rs
@@ -0,0 +1,71 @@
+//! Instance list in memory, with a lag.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use lycheelatch_platform::{InstanceList, InstanceListError, ListedInstance};
+use tokio::time::{Instant, sleep};
+
+use crate::{Fault, Faults};
+
+/// Instance list in memory; clones share their content.
+#[derive(Clone, Default)]
+pub struct MemoryInstances {
+    shared: Arc<Mutex<Data>>,
+    /// Faults to show.
+    pub faults: Faults,
+}
+
+#[derive(Default)]
+struct Data {
+    lag: Duration,
+    history: Vec<(Instant, Vec<ListedInstance>)>,
+}
+
+impl MemoryInstances {
+    /// Creates an empty list that shows each change after `lag`.
+    pub fn new(lag: Duration) -> MemoryInstances {
+        let list = MemoryInstances::default();
+        list.shared.lock().unwrap().lag = lag;
+        list
+    }
+
+    /// Replaces the whole list.
+    pub fn set(&self, instances: Vec<ListedInstance>) {
+        self.shared.lock().unwrap().history.push((Instant::now(), instances));
+    }
+
+    /// Changes the list as it truly is.
+    pub fn update(&self, change: impl FnOnce(&mut Vec<ListedInstance>)) {
+        let mut data = self.shared.lock().unwrap();
+        let mut latest = data.history.last().map(|(_, list)| list.clone()).unwrap_or_default();
+        change(&mut latest);
+        data.history.push((Instant::now(), latest));
+    }
+
+    fn shown(&self) -> Vec<ListedInstance> {
+        let data = self.shared.lock().unwrap();
+        let is_shown = |(at, _): &&(Instant, Vec<ListedInstance>)| *at + data.lag <= Instant::now();
+        data.history.iter().rev().find(is_shown).map(|(_, list)| list.clone()).unwrap_or_default()
+    }
+}
+
+#[async_trait(?Send)]
+impl InstanceList for MemoryInstances {
+    async fn list(&self) -> Result<Vec<ListedInstance>, InstanceListError> {
+        match self.faults.next() {
+            Fault::None => Ok(self.shown()),
+            Fault::Slow(delay) => {
+                sleep(delay).await;
+                Ok(self.shown())
+            }
+            Fault::Silent => std::future::pending().await,
+            Fault::Refuse | Fault::LoseAnswer | Fault::SlowThenLoseAnswer(_) => {
+                Err(InstanceListError::Unavailable { reason: "told to fail".into() })
+            }
+        }
+    }
+}
--- a/components/fakes/src/lib.rs
+++ b/components/fakes/src/lib.rs
@@ -4,15 +4,25 @@
 //! after the write took effect, lag and go silent. They count their calls.
 //! Nothing here is linked into the two binaries.
 
+mod cloud;
+mod engine;
 mod faults;
 mod http;
+mod instances;
 mod kv;
 mod link;
+mod weights;
 
+pub use cloud::MemoryCloud;
+pub use engine::{
+    EngineSpeed, MemoryEngine, OrderSeen, Started, memory_prompt_tokens, memory_token,
+};
 pub use faults::{Fault, Faults};
 pub use http::{
     EngineConfig, EngineCounts, HttpServerHandle, ServedEngine, ServedPlain, ServedPlatform,
     serve_engine, serve_plain, serve_platform,
 };
+pub use instances::MemoryInstances;
 pub use kv::{KvCalls, MemoryKv};
 pub use link::MemoryNet;
+pub use weights::MemoryWeights;
--- a/components/fleet/src/knapsack.rs
+++ b/components/fleet/src/knapsack.rs
@@ -103,7 +103,7 @@
         let mut index = 0;
         front.retain(|_| {
             index += 1;
-            (last + 1 - index) % 2 == 0
+            (last + 1 - index).is_multiple_of(2)
         });
     }
 }
--- /dev/null
+++ b/components/fleet/src/metrics.rs
@@ -0,0 +1,123 @@
+//! Metrics of the fleet.
+
+use lycheelatch_platform::Purchase;
+use prometheus::{
+    IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, core::Collector,
+};
+
+use crate::{Record, Standing};
+
+/// Metrics of the fleet; clones share their values.
+#[derive(Debug, Clone)]
+pub struct FleetMetrics {
+    statements: IntCounterVec,
+    /// Instances that leave now.
+    pub leaving: IntGauge,
+    /// Service shards that this node holds.
+    pub shards_held: IntGauge,
+    /// Leases that ended while this node believed to hold them.
+    pub leases_lost: IntCounter,
+    orders: IntCounterVec,
+    starts: IntCounterVec,
+    wanted: IntGaugeVec,
+}
+
+/// How an order or a start ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallResult {
+    /// It was taken.
+    Done,
+    /// It was refused.
+    Refused,
+    /// Whether it was taken is not known.
+    Unknown,
+}
+
+impl CallResult {
+    fn as_str(self) -> &'static str {
+        match self {
+            CallResult::Done => "done",
+            CallResult::Refused => "refused",
+            CallResult::Unknown => "unknown",
+        }
+    }
+}
+
+impl FleetMetrics {
+    /// Creates the metrics and registers them.
+    pub fn new(registry: &Registry) -> Result<FleetMetrics, prometheus::Error> {
+        let metrics = FleetMetrics {
+            statements: IntCounterVec::new(
+                Opts::new(
+                    "lycheelatch_reclaim_statements_total",
+                    "Statements heard at the source.",
+                ),
+                &["standing"],
+            )?,
+            leaving: IntGauge::new("lycheelatch_leaving_instances", "Instances that leave now.")?,
+            shards_held: IntGauge::new(
+                "lycheelatch_fleet_shards_held",
+                "Service shards whose lease this node holds.",
+            )?,
+            leases_lost: IntCounter::new(
+                "lycheelatch_fleet_leases_lost_total",
+                "Leases that ended while this node held them.",
+            )?,
+            orders: IntCounterVec::new(
+                Opts::new("lycheelatch_fleet_orders_total", "Orders to engines."),
+                &["service", "result"],
+            )?,
+            starts: IntCounterVec::new(
+                Opts::new("lycheelatch_fleet_starts_total", "Starts of instances."),
+                &["service", "result"],
+            )?,
+            wanted: IntGaugeVec::new(
+                Opts::new("lycheelatch_fleet_instances_wanted", "Instances that are wanted."),
+                &["service", "zone", "purchase"],
+            )?,
+        };
+        metrics.register(registry)?;
+        Ok(metrics)
+    }
+
+    fn register(&self, registry: &Registry) -> Result<(), prometheus::Error> {
+        let all: [Box<dyn Collector>; 7] = [
+            Box::new(self.statements.clone()),
+            Box::new(self.leaving.clone()),
+            Box::new(self.shards_held.clone()),
+            Box::new(self.leases_lost.clone()),
+            Box::new(self.orders.clone()),
+            Box::new(self.starts.clone()),
+            Box::new(self.wanted.clone()),
+        ];
+        all.into_iter().try_for_each(|collector| registry.register(collector))
+    }
+
+    /// Counts a statement that was heard at the cloud or the instance list.
+    pub fn count_statement(&self, record: &Record) {
+        let standing = match record.standing {
+            Standing::Leaving => "leaving",
+            Standing::Staying => "staying",
+        };
+        self.statements.with_label_values(&[standing]).inc();
+    }
+
+    /// Counts an order to an engine.
+    pub fn count_order(&self, service: &str, result: CallResult) {
+        self.orders.with_label_values(&[service, result.as_str()]).inc();
+    }
+
+    /// Counts a start of an instance.
+    pub fn count_start(&self, service: &str, result: CallResult) {
+        self.starts.with_label_values(&[service, result.as_str()]).inc();
+    }
+
+    /// Sets how many instances of a service are wanted.
+    pub fn set_wanted(&self, service: &str, zone: &str, purchase: Purchase, count: u32) {
+        let purchase = match purchase {
+            Purchase::Reclaimable => "reclaimable",
+            Purchase::OnDemand => "on-demand",
+        };
+        self.wanted.with_label_values(&[service, zone, purchase]).set(i64::from(count));
+    }
+}
--- a/components/fleet/src/spread.rs
+++ b/components/fleet/src/spread.rs
@@ -7,13 +7,14 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use lycheelatch_peers::{PeerError, PeerHandler, PeerLink, Topic};
+use lycheelatch_peers::{Members, PeerError, PeerHandler, PeerLink, Topic};
 use lycheelatch_prelude::NodeId;
 use rand::seq::IteratorRandom;
 use tokio::time::Instant;
 
 use crate::{
-    Leaving, Record,
+    Coordinator, Leaving, Record,
+    evacuate::answer_ask,
     wire::{Message, WireRecord, decode, encode},
 };
 
@@ -30,12 +31,14 @@
 pub struct ReclaimSpread {
     leaving: Leaving,
     link: Arc<dyn PeerLink>,
+    coordinator: Arc<Coordinator>,
 }
 
 impl ReclaimSpread {
     /// Creates the spreader and registers it for [`Topic::Reclaim`].
     pub fn new(leaving: Leaving, link: Arc<dyn PeerLink>) -> Arc<ReclaimSpread> {
-        let spread = Arc::new(ReclaimSpread { leaving, link: link.clone() });
+        let spread =
+            Arc::new(ReclaimSpread { leaving, link: link.clone(), coordinator: Arc::default() });
         // The link owns the handler and the spreader the link: a weak
         // reference keeps them from holding each other.
         let handler = Handler { spread: Arc::downgrade(&spread) };
@@ -43,6 +46,21 @@
         spread
     }
 
+    /// Returns the identity of this node.
+    pub fn local(&self) -> &NodeId {
+        self.link.local()
+    }
+
+    /// Returns what this node knows of the others.
+    pub fn members(&self) -> Arc<Members> {
+        self.link.members()
+    }
+
+    /// Returns the plans that this node makes for others.
+    pub fn coordinator(&self) -> Arc<Coordinator> {
+        self.coordinator.clone()
+    }
+
     /// Sends statements to every node.
     pub fn send(&self, records: &[Record]) {
         for part in records.chunks(MAX_RECORDS_PER_MESSAGE) {
@@ -93,12 +111,13 @@
         answer.ok()
     }
 
-    fn answer(&self, msg: Message) -> Bytes {
+    fn answer(&self, from: &NodeId, msg: Message) -> Bytes {
         match msg {
             Message::Records(records) => {
                 self.leaving.merge(Instant::now(), from_wire(records));
                 Bytes::new()
             }
+            Message::Ask(ask) => encode(&answer_ask(&self.coordinator, from, ask)),
             Message::Digest(theirs) => {
                 let records = to_wire(&self.leaving.differing(&theirs));
                 encode(&Answer { digest: self.leaving.digest().to_vec(), records })
@@ -120,12 +139,12 @@
 
 #[async_trait(?Send)]
 impl PeerHandler for Handler {
-    async fn handle(&self, _from: &NodeId, msg: Bytes) -> Result<Bytes, PeerError> {
+    async fn handle(&self, from: &NodeId, msg: Bytes) -> Result<Bytes, PeerError> {
         let no_handler = PeerError::NoHandler { topic: Topic::Reclaim };
         let spread = self.spread.upgrade().ok_or(no_handler)?;
         let msg =
             decode(&msg).map_err(|err| PeerError::BadMessage { reason: err.to_string().into() })?;
-        Ok(spread.answer(msg))
+        Ok(spread.answer(from, msg))
     }
 }
 
--- a/components/fleet/src/wire.rs
+++ b/components/fleet/src/wire.rs
@@ -10,7 +10,10 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::time::Instant;
 
-use crate::leaving::{FORGET_AFTER, Record, Stamp, Standing};
+use crate::{
+    Ask,
+    leaving::{FORGET_AFTER, Record, Stamp, Standing},
+};
 
 /// Why a message about reclaims can't be read.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
@@ -28,6 +31,8 @@
     Records(Vec<WireRecord>),
     /// The sender's digest; the answer holds what differs.
     Digest(Vec<u64>),
+    /// The sender's streams on a leaving runner; the answer holds its part of the plan.
+    Ask(Ask),
 }
 
 /// One statement about an instance.
--- /dev/null
+++ b/components/fleet/tests/common/wave.rs
@@ -0,0 +1,393 @@
+//! A reclaim wave over one of four availability zones, under load, on a paused clock.
+
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use lycheelatch_fakes::{
+    EngineSpeed, MemoryCloud, MemoryEngine, MemoryInstances, MemoryNet, memory_prompt_tokens,
+    memory_token,
+};
+use lycheelatch_fleet::{
+    EngineDirectory, Evacuation, FleetMetrics, Item, Leaving, MovableStream, NoticeSources,
+    ReclaimListener, ReclaimSpread, RelayDeps, Runner, StreamFacts, Streams, best_subset,
+    total_value,
+};
+use lycheelatch_prelude::{InstanceId, Priority, RequestId, ServiceName, UpstreamId};
+use lycheelatch_upstream::{Engine, EngineRequest, StreamEvent};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use tokio::time::{Instant, sleep, sleep_until};
+
+const NODES: usize = 7;
+const RUNNERS: usize = 9;
+const ZONES: [&str; 4] = ["aberteifi", "llechryd", "cenarth", "aberporth"];
+
+/// Room of one runner for streams.
+const MAX_STREAMS: u32 = 64;
+
+/// Room of one runner for KV cache, in tokens.
+const CACHE_TOKENS: u64 = 400_000;
+
+/// What a wave is like.
+#[derive(Debug, Clone)]
+pub struct Wave {
+    /// Seed of the load.
+    pub seed: u64,
+    /// Notice that the cloud gives.
+    pub notice: Duration,
+    /// Rate at which a runner exports KV cache, in bytes a second.
+    pub export_bytes_per_second: u64,
+    /// Whether streams may be moved with their KV cache.
+    pub moves: bool,
+    /// Requests a second over all nodes.
+    pub requests_per_second: f64,
+    /// Error of the expected length of an answer, in percent either way.
+    pub length_error_percent: u64,
+    /// Second zone that goes, and how long after the first.
+    pub second: Option<(usize, Duration)>,
+    /// Exports and imports that fail, in percent.
+    pub failing_percent: u32,
+}
+
+impl Default for Wave {
+    fn default() -> Wave {
+        Wave {
+            seed: 1,
+            notice: Duration::from_secs(3),
+            export_bytes_per_second: 1_250_000_000,
+            moves: true,
+            requests_per_second: 12.0,
+            length_error_percent: 20,
+            second: None,
+            failing_percent: 0,
+        }
+    }
+}
+
+/// What became of the requests.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Outcome {
+    /// Requests that were accepted.
+    pub accepted: u64,
+    /// Requests whose answer did not come whole.
+    pub lost: u64,
+    /// Tokens that came twice, out of place or wrong.
+    pub wrong_tokens: u64,
+    /// Tokens that were computed again.
+    pub recomputed: u64,
+    /// Tokens that a resume of every stream on the leaving runners would compute again.
+    pub all_recomputed: u64,
+    /// Fewest tokens to compute again, with every length known.
+    pub oracle: u64,
+    /// Streams on the leaving runners when the notice came.
+    pub affected: u64,
+    /// New requests that a leaving runner got more than a second after the notice.
+    pub late_work: u64,
+    /// Longest gap between two tokens of any answer, in milliseconds.
+    pub longest_gap_ms: u64,
+}
+
+struct Site {
+    engines: BTreeMap<UpstreamId, (Runner, MemoryEngine)>,
+}
+
+impl EngineDirectory for Site {
+    fn engine(&self, upstream: &UpstreamId) -> Option<Arc<dyn Engine>> {
+        let (_, engine) = self.engines.get(upstream)?;
+        Some(Arc::new(engine.clone()))
+    }
+
+    fn runners(&self, _service: &ServiceName) -> Vec<Runner> {
+        let with_room = |(runner, engine): &(Runner, MemoryEngine)| Runner {
+            room_streams: MAX_STREAMS.saturating_sub(engine.running() as u32),
+            ..runner.clone()
+        };
+        self.engines.values().map(with_room).collect()
+    }
+}
+
+struct Node {
+    leaving: Leaving,
+    deps: RelayDeps,
+}
+
+/// A request that runs, as the oracle sees it.
+#[derive(Clone)]
+struct Live {
+    upstream: UpstreamId,
+    prompt_tokens: u64,
+    generated: u64,
+    length: u64,
+}
+
+#[derive(Default)]
+struct Ledger {
+    outcome: Outcome,
+    live: BTreeMap<RequestId, Live>,
+}
+
+/// Runs one wave; call it on a paused clock.
+pub async fn run(wave: &Wave) -> Outcome {
+    let site = Arc::new(build_site(wave));
+    let cloud = MemoryCloud::new(Vec::new());
+    let nodes = build_nodes(&site, &cloud);
+    let ledger = Rc::new(RefCell::new(Ledger::default()));
+    let at = Instant::now() + Duration::from_secs(25);
+    let load = actix::spawn(offer_load(wave.clone(), site.clone(), nodes, ledger.clone()));
+    sleep_until(at).await;
+    note_start_of_wave(wave, &site, &ledger);
+    reclaim_zone(wave, &site, &cloud, 0);
+    if let Some((zone, after)) = wave.second {
+        sleep(after).await;
+        reclaim_zone(wave, &site, &cloud, zone);
+    }
+    load.await.unwrap();
+    let mut outcome = ledger.borrow().outcome.clone();
+    let engines = || site.engines.values().map(|(_, engine)| engine);
+    outcome.recomputed = engines().map(MemoryEngine::recomputed_tokens).sum();
+    outcome.late_work = late_work(&site, 0, at);
+    if let Some((zone, after)) = wave.second {
+        outcome.late_work += late_work(&site, zone, at + after);
+    }
+    outcome
+}
+
+fn build_site(wave: &Wave) -> Site {
+    let speed = EngineSpeed {
+        export_bytes_per_second: wave.export_bytes_per_second,
+        ..EngineSpeed::default()
+    };
+    let mut rng = StdRng::seed_from_u64(wave.seed);
+    let build = |i: usize| {
+        let runner = Runner {
+            upstream: format!("runner-{i}").parse().unwrap(),
+            instance: format!("i-{i}").parse().unwrap(),
+            zone: ZONES[i % ZONES.len()].parse().unwrap(),
+            room_tokens: CACHE_TOKENS,
+            room_streams: MAX_STREAMS,
+            prefill_tokens_per_second: speed.prefill_tokens_per_second,
+            export_bytes_per_second: if wave.moves { wave.export_bytes_per_second } else { 1 },
+        };
+        let engine = MemoryEngine::new(speed.clone());
+        for faults in [&engine.export_faults, &engine.import_faults] {
+            let fails = |rng: &mut StdRng| rng.random_ratio(wave.failing_percent, 100);
+            let fault = |rng: &mut StdRng| match fails(rng) {
+                true => lycheelatch_fakes::Fault::Refuse,
+                false => lycheelatch_fakes::Fault::None,
+            };
+            faults.script((0..500).map(|_| fault(&mut rng)));
+        }
+        (runner.upstream.clone(), (runner, engine))
+    };
+    Site { engines: (0..RUNNERS).map(build).collect() }
+}
+
+fn build_nodes(site: &Arc<Site>, cloud: &MemoryCloud) -> Vec<Node> {
+    let net = MemoryNet::new();
+    let links: Vec<_> = (0..NODES)
+        .map(|i| {
+            let id = format!("node-{i}").parse().unwrap();
+            net.join(id, ZONES[i % 4].parse().unwrap(), "ceredigion".parse().unwrap())
+        })
+        .collect();
+    let list = Arc::new(MemoryInstances::new(Duration::from_secs(30)));
+    let build = |link: Arc<dyn lycheelatch_peers::PeerLink>| {
+        let leaving = Leaving::new();
+        let spread = ReclaimSpread::new(leaving.clone(), link.clone());
+        let sources = NoticeSources { cloud: Some(Arc::new(cloud.clone())), list: list.clone() };
+        let metrics = FleetMetrics::new(&prometheus::Registry::new()).unwrap();
+        let listener = ReclaimListener::new(sources, leaving.clone(), spread.clone(), metrics);
+        let streams = Streams::new();
+        let directory: Arc<dyn EngineDirectory> = site.clone();
+        let coordinator = spread.coordinator();
+        let evacuation =
+            Evacuation::new(leaving.clone(), streams.clone(), directory.clone(), link, coordinator);
+        actix::spawn(async move { listener.run().await });
+        actix::spawn(async move { spread.run().await });
+        actix::spawn(async move { evacuation.run().await });
+        Node { deps: RelayDeps { directory, leaving: leaving.clone(), streams }, leaving }
+    };
+    links.into_iter().map(build).collect()
+}
+
+/// Sends requests until ten seconds after the wave, and waits for every answer.
+async fn offer_load(wave: Wave, site: Arc<Site>, nodes: Vec<Node>, ledger: Rc<RefCell<Ledger>>) {
+    let mut rng = StdRng::seed_from_u64(wave.seed ^ 0x10ad);
+    let ends = Instant::now() + Duration::from_secs(35);
+    let mut running = Vec::new();
+    let mut number = 0;
+    while Instant::now() < ends {
+        let gap = -rng.random_range(f64::EPSILON..1.0_f64).ln() / wave.requests_per_second;
+        sleep(Duration::from_secs_f64(gap)).await;
+        number += 1;
+        let node = &nodes[rng.random_range(0..nodes.len())];
+        let Some(runner) = place(&site, node, &mut rng) else {
+            continue;
+        };
+        let request = Request::draw(number, &wave, &mut rng);
+        ledger.borrow_mut().outcome.accepted += 1;
+        let relay = relay(node.deps.clone(), runner, request, ledger.clone());
+        running.push(actix::spawn(relay));
+    }
+    for relay in running {
+        relay.await.unwrap();
+    }
+}
+
+fn place(site: &Site, node: &Node, rng: &mut StdRng) -> Option<Runner> {
+    let staying: Vec<_> = site
+        .engines
+        .values()
+        .map(|(runner, _)| runner)
+        .filter(|runner| !node.leaving.is_leaving(&runner.instance))
+        .collect();
+    (!staying.is_empty()).then(|| staying[rng.random_range(0..staying.len())].clone())
+}
+
+struct Request {
+    id: RequestId,
+    prompt: String,
+    length: u64,
+    expected: u64,
+}
+
+impl Request {
+    /// Draws a request: prompts of 400 to 8,000 tokens, answers of 40 to 600, log-uniform.
+    fn draw(number: u64, wave: &Wave, rng: &mut StdRng) -> Request {
+        let mut log_uniform =
+            |low: f64, high: f64| rng.random_range(low.ln()..high.ln()).exp() as u64;
+        let prompt_tokens = log_uniform(400.0, 8_000.0);
+        let length = log_uniform(40.0, 600.0);
+        let error = wave.length_error_percent;
+        let percent = rng.random_range(100 - error..=100 + error);
+        let prompt = format!("{number:>width$}", width = prompt_tokens as usize * 4);
+        let id = format!("req-{number}").parse().unwrap();
+        Request { id, prompt, length, expected: length * percent / 100 }
+    }
+}
+
+async fn relay(deps: RelayDeps, runner: Runner, request: Request, ledger: Rc<RefCell<Ledger>>) {
+    let prompt_tokens = memory_prompt_tokens(&request.prompt);
+    let body = serde_json::json!({ "prompt": request.prompt, "max_tokens": request.length });
+    let req = EngineRequest {
+        id: request.id.clone(),
+        path: "/v1/completions".into(),
+        body: Bytes::from(body.to_string()),
+        stream: true,
+        priority: Priority::Normal,
+        timeout: Duration::from_secs(120),
+        resume: None,
+    };
+    let facts = StreamFacts {
+        request: request.id.clone(),
+        service: "gwehydd-llm".parse().unwrap(),
+        prompt_tokens,
+        expected_tokens: request.expected,
+        between_tokens: Duration::from_millis(30),
+        kv_bytes_per_token: EngineSpeed::default().kv_bytes_per_token,
+    };
+    let live = Live {
+        upstream: runner.upstream.clone(),
+        prompt_tokens,
+        generated: 0,
+        length: request.length,
+    };
+    ledger.borrow_mut().live.insert(request.id.clone(), live);
+    let answer = read_answer(deps, &runner, req, facts, &request, &ledger).await;
+    let mut ledger = ledger.borrow_mut();
+    ledger.live.remove(&request.id);
+    if answer != Some(request.length) {
+        ledger.outcome.lost += 1;
+    }
+}
+
+/// Reads an answer to its end and returns its length, or `None` if it broke.
+async fn read_answer(
+    deps: RelayDeps,
+    runner: &Runner,
+    req: EngineRequest,
+    facts: StreamFacts,
+    request: &Request,
+    ledger: &Rc<RefCell<Ledger>>,
+) -> Option<u64> {
+    let mut stream =
+        MovableStream::open(deps, &runner.upstream, &runner.instance, req, facts).await.ok()?;
+    let (mut count, mut last) = (0, None::<Instant>);
+    loop {
+        let event = stream.next().await.ok()?;
+        let StreamEvent::Token { text, .. } = event else {
+            return Some(count);
+        };
+        let mut ledger = ledger.borrow_mut();
+        if text != memory_token(&request.prompt, count) {
+            ledger.outcome.wrong_tokens += 1;
+        }
+        let gap = last.map_or(Duration::ZERO, |last| last.elapsed()).as_millis() as u64;
+        ledger.outcome.longest_gap_ms = ledger.outcome.longest_gap_ms.max(gap);
+        last = Some(Instant::now());
+        count += 1;
+        let live = ledger.live.get_mut(&request.id)?;
+        live.generated = count;
+        live.upstream = stream.upstream().clone();
+    }
+}
+
+fn in_zone(site: &Site, zone: usize) -> Vec<(Runner, MemoryEngine)> {
+    let is_there = |(runner, _): &&(Runner, MemoryEngine)| runner.zone.as_str() == ZONES[zone];
+    site.engines.values().filter(is_there).cloned().collect()
+}
+
+fn note_start_of_wave(wave: &Wave, site: &Site, ledger: &Rc<RefCell<Ledger>>) {
+    let mut ledger = ledger.borrow_mut();
+    for (runner, _) in in_zone(site, 0) {
+        let on_it: Vec<Live> =
+            ledger.live.values().filter(|live| live.upstream == runner.upstream).cloned().collect();
+        ledger.outcome.affected += on_it.len() as u64;
+        let cost = |live: &Live| live.prompt_tokens + live.generated;
+        ledger.outcome.all_recomputed += on_it.iter().map(cost).sum::<u64>();
+        ledger.outcome.oracle += oracle(wave, &on_it);
+    }
+}
+
+/// Fewest tokens to compute again, with every length known and the whole notice used.
+fn oracle(wave: &Wave, on_it: &[Live]) -> u64 {
+    let speed = EngineSpeed::default();
+    let ends =
+        |live: &&Live| speed.between_tokens * (live.length - live.generated) as u32 <= wave.notice;
+    let items: Vec<Item> = on_it
+        .iter()
+        .filter(|live| !ends(live))
+        .map(|live| {
+            let tokens = live.prompt_tokens + live.generated;
+            let bytes = tokens * speed.kv_bytes_per_token;
+            let secs = bytes as f64 / wave.export_bytes_per_second as f64;
+            Item { weight: speed.per_export.as_secs_f64() + secs, value: tokens }
+        })
+        .collect();
+    let chosen = best_subset(&items, wave.notice.as_secs_f64());
+    items.iter().map(|item| item.value).sum::<u64>() - total_value(&items, &chosen)
+}
+
+fn reclaim_zone(wave: &Wave, site: &Site, cloud: &MemoryCloud, zone: usize) {
+    for (runner, engine) in in_zone(site, zone) {
+        cloud.reclaim(&runner.instance, wave.notice);
+        let notice = wave.notice;
+        actix::spawn(async move {
+            sleep(notice).await;
+            engine.kill();
+        });
+    }
+}
+
+fn late_work(site: &Site, zone: usize, at: Instant) -> u64 {
+    let late = |engine: MemoryEngine| {
+        let started = engine.started();
+        started.iter().filter(|s| s.at > at + Duration::from_secs(1)).count() as u64
+    };
+    in_zone(site, zone).into_iter().map(|(_, engine)| late(engine)).sum()
+}
+
+/// Returns the instance of a runner, for tests that reclaim one themselves.
+#[allow(dead_code)]
+pub fn instance_of(i: usize) -> InstanceId {
+    format!("i-{i}").parse().unwrap()
+}
