--- a/components/fakes/src/lib.rs
+++ b/components/fakes/src/lib.rs
@@ -15,7 +15,8 @@
 
 pub use cloud::MemoryCloud;
 pub use engine::{
-    EngineSpeed, MemoryEngine, OrderSeen, Started, memory_prompt_tokens, memory_token,
+    EngineSpeed, MemoryEngine, OrderSeen, Started, memory_prompt_tag, memory_prompt_tokens,
+    memory_token,
 };
 pub use faults::{Fault, Faults};
 pub use http::{
--- a/components/fleet/src/evacuate.rs
+++ b/components/fleet/src/evacuate.rs
@@ -31,10 +31,13 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Time that each transfer takes besides its bytes.
-const PER_TRANSFER: Duration = Duration::from_millis(15);
+const PER_TRANSFER: Duration = Duration::from_millis(10);
 
 /// Time before the end of the notice in which nothing is begun.
-const MARGIN: Duration = Duration::from_millis(200);
+const MARGIN: Duration = Duration::from_millis(100);
+
+/// Time by which a transfer begins early, so that the runner's link is never idle.
+const START_EARLY: Duration = Duration::from_millis(20);
 
 /// Nodes that are taken to share a runner's bandwidth while the planning node is silent.
 const ASSUMED_SHARERS: u64 = 4;
@@ -123,7 +126,7 @@
             handles.iter().map(|handle| (handle.request().clone(), handle)).collect();
         for PlannedStream { request, action, start_in_ms } in planned {
             if let Some(handle) = by_request.remove(&request) {
-                let start = now + Duration::from_millis(start_in_ms);
+                let start = now + Duration::from_millis(start_in_ms).saturating_sub(START_EARLY);
                 handle.instruct(Instruction { action, start });
             }
         }
@@ -135,17 +138,19 @@
         deadline: Instant,
         handles: &[Arc<StreamHandle>],
     ) -> Option<Ask> {
-        let (moving, waiting): (Vec<_>, Vec<_>) = handles.iter().partition(|h| h.is_moving());
+        let (moving, waiting): (Vec<_>, Vec<_>) =
+            handles.iter().partition(|handle| handle.moving_since().is_some());
         let service = handles.first()?.service();
         let runners = self.directory.runners(service);
         let runner = runners.iter().find(|runner| runner.instance == *instance);
+        let bytes_per_second = runner.map_or(0, |runner| runner.export_bytes_per_second);
         let notice = deadline.saturating_duration_since(Instant::now());
         Some(Ask {
             instance: instance.clone(),
             notice_ms: u64::try_from(notice.as_millis()).unwrap_or(u64::MAX),
-            bytes_per_second: runner.map_or(0, |runner| runner.export_bytes_per_second),
+            bytes_per_second,
             streams: waiting.iter().map(|handle| handle.running()).collect(),
-            busy_bytes: moving.iter().map(|handle| handle.running().kv_bytes / 2).sum(),
+            busy_bytes: moving.iter().map(|handle| bytes_left(handle, bytes_per_second)).sum(),
             receivers: self.receivers(instance, &runners),
         })
     }
@@ -185,6 +190,13 @@
     }
 }
 
+/// Returns how much of a stream's export is still to come, in bytes.
+fn bytes_left(handle: &StreamHandle, bytes_per_second: u64) -> u64 {
+    let elapsed = handle.moving_since().map_or(Duration::ZERO, |since| since.elapsed());
+    let sent = bytes_per_second as f64 * elapsed.as_secs_f64();
+    handle.running().kv_bytes.saturating_sub(sent as u64)
+}
+
 /// Plans for the streams of an asking node.
 pub(crate) fn answer_ask(coordinator: &Coordinator, from: &NodeId, ask: Ask) -> Vec<PlannedStream> {
     let limits = ExportLimits {
--- a/components/fleet/src/plan.rs
+++ b/components/fleet/src/plan.rs
@@ -1,8 +1,9 @@
 //! What becomes of the streams on a runner that leaves.
 //!
-//! A stream that ends in time is left alone. Of the others, those whose
+//! A stream that surely ends in time is left alone. Of the others, those whose
 //! export saves the most recomputed tokens within the runner's bandwidth are
-//! moved with their KV cache; the rest are resumed elsewhere at once, paced so
+//! moved with their KV cache. The rest stay as long as they can, since they
+//! may end or be moved after all, and are then resumed elsewhere, paced so
 //! that no receiver computes more prompts than it can.
 
 use std::time::Duration;
@@ -13,8 +14,11 @@
 
 use crate::knapsack::{Item, best_subset};
 
-/// Factor by which an estimate of the remaining time is lengthened, in percent.
-const FINISH_SAFETY_PERCENT: u32 = 125;
+/// Factor on an estimate of the remaining time that makes it sure, in percent.
+const SURE_FINISH_PERCENT: u32 = 150;
+
+/// Chance that a stream whose estimate just fits does not end in time, in percent.
+const MAX_OVERRUN_PERCENT: f64 = 50.0;
 
 /// One stream on the runner.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -117,7 +121,7 @@
     receivers: &[Receiver],
 ) -> Vec<Step> {
     let (finishing, mut others): (Vec<_>, Vec<_>) =
-        streams.iter().partition(|stream| ends_in_time(stream, limits));
+        streams.iter().partition(|stream| finish_of(stream, limits) == Finish::Sure);
     others.sort_by(|a, b| {
         let by_cost = b.recompute_tokens().cmp(&a.recompute_tokens());
         by_cost.then_with(|| a.request.cmp(&b.request))
@@ -129,6 +133,9 @@
     for (stream, is_moved) in others.into_iter().zip(moved) {
         let step = match is_moved {
             true => move_step(now, stream, limits, &mut export_free, &mut rooms),
+            false if finish_of(stream, limits) == Finish::Probable => {
+                step(stream, Action::Finish, now)
+            }
             false => resume_step(now, stream, limits, &mut rooms),
         };
         steps.push(step);
@@ -138,8 +145,37 @@
     steps
 }
 
-fn ends_in_time(stream: &RunningStream, limits: &ExportLimits) -> bool {
-    stream.remaining_estimate * FINISH_SAFETY_PERCENT / 100 <= limits.usable()
+/// Whether a stream ends before its runner goes.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Finish {
+    Sure,
+    Probable,
+    No,
+}
+
+fn finish_of(stream: &RunningStream, limits: &ExportLimits) -> Finish {
+    let remaining = stream.remaining_estimate;
+    if remaining * SURE_FINISH_PERCENT / 100 <= limits.usable() {
+        return Finish::Sure;
+    }
+    if remaining <= limits.usable() { Finish::Probable } else { Finish::No }
+}
+
+/// Returns the tokens that moving a stream saves on average, in hundredths.
+fn worth_of_move(stream: &RunningStream, limits: &ExportLimits) -> u64 {
+    let percent = match finish_of(stream, limits) {
+        Finish::Sure => 0.0,
+        Finish::Probable => overrun_percent(stream, limits),
+        Finish::No => 100.0,
+    };
+    (stream.recompute_tokens() as f64 * percent) as u64
+}
+
+/// Returns the chance that a stream does not end in time, rising from none where its end is sure.
+fn overrun_percent(stream: &RunningStream, limits: &ExportLimits) -> f64 {
+    let used = stream.remaining_estimate.as_secs_f64() / limits.usable().as_secs_f64();
+    let sure = 100.0 / f64::from(SURE_FINISH_PERCENT);
+    MAX_OVERRUN_PERCENT * (used - sure).max(0.0) / (1.0 - sure)
 }
 
 fn choose_moves(streams: &[&RunningStream], limits: &ExportLimits) -> Vec<bool> {
@@ -147,7 +183,7 @@
         .iter()
         .map(|stream| Item {
             weight: limits.transfer_time(stream).as_secs_f64(),
-            value: stream.recompute_tokens(),
+            value: worth_of_move(stream, limits),
         })
         .collect();
     best_subset(&items, limits.usable().saturating_sub(limits.busy).as_secs_f64())
@@ -179,8 +215,8 @@
         return step(stream, Action::Wait, now);
     };
     room.take(stream);
-    let start = now + room.prefill_busy.min(limits.usable());
     room.add_prefill(stream);
+    let start = now + limits.usable().saturating_sub(room.prefill_busy);
     step(stream, Action::Resume { to: room.receiver.id.clone() }, start)
 }
 
--- a/components/fleet/src/relay.rs
+++ b/components/fleet/src/relay.rs
@@ -25,7 +25,7 @@
 const MAX_TRANSFER: Duration = Duration::from_secs(5);
 
 /// Time before its runner goes at which a transfer is given up.
-const TRANSFER_MARGIN: Duration = Duration::from_millis(100);
+const TRANSFER_MARGIN: Duration = Duration::from_millis(50);
 
 /// Why a stream that may move between runners ended early.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
@@ -207,6 +207,8 @@
             import.ok().and_then(Result::ok).ok_or(TransferError::Import)
         });
         self.guard.handle().set_moving(true);
+        // The other nodes' transfers are planned around this one.
+        self.guard.streams().replan();
         self.transfer = Some((to, transfer));
     }
 
--- a/components/fleet/src/streams.rs
+++ b/components/fleet/src/streams.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+        atomic::{AtomicU32, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -20,6 +20,9 @@
 /// Exports of one stream that may fail before it is resumed without one.
 const MAX_EXPORT_FAILURES: u32 = 2;
 
+/// Least rest of an answer that has come close to its expected length, in percent of it.
+const OVERRUN_PERCENT: u64 = 15;
+
 /// What a stream is told to do, and when.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Instruction {
@@ -51,7 +54,7 @@
 pub struct StreamHandle {
     facts: StreamFacts,
     generated: AtomicU64,
-    is_moving: AtomicBool,
+    moving_since: Mutex<Option<Instant>>,
     export_failures: AtomicU32,
     instruction: watch::Sender<Option<Instruction>>,
 }
@@ -79,12 +82,12 @@
 
     /// Notes whether the KV cache of the stream is under way.
     pub fn set_moving(&self, is_moving: bool) {
-        self.is_moving.store(is_moving, Ordering::Relaxed);
+        *self.moving_since.lock().unwrap() = is_moving.then(Instant::now);
     }
 
-    /// Returns whether the KV cache of the stream is under way.
-    pub fn is_moving(&self) -> bool {
-        self.is_moving.load(Ordering::Relaxed)
+    /// Returns since when the KV cache of the stream is under way.
+    pub fn moving_since(&self) -> Option<Instant> {
+        *self.moving_since.lock().unwrap()
     }
 
     /// Notes a failed export.
@@ -108,7 +111,8 @@
     /// Returns the stream as the plan needs it.
     pub fn running(&self) -> RunningStream {
         let generated = self.generated.load(Ordering::Relaxed);
-        let left = self.facts.expected_tokens.saturating_sub(generated).max(1);
+        let least = generated * OVERRUN_PERCENT / 100;
+        let left = self.facts.expected_tokens.saturating_sub(generated).max(least).max(1);
         let tokens = self.facts.prompt_tokens + generated;
         let can_export = self.export_failures.load(Ordering::Relaxed) < MAX_EXPORT_FAILURES;
         let kv_bytes = if can_export { tokens * self.facts.kv_bytes_per_token } else { u64::MAX };
@@ -146,7 +150,7 @@
         let handle = Arc::new(StreamHandle {
             facts,
             generated: AtomicU64::new(0),
-            is_moving: AtomicBool::new(false),
+            moving_since: Mutex::default(),
             export_failures: AtomicU32::new(0),
             instruction,
         });
@@ -180,7 +184,7 @@
 
     /// Asks for a new plan.
     pub fn replan(&self) {
-        self.0.changed.notify_waiters();
+        self.0.changed.notify_one();
     }
 
     /// Waits until a new plan is asked for.
