--- a/components/fleet/src/coordinate.rs
+++ b/components/fleet/src/coordinate.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use lycheelatch_prelude::{InstanceId, NodeId};
+use lycheelatch_prelude::{InstanceId, NodeId, RequestId};
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -31,17 +31,28 @@
     pub bytes_per_second: u64,
     /// Streams of the node there that are to be planned.
     pub streams: Vec<RunningStream>,
-    /// Bytes of the node's exports that are under way.
-    pub busy_bytes: u64,
+    /// Exports of the node that are under way.
+    pub moving: Vec<MovingStream>,
     /// Runners that can take streams over, as the node knows them.
     pub receivers: Vec<Receiver>,
 }
 
+/// One export that is under way.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MovingStream {
+    /// Request of the stream.
+    pub request: RequestId,
+    /// Size of its KV cache, in bytes.
+    pub kv_bytes: u64,
+    /// Time since it was asked for, in milliseconds.
+    pub elapsed_ms: u64,
+}
+
 /// One stream's part of an answer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PlannedStream {
     /// Request of the stream.
-    pub request: lycheelatch_prelude::RequestId,
+    pub request: RequestId,
     /// What becomes of it.
     pub action: Action,
     /// Time until it begins, in milliseconds.
@@ -68,7 +79,7 @@
 /// What the nodes last said of the leaving runners that this node plans for.
 #[derive(Debug, Default)]
 pub struct Coordinator {
-    asks: Mutex<HashMap<InstanceId, HashMap<NodeId, (Instant, Ask)>>>,
+    runners: Mutex<HashMap<InstanceId, LeavingRunner>>,
 }
 
 impl Coordinator {
@@ -82,23 +93,68 @@
     ) -> Vec<PlannedStream> {
         let own: HashSet<_> = ask.streams.iter().map(|s| s.request.clone()).collect();
         let receivers = ask.receivers.clone();
-        let (streams, busy_bytes) = self.note(now, from, ask);
-        let secs = busy_bytes as f64 / limits.bytes_per_second.max(1) as f64;
-        let busy = Duration::from_secs_f64(secs.min(1e6));
+        let (streams, busy) = self.note(now, from, ask, &limits);
         let steps = plan(now, &streams, &ExportLimits { busy, ..limits }, &receivers);
         let is_own = |step: &Step| own.contains(&step.request);
         steps.into_iter().filter(is_own).map(|step| PlannedStream::new(step, now)).collect()
     }
 
-    fn note(&self, now: Instant, from: &NodeId, ask: Ask) -> (Vec<RunningStream>, u64) {
-        let mut asks = self.asks.lock().unwrap();
-        for nodes in asks.values_mut() {
-            nodes.retain(|_, (at, _)| *at + ASK_VALID > now);
+    fn note(
+        &self,
+        now: Instant,
+        from: &NodeId,
+        ask: Ask,
+        limits: &ExportLimits,
+    ) -> (Vec<RunningStream>, Duration) {
+        let mut runners = self.runners.lock().unwrap();
+        for runner in runners.values_mut() {
+            runner.asks.retain(|_, (at, _)| *at + ASK_VALID > now);
+        }
+        runners.retain(|_, runner| !runner.asks.is_empty());
+        let runner = runners.entry(ask.instance.clone()).or_default();
+        runner.asks.insert(from.clone(), (now, ask));
+        let busy = runner.busy(now, limits);
+        (runner.streams(), busy)
+    }
+}
+
+/// A leaving runner with what the nodes said of it.
+#[derive(Debug, Default)]
+struct LeavingRunner {
+    asks: HashMap<NodeId, (Instant, Ask)>,
+    /// Exports that are counted in `link_free`.
+    counted: HashSet<RequestId>,
+    /// Time at which the counted exports end, one after the other.
+    link_free: Option<Instant>,
+}
+
+impl LeavingRunner {
+    fn streams(&self) -> Vec<RunningStream> {
+        let asks = self.asks.values();
+        asks.flat_map(|(_, ask)| &ask.streams)
+            .filter(|stream| !self.counted.contains(&stream.request))
+            .cloned()
+            .collect()
+    }
+
+    /// Returns the time until the runner's link is free.
+    fn busy(&mut self, now: Instant, limits: &ExportLimits) -> Duration {
+        let mut moving: Vec<(Instant, MovingStream)> = Vec::new();
+        for (at, ask) in self.asks.values() {
+            let since = |m: &MovingStream| *at - Duration::from_millis(m.elapsed_ms);
+            moving.extend(ask.moving.iter().map(|m| (since(m), m.clone())));
+        }
+        moving.sort_by_key(|(since, _)| *since);
+        self.counted.retain(|request| moving.iter().any(|(_, m)| m.request == *request));
+        if moving.is_empty() {
+            self.link_free = None;
+        }
+        for (since, stream) in moving {
+            if self.counted.insert(stream.request) {
+                let begin = self.link_free.map_or(since, |free| free.max(since));
+                self.link_free = Some(begin + limits.time_of(stream.kv_bytes));
+            }
         }
-        asks.retain(|_, nodes| !nodes.is_empty());
-        let nodes = asks.entry(ask.instance.clone()).or_default();
-        nodes.insert(from.clone(), (now, ask));
-        let streams = nodes.values().flat_map(|(_, ask)| ask.streams.iter().cloned()).collect();
-        (streams, nodes.values().map(|(_, ask)| ask.busy_bytes).sum())
+        self.link_free.map_or(Duration::ZERO, |free| free.saturating_duration_since(now))
     }
 }
--- a/components/fleet/src/evacuate.rs
+++ b/components/fleet/src/evacuate.rs
@@ -11,8 +11,8 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
-    Action, Ask, Coordinator, EngineDirectory, ExportLimits, Instruction, Leaving, PlannedStream,
-    Receiver, Runner, StreamHandle, Streams,
+    Action, Ask, Coordinator, EngineDirectory, ExportLimits, Instruction, Leaving, MovingStream,
+    PlannedStream, Receiver, Runner, StreamHandle, Streams,
     coordinate::planner_of,
     directory::receivers_for,
     wire::{Message, decode, encode},
@@ -27,6 +27,9 @@
 /// Shortest time between two plans.
 const REPLAN_AT_MOST_EVERY: Duration = Duration::from_millis(20);
 
+/// Time for which the planning node gathers the nodes' streams at first.
+const GATHER: Duration = Duration::from_millis(40);
+
 /// Longest wait for the planning node.
 const ASK_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -99,9 +102,12 @@
 
     /// Lets the streams stay where an earlier notice was withdrawn.
     fn call_off_withdrawn(&self, instances: &[InstanceId]) {
-        let planned = instances.iter().cloned().collect();
-        let earlier = std::mem::replace(&mut *self.planned.lock().unwrap(), planned);
-        for instance in earlier.iter().filter(|instance| !self.leaving.is_leaving(instance)) {
+        let mut planned = self.planned.lock().unwrap();
+        let stays = |instance: &InstanceId| !self.leaving.is_leaving(instance);
+        let staying: Vec<_> = planned.iter().filter(|instance| stays(instance)).cloned().collect();
+        planned.retain(|instance| instances.contains(instance));
+        drop(planned);
+        for instance in &staying {
             log::info!("fleet: instance {instance} stays; its streams go on there.");
             for handle in self.streams.on(instance) {
                 handle.instruct(Instruction { action: Action::Finish, start: Instant::now() });
@@ -113,6 +119,10 @@
         let Some(deadline) = self.leaving.deadline(instance) else {
             return;
         };
+        let is_first = self.planned.lock().unwrap().insert(instance.clone());
+        if is_first {
+            self.gather(instance, deadline).await;
+        }
         let handles = self.streams.on(instance);
         let Some(ask) = self.ask(instance, deadline, &handles) else {
             return;
@@ -132,6 +142,15 @@
         }
     }
 
+    /// Makes this node's streams known and waits for the other nodes to do the same.
+    async fn gather(&self, instance: &InstanceId, deadline: Instant) {
+        let handles = self.streams.on(instance);
+        if let Some(ask) = self.ask(instance, deadline, &handles) {
+            let _only_noted = self.ask_planner(&ask).await;
+            sleep(GATHER).await;
+        }
+    }
+
     fn ask(
         &self,
         instance: &InstanceId,
@@ -150,7 +169,7 @@
             notice_ms: u64::try_from(notice.as_millis()).unwrap_or(u64::MAX),
             bytes_per_second,
             streams: waiting.iter().map(|handle| handle.running()).collect(),
-            busy_bytes: moving.iter().map(|handle| bytes_left(handle, bytes_per_second)).sum(),
+            moving: moving.iter().filter_map(|handle| moving_stream(handle)).collect(),
             receivers: self.receivers(instance, &runners),
         })
     }
@@ -190,11 +209,14 @@
     }
 }
 
-/// Returns how much of a stream's export is still to come, in bytes.
-fn bytes_left(handle: &StreamHandle, bytes_per_second: u64) -> u64 {
-    let elapsed = handle.moving_since().map_or(Duration::ZERO, |since| since.elapsed());
-    let sent = bytes_per_second as f64 * elapsed.as_secs_f64();
-    handle.running().kv_bytes.saturating_sub(sent as u64)
+/// Returns the export of a stream that is under way.
+fn moving_stream(handle: &StreamHandle) -> Option<MovingStream> {
+    let elapsed = handle.moving_since()?.elapsed();
+    Some(MovingStream {
+        request: handle.request().clone(),
+        kv_bytes: handle.running().kv_bytes,
+        elapsed_ms: u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
+    })
 }
 
 /// Plans for the streams of an asking node.
--- a/components/fleet/src/plan.rs
+++ b/components/fleet/src/plan.rs
@@ -63,7 +63,12 @@
     }
 
     fn transfer_time(&self, stream: &RunningStream) -> Duration {
-        let secs = stream.kv_bytes as f64 / self.bytes_per_second.max(1) as f64;
+        self.time_of(stream.kv_bytes)
+    }
+
+    /// Returns the time that one transfer takes.
+    pub(crate) fn time_of(&self, kv_bytes: u64) -> Duration {
+        let secs = kv_bytes as f64 / self.bytes_per_second.max(1) as f64;
         self.per_transfer + Duration::from_secs_f64(secs.min(1e6))
     }
 }
