fleet: pauses in the holder test can't be cut short by the process's own timeout

Cause: with the gate taken out as a trial, the test still passed: the timeout dropped the paused order, which a paused process would have sent. Change: the paused order leaves in any case; pauses up to 300 s; 2400 s of history.

--- a/components/fleet/tests/holder.rs
+++ b/components/fleet/tests/holder.rs
@@ -20,6 +20,9 @@
 
 const HOLDERS: usize = 3;
 
+/// Longest pause of a process, in milliseconds; many times as long as a lease.
+const MAX_PAUSE_MS: u64 = 300_000;
+
 /// Pauses of one process: at every step perhaps none, perhaps longer than any lease.
 struct Pauses {
     rng: std::sync::Mutex<StdRng>,
@@ -31,7 +34,7 @@
         let pause = {
             let mut rng = self.rng.lock().unwrap();
             match rng.random_ratio(self.percent, 100) {
-                true => rng.random_range(0..60_000),
+                true => rng.random_range(0..MAX_PAUSE_MS),
                 false => rng.random_range(0..20),
             }
         };
@@ -133,10 +136,12 @@
     }
 
     async fn order(&self, order: &Order) -> Result<(), UpstreamError> {
-        self.pauses.step().await;
-        // The process is paused, not its timers: the order leaves in any case.
-        let (engine, order) = (self.engine.clone(), order.clone());
-        let sent = actix::spawn(async move { engine.order(&order).await });
+        // A paused process does not see its own timeout: the order leaves in any case.
+        let (engine, order, pauses) = (self.engine.clone(), order.clone(), self.pauses.clone());
+        let sent = actix::spawn(async move {
+            pauses.step().await;
+            engine.order(&order).await
+        });
         let answer = sent.await.unwrap();
         self.pauses.step().await;
         answer
@@ -191,7 +196,7 @@
         ];
         kv.faults.script(script(&mut rng, trouble.kv_fault_percent, &kv_faults));
         engine.order_faults.script(script(&mut rng, trouble.order_fault_percent, &order_faults));
-        let ends = Instant::now() + Duration::from_secs(600);
+        let ends = Instant::now() + Duration::from_secs(2_400);
         let errors = Rc::new(RefCell::new(Vec::new()));
         let holders = (0..HOLDERS).map(|i| {
             let pauses = Arc::new(Pauses {
@@ -215,7 +220,7 @@
         true => faults[rng.random_range(0..faults.len())],
         false => Fault::None,
     };
-    (0..600).map(|_| draw()).collect()
+    (0..2_400).map(|_| draw()).collect()
 }
 
 async fn hold(
