--- a/components/fakes/src/engine.rs
+++ b/components/fakes/src/engine.rs
@@ -354,7 +354,7 @@
             Fault::Slow(delay) => {
                 // The order is on its way and arrives even if nobody waits.
                 let (engine, order) = (self.clone(), order.clone());
-                let effect = actix_rt::spawn(async move {
+                let effect = tokio::task::spawn_local(async move {
                     sleep(delay).await;
                     engine.take_effect(&order)
                 });
@@ -362,7 +362,7 @@
             }
             Fault::SlowThenLoseAnswer(delay) => {
                 let (engine, order) = (self.clone(), order.clone());
-                actix_rt::spawn(async move {
+                tokio::task::spawn_local(async move {
                     sleep(delay).await;
                     let _lost_answer = engine.take_effect(&order);
                 });
