daemon: Join the fleet; the quickstart reclaims a zone by the cloud's notice

Nodes hear reclaim notices, empty leaving runners by the fleet's plan, hold leases and find seeds by the key-value service.

--- a/components/daemon/src/clients.rs
+++ b/components/daemon/src/clients.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use lycheelatch_platform::{
-    Budget, BudgetLimits, Endpoint, HttpInstanceList, HttpKeyValue, InstanceList,
+    Budget, BudgetLimits, Cloud, Endpoint, HttpCloud, HttpInstanceList, HttpKeyValue,
+    HttpWeightStore, InstanceList, WeightStore,
 };
 use lycheelatch_settings::{EndpointSettings, PlatformSettings};
 
@@ -12,6 +13,8 @@
 pub(crate) struct Clients {
     pub(crate) budget: Arc<Budget>,
     pub(crate) instances: Arc<dyn InstanceList>,
+    pub(crate) cloud: Option<Arc<dyn Cloud>>,
+    pub(crate) weights: Option<Arc<dyn WeightStore>>,
 }
 
 fn endpoint(cfg: &EndpointSettings) -> Endpoint {
@@ -29,9 +32,13 @@
             reads_per_second: f64::from(cfg.key_value.reads_per_second),
             ..BudgetLimits::default()
         };
+        let cloud = cfg.cloud.as_ref().map(endpoint).map(HttpCloud::new);
+        let weights = cfg.weights.as_ref().map(endpoint).map(HttpWeightStore::new);
         Ok(Clients {
             budget: Budget::new(Arc::new(kv), limits, metrics)?,
             instances: Arc::new(HttpInstanceList::new(endpoint(&cfg.instances))),
+            cloud: cloud.map(|cloud| Arc::new(cloud) as Arc<dyn Cloud>),
+            weights: weights.map(|weights| Arc::new(weights) as Arc<dyn WeightStore>),
         })
     }
 }
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 mod callers;
 mod cli;
 mod clients;
+mod cluster;
 mod config_task;
 mod control;
 mod error;
@@ -13,6 +14,7 @@
 mod registry_task;
 mod route;
 mod signals;
+mod stop;
 
 pub use cli::run;
 pub use error::StartError;
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -6,50 +6,39 @@
 use lycheelatch_claims::{Claims, ClaimsConfig};
 use lycheelatch_config::{ConfigStore, CurrentConfig};
 use lycheelatch_operator::OperatorApi;
-use lycheelatch_peers::{
-    ConfigSpread, IdentityCheck, PeerLink, PeersConfig, Pem, QuicLink, TlsFiles,
-};
+use lycheelatch_peers::{IdentityCheck, PeerLink, PeersConfig, Pem, QuicLink, TlsFiles};
 use lycheelatch_platform::CallClass;
 use lycheelatch_prelude::NodeId;
 use lycheelatch_proxy::{
-    AdmitByPolicy, HandoverReport, HttpConnect, LoadControl, PlaceByPolicy, Proxy, ProxyMetrics,
-    ProxyParts, Registry, RetryByPolicy, poll_engines, seed_of, tell_homes,
+    AdmitByPolicy, HttpConnect, LoadControl, PlaceByPolicy, Proxy, ProxyMetrics, ProxyParts,
+    Registry, RetryByPolicy, poll_engines, seed_of, tell_homes,
 };
 use lycheelatch_settings::Settings;
-use tokio::{
-    sync::Notify,
-    task::JoinHandle,
-    time::{Instant, sleep},
-};
+use tokio::{sync::Notify, task::JoinHandle};
 
 use crate::{
-    Health, StartError, callers, clients::Clients, config_task, control::Control, operators,
-    registry_task,
+    Health, StartError, callers,
+    clients::Clients,
+    cluster::{Cluster, ClusterDeps},
+    config_task,
+    control::Control,
+    operators, registry_task,
 };
 
-/// Time between two looks at the requests that are still open.
-const STOP_POLL: Duration = Duration::from_millis(20);
-
-/// Part of the notice for which a node that is no longer ready goes on to accept.
-const ACCEPT_SHARE: u32 = 10;
-
-/// Longest time for which a node that is no longer ready goes on to accept.
-const MAX_ACCEPT: Duration = Duration::from_secs(3);
-
 /// One running node.
 pub struct Node {
-    id: NodeId,
+    pub(crate) id: NodeId,
     callers: SocketAddr,
     operators: SocketAddr,
-    health: Arc<Health>,
-    proxy: Arc<Proxy>,
+    pub(crate) health: Arc<Health>,
+    pub(crate) proxy: Arc<Proxy>,
     current: Arc<CurrentConfig>,
-    link: Option<Arc<QuicLink>>,
-    servers: Vec<ServerHandle>,
-    tasks: Vec<JoinHandle<()>>,
+    pub(crate) link: Option<Arc<QuicLink>>,
+    pub(crate) servers: Vec<ServerHandle>,
+    pub(crate) tasks: Vec<JoinHandle<()>>,
     stop_asked: Arc<Notify>,
-    notice: Duration,
-    _spread: Option<ConfigSpread>,
+    pub(crate) notice: Duration,
+    pub(crate) cluster: Option<Cluster>,
 }
 
 /// Returns the settings of the links to other nodes.
@@ -139,18 +128,16 @@
             rt::spawn(poll_engines(load.clone(), id.clone())),
             rt::spawn(tell_homes(load)),
         ];
-        let spread = match &link {
-            Some(link) => {
-                let members = link.watch_members();
-                tasks.push(rt::spawn(config_task::share_budget(members, clients.budget)));
-                let link = link.clone() as Arc<dyn PeerLink>;
-                let spread = ConfigSpread::start(link, store, current.clone(), &metrics)?;
-                tasks.push(rt::spawn(config_task::await_ready(
-                    spread.watch_ready(),
-                    health.clone(),
-                )));
-                Some(spread)
-            }
+        let cluster = match &link {
+            Some(link) => Some(Cluster::start(ClusterDeps {
+                link: link.clone(),
+                clients: &clients,
+                store,
+                current: current.clone(),
+                proxy: proxy.clone(),
+                health: health.clone(),
+                metrics: &metrics,
+            })?),
             None => {
                 let watch = config_task::watch(store, current.clone(), health.clone());
                 tasks.push(rt::spawn(watch));
@@ -170,7 +157,7 @@
             tasks,
             stop_asked,
             notice: settings.stop.notice,
-            _spread: spread,
+            cluster,
         })
     }
 
@@ -213,45 +200,6 @@
     pub fn peer_addr(&self) -> Option<SocketAddr> {
         self.link.as_ref()?.local_addr()
     }
-
-    /// Stops in good order within the notice.
-    pub async fn stop(self) {
-        let ends = Instant::now() + self.notice;
-        self.health.set_stopping();
-        self.proxy.start_leaving();
-        if let Some(link) = &self.link {
-            link.leave().await;
-        }
-        // The balancer goes on to send requests until it has seen the node as not ready.
-        sleep((self.notice / ACCEPT_SHARE).min(MAX_ACCEPT)).await;
-        self.proxy.stop_accepting();
-        let report = self.proxy.hand_over(ends).await;
-        if report != HandoverReport::default() {
-            let HandoverReport { handed_over, lost } = report;
-            log::info!("node: {handed_over} answers are handed over, {lost} are lost");
-        }
-        while self.proxy.open_requests() > 0 && Instant::now() < ends {
-            sleep(STOP_POLL).await;
-        }
-        let unsettled = self.proxy.drain_settlements(ends).await;
-        if unsettled > 0 {
-            log::warn!("node: {unsettled} settlements are not recorded");
-        }
-        let left = self.proxy.open_requests();
-        if left > 0 {
-            log::warn!("node: {left} requests are cut off by the stop");
-        }
-        for server in &self.servers {
-            server.stop(left == 0).await;
-        }
-        for task in &self.tasks {
-            task.abort();
-        }
-        if let Some(link) = &self.link {
-            link.shutdown().await;
-        }
-        log::info!("node: {} has stopped", self.id);
-    }
 }
 
 fn proxy_of(
--- a/components/fakes/examples/quickstart/main.rs
+++ b/components/fakes/examples/quickstart/main.rs
@@ -18,10 +18,10 @@
 const STREAMS: usize = 40;
 
 /// Tokens of each of those streams.
-const STREAM_TOKENS: u64 = 150;
+const STREAM_TOKENS: u64 = 500;
 
 /// Time between the notice and the end of the reclaimed zone.
-const NOTICE: Duration = Duration::from_millis(600);
+const NOTICE: Duration = Duration::from_secs(1);
 
 fn main() -> ExitCode {
     let serve = std::env::args().any(|arg| arg == "--serve");
@@ -89,7 +89,7 @@
     let streams = join_all(callers.iter().map(|(prompt, c)| c.stream(prompt, STREAM_TOKENS)));
     let wave = async {
         sleep(Duration::from_millis(200)).await;
-        setup.announce(ZONES[0]);
+        setup.announce(ZONES[0], NOTICE);
         sleep(NOTICE).await;
         setup.kill(ZONES[0]).await;
     };
--- a/components/fakes/examples/quickstart/setup.rs
+++ b/components/fakes/examples/quickstart/setup.rs
@@ -1,25 +1,16 @@
 //! The stand-ins and nodes of the quickstart.
 #![allow(dead_code, reason = "other examples use parts of it")]
 
-use std::{
-    collections::HashMap,
-    error::Error,
-    net::SocketAddr,
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::{collections::HashMap, error::Error, net::SocketAddr, sync::Arc, time::Duration};
 
-use async_trait::async_trait;
 use lycheelatch_config::{Change, ConfigStore, Document, Edit};
 use lycheelatch_daemon::Node;
 use lycheelatch_fakes::{
-    EngineConfig, HttpServerHandle, MemoryKv, ServedEngine, ServedPlain, ServedPlatform,
-    serve_engine, serve_plain, serve_platform,
+    EngineConfig, HttpServerHandle, MemoryCloud, MemoryInstances, MemoryKv, ServedEngine,
+    ServedPlain, ServedPlatform, serve_engine, serve_plain, serve_platform,
 };
 use lycheelatch_peers::{CertificateAuthority, IdentityCheck, PeersConfig};
-use lycheelatch_platform::{
-    InstanceList, InstanceListError, ListedInstance, ListedState, Purchase,
-};
+use lycheelatch_platform::{Instance, InstanceState, ListedInstance, ListedState, Purchase};
 use lycheelatch_prelude::{ChangeId, Name};
 use lycheelatch_settings::Settings;
 use serde_json::json;
@@ -43,21 +34,11 @@
 /// Longest time until the nodes are ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Instances that the stand-in platform lists.
-#[derive(Clone, Default)]
-struct Listed(Arc<Mutex<Vec<ListedInstance>>>);
-
-#[async_trait(?Send)]
-impl InstanceList for Listed {
-    async fn list(&self) -> Result<Vec<ListedInstance>, InstanceListError> {
-        Ok(self.0.lock().unwrap().clone())
-    }
-}
-
 /// Everything that the quickstart runs.
 pub(crate) struct Setup {
     pub(crate) nodes: Vec<Node>,
-    listed: Listed,
+    listed: MemoryInstances,
+    cloud: MemoryCloud,
     engines: Vec<(&'static str, ServedEngine)>,
     applications: Vec<(&'static str, ServedPlain)>,
 }
@@ -65,29 +46,30 @@
 impl Setup {
     /// Starts the stand-ins and two nodes, and applies a configuration.
     pub(crate) async fn start() -> Result<Setup, Box<dyn Error>> {
-        let listed = Listed::default();
+        let listed = MemoryInstances::new(Duration::ZERO);
+        let cloud = MemoryCloud::new(Vec::new());
         let mut engines = Vec::new();
         let mut applications = Vec::new();
         for zone in ZONES {
             for _ in 0..RUNNERS_PER_ZONE {
                 let engine = serve_engine(EngineConfig::default())?;
-                listed.add(MODEL_SERVICE, zone, &engine.server)?;
+                add(&listed, &cloud, MODEL_SERVICE, zone, &engine.server)?;
                 engines.push((zone, engine));
             }
             let application = serve_plain()?;
-            listed.add(ORDERS_SERVICE, zone, &application.server)?;
+            add(&listed, &cloud, ORDERS_SERVICE, zone, &application.server)?;
             applications.push((zone, application));
         }
         let kv = MemoryKv::new();
         let platform = serve_platform(ServedPlatform {
             kv: Arc::new(kv.clone()),
             instances: Arc::new(listed.clone()),
-            cloud: None,
+            cloud: Some(Arc::new(cloud.clone())),
             weights: None,
         })?;
         apply_config(&kv).await?;
         let nodes = start_nodes(&platform).await?;
-        Ok(Setup { nodes, listed, engines, applications })
+        Ok(Setup { nodes, listed, cloud, engines, applications })
     }
 
     /// Returns the address of one process of the orders application.
@@ -95,18 +77,16 @@
         self.applications[0].1.server.addr()
     }
 
-    /// Announces that the instances of a zone go.
-    pub(crate) fn announce(&self, zone: &str) {
-        for listed in self.listed.0.lock().unwrap().iter_mut() {
-            if listed.zone.as_str() == zone {
-                listed.state = ListedState::Leaving;
-            }
+    /// Announces that the reclaimable instances of a zone go.
+    pub(crate) fn announce(&self, zone: &str, notice: Duration) {
+        for instance in self.cloud.peek().iter().filter(|i| i.zone.as_str() == zone) {
+            self.cloud.reclaim(&instance.id, notice);
         }
     }
 
     /// Ends the instances of a zone, without regard to what runs there.
     pub(crate) async fn kill(&self, zone: &str) {
-        self.listed.0.lock().unwrap().retain(|listed| listed.zone.as_str() != zone);
+        self.listed.update(|listed| listed.retain(|listed| listed.zone.as_str() != zone));
         for (_, engine) in self.engines.iter().filter(|(at, _)| *at == zone) {
             engine.kill().await;
         }
@@ -148,29 +128,36 @@
     }
 }
 
-impl Listed {
-    fn add(
-        &self,
-        service: &str,
-        zone: &str,
-        server: &HttpServerHandle,
-    ) -> Result<(), Box<dyn Error>> {
-        let mut listed = self.0.lock().unwrap();
-        let id = format!("{service}-{}", listed.len());
-        listed.push(ListedInstance {
-            instance: id.parse()?,
-            upstream: id.parse()?,
-            service: service.parse()?,
-            addr: server.addr(),
-            zone: zone.parse()?,
-            region: "ceredigion".parse()?,
-            class: "standard".parse()?,
-            purchase: Purchase::Reclaimable,
-            state: ListedState::Live,
-            labels: format!("zone={zone}").parse()?,
-        });
-        Ok(())
-    }
+fn add(
+    instances: &MemoryInstances,
+    cloud: &MemoryCloud,
+    service: &str,
+    zone: &str,
+    server: &HttpServerHandle,
+) -> Result<(), Box<dyn Error>> {
+    let id = format!("{service}-{}", server.addr().port());
+    let listed = ListedInstance {
+        instance: id.parse()?,
+        upstream: id.parse()?,
+        service: service.parse()?,
+        addr: server.addr(),
+        zone: zone.parse()?,
+        region: "ceredigion".parse()?,
+        class: "standard".parse()?,
+        purchase: Purchase::Reclaimable,
+        state: ListedState::Live,
+        labels: format!("zone={zone}").parse()?,
+    };
+    cloud.add(Instance {
+        id: listed.instance.clone(),
+        service: listed.service.clone(),
+        zone: listed.zone.clone(),
+        class: listed.class.clone(),
+        purchase: listed.purchase,
+        state: InstanceState::Running,
+    });
+    instances.update(|all| all.push(listed));
+    Ok(())
 }
 
 async fn apply_config(kv: &MemoryKv) -> Result<(), Box<dyn Error>> {
@@ -236,6 +223,7 @@
         "platform": {
             "key_value": {"url": base},
             "instances": {"url": format!("{base}/list"), "poll": "100ms"},
+            "cloud": {"url": format!("{base}/cloud")},
         },
         "stop": {"notice": "1s"},
     });
