--- a/components/fakes/examples/quickstart/main.rs
+++ b/components/fakes/examples/quickstart/main.rs
@@ -23,6 +23,9 @@
 /// Time between the notice and the end of the reclaimed zone.
 const NOTICE: Duration = Duration::from_secs(1);
 
+/// Time within which a configuration is in force at every node.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(4);
+
 fn main() -> ExitCode {
     let serve = std::env::args().any(|arg| arg == "--serve");
     actix::System::new().block_on(run(serve))
@@ -45,7 +48,15 @@
         }
     };
     println!("Two nodes are ready after {} ms.", begun.elapsed().as_millis());
-    let mut lines = vec![first_token(&setup, begun).await, booking(&setup).await];
+    let mut lines = vec![
+        Line {
+            what: "a configuration, until in force at both nodes",
+            seen: format!("{} ms", setup.in_force_after.as_millis()),
+            kept: setup.in_force_after < IN_FORCE_LIMIT,
+        },
+        first_token(&setup, begun).await,
+        booking(&setup).await,
+    ];
     lines.extend(reclaim(&setup).await);
     lines.push(fresh_after_reclaim(&setup).await);
     print_table(&lines);
--- a/components/fakes/examples/quickstart/setup.rs
+++ b/components/fakes/examples/quickstart/setup.rs
@@ -3,7 +3,7 @@
 
 use std::{collections::HashMap, error::Error, net::SocketAddr, sync::Arc, time::Duration};
 
-use lycheelatch_config::{Change, ConfigStore, Document, Edit};
+use lycheelatch_config::TokenHash;
 use lycheelatch_daemon::Node;
 use lycheelatch_fakes::{
     EngineConfig, HttpServerHandle, MemoryCloud, MemoryInstances, MemoryKv, ServedEngine,
@@ -11,10 +11,10 @@
 };
 use lycheelatch_peers::{CertificateAuthority, IdentityCheck, PeersConfig};
 use lycheelatch_platform::{Instance, InstanceState, ListedInstance, ListedState, Purchase};
-use lycheelatch_prelude::{ChangeId, Name};
+use lycheelatch_prelude::{Name, Revision, ServiceName};
 use lycheelatch_settings::Settings;
 use serde_json::json;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Availability zones.
 pub(crate) const ZONES: [&str; 4] = ["aberteifi", "llechryd", "cenarth", "aberporth"];
@@ -28,6 +28,9 @@
 /// Token of the only workspace.
 pub(crate) const TOKEN: &str = "quickstart-token-0001";
 
+/// Token of the operator.
+const OPERATOR_TOKEN: &str = "quickstart-operator-0001";
+
 /// Runners in each zone.
 const RUNNERS_PER_ZONE: usize = 2;
 
@@ -37,6 +40,8 @@
 /// Everything that the quickstart runs.
 pub(crate) struct Setup {
     pub(crate) nodes: Vec<Node>,
+    /// Time from the change of the configuration until every node had it.
+    pub(crate) in_force_after: Duration,
     listed: MemoryInstances,
     cloud: MemoryCloud,
     engines: Vec<(&'static str, ServedEngine)>,
@@ -60,16 +65,16 @@
             add(&listed, &cloud, ORDERS_SERVICE, zone, &application.server)?;
             applications.push((zone, application));
         }
-        let kv = MemoryKv::new();
         let platform = serve_platform(ServedPlatform {
-            kv: Arc::new(kv.clone()),
+            kv: Arc::new(MemoryKv::new()),
             instances: Arc::new(listed.clone()),
             cloud: Some(Arc::new(cloud.clone())),
             weights: None,
         })?;
-        apply_config(&kv).await?;
         let nodes = start_nodes(&platform).await?;
-        Ok(Setup { nodes, listed, cloud, engines, applications })
+        let in_force_after = apply_config(&nodes).await?;
+        wait_for_upstreams(&nodes).await?;
+        Ok(Setup { nodes, in_force_after, listed, cloud, engines, applications })
     }
 
     /// Returns the address of one process of the orders application.
@@ -160,7 +165,10 @@
     Ok(())
 }
 
-async fn apply_config(kv: &MemoryKv) -> Result<(), Box<dyn Error>> {
+/// Applies the configuration at one node's operators' port.
+///
+/// Returns the time until it was in force at every node.
+async fn apply_config(nodes: &[Node]) -> Result<Duration, Box<dyn Error>> {
     let document = json!({
         "services": [
             {
@@ -172,16 +180,25 @@
         ],
         "workspaces": [{"name": "restorers", "tokens": [{"token": TOKEN}]}],
     });
-    let document = Document::from_value(document).map_err(|errors| format!("{errors:?}"))?;
-    let change = Change {
-        id: ChangeId::new_unique(),
-        author: "quickstart".parse()?,
-        expected: None,
-        edits: vec![Edit::Apply(document)],
+    let begun = Instant::now();
+    let mut answer = lycheelatch_http::client()
+        .post(format!("http://{}/v1/apply", nodes[0].operators()))
+        .insert_header(("authorization", format!("Bearer {OPERATOR_TOKEN}")))
+        .send_json(&json!({"document": document}))
+        .await
+        .map_err(|err| err.to_string())?;
+    if !answer.status().is_success() {
+        let body = answer.body().await.map_err(|err| err.to_string())?;
+        return Err(String::from_utf8_lossy(&body).into());
+    }
+    let in_force = async {
+        for node in nodes {
+            let mut revisions = node.config().subscribe();
+            revisions.wait_for(|revision| *revision >= Revision(1)).await.ok();
+        }
     };
-    let store = ConfigStore::new(Arc::new(kv.clone()));
-    store.apply(change).await.map_err(|err| format!("{err:?}"))?;
-    Ok(())
+    timeout(READY_TIMEOUT, in_force).await?;
+    Ok(begun.elapsed())
 }
 
 async fn start_nodes(platform: &HttpServerHandle) -> Result<Vec<Node>, Box<dyn Error>> {
@@ -213,13 +230,34 @@
     Ok(nodes)
 }
 
+/// Waits until every node has taken over the instance list for the new services.
+async fn wait_for_upstreams(nodes: &[Node]) -> Result<(), Box<dyn Error>> {
+    let services: Vec<ServiceName> = vec![MODEL_SERVICE.parse()?, ORDERS_SERVICE.parse()?];
+    let has_all = |node: &Node| {
+        services.iter().all(|service| !node.proxy().registry().of(service).is_empty())
+    };
+    let known = async {
+        while !nodes.iter().all(has_all) {
+            sleep(Duration::from_millis(2)).await;
+        }
+    };
+    Ok(timeout(READY_TIMEOUT, known).await?)
+}
+
 fn settings(zone: &str, platform: &HttpServerHandle) -> Result<Settings, Box<dyn Error>> {
     let base = format!("http://{}", platform.addr());
     let settings = json!({
         "zone": zone,
         "region": "ceredigion",
         "callers": {"listen": "127.0.0.1:0"},
-        "operators": {"listen": "127.0.0.1:0"},
+        "operators": {
+            "listen": "127.0.0.1:0",
+            "tokens": [{
+                "name": "quickstart",
+                "role": "change",
+                "hash": String::from(TokenHash::new(OPERATOR_TOKEN)),
+            }],
+        },
         "platform": {
             "key_value": {"url": base},
             "instances": {"url": format!("{base}/list"), "poll": "100ms"},
