--- a/components/fakes/examples/quickstart/setup.rs
+++ b/components/fakes/examples/quickstart/setup.rs
@@ -82,6 +82,11 @@
         self.applications[0].1.server.addr()
     }
 
+    /// Returns the address of one engine.
+    pub(crate) fn engine_addr(&self) -> SocketAddr {
+        self.engines[0].1.server.addr()
+    }
+
     /// Announces that the reclaimable instances of a zone go.
     pub(crate) fn announce(&self, zone: &str, notice: Duration) {
         for instance in self.cloud.peek().iter().filter(|i| i.zone.as_str() == zone) {
