Record owed settlements before a node ends

Cause: a node that stopped while the key-value service was slow dropped the outcomes it owed, and the bookings ended as unresolved. The new test also found that settlements in a commit under way were not counted as owed. Change: Claims::drain, called at a stop within the notice.

--- a/components/claims/src/queue.rs
+++ b/components/claims/src/queue.rs
@@ -48,6 +48,8 @@
 struct State {
     waiting: VecDeque<Waiting>,
     owed: VecDeque<Op>,
+    /// Owed operations in the commit that is under way.
+    owed_in_commit: usize,
     is_committing: bool,
     /// Time at which the shard has its whole burst of commits again.
     rested: Option<Instant>,
@@ -89,7 +91,8 @@
 
     /// Returns how many operations wait without a caller.
     pub(crate) fn owed(&self) -> usize {
-        lock(&self.state).owed.len()
+        let state = lock(&self.state);
+        state.owed.len() + state.owed_in_commit
     }
 
     /// Starts the committing task if operations wait and there is none.
@@ -112,6 +115,7 @@
             *bytes += op.bytes();
             owed.push(op);
         }
+        state.owed_in_commit = owed.len();
         owed
     }
 
@@ -175,6 +179,7 @@
 impl Drop for TakenOwed<'_> {
     fn drop(&mut self) {
         let mut state = lock(&self.queue.state);
+        state.owed_in_commit = 0;
         self.ops.drain(..).rev().for_each(|op| state.owed.push_front(op));
     }
 }
--- a/components/claims/src/service.rs
+++ b/components/claims/src/service.rs
@@ -27,6 +27,9 @@
 /// Time between two tries at settlements that are owed.
 const OWED_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time between two tries before a node ends.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Shortest and longest time after which a caller is to ask again.
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(30));
 
@@ -146,6 +149,17 @@
         self.0.queues.iter().map(|queue| queue.owed()).sum()
     }
 
+    /// Tries settlements that are owed until none is left or `ends` comes.
+    ///
+    /// Runs before a node ends; returns how many are left.
+    pub async fn drain(&self, ends: Instant) -> usize {
+        while self.owed() > 0 && Instant::now() < ends {
+            self.0.queues.iter().for_each(|queue| queue.ensure_committing());
+            sleep(DRAIN_INTERVAL).await;
+        }
+        self.owed()
+    }
+
     /// Tries settlements that are owed and cleans shards, for ever.
     ///
     /// Runs on one thread of each node.
--- a/components/claims/tests/cleaning.rs
+++ b/components/claims/tests/cleaning.rs
@@ -5,8 +5,8 @@
 use lycheelatch_claims::{
     BodyDigest, ClaimDecision, ClaimError, Claims, ClaimsConfig, Settlement, StoredAnswer,
 };
-use lycheelatch_fakes::MemoryKv;
-use tokio::time::sleep;
+use lycheelatch_fakes::{Fault, MemoryKv};
+use tokio::time::{Instant, sleep};
 
 const MAX_STORE_BYTES: u64 = 20_000;
 const MIN_TTL: Duration = Duration::from_secs(600);
@@ -94,3 +94,21 @@
     assert_eq!(kv.peek("").len(), 1, "segments were left behind");
     assert!(stored_bytes(&kv) < 100);
 }
+
+#[actix::test]
+async fn drain_records_what_is_owed() {
+    tokio::time::pause();
+    let kv = MemoryKv::new();
+    let claims = claims(&kv);
+    let Ok(ClaimDecision::Won(ticket)) = claim(&claims, 1).await else {
+        panic!("a new key is free");
+    };
+    kv.faults.set_standing(Fault::Refuse);
+    let answer = StoredAnswer { status: 201, headers: Vec::new(), body: "booked".into() };
+    let deferred = claims.settle(ticket, Settlement::Finished(answer)).await;
+    assert_eq!((deferred, claims.owed()), (Err(ClaimError::Deferred), 1));
+    assert_eq!(claims.drain(Instant::now() + Duration::from_secs(5)).await, 1);
+    kv.faults.clear();
+    assert_eq!(claims.drain(Instant::now() + Duration::from_secs(5)).await, 0);
+    assert!(matches!(claim(&claims, 1).await, Ok(ClaimDecision::Finished(_))));
+}
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -232,6 +232,10 @@
         while self.proxy.open_requests() > 0 && Instant::now() < ends {
             sleep(STOP_POLL).await;
         }
+        let unsettled = self.proxy.drain_settlements(ends).await;
+        if unsettled > 0 {
+            log::warn!("node: {unsettled} settlements are not recorded");
+        }
         let left = self.proxy.open_requests();
         if left > 0 {
             log::warn!("node: {left} requests are cut off by the stop");
--- a/components/proxy/src/proxy.rs
+++ b/components/proxy/src/proxy.rs
@@ -99,6 +99,13 @@
         handover::run(self, ends).await
     }
 
+    /// Records what became of claimed requests, before this node ends.
+    ///
+    /// Returns how many settlements are not recorded at `ends`.
+    pub async fn drain_settlements(&self, ends: Instant) -> usize {
+        self.claims.drain(ends).await
+    }
+
     pub(crate) fn link(&self) -> Option<&Arc<dyn PeerLink>> {
         self.link.get()
     }
--- a/components/proxy/tests/bench/node.rs
+++ b/components/proxy/tests/bench/node.rs
@@ -123,6 +123,11 @@
     pub(crate) async fn node(&self, name: &str) -> Rc<TestNode> {
         let id: NodeId = name.parse().unwrap();
         let link = self.net.join(id.clone(), "lima-a".parse().unwrap(), "lima".parse().unwrap());
+        self.node_on(id, link).await
+    }
+
+    /// Starts a node on a link to the others.
+    pub(crate) async fn node_on(&self, id: NodeId, link: Arc<dyn PeerLink>) -> Rc<TestNode> {
         let proxy = self.proxy(&id, link.clone());
         proxy.join_peers(link);
         let limits = CallerLimits { max_body_bytes: 1 << 20 };
--- a/components/proxy/tests/handover.rs
+++ b/components/proxy/tests/handover.rs
@@ -4,8 +4,10 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bench::{Bench, Caller, Ending, TestNode};
+use actix_web::{http::StatusCode, test::TestRequest};
+use bench::{Bench, Caller, Ending, MODEL, TOKEN, TestNode, token_text};
 use futures_util::future::{join, join_all};
+use serde_json::{Value, json};
 use tokio::time::sleep;
 
 const INTERVAL: Duration = Duration::from_millis(37);
@@ -157,3 +159,31 @@
     .await;
     assert_eq!((ending, report.handed_over, cut_off), (Ending::Whole, 0, 0));
 }
+
+#[actix::test]
+async fn stop_whole_answer_is_fetched_elsewhere() {
+    tokio::time::pause();
+    let bench = Bench::new(3, INTERVAL);
+    let nodes = [bench.node("a").await, bench.node("b").await];
+    let body = json!({"model": MODEL, "prompt": "lot 17", "max_tokens": 300});
+    let token = ("authorization", format!("Bearer {TOKEN}"));
+    let ask = TestRequest::post()
+        .uri("/v1/completions")
+        .insert_header(token.clone())
+        .insert_header(("x-request-id", "r-1"))
+        .set_payload(body.to_string());
+    let (refused, (report, cut_off)) = join(nodes[0].serve(ask.to_request()), async {
+        sleep(INTERVAL * 10).await;
+        nodes[0].stop(NOTICE).await
+    })
+    .await;
+    assert_eq!(refused.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(refused.headers().get("lycheelatch-outcome").unwrap(), "unknown");
+    assert_eq!((report.handed_over, report.lost, cut_off), (1, 0, 0));
+    let fetch = TestRequest::get().uri("/v1/requests/r-1").insert_header(token);
+    let answer = nodes[1].serve(fetch.to_request()).await;
+    assert_eq!(answer.headers().get("lycheelatch-outcome").unwrap(), "complete");
+    let answer: Value = actix_web::test::read_body_json(answer).await;
+    let expected: String = (0..300).map(token_text).collect();
+    assert_eq!(answer["choices"][0]["text"], expected);
+}
