--- a/components/claims/tests/world/mod.rs
+++ b/components/claims/tests/world/mod.rs
@@ -105,6 +105,7 @@
         spawn_local(async move {
             let tasks = LocalSet::new();
             tokio::select! {
+                biased;
                 () = tasks.run_until(serve(claims, ledger, rx)) => {}
                 _killed = killed => {}
             }
--- a/components/proxy/tests/bookings.rs
+++ b/components/proxy/tests/bookings.rs
@@ -104,6 +104,7 @@
     bench.desk.set_faults(true);
     let booking = join_all((0..BOOKINGS).map(|booking| callers.book_until_told(booking)));
     let booked = tokio::select! {
+        biased;
         booked = booking => booked,
         () = fail_in_turn(&bench, &callers) => unreachable!(),
     };
