--- a/components/config/examples/config_cost.rs
+++ b/components/config/examples/config_cost.rs
@@ -45,6 +45,9 @@
 /// Time that each call takes while operators race.
 const CALL_TIME: Duration = Duration::from_millis(5);
 
+/// Tokens that are looked for.
+const TOKENS: usize = 50;
+
 /// Copies of a snapshot that its memory is worked out from.
 const COPIES: usize = 20;
 
@@ -170,6 +173,7 @@
     delta_bytes: f64,
     delta_micros: f64,
     record_bytes: f64,
+    token_micros: f64,
 }
 
 fn workspace(i: usize, weight: usize) -> Value {
@@ -254,6 +258,7 @@
         watch_micros: mean(watch.micros),
         delta_bytes: mean(delta_bytes as f64),
         delta_micros: mean(deltas.micros),
+        token_micros: token_micros(&snapshot),
         record_bytes: record_bytes as f64 / page.records.len() as f64,
     }
 }
@@ -325,6 +330,15 @@
     bytes as f64 / parts.len().max(1) as f64
 }
 
+/// Returns the time to find that a token is none of the workspaces'.
+fn token_micros(snapshot: &Snapshot) -> f64 {
+    let started = Instant::now();
+    for n in 0..TOKENS {
+        assert!(snapshot.workspace_of_token(&format!("no-such-token-{n:010}")).is_none());
+    }
+    started.elapsed().as_secs_f64() * 1e6 / TOKENS as f64
+}
+
 /// Returns the resident bytes that one more copy of a snapshot takes.
 fn memory_of(snapshot: &Snapshot) -> f64 {
     let bytes = snapshot.encode();
@@ -357,7 +371,7 @@
 
 fn main() -> std::io::Result<()> {
     let mut out = std::io::stdout();
-    let columns: [(&str, fn(&Row) -> f64); 14] = [
+    let columns: [(&str, fn(&Row) -> f64); 15] = [
         ("snapshot bytes", |row| row.snapshot_bytes as f64),
         ("memory bytes", |row| row.memory_bytes),
         ("apply reads", |row| row.apply_reads),
@@ -372,6 +386,7 @@
         ("delta bytes", |row| row.delta_bytes),
         ("delta us", |row| row.delta_micros),
         ("record bytes", |row| row.record_bytes),
+        ("token us", |row| row.token_micros),
     ];
     let rows: Vec<Row> = actix::System::new().block_on(async {
         let mut rows = Vec::new();
