Check operators' token hashes, and the example on the operators' page

Change: check reads the hashes of operators' tokens in settings, which hold them as text; a test checks the example of the configuration page.

--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -3,7 +3,7 @@
 use std::io::Read;
 
 use clap::ArgMatches;
-use lycheelatch_config::{Document, ObjectKind};
+use lycheelatch_config::{Document, ObjectKind, TokenHash};
 use lycheelatch_prelude::InvalidValue;
 use lycheelatch_settings::{Settings, SettingsError};
 use serde::Serialize;
@@ -52,12 +52,24 @@
 
 fn check_settings(content: &str) -> Result<Checked, Vec<InvalidValue>> {
     match Settings::from_json(content) {
-        Ok(_) => Ok(Checked::Settings),
+        Ok(settings) => check_tokens(&settings).map(|()| Checked::Settings),
         Err(SettingsError::Invalid(errors)) => Err(errors),
         Err(SettingsError::Syntax(reason)) => Err(vec![InvalidValue::new("file", "", reason)]),
     }
 }
 
+/// Checks the hashes of operators' tokens, which settings hold as text.
+fn check_tokens(settings: &Settings) -> Result<(), Vec<InvalidValue>> {
+    let tokens = settings.operators.tokens.iter().enumerate();
+    let errors: Vec<InvalidValue> = tokens
+        .filter_map(|(i, token)| {
+            let err = TokenHash::try_from(token.hash.clone()).err()?;
+            Some(InvalidValue { field: format!("operators.tokens[{i}].hash"), ..err })
+        })
+        .collect();
+    if errors.is_empty() { Ok(()) } else { Err(errors) }
+}
+
 fn table(checked: &Checked) -> String {
     match checked {
         Checked::Configuration { objects } => {
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -339,6 +339,41 @@
     assert!(output.stderr.contains("no-such-file.json"));
 }
 
+#[actix_rt::test]
+async fn check_settings_and_their_tokens() {
+    let settings = |hash: &str| {
+        json!({
+            "zone": "aberteifi",
+            "region": "ceredigion",
+            "callers": { "listen": "127.0.0.1:8080" },
+            "operators": {
+                "listen": "127.0.0.1:8081",
+                "tokens": [{ "name": "mair", "role": "change", "hash": hash }]
+            },
+            "platform": {
+                "key_value": { "url": "http://127.0.0.1:8500" },
+                "instances": { "url": "http://127.0.0.1:8600" }
+            }
+        })
+        .to_string()
+    };
+    let hash = String::from(TokenHash::new(CHANGE_TOKEN));
+    let output = call(&["lycheelatch", "check", "-"], &settings(&hash)).await;
+    assert_eq!((output.code, &*output.stderr), (Code::Done, ""));
+    let output = call(&["lycheelatch", "check", "-"], &settings(CHANGE_TOKEN)).await;
+    assert_eq!(output.code, Code::Invalid);
+    assert!(output.stderr.contains("operators.tokens[0].hash \"(hidden)\""));
+}
+
+#[actix_rt::test]
+async fn check_example_of_the_operators_page() {
+    let page = include_str!("../docs/operating/configuration.md");
+    let example = page.split("```json\n").nth(1).unwrap().split("```").next().unwrap();
+    let output = call(&["lycheelatch", "check", "-"], example).await;
+    assert_eq!((output.code, &*output.stderr), (Code::Done, ""));
+    assert_eq!(output.stdout, "a configuration of 6 objects, no errors\n");
+}
+
 #[actix_rt::test]
 async fn hash_token_matches_and_hides_it() {
     let output = call(&["lycheelatch", "hash-token"], "a-token-of-16-bytes\n").await;
