config: make the pauses between repeated calls follow the clock

Cause: random pauses and the order of a hash map gave each run of the racing tests another course, so that a failure could not be repeated by its seed. Change: pauses are spread by a hash of the time, parts are written in order.

--- a/components/config/src/store/apply.rs
+++ b/components/config/src/store/apply.rs
@@ -193,7 +193,7 @@
 
     async fn write_values(&self, prepared: &Prepared, deadline: Instant) -> Result<(), KvError> {
         for (key, value) in &prepared.values {
-            self.calls.create(key, value.clone(), deadline).await?;
+            self.calls.create(key, value.clone(), self.retry_until(deadline)).await?;
         }
         Ok(())
     }
@@ -217,7 +217,7 @@
     ) -> Result<Swap, ApplyError> {
         let key = head::head_key();
         let value = encode(head);
-        let mut retry = Retry::until(deadline);
+        let mut retry = self.retry_until(deadline);
         let mut may_have_written = false;
         loop {
             let swap = self.calls.compare_and_swap(&key, base.version, value.clone());
@@ -260,7 +260,7 @@
     }
 
     async fn read_until(&self, deadline: Instant) -> Result<Arc<Loaded>, ConfigError> {
-        let mut retry = Retry::until(deadline);
+        let mut retry = self.retry_until(deadline);
         loop {
             match self.read().await {
                 Err(ConfigError::Kv(err)) if retry.pause().await => {
@@ -271,6 +271,10 @@
         }
     }
 
+    fn retry_until(&self, deadline: Instant) -> Retry {
+        Retry::until(deadline, self.clock.now().0)
+    }
+
     fn committed(&self, prepared: Prepared) -> Applied {
         let Prepared { head, parts, snapshot, changes, .. } = prepared;
         let (revision, snapshot) = (head.revision, Arc::new(snapshot));
--- a/components/config/src/store/calls.rs
+++ b/components/config/src/store/calls.rs
@@ -7,6 +7,7 @@
     CasOutcome, Entry, KeyValue, KvError, KvKey, Version, WatchIndex, Watched,
 };
 use tokio::time::{Instant, sleep, timeout};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Time limit of one call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -60,14 +61,13 @@
         limited(wait + CALL_TIMEOUT, self.0.watch(prefix, after, wait)).await
     }
 
-    /// Creates a value under a key that nobody else uses, until `deadline`.
+    /// Creates a value under a key that nobody else uses.
     pub(super) async fn create(
         &self,
         key: &KvKey,
         value: Bytes,
-        deadline: Instant,
+        mut retry: Retry,
     ) -> Result<(), KvError> {
-        let mut retry = Retry::until(deadline);
         loop {
             match self.compare_and_swap(key, None, value.clone()).await {
                 // A conflict means that an earlier call took effect: the key is ours alone.
@@ -100,16 +100,19 @@
 pub(super) struct Retry {
     pause: Duration,
     deadline: Instant,
+    /// Spreads the pauses of nodes that fail at the same time.
+    seed: u64,
 }
 
 impl Retry {
-    pub(super) fn until(deadline: Instant) -> Retry {
-        Retry { pause: FIRST_PAUSE, deadline }
+    pub(super) fn until(deadline: Instant, seed: u64) -> Retry {
+        Retry { pause: FIRST_PAUSE, deadline, seed }
     }
 
     /// Waits before the next repetition; returns false if the deadline comes first.
     pub(super) async fn pause(&mut self) -> bool {
-        let pause = self.pause.mul_f64(rand::random_range(0.5..1.0));
+        self.seed = xxh3_64(&self.seed.to_le_bytes());
+        let pause = self.pause.mul_f64(0.5 + 0.5 * (self.seed as f64 / u64::MAX as f64));
         if Instant::now() + pause >= self.deadline {
             return false;
         }
--- a/components/config/src/store/parts.rs
+++ b/components/config/src/store/parts.rs
@@ -1,7 +1,7 @@
 //! The objects of a large configuration, spread over several values.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
 };
 
@@ -124,7 +124,7 @@
     ) -> Option<NewState> {
         let touched: BTreeSet<usize> =
             changed.iter().map(|key| part_of_key(key, ids.len())).collect();
-        let mut buckets: HashMap<usize, Vec<Object>> =
+        let mut buckets: BTreeMap<usize, Vec<Object>> =
             touched.iter().map(|index| (*index, Vec::new())).collect();
         for object in snapshot.object_refs() {
             let index = part_index(object.kind(), object.name(), ids.len());
