--- a/components/fleet/src/fleet.rs
+++ b/components/fleet/src/fleet.rs
@@ -38,8 +38,8 @@
     pub config: Arc<CurrentConfig>,
     /// The runners.
     pub directory: Arc<dyn EngineDirectory>,
-    /// The load of the services.
-    pub demand: Arc<dyn Demand>,
+    /// The load of the services; without it, the runners' reports are added up.
+    pub demand: Option<Arc<dyn Demand>>,
     /// The instances that leave, shared with the proxy.
     pub leaving: Leaving,
 }
--- a/components/fleet/src/shard.rs
+++ b/components/fleet/src/shard.rs
@@ -11,7 +11,7 @@
     Cloud, CloudError, Instance, InstanceState, KeyValue, StartInstance, WeightStore,
 };
 use lycheelatch_prelude::{Fence, InstanceId, ServiceName, UpstreamId};
-use lycheelatch_upstream::{LoadedModel, OrderKind};
+use lycheelatch_upstream::{LoadReport, LoadedModel, OrderKind};
 use tokio::time::{Instant, timeout};
 
 use crate::{
@@ -54,8 +54,8 @@
     pub weights: Option<Arc<dyn WeightStore>>,
     /// The runners.
     pub directory: Arc<dyn EngineDirectory>,
-    /// The load of the services.
-    pub demand: Arc<dyn Demand>,
+    /// The load of the services; without it, the runners' reports are added up.
+    pub demand: Option<Arc<dyn Demand>>,
     /// The instances that leave.
     pub leaving: Leaving,
     /// Spreads planned stops.
@@ -129,23 +129,34 @@
         if permit.fence != self.tenure.fence {
             self.tenure = Tenure { fence: permit.fence, ..Tenure::default() };
         }
-        self.order_models(service).await;
+        let mut runners = self.deps.directory.runners(&service.name);
+        runners.retain(|runner| !self.deps.leaving.is_leaving(&runner.instance));
+        let states = self.states(&runners).await;
+        self.order_models(service, &runners, &states).await;
+        let load = match &self.deps.demand {
+            Some(demand) => demand.units_per_second(&service.name),
+            None => reported_load(&states),
+        };
         if let (Some(spec), Some(cloud)) = (&service.fleet, self.deps.cloud.clone()) {
-            self.scale(&service.name, spec, cloud.as_ref()).await;
+            if let Some(load) = load {
+                self.scale(&service.name, spec, load, cloud.as_ref()).await;
+            }
             self.stop_due(cloud.as_ref()).await;
         }
     }
 
-    async fn order_models(&mut self, service: &Service) {
+    async fn order_models(
+        &mut self,
+        service: &Service,
+        runners: &[Runner],
+        states: &[RunnerState],
+    ) {
         let Some(model) = service.model.as_ref().map(desired_model) else {
             return;
         };
-        let mut runners = self.deps.directory.runners(&service.name);
-        runners.retain(|runner| !self.deps.leaving.is_leaving(&runner.instance));
-        let states = self.states(&runners).await;
         let cost = self.load_cost(&model).await;
-        for (upstream, kind) in orders_due(&model, &states, cost) {
-            self.give(service, &runners, &upstream, kind, &model).await;
+        for (upstream, kind) in orders_due(&model, states, cost) {
+            self.give(service, runners, &upstream, kind, &model).await;
         }
     }
 
@@ -220,10 +231,13 @@
         }
     }
 
-    async fn scale(&mut self, service: &ServiceName, spec: &FleetSpec, cloud: &dyn Cloud) {
-        let Some(load) = self.deps.demand.units_per_second(service) else {
-            return;
-        };
+    async fn scale(
+        &mut self,
+        service: &ServiceName,
+        spec: &FleetSpec,
+        load: f64,
+        cloud: &dyn Cloud,
+    ) {
         if !self.retry_unanswered(service, cloud).await {
             return;
         }
@@ -358,6 +372,20 @@
     }
 }
 
+/// Adds up the runners' reports, if most of them are known.
+fn reported_load(states: &[RunnerState]) -> Option<f64> {
+    let reports: Vec<_> = states.iter().filter_map(|state| state.report.as_ref()).collect();
+    if reports.len() * 2 <= states.len() {
+        return None;
+    }
+    let with_waiting = |report: &&LoadReport| {
+        let waiting = f64::from(report.waiting) / f64::from(report.running.max(1));
+        report.tokens_per_second * (1.0 + waiting)
+    };
+    let known: f64 = reports.iter().map(with_waiting).sum();
+    Some(known * states.len() as f64 / reports.len() as f64)
+}
+
 fn kind_of(instance: &Instance) -> InstanceKind {
     InstanceKind {
         zone: instance.zone.clone(),
--- a/components/fleet/src/size.rs
+++ b/components/fleet/src/size.rs
@@ -4,7 +4,7 @@
 //! availability zone is lost, and after a share of the reclaimable ones is
 //! taken at once, at the least price.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use lycheelatch_config::FleetSpec;
 use lycheelatch_platform::{Offer, Purchase};
@@ -14,10 +14,10 @@
 const RECLAIMED_AT_ONCE: f64 = 0.45;
 
 /// Steps in which the largest zone's capacity is tried.
-const CAP_STEPS: u32 = 24;
+const CAP_STEPS: u32 = 12;
 
 /// Steps in which the reclaimable share is tried.
-const SHARE_STEPS: u32 = 20;
+const SHARE_STEPS: u32 = 10;
 
 /// Kind of an instance: where it runs, what it is and how it is paid for.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -109,11 +109,15 @@
     let mut order: Vec<&Choice> = choices.iter().filter(|choice| choice.limit > 0).collect();
     order.sort_by(|a, b| a.price_per_unit().total_cmp(&b.price_per_unit()));
     let mut best: Option<(bool, Verdict, Mix)> = None;
+    let mut seen = BTreeSet::new();
     for cap_step in 1..=CAP_STEPS {
         let cap = need * f64::from(cap_step) / f64::from(CAP_STEPS);
         for share_step in 0..=SHARE_STEPS {
             let share = f64::from(share_step) / f64::from(SHARE_STEPS);
             let mut mix = fill(need, cap, share, spec, &order);
+            if !seen.insert(mix.clone()) {
+                continue;
+            }
             trim(need, spec, choices, &order, &mut mix);
             let verdict = judge(&mix, choices);
             let carries = verdict.carried >= need;
--- /dev/null
+++ b/components/fleet/tests/fleet.rs
@@ -0,0 +1,254 @@
+//! The fleet of several nodes, with stand-ins for the platform, on a paused clock.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use lycheelatch_config::{CurrentConfig, Service, Snapshot};
+use lycheelatch_fakes::{
+    EngineSpeed, Fault, MemoryCloud, MemoryEngine, MemoryInstances, MemoryKv, MemoryNet,
+    MemoryWeights,
+};
+use lycheelatch_fleet::{Demand, EngineDirectory, Fleet, FleetDeps, Leaving, Runner};
+use lycheelatch_platform::{Offer, Purchase, WeightInfo};
+use lycheelatch_prelude::{Revision, ServiceName, UpstreamId};
+use lycheelatch_upstream::{Engine, OrderKind};
+use serde_json::json;
+use tokio::time::sleep;
+
+const SERVICE: &str = "gwehydd-llm";
+const RUNNERS: usize = 8;
+const ZONES: [&str; 4] = ["aberteifi", "llechryd", "cenarth", "aberporth"];
+
+struct Runners(BTreeMap<UpstreamId, (Runner, MemoryEngine)>);
+
+impl EngineDirectory for Runners {
+    fn engine(&self, upstream: &UpstreamId) -> Option<Arc<dyn Engine>> {
+        let (_, engine) = self.0.get(upstream)?;
+        Some(Arc::new(engine.clone()))
+    }
+
+    fn runners(&self, _service: &ServiceName) -> Vec<Runner> {
+        self.0.values().map(|(runner, _)| runner.clone()).collect()
+    }
+}
+
+struct FixedDemand(f64);
+
+impl Demand for FixedDemand {
+    fn units_per_second(&self, _service: &ServiceName) -> Option<f64> {
+        Some(self.0)
+    }
+}
+
+struct Site {
+    kv: MemoryKv,
+    cloud: MemoryCloud,
+    config: Arc<CurrentConfig>,
+    runners: Arc<Runners>,
+    net: MemoryNet,
+}
+
+fn service(version: &str, checks_fences: bool) -> Service {
+    serde_json::from_value(json!({
+        "name": SERVICE,
+        "kind": "model",
+        "checks_fences": checks_fences,
+        "model": { "model": "rush-7b", "version": version },
+        "fleet": {
+            "classes": [{ "class": "small", "units_per_second": 1000.0 }],
+            "min_instances": 2,
+            "max_instances": 40,
+        },
+    }))
+    .unwrap()
+}
+
+impl Site {
+    fn new(checks_fences: bool) -> Site {
+        let speed = EngineSpeed { checks_fences, ..EngineSpeed::default() };
+        let runner = |i: usize| {
+            let runner = Runner {
+                upstream: format!("runner-{i}").parse().unwrap(),
+                instance: format!("i-{i}").parse().unwrap(),
+                zone: ZONES[i % 4].parse().unwrap(),
+                room_tokens: 100_000,
+                room_streams: 32,
+                prefill_tokens_per_second: 20_000,
+                export_bytes_per_second: 1_000_000_000,
+            };
+            (runner.upstream.clone(), (runner, MemoryEngine::new(speed.clone())))
+        };
+        let site = Site {
+            kv: MemoryKv::new(),
+            cloud: MemoryCloud::new(offers()),
+            config: Arc::new(CurrentConfig::new()),
+            runners: Arc::new(Runners((0..RUNNERS).map(runner).collect())),
+            net: MemoryNet::new(),
+        };
+        site.apply(1, service("v1", checks_fences));
+        site
+    }
+
+    fn apply(&self, revision: u64, service: Service) {
+        let services = BTreeMap::from([(service.name.clone(), service)]);
+        let revision = Revision(revision);
+        assert!(self.config.advance(Snapshot { revision, services, ..Snapshot::default() }));
+    }
+
+    fn start(&self, i: usize) -> Fleet {
+        let id = format!("node-{i}").parse().unwrap();
+        let link = self.net.join(id, ZONES[i % 4].parse().unwrap(), "ceredigion".parse().unwrap());
+        let weights = MemoryWeights::new();
+        weights.add(WeightInfo {
+            model: "rush-7b".parse().unwrap(),
+            version: "v1".parse().unwrap(),
+            bytes: 14_000_000_000,
+            store_bytes_per_second: 4_000_000_000,
+        });
+        let deps = FleetDeps {
+            kv: Arc::new(self.kv.clone()),
+            cloud: Some(Arc::new(self.cloud.clone())),
+            list: Arc::new(MemoryInstances::new(Duration::ZERO)),
+            weights: Some(Arc::new(weights)),
+            link,
+            config: self.config.clone(),
+            directory: self.runners.clone(),
+            demand: Some(Arc::new(FixedDemand(5_000.0))),
+            leaving: Leaving::new(),
+        };
+        Fleet::start(deps, &prometheus::Registry::new()).unwrap()
+    }
+
+    fn engines(&self) -> impl Iterator<Item = &MemoryEngine> {
+        self.runners.0.values().map(|(_, engine)| engine)
+    }
+
+    fn versions(&self) -> Vec<String> {
+        let last = |engine: &MemoryEngine| match engine.orders().last().map(|o| o.kind.clone()) {
+            Some(OrderKind::Models { models, .. }) => models[0].version.to_string(),
+            _ => "none".to_owned(),
+        };
+        self.engines().map(last).collect()
+    }
+
+    fn orders(&self) -> usize {
+        self.engines().map(|engine| engine.orders().len()).sum()
+    }
+}
+
+fn offers() -> Vec<Offer> {
+    let offer = |zone: &&str| Offer {
+        zone: zone.parse().unwrap(),
+        class: "small".parse().unwrap(),
+        purchase: Purchase::Reclaimable,
+        price_per_hour: 0.35,
+    };
+    ZONES.iter().map(offer).collect()
+}
+
+#[actix::test]
+async fn fleet_brings_every_runner_to_the_model() {
+    tokio::time::pause();
+    let site = Site::new(true);
+    let _fleets: Vec<_> = (0..7).map(|i| site.start(i)).collect();
+    sleep(Duration::from_secs(900)).await;
+    assert_eq!(site.versions(), vec!["v1"; RUNNERS]);
+    let given = site.orders();
+    sleep(Duration::from_secs(900)).await;
+    assert_eq!(site.orders(), given, "orders are repeated without need");
+}
+
+#[actix::test]
+async fn fleet_changes_a_version_a_few_at_a_time() {
+    tokio::time::pause();
+    let site = Site::new(true);
+    let _fleets: Vec<_> = (0..3).map(|i| site.start(i)).collect();
+    sleep(Duration::from_secs(900)).await;
+    site.apply(2, service("v2", true));
+    sleep(Duration::from_secs(15)).await;
+    let changed = site.versions().iter().filter(|version| *version == "v2").count();
+    assert!((1..=RUNNERS / 4).contains(&changed), "{changed} change at once");
+    sleep(Duration::from_secs(1_800)).await;
+    assert_eq!(site.versions(), vec!["v2"; RUNNERS]);
+}
+
+#[actix::test]
+async fn fleet_starts_elsewhere_when_a_zone_refuses() {
+    tokio::time::pause();
+    let site = Site::new(true);
+    site.cloud.refuse_zones(vec![ZONES[0].parse().unwrap()]);
+    let _fleets: Vec<_> = (0..7).map(|i| site.start(i)).collect();
+    sleep(Duration::from_secs(120)).await;
+    let there = site.cloud.peek();
+    for zone in &ZONES[1..] {
+        let left = there.iter().filter(|i| i.zone.as_str() != *zone).count();
+        assert!(left >= 5, "{left} are left without {zone}");
+    }
+    assert!(there.iter().all(|i| i.zone.as_str() != ZONES[0]));
+    assert!(site.cloud.refusals() < 20, "{} refusals", site.cloud.refusals());
+}
+
+#[actix::test]
+async fn fleet_lost_answers_start_nothing_twice() {
+    tokio::time::pause();
+    let (calm, site) = (Site::new(true), Site::new(true));
+    let _calm: Vec<_> = (0..3).map(|i| calm.start(i)).collect();
+    let faults = [Fault::None, Fault::None, Fault::LoseAnswer];
+    site.cloud.faults.script(faults.iter().cycle().take(60).copied());
+    let _fleets: Vec<_> = (0..3).map(|i| site.start(i)).collect();
+    sleep(Duration::from_secs(300)).await;
+    assert_eq!(site.cloud.started(), calm.cloud.started());
+}
+
+#[actix::test]
+async fn fleet_hand_on_lets_another_node_hold() {
+    tokio::time::pause();
+    let site = Site::new(false);
+    let mut fleets: Vec<_> = (0..3).map(|i| site.start(i)).collect();
+    sleep(Duration::from_secs(900)).await;
+    for fleet in fleets.drain(..2) {
+        fleet.hand_on().await;
+    }
+    site.net.set_state(&"node-0".parse().unwrap(), lycheelatch_peers::MemberState::Dead);
+    site.net.set_state(&"node-1".parse().unwrap(), lycheelatch_peers::MemberState::Dead);
+    site.apply(2, service("v2", false));
+    sleep(Duration::from_secs(1_800)).await;
+    assert_eq!(site.versions(), vec!["v2"; RUNNERS]);
+    for engine in site.engines() {
+        assert!(engine.orders().iter().map(|order| order.fence).is_sorted());
+    }
+}
+
+#[actix::test]
+async fn fleet_outage_lets_the_last_orders_stand() {
+    tokio::time::pause();
+    let site = Site::new(true);
+    let _fleets: Vec<_> = (0..3).map(|i| site.start(i)).collect();
+    sleep(Duration::from_secs(900)).await;
+    site.kv.faults.set_standing(Fault::Refuse);
+    sleep(Duration::from_secs(30)).await;
+    let (given, started) = (site.orders(), site.cloud.started());
+    site.apply(2, service("v2", true));
+    sleep(Duration::from_secs(3_600)).await;
+    assert_eq!((site.orders(), site.cloud.started()), (given, started));
+    site.kv.faults.clear();
+    sleep(Duration::from_secs(1_800)).await;
+    assert_eq!(site.versions(), vec!["v2"; RUNNERS]);
+}
+
+/// Share of a shard in the key-value service's writes and reads, in calls a second.
+const MAX_CALLS_PER_SECOND: f64 = 1.0;
+
+#[actix::test]
+async fn fleet_needs_few_calls_however_many_nodes() {
+    tokio::time::pause();
+    for nodes in [3, 24] {
+        let site = Site::new(true);
+        let _fleets: Vec<_> = (0..nodes).map(|i| site.start(i)).collect();
+        sleep(Duration::from_secs(900)).await;
+        let before = site.kv.calls();
+        sleep(Duration::from_secs(600)).await;
+        let after = site.kv.calls();
+        let calls = after.reads + after.writes - before.reads - before.writes;
+        assert!(calls as f64 / 600.0 < MAX_CALLS_PER_SECOND, "{calls} at {nodes} nodes");
+    }
+}
