--- a/components/proxy/src/evacuate.rs
+++ b/components/proxy/src/evacuate.rs
@@ -50,6 +50,11 @@
     pub fn new(registry: Arc<Registry>, config: ConfigSource) -> RegistryDirectory {
         RegistryDirectory { registry, config }
     }
+
+    /// Creates the view of a proxy's registry.
+    pub fn of(proxy: &Proxy) -> RegistryDirectory {
+        RegistryDirectory::new(proxy.registry.clone(), proxy.config.clone())
+    }
 }
 
 impl EngineDirectory for RegistryDirectory {
