--- a/components/fleet/src/scale.rs
+++ b/components/fleet/src/scale.rs
@@ -10,7 +10,7 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use crate::size::{Choice, InstanceKind, Mix, cheapest_mix, choices, judge};
+use crate::size::{Choice, InstanceKind, Mix, allows, cheapest_mix, choices, judge};
 
 /// Time for which the highest need counts.
 const NEED_WINDOW: Duration = Duration::from_secs(600);
@@ -122,7 +122,7 @@
     let (own, best) = (judge(present, choices), judge(cheapest, choices));
     let within = own.instances >= spec.min_instances
         && own.instances <= spec.max_instances
-        && own.reclaimable * 100 <= own.instances.max(1) * spec.max_reclaimable_percent;
+        && allows(spec, &own);
     let is_known = present.keys().all(is_offered);
     is_known && within && own.carried >= need && own.price <= best.price * CHANGE_ABOVE
 }
--- a/components/fleet/src/size.rs
+++ b/components/fleet/src/size.rs
@@ -118,9 +118,10 @@
             if !seen.insert(mix.clone()) {
                 continue;
             }
+            complete(need, spec, choices, &order, &mut mix);
             trim(need, spec, choices, &order, &mut mix);
             let verdict = judge(&mix, choices);
-            let carries = verdict.carried >= need;
+            let carries = verdict.carried >= need && allows(spec, &verdict);
             let is_better = best.as_ref().is_none_or(|(best_carries, best, _)| {
                 if carries != *best_carries {
                     return carries;
@@ -138,6 +139,11 @@
     best.map(|(_, _, mix)| mix).unwrap_or_default()
 }
 
+/// Returns whether the mix holds no more reclaimable instances than the service allows.
+pub(crate) fn allows(spec: &FleetSpec, verdict: &Verdict) -> bool {
+    verdict.reclaimable * 100 <= verdict.instances * spec.max_reclaimable_percent
+}
+
 /// Fills the cheapest kinds up to `cap` for each zone, with `share` of the units reclaimable.
 fn fill(need: f64, cap: f64, share: f64, spec: &FleetSpec, order: &[&Choice]) -> Mix {
     let total = (need + cap).max(need / (1.0 - RECLAIMED_AT_ONCE * share));
@@ -145,7 +151,6 @@
     let max_reclaimable = spec.max_instances * spec.max_reclaimable_percent / 100;
     filling.buy(total * share, cap, max_reclaimable, Purchase::Reclaimable, order);
     filling.buy(total * (1.0 - share), cap, spec.max_instances, Purchase::OnDemand, order);
-    filling.pad(spec.min_instances, order);
     filling.mix
 }
 
@@ -177,19 +182,39 @@
             *self.mix.entry(choice.kind.clone()).or_default() += count;
         }
     }
+}
 
-    fn pad(&mut self, min_instances: u32, order: &[&'a Choice]) {
-        for choice in order.iter().cycle().take(order.len() * min_instances as usize) {
-            if self.instances >= min_instances {
-                break;
-            }
-            let count = self.mix.entry(choice.kind.clone()).or_default();
-            if *count < choice.limit {
-                *count += 1;
-                self.instances += 1;
-            }
+/// Adds instances outside the largest zone until the need and the least number are met.
+fn complete(need: f64, spec: &FleetSpec, choices: &[Choice], order: &[&Choice], mix: &mut Mix) {
+    for _ in 0..spec.max_instances {
+        let verdict = judge(mix, choices);
+        let is_enough = verdict.carried >= need && verdict.instances >= spec.min_instances;
+        if is_enough || verdict.instances >= spec.max_instances {
+            return;
         }
+        let largest = largest_zone(mix, order);
+        let may_add = |choice: &&&Choice| {
+            let is_allowed = choice.kind.purchase == Purchase::OnDemand
+                || (verdict.reclaimable + 1) * 100
+                    <= (verdict.instances + 1) * spec.max_reclaimable_percent;
+            let count = mix.get(&choice.kind).copied().unwrap_or(0);
+            is_allowed && count < choice.limit && Some(&choice.kind.zone) != largest.as_ref()
+        };
+        let Some(choice) = order.iter().find(may_add) else {
+            return;
+        };
+        *mix.entry(choice.kind.clone()).or_default() += 1;
+    }
+}
+
+fn largest_zone(mix: &Mix, order: &[&Choice]) -> Option<ZoneName> {
+    let mut by_zone: BTreeMap<&ZoneName, f64> = BTreeMap::new();
+    for choice in order {
+        let count = mix.get(&choice.kind).copied().unwrap_or(0);
+        *by_zone.entry(&choice.kind.zone).or_default() += f64::from(count) * choice.units;
     }
+    let largest = by_zone.into_iter().max_by(|a, b| a.1.total_cmp(&b.1))?;
+    (largest.1 > 0.0).then(|| largest.0.clone())
 }
 
 /// Takes away what is not needed, the dearest first.
@@ -205,7 +230,8 @@
             }
             mix.insert(choice.kind.clone(), count - 1);
             let verdict = judge(mix, choices);
-            if verdict.carried < need || verdict.instances < spec.min_instances {
+            let is_enough = verdict.carried >= need && verdict.instances >= spec.min_instances;
+            if !is_enough || !allows(spec, &verdict) {
                 mix.insert(choice.kind.clone(), count);
                 break;
             }
--- a/components/fleet/tests/scale.rs
+++ b/components/fleet/tests/scale.rs
@@ -74,7 +74,7 @@
         }
         let verdict = judge(&mix, &choices);
         prop_assert!(verdict.carried >= need);
-        prop_assert!(verdict.reclaimable <= 400 * percent / 100);
+        prop_assert!(verdict.reclaimable * 100 <= verdict.instances * percent);
         prop_assert!((spec.min_instances..=spec.max_instances).contains(&verdict.instances));
     }
 
--- a/components/fleet/tests/wave.rs
+++ b/components/fleet/tests/wave.rs
@@ -45,3 +45,14 @@
 fn wave_without_moves_loses_nothing() {
     assert_whole(&run(Wave { moves: false, seed: 4, ..Wave::default() }));
 }
+
+/// Most tokens computed again, against the oracle, in percent.
+const MAX_PERCENT_OF_ORACLE: u64 = 120;
+
+#[test]
+#[ignore = "known red, issue 7: listed in KNOWN-RED.txt"]
+fn wave_recomputes_within_a_fifth_of_the_oracle() {
+    let outcome = run(Wave { length_error_percent: 0, ..Wave::default() });
+    let limit = outcome.oracle * MAX_PERCENT_OF_ORACLE / 100;
+    assert!(outcome.recomputed <= limit, "{outcome:?}");
+}
