Explain routes by the placement policy; property tests of admission and placement

Cause: route compared requests in flight only, which does not decide any more. Change: the operators' route answer gives rules, limits and the score term by term; property tests drive admission and placement by arbitrary sequences. Conclusion: each ticket ends once, nothing starts after its deadline or beyond the capacity, counts stay exact over removals, rules and exclusions hold.

--- a/components/daemon/src/control.rs
+++ b/components/daemon/src/control.rs
@@ -3,18 +3,18 @@
 use std::{sync::Arc, time::Duration};
 
 use async_trait::async_trait;
-use lycheelatch_config::{CurrentConfig, Effect, PlacementRule};
+use lycheelatch_config::CurrentConfig;
 use lycheelatch_operator::{
     ControlError, DrainAnswer, DrainTarget, MemberStatus, NodeControl, NodeStatus, Readiness,
-    RouteCandidate, RouteExplanation, RouteQuery, UpstreamStatus,
+    RouteExplanation, RouteQuery, UpstreamStatus,
 };
 use lycheelatch_peers::{MemberState, PeerLink};
 use lycheelatch_platform::{KeyValue, KvKey};
-use lycheelatch_prelude::{Labels, NodeId, RegionName, ZoneName};
-use lycheelatch_proxy::{Proxy, Upstream};
+use lycheelatch_prelude::{NodeId, RegionName, ZoneName};
+use lycheelatch_proxy::{LoadControl, Proxy, Upstream};
 use tokio::{sync::Notify, time::timeout};
 
-use crate::Health;
+use crate::{Health, route};
 
 /// Longest wait for a sign of life of the key-value service.
 const KV_PROBE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -30,6 +30,7 @@
     pub(crate) health: Arc<Health>,
     pub(crate) current: Arc<CurrentConfig>,
     pub(crate) proxy: Arc<Proxy>,
+    pub(crate) load: Arc<LoadControl>,
     pub(crate) link: Option<Arc<dyn PeerLink>>,
     pub(crate) kv: Arc<dyn KeyValue>,
     /// Told when an operator asks the node to stop.
@@ -70,29 +71,6 @@
             in_flight: u64::from(upstream.in_flight()),
         }
     }
-
-    fn candidate(&self, upstream: &Upstream, rules: &[&PlacementRule]) -> RouteCandidate {
-        let mut reasons = vec![format!("{} requests in flight", upstream.in_flight())];
-        let mut is_allowed = !self.proxy.registry().is_leaving(upstream);
-        if !is_allowed {
-            reasons.push("is leaving".to_owned());
-        }
-        for rule in rules {
-            let selected = rule.upstreams.matches(&upstream.listed.labels);
-            if rule.effect == Effect::Require && !selected {
-                is_allowed = false;
-                reasons.push(format!("rule {} requires others", rule.name));
-            } else if selected {
-                reasons.push(format!("rule {} selects it", rule.name));
-            }
-        }
-        RouteCandidate {
-            upstream: upstream.id().clone(),
-            zone: upstream.listed.zone.clone(),
-            is_allowed,
-            reasons,
-        }
-    }
 }
 
 fn member_state(state: MemberState) -> &'static str {
@@ -104,7 +82,7 @@
     }
 }
 
-fn not_found(kind: &'static str, name: &str) -> ControlError {
+pub(crate) fn not_found(kind: &'static str, name: &str) -> ControlError {
     ControlError::NotFound { kind, name: name.to_owned() }
 }
 
@@ -127,40 +105,7 @@
     }
 
     async fn route(&self, query: &RouteQuery) -> Result<RouteExplanation, ControlError> {
-        let config = self.current.get();
-        let service = config.services.get(&query.service);
-        let service = service.ok_or_else(|| not_found("service", query.service.as_str()))?;
-        let mut labels = Labels::default();
-        if let Some(name) = &query.workspace {
-            let workspace = config.workspaces.get(name);
-            labels = workspace.ok_or_else(|| not_found("workspace", name.as_str()))?.labels.clone();
-        }
-        for (key, value) in query.labels.iter() {
-            labels.insert(key.clone(), value.clone());
-        }
-        let rules: Vec<_> =
-            config.rules_of(&service.name).filter(|r| r.requests.matches(&labels)).collect();
-        let upstreams: Vec<_> = self
-            .proxy
-            .registry()
-            .all()
-            .into_iter()
-            .filter(|upstream| upstream.listed.service == service.name)
-            .collect();
-        let candidates: Vec<_> = upstreams.iter().map(|u| self.candidate(u, &rules)).collect();
-        let chosen = upstreams
-            .iter()
-            .zip(&candidates)
-            .filter(|(_, candidate)| candidate.is_allowed)
-            .min_by_key(|(upstream, _)| upstream.in_flight())
-            .map(|(upstream, _)| upstream.id().clone());
-        Ok(RouteExplanation {
-            revision: config.revision,
-            rules: rules.iter().map(|rule| rule.name.to_string()).collect(),
-            labels,
-            chosen,
-            candidates,
-        })
+        route::explain(&self.load, &self.current.get(), query)
     }
 
     async fn drain(&self, target: &DrainTarget) -> Result<DrainAnswer, ControlError> {
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 mod node;
 mod operators;
 mod registry_task;
+mod route;
 mod signals;
 
 pub use cli::run;
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -113,6 +113,7 @@
                 health: health.clone(),
                 current: current.clone(),
                 proxy: proxy.clone(),
+                load: load.clone(),
                 link: link.clone().map(|link| link as Arc<dyn PeerLink>),
                 kv: clients.budget.class(CallClass::Configuration),
                 stop_asked: stop_asked.clone(),
--- a/components/policy/src/placement/explain.rs
+++ b/components/policy/src/placement/explain.rs
@@ -24,7 +24,9 @@
     pub state: CandidateState,
     /// Whether it is left out because it failed lately.
     pub ejected: bool,
-    /// Whether every require rule selects it.
+    /// Rules for the request that select it, in order.
+    pub selected_by: Vec<Name>,
+    /// Whether it may be used: live, not excluded, and every require rule selects it.
     pub allowed: bool,
     /// Whether the prefer rules leave it in.
     pub preferred: bool,
@@ -79,6 +81,12 @@
                     zone: known.candidate.zone.clone(),
                     state: known.candidate.state,
                     ejected: known.ejection.is_out(),
+                    selected_by: view
+                        .rules
+                        .of(req.labels)
+                        .filter(|worked| worked.selects(position))
+                        .map(|worked| worked.rule.name.clone())
+                        .collect(),
                     allowed: allowed.get(position),
                     preferred: preferred.get(position),
                     has_room: known.limit.has_room(),
--- /dev/null
+++ b/components/policy/tests/properties.rs
@@ -0,0 +1,356 @@
+//! Properties of admission and placement under arbitrary sequences.
+
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
+
+use lycheelatch_config::{
+    Effect, PlacementRule, Service, ServiceKind, ServiceLimits, WorkspaceLimits,
+};
+use lycheelatch_policy::{
+    Admission, Admit, Ask, Candidate, CandidateState, Observation, Permit, Placement,
+    PlacementRequest, Sent, Ticket, Turn,
+};
+use lycheelatch_prelude::{
+    Attempt, Labels, Outcome, Priority, RequestId, ServiceName, UpstreamId, WorkspaceName, ZoneName,
+};
+use proptest::prelude::*;
+use tokio::time::Instant;
+
+const CAPACITY: u64 = 20;
+const MAX_COST: u64 = 5;
+const UPSTREAMS: usize = 8;
+
+fn service() -> ServiceName {
+    "sack-desk".parse().unwrap()
+}
+
+#[derive(Debug, Clone)]
+enum AdmissionStep {
+    Offer { workspace: u8, attempt: u32, cost: u64, deadline_ms: u64 },
+    Release,
+    Cancel,
+    Pass { ms: u64 },
+    Capacity { units: u64 },
+}
+
+fn admission_step() -> impl Strategy<Value = AdmissionStep> {
+    prop_oneof![
+        6 => (0_u8..3, 1_u32..4, 1..=MAX_COST, 1_u64..3000).prop_map(
+            |(workspace, attempt, cost, deadline_ms)| {
+                AdmissionStep::Offer { workspace, attempt, cost, deadline_ms }
+            }
+        ),
+        4 => Just(AdmissionStep::Release),
+        1 => Just(AdmissionStep::Cancel),
+        3 => (1_u64..400).prop_map(|ms| AdmissionStep::Pass { ms }),
+        1 => (0..=CAPACITY).prop_map(|units| AdmissionStep::Capacity { units }),
+    ]
+}
+
+/// Admission and what a caller of it knows.
+struct Offered {
+    admission: Admission,
+    now: Instant,
+    capacity: u64,
+    running: Vec<Permit>,
+    waiting: HashMap<Ticket, Instant>,
+    ended: HashSet<Ticket>,
+}
+
+impl Offered {
+    fn new() -> Offered {
+        let mut admission = Admission::new(1);
+        admission.set_service(&service(), ServiceLimits::default());
+        admission.set_capacity(&service(), CAPACITY);
+        Offered {
+            admission,
+            now: Instant::now(),
+            capacity: CAPACITY,
+            running: Vec::new(),
+            waiting: HashMap::new(),
+            ended: HashSet::new(),
+        }
+    }
+
+    fn step(&mut self, step: AdmissionStep) {
+        match step {
+            AdmissionStep::Offer { workspace, attempt, cost, deadline_ms } => {
+                self.offer(workspace, attempt, cost, deadline_ms);
+            }
+            AdmissionStep::Release => {
+                if let Some(permit) = self.running.pop() {
+                    self.admission.release(permit, self.now, Outcome::Complete);
+                }
+            }
+            AdmissionStep::Cancel => {
+                if let Some(ticket) = self.waiting.keys().min().copied() {
+                    self.admission.cancel(self.now, ticket);
+                    self.waiting.remove(&ticket);
+                    self.ended.insert(ticket);
+                }
+            }
+            AdmissionStep::Pass { ms } => self.now += Duration::from_millis(ms),
+            AdmissionStep::Capacity { units } => {
+                self.capacity = units;
+                self.admission.set_capacity(&service(), units);
+            }
+        }
+        self.turns();
+    }
+
+    fn offer(&mut self, workspace: u8, attempt: u32, cost: u64, deadline_ms: u64) {
+        let deadline = self.now + Duration::from_millis(deadline_ms);
+        let before = self.admission.in_flight(&service());
+        let ask = Ask {
+            request: RequestId::new_unique(),
+            workspace: format!("store-{workspace}").parse().unwrap(),
+            service: service(),
+            attempt: Attempt(attempt),
+            fingerprint: None,
+            failed_before: false,
+            deadline,
+            cost_tokens: cost,
+            priority: Priority::Normal,
+        };
+        match self.admission.offer(self.now, ask) {
+            Admit::Run(permit) => {
+                assert!(before < self.capacity, "runs beyond the capacity");
+                self.running.push(permit);
+            }
+            Admit::Queued(ticket) => {
+                assert!(!self.ended.contains(&ticket));
+                self.waiting.insert(ticket, deadline);
+            }
+            Admit::Refused(refusal) => assert!(refusal.retry_after <= Duration::from_secs(75)),
+        }
+    }
+
+    fn turns(&mut self) {
+        loop {
+            let before = self.admission.in_flight(&service());
+            let Some(turn) = self.admission.next(self.now) else {
+                break;
+            };
+            let ticket = match turn {
+                Turn::Start(ticket, permit) => {
+                    assert!(before < self.capacity, "starts beyond the capacity");
+                    assert!(self.waiting[&ticket] > self.now, "starts after its deadline");
+                    self.running.push(permit);
+                    ticket
+                }
+                Turn::Drop(ticket, _) => ticket,
+            };
+            assert!(self.waiting.remove(&ticket).is_some(), "a ticket ends once");
+            assert!(self.ended.insert(ticket), "a ticket ends once");
+        }
+        let cost: u64 = self.running.iter().map(Permit::cost).sum();
+        assert_eq!(cost, self.admission.in_flight(&service()));
+        assert_eq!(self.waiting.len(), self.admission.waiting(&service()));
+        assert!(self.waiting.is_empty() || self.admission.next_wakeup().unwrap() > self.now);
+    }
+}
+
+#[derive(Debug, Clone)]
+enum PlacementStep {
+    Send { gold: bool, exclude: usize },
+    Finish { ok: bool },
+    Abandon,
+    State { upstream: usize, state: u8 },
+    Remove { upstream: usize },
+    Add { upstream: usize },
+    Pass { ms: u64 },
+}
+
+fn placement_step() -> impl Strategy<Value = PlacementStep> {
+    let upstream = 0..UPSTREAMS;
+    prop_oneof![
+        8 => (any::<bool>(), 0..UPSTREAMS).prop_map(|(gold, exclude)| {
+            PlacementStep::Send { gold, exclude }
+        }),
+        6 => any::<bool>().prop_map(|ok| PlacementStep::Finish { ok }),
+        1 => Just(PlacementStep::Abandon),
+        1 => (upstream.clone(), 0_u8..3)
+            .prop_map(|(upstream, state)| PlacementStep::State { upstream, state }),
+        1 => upstream.clone().prop_map(|upstream| PlacementStep::Remove { upstream }),
+        2 => upstream.prop_map(|upstream| PlacementStep::Add { upstream }),
+        2 => (1_u64..2000).prop_map(|ms| PlacementStep::Pass { ms }),
+    ]
+}
+
+/// Placement and what a caller of it knows.
+struct Placing {
+    placement: Placement,
+    now: Instant,
+    states: HashMap<usize, CandidateState>,
+    /// Attempts in flight, with the stay of their upstream.
+    sent: Vec<(Sent, usize, u32)>,
+    stays: HashMap<usize, u32>,
+}
+
+fn id(upstream: usize) -> UpstreamId {
+    format!("desk-{upstream}").parse().unwrap()
+}
+
+impl Placing {
+    fn new() -> Placing {
+        let mut placement = Placement::new(1);
+        let config = Service {
+            name: service(),
+            kind: ServiceKind::Plain,
+            limits: ServiceLimits::default(),
+            latency: Default::default(),
+            model: None,
+            checks_fences: false,
+            fleet: None,
+        };
+        let rule = PlacementRule {
+            name: "gold".parse().unwrap(),
+            service: None,
+            requests: "gold".parse().unwrap(),
+            upstreams: "tier=gold".parse().unwrap(),
+            effect: Effect::Require,
+        };
+        let spread = PlacementRule {
+            name: "spread".parse().unwrap(),
+            service: None,
+            requests: Default::default(),
+            upstreams: Default::default(),
+            effect: Effect::Spread { key: "tier".parse().unwrap() },
+        };
+        placement.set_service(&config, vec![rule, spread]);
+        Placing {
+            placement,
+            now: Instant::now(),
+            states: HashMap::new(),
+            sent: Vec::new(),
+            stays: HashMap::new(),
+        }
+    }
+
+    fn is_gold(upstream: usize) -> bool {
+        upstream.is_multiple_of(2)
+    }
+
+    fn step(&mut self, step: PlacementStep) {
+        match step {
+            PlacementStep::Send { gold, exclude } => self.send(gold, exclude),
+            PlacementStep::Finish { ok } => {
+                if !self.sent.is_empty() {
+                    let (sent, ..) = self.sent.remove(0);
+                    let latency = Duration::from_millis(20);
+                    let seen = Observation { ok, latency, first_token: None, tokens: 0 };
+                    self.placement.finished(sent, self.now, seen);
+                }
+            }
+            PlacementStep::Abandon => {
+                if let Some((sent, ..)) = self.sent.pop() {
+                    self.placement.abandoned(sent);
+                }
+            }
+            PlacementStep::State { upstream, state } => {
+                let states = [CandidateState::Live, CandidateState::Leaving, CandidateState::Down];
+                let state = states[usize::from(state)];
+                if let Some(known) = self.states.get_mut(&upstream) {
+                    *known = state;
+                    self.placement.set_state(&id(upstream), state);
+                }
+            }
+            PlacementStep::Remove { upstream } => {
+                self.states.remove(&upstream);
+                self.placement.remove(&id(upstream));
+            }
+            PlacementStep::Add { upstream } => self.add(upstream),
+            PlacementStep::Pass { ms } => self.now += Duration::from_millis(ms),
+        }
+        self.check_counts();
+    }
+
+    fn add(&mut self, upstream: usize) {
+        if self.states.insert(upstream, CandidateState::Live).is_none() {
+            *self.stays.entry(upstream).or_default() += 1;
+        }
+        let tier = if Placing::is_gold(upstream) { "tier=gold" } else { "tier=plain" };
+        let candidate = Candidate {
+            id: id(upstream),
+            zone: "lima-a".parse().unwrap(),
+            region: "lima".parse().unwrap(),
+            labels: tier.parse().unwrap(),
+            price_per_hour: 1.0,
+            reclaimable: true,
+            state: CandidateState::Live,
+        };
+        assert!(self.placement.put(self.now, &service(), candidate));
+    }
+
+    fn send(&mut self, gold: bool, exclude: usize) {
+        let labels: Labels = if gold { "gold=yes" } else { "" }.parse().unwrap();
+        let (service, exclude) = (service(), [id(exclude)]);
+        let workspace: WorkspaceName = "cusco".parse().unwrap();
+        let zone: ZoneName = "lima-a".parse().unwrap();
+        let req = PlacementRequest {
+            service: &service,
+            workspace: &workspace,
+            labels: &labels,
+            zone_of_caller: &zone,
+            prefix: &[],
+            prompt_tokens: 0,
+            expected_tokens: 0,
+            exclude: &exclude,
+            avoid_zone: None,
+            may_try: true,
+            may_exceed: false,
+        };
+        let Ok(choice) = self.placement.choose(self.now, &req) else {
+            return;
+        };
+        let upstream = (0..UPSTREAMS).find(|n| id(*n) == choice.upstream).unwrap();
+        assert_eq!(self.states.get(&upstream), Some(&CandidateState::Live));
+        assert_ne!(choice.upstream, exclude[0], "an excluded upstream was chosen");
+        assert!(!gold || Placing::is_gold(upstream), "a require rule was broken");
+        let sent = self.placement.started(self.now, &choice.upstream, &req).unwrap();
+        self.sent.push((sent, upstream, self.stays[&upstream]));
+    }
+
+    fn check_counts(&self) {
+        for upstream in self.states.keys() {
+            let stay = self.stays[upstream];
+            let own = self.sent.iter().filter(|(_, u, s)| u == upstream && *s == stay).count();
+            assert_eq!(self.placement.in_flight(&id(*upstream)) as usize, own);
+        }
+        let in_flight =
+            self.sent.iter().filter(|(_, u, s)| self.states.contains_key(u) && self.stays[u] == *s);
+        let capacity = self.placement.capacity(&service());
+        assert!(capacity >= in_flight.count() as u64, "the capacity has lost work in flight");
+    }
+}
+
+proptest! {
+    #[test]
+    fn admission_each_ticket_ends_once(steps in prop::collection::vec(admission_step(), 1..200)) {
+        let mut offered = Offered::new();
+        for workspace in 0..3 {
+            let name: WorkspaceName = format!("store-{workspace}").parse().unwrap();
+            let limits = WorkspaceLimits::default();
+            offered.admission.set_workspace(&name, 100 * (workspace + 1), &limits, 1);
+        }
+        for step in steps {
+            offered.step(step);
+        }
+        offered.now += Duration::from_secs(10);
+        offered.turns();
+        prop_assert!(offered.waiting.is_empty(), "somebody waits for ever");
+    }
+
+    #[test]
+    fn placement_keeps_rules_and_counts(steps in prop::collection::vec(placement_step(), 1..200)) {
+        let mut placing = Placing::new();
+        for upstream in 0..UPSTREAMS {
+            placing.add(upstream);
+        }
+        for step in steps {
+            placing.step(step);
+        }
+    }
+}
