Give room back when a caller leaves as its turn comes

Cause: a permit that was sent to a waiting request whose caller left in that moment was dropped with the channel; its room was lost for good. Change: leaving the queue takes the permit out of the channel and releases it. Conclusion: two tests of leaving the queue pass; the first case would have kept one request in flight for ever.

--- a/components/proxy/src/load/admit.rs
+++ b/components/proxy/src/load/admit.rs
@@ -58,14 +58,22 @@
 struct InQueue {
     control: Arc<LoadControl>,
     ticket: Ticket,
+    rx: oneshot::Receiver<Result<Leave, lycheelatch_policy::Refusal>>,
 }
 
 impl Drop for InQueue {
     fn drop(&mut self) {
+        let now = Instant::now();
         let mut state = self.control.lock();
+        self.rx.close();
         // Still waiting only if its caller has left.
         if state.waiting.remove(&self.ticket).is_some() {
-            state.admission.cancel(Instant::now(), self.ticket);
+            state.admission.cancel(now, self.ticket);
+        }
+        // The turn may have come just as the caller left.
+        if let Ok(Ok(leave)) = self.rx.try_recv() {
+            state.admission.release(leave, now, Outcome::NotRun);
+            state.pump(now);
         }
     }
 }
@@ -117,14 +125,14 @@
         &self,
         rec: &Record,
         ticket: Ticket,
-        mut rx: oneshot::Receiver<Result<Leave, lycheelatch_policy::Refusal>>,
+        rx: oneshot::Receiver<Result<Leave, lycheelatch_policy::Refusal>>,
     ) -> Result<Leave, Refusal> {
-        let _in_queue = InQueue { control: self.0.clone(), ticket };
+        let mut in_queue = InQueue { control: self.0.clone(), ticket, rx };
         let longest = Duration::from_millis(rec.service().limits.max_queue_ms);
         let now = Instant::now();
         let mut until = (now + longest).min(now + rec.time_left(now).min(longest));
         loop {
-            match timeout_at(until, &mut rx).await {
+            match timeout_at(until, &mut in_queue.rx).await {
                 Ok(Ok(Ok(leave))) => return Ok(leave),
                 Ok(Ok(Err(refusal))) => return Err(refuse(rec, refusal)),
                 Ok(Err(_)) => return Err(Refusal::not_run(RefusalReason::Overloaded)),
@@ -179,3 +187,65 @@
     };
     Refusal::not_run(reason).retry_after(refusal.retry_after)
 }
+
+#[cfg(test)]
+mod tests {
+    use lycheelatch_prelude::{Attempt, Priority, RequestId};
+
+    use super::*;
+    use crate::{HttpConnect, Registry};
+
+    fn control() -> Arc<LoadControl> {
+        let registry = Arc::new(Registry::new(Arc::new(HttpConnect)));
+        let control = LoadControl::new(registry, "lima-a".parse().unwrap(), 1);
+        let service = "sack-desk".parse().unwrap();
+        let mut state = control.lock();
+        state.admission.set_service(&service, Default::default());
+        state.admission.set_capacity(&service, 1);
+        drop(state);
+        Arc::new(control)
+    }
+
+    fn offer(control: &LoadControl) -> Admit {
+        let now = Instant::now();
+        control.lock().admission.offer(
+            now,
+            Ask {
+                request: RequestId::new_unique(),
+                workspace: "cusco".parse().unwrap(),
+                service: "sack-desk".parse().unwrap(),
+                attempt: Attempt::FIRST,
+                fingerprint: None,
+                failed_before: false,
+                deadline: now + Duration::from_secs(10),
+                cost_tokens: 1,
+                priority: Priority::Normal,
+            },
+        )
+    }
+
+    #[test]
+    fn in_queue_dropped_as_its_turn_comes_gives_room_back() {
+        let control = control();
+        let Admit::Run(leave) = offer(&control) else { panic!("no room at first") };
+        let (tx, rx) = oneshot::channel();
+        let in_queue = InQueue { control: control.clone(), ticket: Ticket(7), rx };
+        tx.send(Ok(leave)).unwrap();
+        drop(in_queue);
+        let service = "sack-desk".parse().unwrap();
+        assert_eq!(control.lock().admission.in_flight(&service), 0);
+    }
+
+    #[test]
+    fn in_queue_dropped_while_waiting_leaves_the_queue() {
+        let control = control();
+        let _running = offer(&control);
+        let Admit::Queued(ticket) = offer(&control) else { panic!("there is room") };
+        let (tx, rx) = oneshot::channel();
+        control.lock().waiting.insert(ticket, tx);
+        drop(InQueue { control: control.clone(), ticket, rx });
+        let service = "sack-desk".parse().unwrap();
+        let state = control.lock();
+        assert_eq!((state.admission.waiting(&service), state.waiting.len()), (0, 0));
+    }
+}
