peers: Test what trials of broken rules had passed

Cause: with the rule of comparisons, the time given back after a pause, the answer to a dead sender or the contact to dead members broken one at a time, the tests still passed. Change: a test for each.

--- a/components/peers/tests/membership/main.rs
+++ b/components/peers/tests/membership/main.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use lycheelatch_peers::{MemberState, Membership, Record};
+use lycheelatch_peers::{Body, MemberState, Membership, Message, Record, Update};
 use lycheelatch_prelude::{Incarnation, NodeId};
 use net::{Faults, Net};
 use proptest::{
@@ -32,6 +32,7 @@
     dead_since: BTreeMap<(NodeId, NodeId), Instant>,
     longest_false_death: Duration,
     evicted: BTreeSet<NodeId>,
+    evicted_in_region: BTreeSet<NodeId>,
 }
 
 impl Watch {
@@ -44,12 +45,15 @@
         let mut dead = BTreeMap::new();
         for (id, node) in net.running() {
             let members = node.machine.members();
-            for (other, _) in net.running() {
+            for (other, other_node) in net.running() {
                 let state = members.0.get(other).map(|m| m.state);
                 if state == Some(MemberState::Dead) {
                     let pair = (id.clone(), other.clone());
                     let since = self.dead_since.get(&pair).copied();
                     self.evicted.insert(other.clone());
+                    if node.record.region == other_node.record.region {
+                        self.evicted_in_region.insert(other.clone());
+                    }
                     dead.insert(pair, since.unwrap_or(net.now));
                 }
             }
@@ -189,6 +193,44 @@
     }
 }
 
+#[test]
+fn paused_process_gives_running_suspicions_their_time_back() {
+    let mut net = joined(10, 6, Faults::default());
+    let ids: Vec<NodeId> = net.nodes.keys().cloned().collect();
+    let (suspected, prober) = (&ids[3], &ids[7]);
+    net.nodes.get_mut(suspected).unwrap().paused_until = net.now + Duration::from_secs(60);
+    let suspects = |net: &Net| {
+        let members = net.nodes[prober].machine.members();
+        members.0[suspected].state == MemberState::Suspect
+    };
+    while !suspects(&net) {
+        net.step();
+    }
+    net.nodes.get_mut(suspected).unwrap().paused_until = net.now;
+    net.nodes.get_mut(prober).unwrap().paused_until = net.now + Duration::from_secs(30);
+    let mut watch = Watch::default();
+    watch.run(&mut net, Duration::from_secs(60));
+    assert!(!watch.evicted.contains(suspected));
+}
+
+#[test]
+fn handle_ping_of_a_dead_member_tells_it_so() {
+    let mut net = cluster(3, 0, Faults::default());
+    let records: Vec<Record> = net.nodes.values().map(|n| n.record.clone()).collect();
+    let (local, dead, by) = (&records[0], &records[1], &records[2]);
+    let machine = &mut net.nodes.get_mut(&local.id).unwrap().machine;
+    let incarnation = dead.incarnation;
+    let death = Update::Dead { id: dead.id.clone(), incarnation, by: by.id.clone() };
+    let updates = vec![Update::Alive(dead.clone()), death];
+    let gossip = Message { view: 0, updates, body: Body::Gossip };
+    machine.handle(net.now, &by.id, gossip);
+    let ping = Message { view: 0, updates: Vec::new(), body: Body::Ping { seq: 9, seen: None } };
+    let out = machine.handle(net.now, &dead.id, ping);
+    let answer = out.iter().find(|o| o.msg.body == Body::Ack { seq: 9 }).unwrap();
+    let doubt = Update::Suspect { id: dead.id.clone(), incarnation, by: local.id.clone() };
+    assert!(answer.msg.updates.contains(&doubt), "{:?}", answer.msg);
+}
+
 #[test]
 fn loss_of_5_percent_evicts_nobody() {
     let mut net = joined(30, 5, Faults { loss: 0.05, ..Faults::default() });
@@ -231,6 +273,23 @@
     }
     net.run(Duration::from_secs(3540));
     net.regions_cut = false;
+    let mut watch = Watch::default();
+    run_until_agreed(&mut net, &mut watch, MAX_HEALING);
+    assert_eq!(watch.evicted_in_region, BTreeSet::new(), "a region buried its own nodes");
+}
+
+#[test]
+fn regions_parted_meet_again_without_seeds() {
+    let mut net = Net::new(8, Faults::default());
+    net.has_seeds = false;
+    (0..12).for_each(|n| drop(net.start(n)));
+    let first = net.nodes.values().next().unwrap().record.addr;
+    net.set_found_seeds(&[first]);
+    run_until_agreed(&mut net, &mut Watch::default(), MAX_JOIN);
+    net.set_found_seeds(&[]);
+    net.regions_cut = true;
+    net.run(Duration::from_secs(300));
+    net.regions_cut = false;
     run_until_agreed(&mut net, &mut Watch::default(), MAX_HEALING);
 }
 
--- a/components/peers/tests/membership/net.rs
+++ b/components/peers/tests/membership/net.rs
@@ -53,6 +53,8 @@
     pub(crate) nodes: BTreeMap<NodeId, Node>,
     pub(crate) faults: Faults,
     pub(crate) regions_cut: bool,
+    /// Whether nodes have the first two as seeds in their settings.
+    pub(crate) has_seeds: bool,
     flights: BinaryHeap<Flight>,
     messages: BTreeMap<u64, Message>,
     by_addr: BTreeMap<SocketAddr, NodeId>,
@@ -67,6 +69,7 @@
             nodes: BTreeMap::new(),
             faults,
             regions_cut: false,
+            has_seeds: true,
             flights: BinaryHeap::new(),
             messages: BTreeMap::new(),
             by_addr: BTreeMap::new(),
@@ -87,7 +90,7 @@
             leaving: false,
         };
         let id = record.id.clone();
-        let seeds = vec![addr(0), addr(1)];
+        let seeds = if self.has_seeds { vec![addr(0), addr(1)] } else { Vec::new() };
         let machine = Membership::new(record.clone(), seeds, self.now, self.rng.random());
         let node = Node {
             machine,
@@ -191,6 +194,14 @@
         !self.regions_cut || region(a) == region(b)
     }
 
+    /// Gives every node the seeds that a source found.
+    pub(crate) fn set_found_seeds(&mut self, seeds: &[SocketAddr]) {
+        let now = self.now;
+        for node in self.nodes.values_mut() {
+            node.machine.set_found_seeds(now, seeds.to_vec());
+        }
+    }
+
     /// Returns the nodes that run now.
     pub(crate) fn running(&self) -> impl Iterator<Item = (&NodeId, &Node)> {
         self.nodes.iter().filter(|(_, n)| !n.is_crashed && n.paused_until <= self.now)
