peers: Let a paused process in tests read its socket after its timers

Cause: the net handed a resumed process its messages within the same step, so that a trial without the time given back after a pause still passed.

--- a/components/peers/tests/membership/net.rs
+++ b/components/peers/tests/membership/net.rs
@@ -143,8 +143,9 @@
         let waiting = std::mem::take(&mut node.waiting);
         let out = node.machine.tick(now);
         self.send(id, out);
+        // A process that was paused reads its socket after its timers have fired.
         for (from, msg) in waiting {
-            self.arrive(from, id.clone(), msg);
+            self.launch(&from, id, msg);
         }
     }
 
