peers: Test the reach of the overlay at 390 nodes

Conclusion: every live node is reached within 12 steps, also while a dead zone is not yet known; more than half of the edges stay in the zone.

--- a/components/peers/src/overlay.rs
+++ b/components/peers/src/overlay.rs
@@ -63,3 +63,84 @@
 fn position(ring: u64, id: &NodeId) -> u64 {
     xxh3_64_with_seed(id.as_str().as_bytes(), ring)
 }
+
+#[cfg(test)]
+mod tests {
+    use std::{
+        collections::{BTreeMap, BTreeSet, VecDeque},
+        net::SocketAddr,
+    };
+
+    use super::*;
+    use crate::MemberState;
+
+    const NODES: usize = 390;
+    /// Steps that a message may take, so that it arrives everywhere within a second.
+    const MAX_HOPS: usize = 12;
+
+    fn cluster() -> BTreeMap<NodeId, Member> {
+        let member = |n: usize| Member {
+            id: format!("node-{n}").parse().unwrap(),
+            addr: SocketAddr::from(([10, 0, 0, 1], 1)),
+            zone: format!("zone-{}", n % 6).parse().unwrap(),
+            region: format!("region-{}", n % 2).parse().unwrap(),
+            incarnation: Default::default(),
+            state: MemberState::Alive,
+        };
+        (0..NODES).map(member).map(|m| (m.id.clone(), m)).collect()
+    }
+
+    /// Returns how many steps a message of `origin` takes to each member that is up.
+    fn spread(
+        members: &BTreeMap<NodeId, Member>,
+        origin: &NodeId,
+        is_up: impl Fn(&Member) -> bool,
+    ) -> BTreeMap<NodeId, usize> {
+        let mut hops = BTreeMap::from([(origin.clone(), 0)]);
+        let mut queue = VecDeque::from([origin.clone()]);
+        while let Some(id) = queue.pop_front() {
+            let next = hops[&id] + 1;
+            for to in neighbours(&members[&id], members.values()) {
+                if is_up(&members[&to]) && !hops.contains_key(&to) {
+                    hops.insert(to.clone(), next);
+                    queue.push_back(to);
+                }
+            }
+        }
+        hops
+    }
+
+    #[test]
+    fn neighbours_reach_every_member_in_few_steps() {
+        let members = cluster();
+        for origin in members.keys().step_by(40) {
+            let hops = spread(&members, origin, |_| true);
+            assert_eq!(hops.len(), NODES);
+            assert!(hops.values().max().unwrap() <= &MAX_HOPS, "{:?}", hops.values().max());
+        }
+    }
+
+    #[test]
+    fn neighbours_reach_every_member_while_a_dead_zone_is_not_yet_known() {
+        let members = cluster();
+        let dead = "zone-2".parse().unwrap();
+        let live = members.values().filter(|m| m.zone != dead).count();
+        for origin in members.values().filter(|m| m.zone != dead).step_by(40) {
+            let hops = spread(&members, &origin.id, |m| m.zone != dead);
+            assert_eq!(hops.len(), live);
+            assert!(hops.values().max().unwrap() <= &MAX_HOPS, "{:?}", hops.values().max());
+        }
+    }
+
+    #[test]
+    fn neighbours_are_five_and_mostly_near() {
+        let members = cluster();
+        let mut near = 0;
+        for member in members.values() {
+            let ids: BTreeSet<NodeId> = neighbours(member, members.values()).into_iter().collect();
+            assert_eq!(ids.len(), DEGREE);
+            near += ids.iter().filter(|id| members[*id].zone == member.zone).count();
+        }
+        assert!(near * 2 > NODES * DEGREE, "{near} of {} stay in the zone", NODES * DEGREE);
+    }
+}
