--- a/components/fleet/src/streams.rs
+++ b/components/fleet/src/streams.rs
@@ -20,7 +20,7 @@
 /// Exports of one stream that may fail before it is resumed without one.
 const MAX_EXPORT_FAILURES: u32 = 2;
 
-/// Least rest of an answer that has come close to its expected length, in percent of it.
+/// Rest of an answer that has outgrown its expected length, in percent of what it has.
 const OVERRUN_PERCENT: u64 = 15;
 
 /// What a stream is told to do, and when.
@@ -111,8 +111,10 @@
     /// Returns the stream as the plan needs it.
     pub fn running(&self) -> RunningStream {
         let generated = self.generated.load(Ordering::Relaxed);
-        let least = generated * OVERRUN_PERCENT / 100;
-        let left = self.facts.expected_tokens.saturating_sub(generated).max(least).max(1);
+        let left = match self.facts.expected_tokens.saturating_sub(generated) {
+            0 => (generated * OVERRUN_PERCENT / 100).max(1),
+            left => left,
+        };
         let tokens = self.facts.prompt_tokens + generated;
         let can_export = self.export_failures.load(Ordering::Relaxed) < MAX_EXPORT_FAILURES;
         let kv_bytes = if can_export { tokens * self.facts.kv_bytes_per_token } else { u64::MAX };
--- a/components/proxy/tests/evacuate.rs
+++ b/components/proxy/tests/evacuate.rs
@@ -4,7 +4,7 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use bench::{Bench, Caller, Ending, TestNode};
+use bench::{Bench, Caller, Ending, MODEL, TestNode};
 use lycheelatch_fleet::{Evacuation, Leaving, ReclaimSpread, Streams};
 use lycheelatch_prelude::InstanceId;
 use lycheelatch_proxy::{EvacuateStreams, RegistryDirectory};
@@ -32,7 +32,7 @@
 }
 
 fn instance(at: usize) -> InstanceId {
-    format!("i-{at}").parse().unwrap()
+    format!("i-{MODEL}-{at}").parse().unwrap()
 }
 
 /// Asks for an answer that outlasts the notice; returns whether it came whole and exact.
