fleet: test what the list and the listeners tell

Cause: notices that never came, were withdrawn or met a lagging list had no tests. Change: tests of the observer, of seven listening nodes, and of 12 pollers among 390 nodes.

--- /dev/null
+++ b/components/fleet/tests/listing.rs
@@ -0,0 +1,153 @@
+//! What the instance list and the cloud tell of leaving instances.
+
+use std::{sync::Arc, time::Duration};
+
+use lycheelatch_fakes::{Fault, MemoryCloud, MemoryInstances, MemoryNet};
+use lycheelatch_fleet::{
+    Finding, FleetMetrics, Leaving, ListObserver, NoticeSources, ReclaimListener, ReclaimSpread,
+    is_poller,
+};
+use lycheelatch_platform::{ListedInstance, ListedState, Purchase, ReclaimNotice};
+use lycheelatch_prelude::{InstanceId, Sequence};
+use tokio::time::{Instant, sleep};
+
+const NODES: usize = 7;
+
+fn instance(i: usize) -> InstanceId {
+    format!("i-{i}").parse().unwrap()
+}
+
+fn listed(i: usize, state: ListedState) -> ListedInstance {
+    ListedInstance {
+        instance: instance(i),
+        upstream: format!("runner-{i}").parse().unwrap(),
+        service: "sack-model".parse().unwrap(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        zone: "lima-a".parse().unwrap(),
+        region: "lima".parse().unwrap(),
+        class: "small".parse().unwrap(),
+        purchase: Purchase::Reclaimable,
+        state,
+        labels: Default::default(),
+    }
+}
+
+fn live(range: std::ops::Range<usize>) -> Vec<ListedInstance> {
+    range.map(|i| listed(i, ListedState::Live)).collect()
+}
+
+#[test]
+fn observe_gone_without_notice_needs_two_readings() {
+    let (now, leaving, mut observer) = (Instant::now(), Leaving::new(), ListObserver::new());
+    assert!(observer.observe(now, &live(0..8), &leaving).is_empty());
+    assert!(observer.observe(now, &live(0..7), &leaving).is_empty());
+    assert_eq!(observer.observe(now, &live(0..7), &leaving), [Finding::Gone(instance(7))]);
+}
+
+#[test]
+fn observe_cut_short_list_is_not_believed() {
+    let (now, leaving, mut observer) = (Instant::now(), Leaving::new(), ListObserver::new());
+    observer.observe(now, &live(0..8), &leaving);
+    for _ in 0..4 {
+        assert!(observer.observe(now, &live(0..3), &leaving).is_empty());
+    }
+}
+
+#[test]
+fn observe_lagging_list_does_not_undo_a_notice() {
+    let (now, leaving, mut observer) = (Instant::now(), Leaving::new(), ListObserver::new());
+    leaving.announce(now, &instance(0), Duration::from_secs(3));
+    let later = now + Duration::from_secs(30);
+    assert!(observer.observe(later, &live(0..4), &leaving).is_empty());
+    let much_later = now + Duration::from_secs(90);
+    let findings = observer.observe(much_later, &live(0..4), &leaving);
+    assert_eq!(findings, [Finding::Stays(instance(0))]);
+}
+
+#[test]
+fn observe_lagging_list_does_not_undo_a_withdrawal() {
+    let (now, leaving, mut observer) = (Instant::now(), Leaving::new(), ListObserver::new());
+    let notice = |sequence, withdrawn| ReclaimNotice {
+        sequence: Sequence(sequence),
+        instance: instance(0),
+        remaining: Duration::from_secs(3),
+        withdrawn,
+    };
+    leaving.take_notices(now, &[notice(1, false), notice(2, true)]);
+    let list = [listed(0, ListedState::Leaving)];
+    assert!(observer.observe(now + Duration::from_secs(30), &list, &leaving).is_empty());
+    let findings = observer.observe(now + Duration::from_secs(90), &list, &leaving);
+    assert!(matches!(&findings[..], [Finding::Leaves { .. }]), "{findings:?}");
+}
+
+struct Site {
+    net: MemoryNet,
+    cloud: MemoryCloud,
+    list: MemoryInstances,
+    leaving: Vec<Leaving>,
+}
+
+/// Starts nodes that listen to one cloud API and one list.
+fn start() -> Site {
+    let site = Site {
+        net: MemoryNet::new(),
+        cloud: MemoryCloud::new(Vec::new()),
+        list: MemoryInstances::new(Duration::from_secs(5)),
+        leaving: (0..NODES).map(|_| Leaving::new()).collect(),
+    };
+    for (i, leaving) in site.leaving.iter().enumerate() {
+        let zone = format!("lima-{}", i % 2).parse().unwrap();
+        let id = format!("node-{i}").parse().unwrap();
+        let link = site.net.join(id, zone, "lima".parse().unwrap());
+        let spread = ReclaimSpread::new(leaving.clone(), link);
+        let sources = NoticeSources {
+            cloud: Some(Arc::new(site.cloud.clone())),
+            list: Arc::new(site.list.clone()),
+        };
+        let metrics = FleetMetrics::new(&prometheus::Registry::new()).unwrap();
+        let listener = ReclaimListener::new(sources, leaving.clone(), spread.clone(), metrics);
+        actix::spawn(async move { listener.run().await });
+        actix::spawn(async move { spread.run().await });
+    }
+    site
+}
+
+#[actix::test]
+async fn run_notice_is_known_everywhere_within_a_second() {
+    tokio::time::pause();
+    let site = start();
+    sleep(Duration::from_secs(30)).await;
+    site.cloud.reclaim(&instance(0), Duration::from_secs(3));
+    sleep(Duration::from_secs(1)).await;
+    assert!(site.leaving.iter().all(|leaving| leaving.is_leaving(&instance(0))));
+    site.cloud.withdraw(&instance(0));
+    sleep(Duration::from_secs(1)).await;
+    assert!(site.leaving.iter().all(|leaving| !leaving.is_leaving(&instance(0))));
+}
+
+#[actix::test]
+async fn run_silent_cloud_is_made_up_for_by_the_list() {
+    tokio::time::pause();
+    let site = start();
+    site.list.set(live(0..8));
+    sleep(Duration::from_secs(30)).await;
+    site.cloud.faults.set_standing(Fault::Silent);
+    site.list.set(live(0..7));
+    sleep(Duration::from_secs(20)).await;
+    assert!(site.leaving.iter().all(|leaving| leaving.is_leaving(&instance(7))));
+    assert!(site.leaving.iter().all(|leaving| leaving.len() == 1));
+}
+
+#[actix::test]
+async fn is_poller_a_few_of_each_zone() {
+    let net = MemoryNet::new();
+    let links: Vec<_> = (0..390)
+        .map(|i| {
+            let zone = format!("zone-{}", i % 6).parse().unwrap();
+            net.join(format!("node-{i}").parse().unwrap(), zone, "lima".parse().unwrap())
+        })
+        .collect();
+    let members = links[0].members();
+    let pollers = links.iter().filter(|link| is_poller(link.local(), &members)).count();
+    assert_eq!(pollers, 12);
+}
