daemon: A node is ready without waiting for the second poll of the instance list

Cause: with a list that is polled once a minute, the overhead example found no node ready within 20 s: the configuration became the latest after the first poll, and nothing woke the task that takes the list over. Change: the task also wakes when the configuration is known to be the latest.

--- a/components/daemon/src/health.rs
+++ b/components/daemon/src/health.rs
@@ -2,10 +2,12 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use tokio::sync::watch;
+
 /// Whether a node takes traffic.
 #[derive(Debug, Default)]
 pub struct Health {
-    has_config: AtomicBool,
+    has_config: watch::Sender<bool>,
     has_upstreams: AtomicBool,
     is_stopping: AtomicBool,
 }
@@ -21,7 +23,7 @@
         if self.is_stopping() {
             return Some("the node is stopping");
         }
-        if !self.has_config.load(Ordering::Relaxed) {
+        if !self.has_config() {
             return Some("the node does not have the latest configuration yet");
         }
         if !self.has_upstreams.load(Ordering::Relaxed) {
@@ -37,11 +39,16 @@
 
     /// Returns whether the latest configuration is in force.
     pub(crate) fn has_config(&self) -> bool {
-        self.has_config.load(Ordering::Relaxed)
+        *self.has_config.borrow()
+    }
+
+    /// Returns a receiver that is told when the latest configuration is in force.
+    pub(crate) fn watch_config(&self) -> watch::Receiver<bool> {
+        self.has_config.subscribe()
     }
 
     pub(crate) fn set_config(&self) {
-        self.has_config.store(true, Ordering::Relaxed);
+        self.has_config.send_replace(true);
     }
 
     pub(crate) fn set_upstreams(&self) {
--- a/components/daemon/src/registry_task.rs
+++ b/components/daemon/src/registry_task.rs
@@ -21,13 +21,14 @@
     interval: Duration,
 ) {
     let mut revisions = current.subscribe();
+    let mut config_ready = health.watch_config();
     let mut last = None;
     loop {
         read(list.as_ref(), &mut last).await;
         let next_read = Instant::now() + interval;
         loop {
             // Asked before the update, so that the update has the configuration.
-            let has_config = health.has_config();
+            let has_config = *config_ready.borrow_and_update();
             revisions.borrow_and_update();
             if let Some(listed) = &last {
                 registry.update(&current.get(), listed.clone());
@@ -38,6 +39,7 @@
             tokio::select! {
                 () = sleep_until(next_read) => break,
                 Ok(()) = revisions.changed() => {}
+                Ok(()) = config_ready.changed() => {}
             }
         }
     }
