--- a/components/fakes/src/lib.rs
+++ b/components/fakes/src/lib.rs
@@ -8,6 +8,7 @@
 mod engine;
 mod faults;
 mod http;
+mod inputs;
 mod instances;
 mod kv;
 mod link;
@@ -23,6 +24,7 @@
     EngineConfig, EngineCounts, HttpServerHandle, ServedEngine, ServedPlain, ServedPlatform,
     serve_engine, serve_plain, serve_platform,
 };
+pub use inputs::Inputs;
 pub use instances::MemoryInstances;
 pub use kv::{KvCalls, MemoryKv};
 pub use link::MemoryNet;
--- a/components/prelude/src/ids.rs
+++ b/components/prelude/src/ids.rs
@@ -95,9 +95,11 @@
         pub struct $ty(pub u64);
 
         impl $ty {
-            /// Returns the value that follows this one.
+            /// Returns the value that follows this one; the highest one follows itself.
+            ///
+            /// Other nodes send counters, so that any value may come here.
             pub fn next(self) -> $ty {
-                $ty(self.0 + 1)
+                $ty(self.0.saturating_add(1))
             }
         }
 
@@ -130,6 +132,12 @@
         assert_eq!(id.as_str().parse::<RequestId>().unwrap(), id);
     }
 
+    #[test]
+    fn next_of_the_highest_counter() {
+        assert_eq!(Incarnation(7).next(), Incarnation(8));
+        assert_eq!(Incarnation(u64::MAX).next(), Incarnation(u64::MAX));
+    }
+
     #[test]
     fn parse_request_id_bad_bytes() {
         assert!("a\r\nb".parse::<RequestId>().is_err());
