config, settings: never repeat a token that is in the wrong place

Cause: an error about a field repeats its value; a token given as the whole list, in a misspelt field or in a workspace that is no object was repeated, and Debug of the settings showed the hashes of operators' tokens. Change: a value that may hold a token is shown as (hidden). The test of wrong documents fails without the change.

--- a/components/config/src/fields.rs
+++ b/components/config/src/fields.rs
@@ -130,9 +130,13 @@
     if parent.is_empty() { name.to_owned() } else { format!("{parent}.{name}") }
 }
 
-/// Creates an error about a JSON value.
+/// Creates an error about a JSON value; one that may hold a token is not repeated.
 pub(crate) fn invalid(path: impl Into<String>, value: &Value, reason: &str) -> InvalidValue {
+    let path = path.into();
     match value {
+        value if path.contains("token") || value.to_string().contains("token") => {
+            InvalidValue::new(path, "(hidden)", reason)
+        }
         Value::String(text) => InvalidValue::new(path, text, reason),
         value => InvalidValue::new(path, &value.to_string(), reason),
     }
--- a/components/settings/src/reader.rs
+++ b/components/settings/src/reader.rs
@@ -12,7 +12,13 @@
 pub(crate) struct Errors(RefCell<Vec<InvalidValue>>);
 
 impl Errors {
-    pub(crate) fn push(&self, err: InvalidValue) {
+    /// Adds an error; a value that may be a token is not repeated.
+    pub(crate) fn push(&self, mut err: InvalidValue) {
+        let is_plain = err.field.ends_with(".name") || err.field.ends_with(".role");
+        let is_token = err.field.contains("token") || err.value.contains("token");
+        if is_token && !is_plain && !err.value.is_empty() {
+            err.value = "(hidden)".to_owned();
+        }
         self.0.borrow_mut().push(err);
     }
 
--- a/components/settings/src/settings.rs
+++ b/components/settings/src/settings.rs
@@ -1,6 +1,6 @@
 //! The settings of one node.
 
-use std::{net::SocketAddr, path::PathBuf, str::FromStr, time::Duration};
+use std::{fmt, net::SocketAddr, path::PathBuf, str::FromStr, time::Duration};
 
 use displaydoc::Display;
 use lycheelatch_prelude::{InvalidValue, Name, NodeId, OperatorName, RegionName, ZoneName};
@@ -57,7 +57,7 @@
 }
 
 /// Token of one operator.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Clone, PartialEq, Eq)]
 pub struct OperatorTokenSettings {
     /// Name that the audit trail records.
     pub name: OperatorName,
@@ -67,6 +67,13 @@
     pub hash: String,
 }
 
+impl fmt::Debug for OperatorTokenSettings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut shown = f.debug_struct("OperatorTokenSettings");
+        shown.field("name", &self.name).field("role", &self.role).finish_non_exhaustive()
+    }
+}
+
 /// What an operator may do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OperatorRole {
--- /dev/null
+++ b/components/settings/tests/generated.rs
@@ -0,0 +1,47 @@
+//! Generated settings, and secrets in wrong ones.
+
+use lycheelatch_fakes::Inputs;
+use lycheelatch_settings::Settings;
+
+const INPUTS: usize = 5_000;
+
+const SETTINGS: &str = r#"{"zone":"z1","region":"r1","callers":{"listen":"127.0.0.1:8080",
+"head_timeout":"5s","max_body":"16MiB","workers":2},"operators":{"listen":"127.0.0.1:8081",
+"tokens":[{"name":"ann","role":"read","hash":"hash-of-ann"}]},"platform":{
+"key_value":{"url":"http://127.0.0.1:8500"},"instances":{"url":"http://127.0.0.1:8600"}}}"#;
+
+#[test]
+fn from_json_generated_is_taken_or_every_error_named() {
+    for input in Inputs::new(vec![SETTINGS.into()]).take(INPUTS) {
+        if let Err(err) = Settings::from_json(&String::from_utf8_lossy(&input)) {
+            assert!(!err.lines().is_empty());
+        }
+    }
+}
+
+#[test]
+fn from_json_wrong_token_is_not_repeated() {
+    let hash = r#""hash":"hash-of-ann""#;
+    for wrong in [
+        r#""hash":["a-secret"]"#,
+        r#""hash":"hash-of-ann","token":"a-secret""#,
+        r#""hash":"hash-of-ann","password":"a-secret""#,
+    ] {
+        let err = Settings::from_json(&SETTINGS.replace(hash, wrong)).unwrap_err();
+        assert!(!format!("{err} {err:?} {:?}", err.lines()).contains("a-secret"), "{err}");
+    }
+    let whole = r#"{"token":"a-secret"}"#;
+    for tokens in [whole.to_owned(), r#"["a-secret"]"#.to_owned(), r#""a-secret""#.to_owned()] {
+        let list = SETTINGS.find("[{\"name\"").unwrap()..SETTINGS.find("},\"platform").unwrap();
+        let mut text = SETTINGS.to_owned();
+        text.replace_range(list, &tokens);
+        let err = Settings::from_json(&text).unwrap_err();
+        assert!(!format!("{err} {err:?}").contains("a-secret"), "{err}");
+    }
+}
+
+#[test]
+fn debug_hides_hashes_of_tokens() {
+    let settings = Settings::from_json(SETTINGS).unwrap();
+    assert!(!format!("{settings:?}").contains("hash-of-ann"));
+}
