proxy: hide the token in Debug of a head, drop headers named by Connection

Cause: Head derived Debug with the bearer token; headers that the caller's Connection header names belong to the connection and were passed on.

--- a/components/proxy/src/head.rs
+++ b/components/proxy/src/head.rs
@@ -1,6 +1,6 @@
 //! The head of a caller's request.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 use actix_web::http::header::{HeaderMap, HeaderName};
 use lycheelatch_prelude::{
@@ -45,7 +45,7 @@
 ];
 
 /// What the head of a request says.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct Head {
     /// Identity of the request.
     pub id: RequestId,
@@ -71,6 +71,22 @@
     pub has_own_id: bool,
 }
 
+impl fmt::Debug for Head {
+    /// Shows what a log may hold: no token.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Head")
+            .field("id", &self.id)
+            .field("labels", &self.labels)
+            .field("idempotent", &self.idempotent)
+            .field("key", &self.key)
+            .field("timeout", &self.timeout)
+            .field("attempt", &self.attempt)
+            .field("priority", &self.priority)
+            .field("last_event", &self.last_event)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Head {
     /// Reads the headers of a request.
     pub fn read(headers: &HeaderMap, now: Instant) -> Result<Head, InvalidValue> {
@@ -104,6 +120,15 @@
     !NOT_PASSED_ON.contains(&name.as_str()) && !name.as_str().starts_with(OWN_PREFIX)
 }
 
+/// Returns whether the header `Connection` names a header as one of the connection's own.
+pub(crate) fn is_named_by_connection(headers: &HeaderMap, name: &HeaderName) -> bool {
+    headers
+        .get_all("connection")
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .any(|option| option.trim().eq_ignore_ascii_case(name.as_str()))
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, InvalidValue> {
     let mut values = headers.get_all(name);
     let Some(value) = values.next() else { return Ok(None) };
@@ -195,6 +220,7 @@
         assert_eq!(head.idempotent, Some(Idempotency::NonIdempotent));
         assert_eq!(head.timeout, Some(Duration::from_millis(250)));
         assert!(!head.attempt.is_fresh());
+        assert!(!format!("{head:?}").contains("abc"));
     }
 
     #[actix_web::test]
--- a/components/proxy/src/http.rs
+++ b/components/proxy/src/http.rs
@@ -18,7 +18,7 @@
     Flow, Head, Kind, Proxy, Record, Refusal,
     accept::read_body,
     classify::ModelFields,
-    head::{OUTCOME_HEADER, REQUEST_ID_HEADER, id_or_new, is_passed_on},
+    head::{OUTCOME_HEADER, REQUEST_ID_HEADER, id_or_new, is_named_by_connection, is_passed_on},
     model::{ModelAsk, ModelCall},
     plain::{PassedHeaders, PlainCall, RequestBody, append_headers, task_lost},
     relay::{refuse, relay_stream, relay_whole},
@@ -215,7 +215,7 @@
 fn passed_headers(headers: &HeaderMap) -> PassedHeaders {
     headers
         .iter()
-        .filter(|(name, _)| is_passed_on(name))
+        .filter(|(name, _)| is_passed_on(name) && !is_named_by_connection(headers, name))
         .map(|(name, value)| (name.as_str().into(), Bytes::copy_from_slice(value.as_bytes())))
         .collect()
 }
