--- a/components/claims/src/wire.rs
+++ b/components/claims/src/wire.rs
@@ -359,3 +359,54 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use lycheelatch_fakes::Inputs;
+
+    use super::*;
+
+    const INPUTS: usize = 10_000;
+
+    fn record() -> RecordWire {
+        RecordWire {
+            key: [7; 16],
+            claimant: claimant(),
+            state: StateWire::Finished(answer()),
+            withdrawn: vec![(1, 2)],
+        }
+    }
+
+    fn claimant() -> ClaimantWire {
+        ClaimantWire { epoch: 1, count: 2, body: [3; 8], created: 4, until: u64::MAX }
+    }
+
+    fn answer() -> AnswerWire {
+        let headers = vec![("content-type".to_owned(), b"text/plain".to_vec())];
+        AnswerWire { status: 200, headers, body: b"ok".to_vec() }
+    }
+
+    fn segment_ref() -> SegmentRefWire {
+        SegmentRefWire { id: "s-1".to_owned(), bytes: 1, keep_until: 2, expires: 3 }
+    }
+
+    #[test]
+    fn decode_generated_is_refused_or_written_again_the_same() {
+        let head =
+            HeadWire { format: FORMAT, segments: vec![segment_ref()], records: vec![record()] };
+        let segment = SegmentWire { format: FORMAT, written: 1, records: vec![record()] };
+        let op = OpWire { key: [7; 16], claimant: claimant(), settlement: Some(StateWire::Freed) };
+        let reply = ReplyWire::Finished(answer());
+        let samples = [encode(&head), encode(&segment), encode(&op), encode(&reply)];
+        for input in Inputs::new(samples.map(|sample| sample.to_vec()).to_vec()).take(INPUTS) {
+            if let Ok(head) = decode::<HeadWire>(&input).and_then(Head::try_from) {
+                let written = encode(&HeadWire::from(&head));
+                let again = decode::<HeadWire>(&written).and_then(Head::try_from).unwrap();
+                assert_eq!(encode(&HeadWire::from(&again)), written);
+            }
+            let _ = decode::<SegmentWire>(&input).and_then(Segment::try_from);
+            let _ = decode::<OpWire>(&input).map(Op::from);
+            let _ = decode::<ReplyWire>(&input).map(Reply::try_from);
+        }
+    }
+}
