operator: know the operator before reading a body

Cause: bodies of up to 16 MiB were read, without a time limit, before the token was looked at; whoever reaches the port could hold that much on each of its connections. The test with an endless body fails without the change (it waits 10 s). A test looks for tokens and hashes in every answer about the configuration.

--- a/components/operator/src/changes.rs
+++ b/components/operator/src/changes.rs
@@ -3,22 +3,20 @@
 use actix_web::{HttpRequest, Responder, web};
 use lycheelatch_config::{AuditQuery, Change, Document, Edit, ObjectKey, ObjectKind};
 use lycheelatch_prelude::{ChangeId, Name, OperatorName, Revision};
-use serde::de::DeserializeOwned;
 
 use crate::{
     ApplyRequest, ChangeAnswer, ChangeOptions, DeleteRequest, DiffAnswer, ObjectsAnswer,
-    OperatorApi, Problem, ProblemKind, Role, params::Params,
+    OperatorApi, Problem, ProblemKind, Role, body::read_body, params::Params,
 };
 
 /// Records on a page when the operator names no number.
 const DEFAULT_LIMIT: usize = 50;
 
 type Api = web::Data<OperatorApi>;
-type Body = Result<web::Bytes, actix_web::Error>;
 
-pub(crate) async fn apply(api: Api, req: HttpRequest, body: Body) -> impl Responder {
+pub(crate) async fn apply(api: Api, req: HttpRequest, body: web::Payload) -> impl Responder {
     api.authorize(&req, Role::Read)?;
-    let ApplyRequest { options, document } = read_body(body)?;
+    let ApplyRequest { options, document } = read_body(body).await?;
     let author = api.authorize(&req, role_for(&options))?;
     let document = Document::from_value(document)
         .map_err(|errors| Problem::with_errors(ProblemKind::Invalid, errors))?;
@@ -26,9 +24,9 @@
     run(&api, change, options.dry_run).await
 }
 
-pub(crate) async fn delete(api: Api, req: HttpRequest, body: Body) -> impl Responder {
+pub(crate) async fn delete(api: Api, req: HttpRequest, body: web::Payload) -> impl Responder {
     api.authorize(&req, Role::Read)?;
-    let DeleteRequest { options, objects } = read_body(body)?;
+    let DeleteRequest { options, objects } = read_body(body).await?;
     let author = api.authorize(&req, role_for(&options))?;
     let edits = objects.into_iter().map(Edit::Remove).collect();
     let change = change_of(author, &options, edits);
@@ -115,17 +113,6 @@
     Ok::<_, Problem>(web::Json(api.store.audit(&query).await?))
 }
 
-/// Reads a JSON body.
-pub(crate) fn read_body<T: DeserializeOwned>(body: Body) -> Result<T, Problem> {
-    let body = body.map_err(|err| {
-        let is_large = err.as_response_error().status_code().as_u16() == 413;
-        let kind = if is_large { ProblemKind::TooLarge } else { ProblemKind::Malformed };
-        Problem::new(kind, err.to_string())
-    })?;
-    serde_json::from_slice(&body)
-        .map_err(|err| Problem::new(ProblemKind::Malformed, format!("body: {err}")))
-}
-
 /// Kind of objects, as a parameter names it.
 struct KindParam(ObjectKind);
 
--- a/components/operator/src/lib.rs
+++ b/components/operator/src/lib.rs
@@ -4,6 +4,7 @@
 //! `/healthz` and `/readyz` need no token. Refusals are RFC 9457 problem JSON.
 
 mod auth;
+mod body;
 mod changes;
 mod node;
 mod params;
@@ -29,9 +30,6 @@
     ObjectsAnswer, ObjectsDocument, VersionAnswer,
 };
 
-/// Largest body of a request, in bytes.
-const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
-
 /// What the endpoints work with.
 pub struct OperatorApi {
     /// The configuration and its history.
@@ -52,7 +50,6 @@
         let api = web::Data::from(self);
         move |cfg| {
             cfg.app_data(api.clone())
-                .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
                 .route("/v1/apply", web::post().to(changes::apply))
                 .route("/v1/delete", web::post().to(changes::delete))
                 .route("/v1/objects", web::get().to(changes::objects))
--- a/components/operator/src/system.rs
+++ b/components/operator/src/system.rs
@@ -5,26 +5,25 @@
 
 use crate::{
     ControlError, DrainTarget, OperatorApi, Problem, ProblemKind, Readiness, Role, RouteQuery,
-    VersionAnswer, changes::read_body,
+    VersionAnswer, body::read_body,
 };
 
 type Api = web::Data<OperatorApi>;
-type Body = Result<web::Bytes, actix_web::Error>;
 
 pub(crate) async fn status(api: Api, req: HttpRequest) -> impl Responder {
     api.authorize(&req, Role::Read)?;
     Ok::<_, Problem>(web::Json(api.node.status().await))
 }
 
-pub(crate) async fn route(api: Api, req: HttpRequest, body: Body) -> impl Responder {
+pub(crate) async fn route(api: Api, req: HttpRequest, body: web::Payload) -> impl Responder {
     api.authorize(&req, Role::Read)?;
-    let query: RouteQuery = read_body(body)?;
+    let query: RouteQuery = read_body(body).await?;
     Ok::<_, Problem>(web::Json(api.node.route(&query).await?))
 }
 
-pub(crate) async fn drain(api: Api, req: HttpRequest, body: Body) -> impl Responder {
+pub(crate) async fn drain(api: Api, req: HttpRequest, body: web::Payload) -> impl Responder {
     let operator = api.authorize(&req, Role::Change)?;
-    let target: DrainTarget = read_body(body)?;
+    let target: DrainTarget = read_body(body).await?;
     log::info!("operator: {operator} drains {target:?}");
     Ok::<_, Problem>(web::Json(api.node.drain(&target).await?))
 }
--- a/components/operator/tests/api.rs
+++ b/components/operator/tests/api.rs
@@ -1,7 +1,8 @@
 //! The endpoints, called without a network.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
+use actix_http::{BoxedPayloadStream, Payload};
 use actix_web::{
     App, Error,
     body::MessageBody,
@@ -10,6 +11,7 @@
     test::{TestRequest, call_service, init_service, read_body},
 };
 use async_trait::async_trait;
+use futures_util::stream;
 use lycheelatch_config::{ConfigStore, CurrentConfig, TokenHash};
 use lycheelatch_fakes::{Fault, MemoryKv};
 use lycheelatch_operator::{
@@ -19,10 +21,14 @@
 use lycheelatch_prelude::Revision;
 use prometheus::Registry;
 use serde_json::{Value, json};
+use tokio::time::timeout;
 
 const READ_TOKEN: &str = "token-of-the-reader";
 const CHANGE_TOKEN: &str = "token-of-the-changer";
 
+/// Longest time until a refusal that needs no body.
+const ANSWER_LIMIT: Duration = Duration::from_secs(10);
+
 struct Node;
 
 #[async_trait(?Send)]
@@ -242,6 +248,41 @@
     assert_eq!(send(&app, req).await.0, StatusCode::PAYLOAD_TOO_LARGE);
 }
 
+#[actix_web::test]
+async fn post_without_a_known_token_is_refused_before_its_body() {
+    let app = init_service(App::new().configure(api(&MemoryKv::new()).configure())).await;
+    for path in ["/v1/apply", "/v1/delete", "/v1/route", "/v1/drain"] {
+        let endless: BoxedPayloadStream = Box::pin(stream::pending());
+        let req = post(path, "token-of-nobody", &json!({})).to_request();
+        let (req, _) = req.replace_payload(Payload::from(endless));
+        let answer = timeout(ANSWER_LIMIT, call_service(&app, req)).await;
+        let answer = answer.expect("the body is waited for");
+        assert_eq!(answer.status(), StatusCode::UNAUTHORIZED, "{path}");
+    }
+}
+
+#[actix_web::test]
+async fn answers_hold_no_token() {
+    let api = api(&MemoryKv::new());
+    let app = init_service(App::new().configure(api.clone().configure())).await;
+    let body = json!({ "document": document() });
+    let (status, applied) = send(&app, post("/v1/apply", CHANGE_TOKEN, &body)).await;
+    assert_eq!(status, StatusCode::OK);
+    let hash = api.current.get().workspaces["lima"].tokens[0].clone();
+    let secrets = ["a-token-of-the-workspace".to_owned(), String::from(hash)];
+    let mut answers = vec![applied.to_string(), format!("{:?}", api.current.get())];
+    for path in ["/v1/objects", "/v1/history", "/v1/audit", "/v1/diff?from=0&to=1"] {
+        let (status, answer) = send(&app, get(path, READ_TOKEN)).await;
+        assert_eq!(status, StatusCode::OK, "{path}");
+        answers.push(answer.to_string());
+    }
+    for answer in answers {
+        for secret in secrets.iter().map(String::as_str).chain([READ_TOKEN, CHANGE_TOKEN]) {
+            assert!(!answer.contains(secret), "{answer}");
+        }
+    }
+}
+
 #[actix_web::test]
 async fn node_endpoints() {
     let app = init_service(App::new().configure(api(&MemoryKv::new()).configure())).await;
