fleet: keep a peer's highest local number from overflowing

Cause: a statement about an instance with the local number 2^32-1 made the next own statement overflow. Change: the number stays at the highest; a test names it.

--- a/components/fleet/src/leaving.rs
+++ b/components/fleet/src/leaving.rs
@@ -201,7 +201,8 @@
         now: Instant,
     ) -> Record {
         let stamp = self.record(instance).map(|record| record.stamp).unwrap_or_default();
-        let stamp = Stamp { local: stamp.local + 1, ..stamp };
+        // Other nodes send stamps, so that any number may stand here.
+        let stamp = Stamp { local: stamp.local.saturating_add(1), ..stamp };
         let record = Record { instance: instance.clone(), stamp, standing, deadline };
         self.merge(now, vec![record.clone()]);
         record
--- a/components/fleet/tests/leaving.rs
+++ b/components/fleet/tests/leaving.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use lycheelatch_fakes::MemoryNet;
-use lycheelatch_fleet::{Leaving, ReclaimSpread, Record};
+use lycheelatch_fleet::{Leaving, ReclaimSpread, Record, Stamp, Standing};
 use lycheelatch_platform::ReclaimNotice;
 use lycheelatch_prelude::{InstanceId, NodeId, Sequence};
 use proptest::prelude::*;
@@ -37,6 +37,16 @@
     (0..count).map(start).collect()
 }
 
+#[test]
+fn announce_after_the_highest_local_number() {
+    let (leaving, now) = (Leaving::new(), Instant::now());
+    let stamp = Stamp { sequence: Sequence(1), local: u32::MAX };
+    let standing = Standing::Staying;
+    leaving.merge(now, vec![Record { instance: instance(1), stamp, standing, deadline: now }]);
+    let said = leaving.announce(now, &instance(1), Duration::from_secs(30));
+    assert_eq!(said.stamp, stamp);
+}
+
 #[derive(Debug, Clone)]
 enum Said {
     Notice { sequence: u64, withdrawn: bool },
