proxy: count events without tokens in the bound of kept answers

Cause: events that hold no token were added without forgetting the oldest answers, and empty ones counted as nothing, so that one upstream's stream of them could grow without bound. Change: they count with their overhead, and the bound is kept at each.

--- a/components/proxy/src/answers.rs
+++ b/components/proxy/src/answers.rs
@@ -58,7 +58,7 @@
 impl KeptAnswer {
     fn bytes(&self) -> usize {
         let tokens: usize = self.tokens.iter().map(token_bytes).sum();
-        let others: usize = self.others.iter().map(|event| event.data.len()).sum();
+        let others: usize = self.others.iter().map(|event| event_bytes(&event.data)).sum();
         self.body.len() + tokens + others + ENTRY_BYTES
     }
 
@@ -74,10 +74,17 @@
 /// Memory of one kept token beside its contents, in bytes.
 const TOKEN_BYTES: usize = 96;
 
+/// Memory of one kept event beside its data, in bytes.
+const EVENT_BYTES: usize = 64;
+
 fn token_bytes(token: &KeptToken) -> usize {
     token.text.len() + token.data.len() + TOKEN_BYTES
 }
 
+fn event_bytes(data: &Bytes) -> usize {
+    data.len() + EVENT_BYTES
+}
+
 /// Answers kept in bounded memory; the oldest are forgotten first.
 pub struct Answers {
     max_bytes: usize,
@@ -136,10 +143,11 @@
     pub fn push_other(&self, id: &RequestId, data: Bytes) {
         let mut kept = self.kept.lock().unwrap();
         let Some(answer) = kept.by_id.get_mut(id) else { return };
-        let added = data.len();
+        let added = event_bytes(&data);
         let after = answer.tokens.len() as u64;
         answer.others.push(KeptEvent { after, data });
         kept.bytes += added;
+        kept.forget_oldest(self.max_bytes);
     }
 
     /// Notes what became of an answer.
@@ -211,6 +219,20 @@
         assert_eq!(answers.get(&id).unwrap().tokens, [token("a")]);
     }
 
+    #[test]
+    fn push_other_bounds_memory() {
+        for size in [0, 1_000] {
+            let answers = Answers::new(10_000);
+            let id = RequestId::new_unique();
+            answers.insert(&id, answer(10));
+            for _ in 0..1_000 {
+                answers.push_other(&id, vec![b'x'; size].into());
+                assert!(answers.bytes() <= 10_000);
+            }
+            assert!(answers.get(&id).is_none());
+        }
+    }
+
     #[test]
     fn insert_bounds_memory() {
         let answers = Answers::new(100_000);
