claims: bound the operations that wait for a commit

Cause: callers that gave up left their operations in the queue; while commits fail, nothing bounded it. Change: 4,096 for each shard; more are refused as not written.

--- a/components/claims/src/queue.rs
+++ b/components/claims/src/queue.rs
@@ -28,6 +28,9 @@
 /// Most operations that wait for a commit without a caller, for each shard.
 const MAX_OWED: usize = 10_000;
 
+/// Most operations that wait for a commit with a caller, for each shard.
+const MAX_WAITING: usize = 4096;
+
 type CommitResult = Result<Reply, CommitFailure>;
 
 /// An operation with the caller that waits for its reply.
@@ -65,7 +68,9 @@
     pub(crate) async fn submit(self: &Arc<Self>, op: Op, limit: Instant) -> CommitResult {
         loop {
             let (tx, rx) = oneshot::channel();
-            lock(&self.state).waiting.push_back((op.clone(), tx));
+            if !self.push_waiting((op.clone(), tx)) {
+                return Err(CommitFailure { source: KvError::Throttled, may_have_written: false });
+            }
             self.ensure_committing();
             match timeout_at(limit, rx).await {
                 Ok(Ok(result)) => return result,
@@ -79,6 +84,16 @@
         }
     }
 
+    /// Adds an operation, unless as many wait as may; returns whether it was added.
+    fn push_waiting(&self, waiting: Waiting) -> bool {
+        let mut state = lock(&self.state);
+        let has_room = state.waiting.len() < MAX_WAITING;
+        if has_room {
+            state.waiting.push_back(waiting);
+        }
+        has_room
+    }
+
     /// Adds an operation that nobody waits for; it is tried until it is committed.
     pub(crate) fn owe(&self, op: Op) {
         let mut state = lock(&self.state);
@@ -214,3 +229,27 @@
         drop(waiting);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use futures_util::FutureExt;
+    use lycheelatch_fakes::MemoryKv;
+
+    use super::*;
+    use crate::wire::{OpWire, decode};
+
+    #[actix::test]
+    async fn submit_beyond_the_longest_queue_is_refused() {
+        let cfg = ClaimsConfig::default();
+        let store = Arc::new(Store::new(Arc::new(MemoryKv::new()), cfg.clone()));
+        let queue = Arc::new(Queue::new(0, store, cfg));
+        let op = Op::from(decode::<OpWire>(&[1; 32]).unwrap());
+        let limit = Instant::now() + std::time::Duration::from_secs(60);
+        for _ in 0..MAX_WAITING {
+            assert!(queue.submit(op.clone(), limit).now_or_never().is_none());
+        }
+        let failure = queue.submit(op, limit).now_or_never().unwrap().unwrap_err();
+        assert!(!failure.may_have_written);
+        assert_eq!(lock(&queue.state).waiting.len(), MAX_WAITING);
+    }
+}
