--- a/components/fakes/examples/generated_inputs/readers.rs
+++ b/components/fakes/examples/generated_inputs/readers.rs
@@ -149,7 +149,10 @@
 }
 
 fn messages() -> Vec<ReaderUnderTest> {
-    let document = Document::from_json(DOCUMENT.as_bytes()).expect("a valid document");
+    // A hash made elsewhere has no new salt, so that each run has the same samples.
+    let hash = format!(r#""hash":"{}.{}""#, "A".repeat(22), "A".repeat(43));
+    let document = DOCUMENT.replace(r#""token":"token-of-the-tests""#, &hash);
+    let document = Document::from_json(document.as_bytes()).expect("a valid document");
     let before = Snapshot::default();
     let after = plan(&before, &[Edit::Apply(document)]).expect("a valid plan").snapshot;
     let delta = Delta::between(&before, &after).encode();
