--- a/components/fakes/src/http/engine_state.rs
+++ b/components/fakes/src/http/engine_state.rs
@@ -25,6 +25,8 @@
     pub max_running: usize,
     /// Whether an order with an old fencing number is refused.
     pub checks_fences: bool,
+    /// Whether an export of KV cache is never answered.
+    pub export_is_silent: bool,
 }
 
 impl Default for EngineConfig {
@@ -35,6 +37,7 @@
             cache_blocks: 4096,
             max_running: 256,
             checks_fences: true,
+            export_is_silent: false,
         }
     }
 }
--- a/components/fakes/src/kv.rs
+++ b/components/fakes/src/kv.rs
@@ -13,8 +13,8 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use lycheelatch_platform::{
-    CasOutcome, Entry, KeyValue, KvError, KvKey, LeaseId, MAX_VALUE_BYTES, Version, WatchIndex,
-    Watched,
+    CasOutcome, Entry, KeyValue, KvError, KvKey, LeaseId, Version, WatchIndex, Watched,
+    check_value_size,
 };
 use tokio::{
     sync::Notify,
@@ -178,13 +178,6 @@
     }
 }
 
-fn check_size(key: &KvKey, value: &Bytes) -> Result<(), KvError> {
-    if value.len() > MAX_VALUE_BYTES {
-        return Err(KvError::TooLarge { key: key.clone(), bytes: value.len() });
-    }
-    Ok(())
-}
-
 #[async_trait(?Send)]
 impl KeyValue for MemoryKv {
     async fn get(&self, key: &KvKey) -> Result<Option<Entry>, KvError> {
@@ -201,7 +194,7 @@
         expected: Option<Version>,
         value: Bytes,
     ) -> Result<CasOutcome, KvError> {
-        check_size(key, &value)?;
+        check_value_size(key, &value)?;
         self.write(|data| {
             if data.version_of(key) != expected {
                 return Ok(CasOutcome::Conflict);
@@ -257,7 +250,7 @@
         value: Bytes,
         lease: &LeaseId,
     ) -> Result<CasOutcome, KvError> {
-        check_size(key, &value)?;
+        check_value_size(key, &value)?;
         self.write(|data| {
             if !data.leases.contains_key(&lease.0) {
                 return Err(KvError::LeaseEnded);
--- a/components/platform/src/http/kv.rs
+++ b/components/platform/src/http/kv.rs
@@ -8,8 +8,8 @@
 use lycheelatch_http::SendFailure;
 
 use crate::{
-    CasOutcome, Entry, KeyValue, KvError, KvKey, LeaseId, MAX_VALUE_BYTES, Version, WatchIndex,
-    Watched,
+    CasOutcome, Entry, KeyValue, KvError, KvKey, LeaseId, Version, WatchIndex, Watched,
+    check_value_size,
     http::{
         endpoint::{Answer, Endpoint, escape},
         wire::{KvEntryWire, SessionWire},
@@ -44,13 +44,6 @@
     }
 }
 
-fn check_size(key: &KvKey, value: &Bytes) -> Result<(), KvError> {
-    if value.len() > MAX_VALUE_BYTES {
-        return Err(KvError::TooLarge { key: key.clone(), bytes: value.len() });
-    }
-    Ok(())
-}
-
 fn key_path(key: &KvKey) -> String {
     let parts: Vec<_> = key.as_str().split('/').map(escape).collect();
     format!("/v1/kv/{}", parts.join("/"))
@@ -88,7 +81,7 @@
         expected: Option<Version>,
         value: Bytes,
     ) -> Result<CasOutcome, KvError> {
-        check_size(key, &value)?;
+        check_value_size(key, &value)?;
         let cas = expected.map_or(0, |version| version.0);
         self.write(Method::PUT, &format!("{}?cas={cas}", key_path(key)), value).await
     }
@@ -126,7 +119,7 @@
         value: Bytes,
         lease: &LeaseId,
     ) -> Result<CasOutcome, KvError> {
-        check_size(key, &value)?;
+        check_value_size(key, &value)?;
         let path = format!("{}?acquire={}", key_path(key), escape(&lease.0));
         let answer = self.0.call(Method::PUT, &path, value).await?;
         // The service says "invalid session" with status 500.
--- a/components/platform/src/kv.rs
+++ b/components/platform/src/kv.rs
@@ -113,6 +113,14 @@
 
 impl std::error::Error for KvError {}
 
+/// Checks that a value fits into the service.
+pub fn check_value_size(key: &KvKey, value: &Bytes) -> Result<(), KvError> {
+    if value.len() > MAX_VALUE_BYTES {
+        return Err(KvError::TooLarge { key: key.clone(), bytes: value.len() });
+    }
+    Ok(())
+}
+
 impl KvError {
     /// Returns whether a write that failed with this may have taken effect.
     pub fn may_have_written(&self) -> bool {
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -18,6 +18,6 @@
 pub use instances::{InstanceList, InstanceListError, ListedInstance, ListedState};
 pub use kv::{
     CasOutcome, Entry, KeyValue, KvError, KvKey, LeaseId, MAX_VALUE_BYTES, Version, WatchIndex,
-    Watched,
+    Watched, check_value_size,
 };
 pub use weights::{WeightInfo, WeightStore, WeightStoreError};
--- a/components/proxy/src/model.rs
+++ b/components/proxy/src/model/mod.rs
@@ -1,19 +1,19 @@
 //! One call of a model service, over as many upstreams as it takes.
 
+mod relocate;
+mod send;
+
 use std::sync::Arc;
 
 use bytes::Bytes;
 use futures_util::StreamExt;
 use lycheelatch_policy::RequestEvent;
-use lycheelatch_prelude::{Idempotency, Outcome, UpstreamId};
-use lycheelatch_upstream::{
-    Engine, EngineRequest, EngineStream, ResumePoint, StreamEvent, TokenOffset, UpstreamError,
-};
-use serde_json::{Map, Value, json};
+use lycheelatch_prelude::{Idempotency, Outcome};
+use lycheelatch_upstream::{Engine, EngineStream, StreamEvent, UpstreamError};
 use tokio::time::{Instant, sleep_until};
 
 use crate::{
-    KeptAnswer, KeptToken, Observation, PlaceAsk, Placed, Proxy, Record, Refusal, RefusalReason,
+    KeptAnswer, KeptToken, Observation, Placed, Proxy, Record, Refusal, RefusalReason,
     RunningStream, StreamCommand, Target, Upstream,
     attempt::{Attempts, MAX_ATTEMPTS},
     running::RunningGuard,
@@ -237,45 +237,6 @@
         }
     }
 
-    async fn obey(&mut self, command: StreamCommand) -> Result<Option<Piece>, Refusal> {
-        match command {
-            StreamCommand::HandOver => {
-                self.events = None;
-                self.placed = None;
-                Ok(Some(Piece::HandedOver))
-            }
-            _ if !self.may_go_on_elsewhere() => Ok(None),
-            StreamCommand::Resume { to } => {
-                self.leave("reclaim");
-                self.connect(to.as_ref()).await?;
-                Ok(None)
-            }
-            StreamCommand::Move { to } => {
-                self.move_cache(&to).await;
-                self.leave("move");
-                self.connect(Some(&to)).await?;
-                Ok(None)
-            }
-        }
-    }
-
-    /// Copies the KV cache to the upstream `to`; where that fails, it recomputes.
-    async fn move_cache(&self, to: &UpstreamId) {
-        let service = &self.rec.service().name;
-        let receiver = self.proxy.registry.get(service, to);
-        let (Some(from), Some(to)) = (self.engine(), receiver.as_deref().and_then(engine_of))
-        else {
-            return;
-        };
-        let moved = async {
-            let blob = from.export_kv(self.rec.id()).await?;
-            to.import_kv(&blob).await
-        };
-        if let Err(err) = moved.await {
-            log::warn!("proxy: KV cache of request {} is not moved: {err}", self.rec.id());
-        }
-    }
-
     fn engine(&self) -> Option<Arc<dyn Engine>> {
         engine_of(&self.placed.as_ref()?.upstream)
     }
@@ -332,111 +293,6 @@
         Refusal { reason, outcome, retry_after: None }
     }
 
-    /// Sends the request to an upstream, `to` if it is given and takes it.
-    async fn connect(&mut self, to: Option<&UpstreamId>) -> Result<(), Refusal> {
-        let mut wanted = to.and_then(|id| self.proxy.registry.get(&self.rec.service().name, id));
-        loop {
-            let placed = match wanted.take() {
-                Some(upstream) => self.adopt(upstream),
-                None => self.place()?,
-            };
-            if !self.attempts.start() {
-                return Err(self.give_up(RefusalReason::Overloaded));
-            }
-            self.attempt_started = Instant::now();
-            self.first = None;
-            let service = self.rec.service().name.as_str();
-            let kind = if self.attempts.tried.is_empty() { "first" } else { "again" };
-            self.proxy.metrics.attempts.with_label_values(&[service, kind]).inc();
-            match self.generate(&placed.upstream).await {
-                Ok(events) => {
-                    self.guard.moved(placed.upstream.id());
-                    self.events = Some(events);
-                    self.placed = Some(placed);
-                    return Ok(());
-                }
-                Err(err) => self.attempt_failed(&placed, err)?,
-            }
-        }
-    }
-
-    fn place(&mut self) -> Result<Placed, Refusal> {
-        let ask = |exclude| PlaceAsk {
-            rec: &self.rec,
-            exclude,
-            avoid_zone: self.attempts.last_zone.as_ref(),
-            has_begun: self.next > 0,
-        };
-        let placed = self.proxy.place.place(&ask(&self.attempts.tried));
-        // An answer that has begun rather goes back to an upstream that was tried.
-        let placed = match placed {
-            Err(_) if self.next > 0 => self.proxy.place.place(&ask(&[])),
-            placed => placed,
-        };
-        placed.map_err(|refusal| Refusal {
-            outcome: self.attempts.outcome(RequestEvent::GivenUp),
-            ..refusal
-        })
-    }
-
-    fn adopt(&self, upstream: Arc<Upstream>) -> Placed {
-        let (exclude, has_begun) = (self.attempts.tried.as_slice(), self.next > 0);
-        let ask = PlaceAsk { rec: &self.rec, exclude, avoid_zone: None, has_begun };
-        self.proxy.place.adopt(&ask, upstream)
-    }
-
-    fn attempt_failed(&mut self, placed: &Placed, err: UpstreamError) -> Result<(), Refusal> {
-        let seen = Observation {
-            ok: false,
-            first: None,
-            total: self.attempt_started.elapsed(),
-            tokens: 0,
-        };
-        if !self.attempts.is_silent_first(&placed.upstream, &err) {
-            placed.observe(seen);
-        }
-        self.attempts.failed(&placed.upstream, &err);
-        let retry = self.proxy.retry.as_ref();
-        let is_allowed = match self.next {
-            0 => self.attempts.may_retry(retry, &self.rec, &err),
-            _ => self.attempts.may_go_on(),
-        };
-        match (is_allowed, self.next) {
-            (true, _) => Ok(()),
-            (false, 0) => Err(self.attempts.refusal(err)),
-            (false, _) => Err(self.give_up(RefusalReason::UpstreamFailed(err.to_string()))),
-        }
-    }
-
-    /// Returns the body that engines get.
-    ///
-    /// An answer that can be taken up midway is always streamed from the
-    /// engine, also where the caller wants it in one piece.
-    fn engine_body(&self) -> Bytes {
-        if !self.ask.is_one_text || is_stream(&self.rec) {
-            return self.ask.body.clone();
-        }
-        streamed_body(&self.ask.body).unwrap_or_else(|| self.ask.body.clone())
-    }
-
-    async fn generate(&self, upstream: &Upstream) -> Result<EngineStream, UpstreamError> {
-        let engine = engine_of(upstream).ok_or(UpstreamError::Unsupported)?;
-        let resume = (self.next > 0).then(|| ResumePoint {
-            offset: TokenOffset(self.next),
-            text: self.text.as_str().into(),
-        });
-        let req = EngineRequest {
-            id: self.rec.id().clone(),
-            path: self.ask.path.clone(),
-            body: self.engine_body(),
-            stream: self.ask.is_one_text || is_stream(&self.rec),
-            priority: self.rec.head.priority,
-            timeout: self.rec.time_left(Instant::now()),
-            resume,
-        };
-        engine.generate(req).await
-    }
-
     fn observe(&self, ok: bool) {
         let Some(placed) = &self.placed else { return };
         let seen = Observation {
@@ -489,14 +345,6 @@
     Deadline,
 }
 
-/// Returns the body of the same request that asks for a stream with its usage.
-fn streamed_body(body: &[u8]) -> Option<Bytes> {
-    let mut fields: Map<String, Value> = serde_json::from_slice(body).ok()?;
-    fields.insert("stream".to_owned(), Value::Bool(true));
-    fields.insert("stream_options".to_owned(), json!({"include_usage": true}));
-    Some(serde_json::to_vec(&fields).ok()?.into())
-}
-
 fn broken(reason: &str) -> UpstreamError {
     UpstreamError::Broken { reason: reason.into() }
 }
--- /dev/null
+++ b/components/proxy/src/model/send.rs
@@ -0,0 +1,128 @@
+//! Sends a call to upstreams, one after another if need be.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use lycheelatch_policy::RequestEvent;
+use lycheelatch_prelude::UpstreamId;
+use lycheelatch_upstream::{EngineRequest, EngineStream, ResumePoint, TokenOffset, UpstreamError};
+use serde_json::{Map, Value, json};
+use tokio::time::Instant;
+
+use super::{ModelCall, engine_of, is_stream};
+use crate::{Observation, PlaceAsk, Placed, Refusal, RefusalReason, Upstream};
+
+impl ModelCall {
+    /// Sends the request to an upstream, `to` if it is given and takes it.
+    pub(super) async fn connect(&mut self, to: Option<&UpstreamId>) -> Result<(), Refusal> {
+        let mut wanted = to.and_then(|id| self.proxy.registry.get(&self.rec.service().name, id));
+        loop {
+            let placed = match wanted.take() {
+                Some(upstream) => self.adopt(upstream),
+                None => self.place()?,
+            };
+            if !self.attempts.start() {
+                return Err(self.give_up(RefusalReason::Overloaded));
+            }
+            self.attempt_started = Instant::now();
+            self.first = None;
+            let service = self.rec.service().name.as_str();
+            let kind = if self.attempts.tried.is_empty() { "first" } else { "again" };
+            self.proxy.metrics.attempts.with_label_values(&[service, kind]).inc();
+            match self.generate(&placed.upstream).await {
+                Ok(events) => {
+                    self.guard.moved(placed.upstream.id());
+                    self.events = Some(events);
+                    self.placed = Some(placed);
+                    return Ok(());
+                }
+                Err(err) => self.attempt_failed(&placed, err)?,
+            }
+        }
+    }
+
+    fn place(&mut self) -> Result<Placed, Refusal> {
+        let ask = |exclude| PlaceAsk {
+            rec: &self.rec,
+            exclude,
+            avoid_zone: self.attempts.last_zone.as_ref(),
+            has_begun: self.next > 0,
+        };
+        let placed = self.proxy.place.place(&ask(&self.attempts.tried));
+        // An answer that has begun rather goes back to an upstream that was tried.
+        let placed = match placed {
+            Err(_) if self.next > 0 => self.proxy.place.place(&ask(&[])),
+            placed => placed,
+        };
+        placed.map_err(|refusal| Refusal {
+            outcome: self.attempts.outcome(RequestEvent::GivenUp),
+            ..refusal
+        })
+    }
+
+    fn adopt(&self, upstream: Arc<Upstream>) -> Placed {
+        let (exclude, has_begun) = (self.attempts.tried.as_slice(), self.next > 0);
+        let ask = PlaceAsk { rec: &self.rec, exclude, avoid_zone: None, has_begun };
+        self.proxy.place.adopt(&ask, upstream)
+    }
+
+    fn attempt_failed(&mut self, placed: &Placed, err: UpstreamError) -> Result<(), Refusal> {
+        let seen = Observation {
+            ok: false,
+            first: None,
+            total: self.attempt_started.elapsed(),
+            tokens: 0,
+        };
+        if !self.attempts.is_silent_first(&placed.upstream, &err) {
+            placed.observe(seen);
+        }
+        self.attempts.failed(&placed.upstream, &err);
+        let retry = self.proxy.retry.as_ref();
+        let is_allowed = match self.next {
+            0 => self.attempts.may_retry(retry, &self.rec, &err),
+            _ => self.attempts.may_go_on(),
+        };
+        match (is_allowed, self.next) {
+            (true, _) => Ok(()),
+            (false, 0) => Err(self.attempts.refusal(err)),
+            (false, _) => Err(self.give_up(RefusalReason::UpstreamFailed(err.to_string()))),
+        }
+    }
+
+    /// Returns the body that engines get.
+    ///
+    /// An answer that can be taken up midway is always streamed from the
+    /// engine, also where the caller wants it in one piece.
+    fn engine_body(&self) -> Bytes {
+        if !self.ask.is_one_text || is_stream(&self.rec) {
+            return self.ask.body.clone();
+        }
+        streamed_body(&self.ask.body).unwrap_or_else(|| self.ask.body.clone())
+    }
+
+    async fn generate(&self, upstream: &Upstream) -> Result<EngineStream, UpstreamError> {
+        let engine = engine_of(upstream).ok_or(UpstreamError::Unsupported)?;
+        let resume = (self.next > 0).then(|| ResumePoint {
+            offset: TokenOffset(self.next),
+            text: self.text.as_str().into(),
+        });
+        let req = EngineRequest {
+            id: self.rec.id().clone(),
+            path: self.ask.path.clone(),
+            body: self.engine_body(),
+            stream: self.ask.is_one_text || is_stream(&self.rec),
+            priority: self.rec.head.priority,
+            timeout: self.rec.time_left(Instant::now()),
+            resume,
+        };
+        engine.generate(req).await
+    }
+}
+
+/// Returns the body of the same request that asks for a stream with its usage.
+fn streamed_body(body: &[u8]) -> Option<Bytes> {
+    let mut fields: Map<String, Value> = serde_json::from_slice(body).ok()?;
+    fields.insert("stream".to_owned(), Value::Bool(true));
+    fields.insert("stream_options".to_owned(), json!({"include_usage": true}));
+    Some(serde_json::to_vec(&fields).ok()?.into())
+}
--- a/components/proxy/tests/outcomes.rs
+++ b/components/proxy/tests/outcomes.rs
@@ -8,6 +8,7 @@
 use lycheelatch_fakes::{
     EngineConfig, Fault, ServedEngine, ServedPlain, serve_engine, serve_plain,
 };
+use lycheelatch_proxy::StreamCommand;
 use serde_json::json;
 
 fn orders(fixture: &mut Fixture, zones: &[&str]) -> Vec<ServedPlain> {
@@ -176,3 +177,56 @@
     assert!(engines[0].counts().generated_tokens < 100_000);
     assert_eq!(fixture.proxy.running().count(), 0);
 }
+
+/// Asks for 200 tokens, moves the answer once 20 are there, and returns it.
+async fn move_midway(fixture: &Fixture, engines: &[ServedEngine], prompt: &str) -> Seen {
+    let ask = json!({"model": "model-a", "max_tokens": 200, "prompt": prompt});
+    let call = fixture.call("POST", "/v1/completions").send_json(&ask);
+    let answer = async { seen(call.await.unwrap()).await };
+    let command = async {
+        let running = fixture.proxy.running();
+        while engines.iter().all(|engine| engine.counts().generated_tokens < 20) {
+            actix_web::rt::task::yield_now().await;
+        }
+        let stream = running.list().remove(0);
+        let from = stream.upstream.unwrap();
+        let all = fixture.proxy.registry().all();
+        let to = all.iter().find(|upstream| *upstream.id() != from).unwrap().id().clone();
+        assert!(running.command(&stream.request, StreamCommand::Move { to }));
+    };
+    futures_util::future::join(answer, command).await.0
+}
+
+#[actix_web::test]
+async fn answer_moves_with_its_cache() {
+    let mut fixture = Fixture::start();
+    let cfg = EngineConfig { token_interval: Duration::from_millis(2), ..Default::default() };
+    let engines = engines(&mut fixture, &["a", "b"], &cfg);
+    let answer = move_midway(&fixture, &engines, "lot history").await;
+    assert_eq!((answer.status, answer.outcome.as_str()), (200, "complete"));
+    assert_eq!(
+        answer.json()["choices"][0]["text"],
+        ServedEngine::expected_text("lot history", 200)
+    );
+    let recomputed: u64 = engines.iter().map(|e| e.counts().recomputed_tokens).sum();
+    assert_eq!(recomputed, 0);
+    assert!(engines.iter().all(|engine| engine.counts().started == 1));
+}
+
+#[actix_web::test]
+async fn answer_goes_on_when_the_export_is_silent() {
+    let mut fixture = Fixture::start();
+    let cfg = EngineConfig {
+        token_interval: Duration::from_millis(2),
+        export_is_silent: true,
+        ..Default::default()
+    };
+    let engines = engines(&mut fixture, &["a", "b"], &cfg);
+    let answer = move_midway(&fixture, &engines, "lot history").await;
+    assert_eq!((answer.status, answer.outcome.as_str()), (200, "complete"));
+    assert_eq!(
+        answer.json()["choices"][0]["text"],
+        ServedEngine::expected_text("lot history", 200)
+    );
+    assert!(engines.iter().all(|engine| engine.counts().started == 1));
+}
