--- a/components/fakes/examples/overhead/main.rs
+++ b/components/fakes/examples/overhead/main.rs
@@ -1,7 +1,8 @@
 //! Measures what one node adds to the latency of a call.
 //!
-//! The same open-loop load goes to a stand-in application directly and through
-//! one node, in turns, and the percentiles are compared.
+//! The same open-loop load goes to a stand-in application directly, directly on
+//! a connection for each request, and through one node, in turns, and the
+//! percentiles are compared.
 #![expect(clippy::print_stdout, reason = "the table is the purpose of the example")]
 
 #[path = "../quickstart/setup.rs"]
@@ -34,6 +35,8 @@
 struct Way {
     url: String,
     token: Option<&'static str>,
+    /// Whether each request has a connection of its own.
+    own_connection: bool,
 }
 
 /// Latencies of one way, in microseconds.
@@ -44,24 +47,28 @@
 
 async fn run() {
     let setup = Setup::start().await.expect("the stand-ins and nodes start");
-    let direct = Way { url: format!("http://{}/stock", setup.application_addr()), token: None };
+    let url = format!("http://{}/stock", setup.application_addr());
+    let direct = Way { url, token: None, own_connection: false };
+    let own = Way { own_connection: true, ..direct.clone() };
     let node = setup.nodes[0].callers();
-    let through = Way { url: node_url(node), token: Some(TOKEN) };
+    let through = Way { url: node_url(node), token: Some(TOKEN), own_connection: false };
     load(&direct, WARM_UP).await;
+    load(&own, WARM_UP).await;
     load(&through, WARM_UP).await;
     println!("{RATE} requests a second, {TURNS} turns of {} s each way", TURN.as_secs());
-    println!("{:10} {:>9} {:>9} {:>9} {:>9}", "way", "p50 us", "p95 us", "p99 us", "failed");
-    let mut seen = [Seen::new(), Seen::new()];
+    println!("{:22} {:>9} {:>9} {:>9} {:>9}", "way", "p50 us", "p95 us", "p99 us", "failed");
+    let mut seen = [Seen::new(), Seen::new(), Seen::new()];
     for _ in 0..TURNS {
         seen[0].add(load(&direct, TURN).await);
-        seen[1].add(load(&through, TURN).await);
+        seen[1].add(load(&own, TURN).await);
+        seen[2].add(load(&through, TURN).await);
     }
-    for (name, seen) in ["direct", "one node"].iter().zip(&seen) {
+    for (name, seen) in ["direct", "direct, own connection", "one node"].iter().zip(&seen) {
         let at = |q| seen.latency.value_at_quantile(q);
-        println!("{name:10} {:>9} {:>9} {:>9} {:>9}", at(0.5), at(0.95), at(0.99), seen.failures);
+        println!("{name:22} {:>9} {:>9} {:>9} {:>9}", at(0.5), at(0.95), at(0.99), seen.failures);
     }
     for q in [0.5, 0.95, 0.99] {
-        let [direct, node] = [0, 1].map(|i| seen[i].latency.value_at_quantile(q));
+        let [direct, node] = [0, 2].map(|i| seen[i].latency.value_at_quantile(q));
         println!(
             "added at p{:<3} {:>6} us, {:.2} times direct",
             q * 100.0,
@@ -128,6 +135,9 @@
     if let Some(token) = way.token {
         req = req.insert_header(("authorization", format!("Bearer {token}")));
     }
+    if way.own_connection {
+        req = req.force_close();
+    }
     let mut answer = req.send().await.ok()?;
     answer.body().await.ok()?;
     answer.status().is_success().then(|| begun.elapsed().as_micros() as u64)
