Keep the bound of added latency as a check that is known to be red

Cause: the issue asks for less than 1 ms added at p99 at 2,000 requests a second; 8.8 to 23.1 ms were seen. Ruled out by runs: a connection for each request, the instance list, the lock of the policies. Not found yet.

--- a/components/fakes/examples/overhead/main.rs
+++ b/components/fakes/examples/overhead/main.rs
@@ -8,7 +8,7 @@
 #[path = "../quickstart/setup.rs"]
 mod setup;
 
-use std::{net::SocketAddr, sync::mpsc, time::Duration};
+use std::{net::SocketAddr, process::ExitCode, sync::mpsc, time::Duration};
 
 use hdrhistogram::Histogram;
 use setup::{ORDERS_SERVICE, Setup, TOKEN};
@@ -26,8 +26,11 @@
 /// Time before the first turn counts.
 const WARM_UP: Duration = Duration::from_secs(1);
 
-fn main() {
-    actix::System::new().block_on(run());
+/// Most latency that a node may add at the 99th percentile, in microseconds.
+const MAX_ADDED_P99_US: u64 = 1000;
+
+fn main() -> ExitCode {
+    actix::System::new().block_on(run())
 }
 
 /// Where a load goes.
@@ -45,7 +48,7 @@
     failures: u64,
 }
 
-async fn run() {
+async fn run() -> ExitCode {
     let setup = Setup::start().await.expect("the stand-ins and nodes start");
     let url = format!("http://{}/stock", setup.application_addr());
     let direct = Way { url, token: None, own_connection: false };
@@ -76,7 +79,14 @@
             node as f64 / direct as f64
         );
     }
+    let [direct, node] = [0, 2].map(|i| seen[i].latency.value_at_quantile(0.99));
+    let is_kept = node.saturating_sub(direct) <= MAX_ADDED_P99_US;
+    println!(
+        "at most {MAX_ADDED_P99_US} us added at p99: {}",
+        if is_kept { "kept" } else { "BROKEN" }
+    );
     setup.stop().await;
+    if is_kept { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
 fn node_url(node: SocketAddr) -> String {
