proxy: Read a request's prompt once

Cause: reading the change again: admission, each placement and each retry parsed the body and hashed its prefixes anew, which is the costliest work of a request with a long history. Change: the record keeps the prompt once it was read. Behaviour is the same.

--- a/components/proxy/src/load/admit.rs
+++ b/components/proxy/src/load/admit.rs
@@ -10,7 +10,7 @@
     time::{Instant, timeout_at},
 };
 
-use super::{LoadControl, prompt::Prompt};
+use super::LoadControl;
 use crate::{Filter, Flow, Kind, Permit, Record, Refusal, RefusalReason};
 
 /// Time between looks at the queue by a request whose turn is overdue.
@@ -155,7 +155,7 @@
         fingerprint: fingerprint(rec),
         failed_before: false,
         deadline: rec.deadline.unwrap_or(now),
-        cost_tokens: Prompt::of(rec).cost(),
+        cost_tokens: rec.prompt().cost(),
         priority: rec.head.priority,
     }
 }
--- a/components/proxy/src/load/mod.rs
+++ b/components/proxy/src/load/mod.rs
@@ -30,6 +30,7 @@
 pub use admit::AdmitByPolicy;
 pub use place::PlaceByPolicy;
 pub use poll::{poll_engines, seed_of};
+pub(crate) use prompt::Prompt;
 pub use retry::RetryByPolicy;
 pub use sense::tell_homes;
 
--- a/components/proxy/src/load/place.rs
+++ b/components/proxy/src/load/place.rs
@@ -97,8 +97,8 @@
 
 impl Place for PlaceByPolicy {
     fn place(&self, ask: &PlaceAsk<'_>) -> Result<Placed, Refusal> {
-        let prompt = Prompt::of(ask.rec);
-        let req = request(ask, &prompt, &self.0);
+        let prompt = ask.rec.prompt();
+        let req = request(ask, prompt, &self.0);
         let now = Instant::now();
         let mut state = self.0.lock();
         self.0.sync(&mut state, &ask.rec.config, now);
@@ -110,8 +110,8 @@
     }
 
     fn adopt(&self, ask: &PlaceAsk<'_>, upstream: Arc<Upstream>) -> Placed {
-        let prompt = Prompt::of(ask.rec);
-        let req = request(ask, &prompt, &self.0);
+        let prompt = ask.rec.prompt();
+        let req = request(ask, prompt, &self.0);
         let id = upstream.id().clone();
         self.count(&req, upstream, |req| self.0.lock().placement.started(Instant::now(), &id, req))
     }
--- a/components/proxy/src/load/retry.rs
+++ b/components/proxy/src/load/retry.rs
@@ -5,7 +5,7 @@
 use lycheelatch_policy::{RetryPolicy, TryContext};
 use tokio::time::Instant;
 
-use super::{LoadControl, prompt::Prompt};
+use super::LoadControl;
 use crate::{Permit, Retry, RetryAsk};
 
 /// Allows retries by the retry policy.
@@ -31,7 +31,7 @@
             deadline: rec.deadline.unwrap_or(now),
             expected: state.admission.run_time(service),
         };
-        let cost = Prompt::of(rec).cost();
+        let cost = rec.prompt().cost();
         let draw = || state.admission.draw_retry_for(now, service, workspace, cost);
         let decision = RetryPolicy.may_retry(now, ask.err.reached(), &cx, draw);
         if let Err(why) = decision {
--- a/components/proxy/src/record.rs
+++ b/components/proxy/src/record.rs
@@ -1,6 +1,6 @@
 //! The record of one request.
 
-use std::sync::Arc;
+use std::{cell::OnceCell, sync::Arc};
 
 use bytes::Bytes;
 use lycheelatch_claims::ClaimTicket;
@@ -8,7 +8,7 @@
 use lycheelatch_prelude::{Idempotency, Labels, RequestId};
 use tokio::time::Instant;
 
-use crate::{Permit, head::Head};
+use crate::{Permit, head::Head, load::Prompt};
 
 /// What kind of call a request is.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -55,6 +55,8 @@
     pub claim: Option<ClaimTicket>,
     /// Room that the request takes up; set by admission.
     pub permit: Option<Box<dyn Permit>>,
+    /// Prompt, once it was read from the body.
+    prompt: OnceCell<Prompt>,
 }
 
 impl Record {
@@ -73,6 +75,7 @@
             deadline: None,
             claim: None,
             permit: None,
+            prompt: OnceCell::new(),
         }
     }
 
@@ -99,6 +102,11 @@
         self.workspace.as_ref().expect("authenticated")
     }
 
+    /// Returns the prompt, which is read from the body once, after classification.
+    pub(crate) fn prompt(&self) -> &Prompt {
+        self.prompt.get_or_init(|| Prompt::of(self))
+    }
+
     /// Returns the time left until the deadline.
     pub fn time_left(&self, now: Instant) -> std::time::Duration {
         match self.deadline {
