--- a/components/claims/src/commit.rs
+++ b/components/claims/src/commit.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use lycheelatch_platform::{CasOutcome, Entry, KeyValue, KvError, KvKey, Version};
+use lycheelatch_provider::{CasOutcome, Entry, KeyValue, KvError, KvKey, Version};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
--- a/components/claims/src/forward.rs
+++ b/components/claims/src/forward.rs
@@ -5,8 +5,8 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use lycheelatch_peers::{MemberState, PeerError, PeerHandler, PeerLink, Topic};
-use lycheelatch_platform::KvError;
 use lycheelatch_prelude::NodeId;
+use lycheelatch_provider::KvError;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
--- a/components/claims/src/queue.rs
+++ b/components/claims/src/queue.rs
@@ -5,7 +5,7 @@
     sync::{Arc, Mutex},
 };
 
-use lycheelatch_platform::KvError;
+use lycheelatch_provider::KvError;
 use tokio::{
     sync::oneshot,
     task::spawn_local,
--- a/components/claims/src/service.rs
+++ b/components/claims/src/service.rs
@@ -9,8 +9,8 @@
 };
 
 use lycheelatch_peers::{PeerLink, Topic};
-use lycheelatch_platform::KeyValue;
 use lycheelatch_prelude::{IdempotencyKey, NodeId, RequestId, ServiceName, WorkspaceName};
+use lycheelatch_provider::KeyValue;
 use tokio::time::{Instant, sleep};
 
 use crate::{
--- a/components/claims/src/types.rs
+++ b/components/claims/src/types.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use displaydoc::Display;
-use lycheelatch_platform::KvError;
+use lycheelatch_provider::KvError;
 use sha2::{Digest, Sha256};
 
 use crate::record::{Claimant, KeyDigest};
--- a/components/claims/src/wire.rs
+++ b/components/claims/src/wire.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use displaydoc::Display;
-use lycheelatch_platform::KvError;
+use lycheelatch_provider::KvError;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::{
--- a/components/config/examples/config_cost.rs
+++ b/components/config/examples/config_cost.rs
@@ -20,10 +20,10 @@
     WallClock,
 };
 use lycheelatch_fakes::{Fault, MemoryKv};
-use lycheelatch_platform::{
+use lycheelatch_prelude::ChangeId;
+use lycheelatch_provider::{
     CasOutcome, Entry, KeyValue, KvError, KvKey, LeaseId, Version, WatchIndex, Watched,
 };
-use lycheelatch_prelude::ChangeId;
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
--- a/components/config/src/change.rs
+++ b/components/config/src/change.rs
@@ -3,8 +3,8 @@
 use std::{collections::BTreeSet, fmt, sync::Arc};
 
 use displaydoc::Display;
-use lycheelatch_platform::{KvError, KvKey};
 use lycheelatch_prelude::{ChangeId, InvalidValue, OperatorName, Revision};
+use lycheelatch_provider::{KvError, KvKey};
 
 use crate::{ChangeRecord, Document, Object, ObjectChange, ObjectKey, Snapshot, record, validate};
 
--- a/components/config/src/store/apply.rs
+++ b/components/config/src/store/apply.rs
@@ -3,8 +3,8 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use lycheelatch_platform::{CasOutcome, Entry, KvError, KvKey};
 use lycheelatch_prelude::Revision;
+use lycheelatch_provider::{CasOutcome, Entry, KvError, KvKey};
 use tokio::time::Instant;
 
 use super::{
--- a/components/config/src/store/calls.rs
+++ b/components/config/src/store/calls.rs
@@ -3,7 +3,7 @@
 use std::{future::Future, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use lycheelatch_platform::{
+use lycheelatch_provider::{
     CasOutcome, Entry, KeyValue, KvError, KvKey, Version, WatchIndex, Watched,
 };
 use tokio::time::{Instant, sleep, timeout};
--- a/components/config/src/store/head.rs
+++ b/components/config/src/store/head.rs
@@ -4,8 +4,8 @@
 
 use base64::{Engine as _, engine::general_purpose::STANDARD_NO_PAD};
 use bytes::Bytes;
-use lycheelatch_platform::KvKey;
 use lycheelatch_prelude::{ChangeId, Revision};
+use lycheelatch_provider::KvKey;
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
 
--- a/components/config/src/store/history.rs
+++ b/components/config/src/store/history.rs
@@ -1,8 +1,8 @@
 //! The audit records: the latest in the head, the others in a chain of pages.
 
 use bytes::Bytes;
-use lycheelatch_platform::KvKey;
 use lycheelatch_prelude::Revision;
+use lycheelatch_provider::KvKey;
 use serde::{Deserialize, Serialize};
 use uuid::Uuid;
 
--- a/components/config/src/store/mod.rs
+++ b/components/config/src/store/mod.rs
@@ -17,8 +17,8 @@
     time::Duration,
 };
 
-use lycheelatch_platform::{Entry, KeyValue, Version, WatchIndex};
 use lycheelatch_prelude::Revision;
+use lycheelatch_provider::{Entry, KeyValue, Version, WatchIndex};
 
 use self::{calls::Calls, head::Head, parts::Parts};
 use crate::{ConfigError, Snapshot, SystemClock, WallClock};
--- a/components/config/src/store/parts.rs
+++ b/components/config/src/store/parts.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use lycheelatch_platform::{Entry, KvKey};
+use lycheelatch_provider::{Entry, KvKey};
 use uuid::Uuid;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
--- a/components/config/src/store/sweep.rs
+++ b/components/config/src/store/sweep.rs
@@ -1,7 +1,7 @@
 //! Removes parts that changes left behind when their nodes died before the commit.
 
-use lycheelatch_platform::{Entry, KvError, KvKey};
 use lycheelatch_prelude::Revision;
+use lycheelatch_provider::{Entry, KvError, KvKey};
 
 use super::{
     ConfigStore,
--- a/components/config/tests/common/mod.rs
+++ b/components/config/tests/common/mod.rs
@@ -20,10 +20,10 @@
     ObjectKind, Snapshot, Timestamp, WallClock,
 };
 use lycheelatch_fakes::MemoryKv;
-use lycheelatch_platform::{
+use lycheelatch_prelude::{ChangeId, Revision};
+use lycheelatch_provider::{
     CasOutcome, Entry, KeyValue, KvError, KvKey, LeaseId, Version, WatchIndex, Watched,
 };
-use lycheelatch_prelude::{ChangeId, Revision};
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
--- a/components/config/tests/store.rs
+++ b/components/config/tests/store.rs
@@ -13,10 +13,10 @@
     ApplyEffect, ApplyError, AuditQuery, ConfigError, ConfigStore, Edit, ObjectKind,
 };
 use lycheelatch_fakes::{Fault, MemoryKv};
-use lycheelatch_platform::{
+use lycheelatch_prelude::Revision;
+use lycheelatch_provider::{
     Budget, BudgetLimits, CallClass, KeyValue, KvKey, MAX_VALUE_BYTES, WatchIndex,
 };
-use lycheelatch_prelude::Revision;
 use prometheus::Registry;
 use serde_json::json;
 
--- a/components/daemon/src/clients.rs
+++ b/components/daemon/src/clients.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use lycheelatch_platform::{
+use lycheelatch_provider::{
     Budget, BudgetLimits, Cloud, Endpoint, HttpCloud, HttpInstanceList, HttpKeyValue,
     HttpWeightStore, InstanceList, WeightStore,
 };
--- a/components/daemon/src/cluster.rs
+++ b/components/daemon/src/cluster.rs
@@ -6,7 +6,7 @@
 use lycheelatch_config::{ConfigStore, CurrentConfig};
 use lycheelatch_fleet::{Fleet, FleetDeps, Leaving};
 use lycheelatch_peers::{ConfigSpread, KvSeeds, PeerLink, QuicLink, SeedFinder, SeedSource};
-use lycheelatch_platform::CallClass;
+use lycheelatch_provider::CallClass;
 use lycheelatch_proxy::{EvacuateStreams, Proxy, RegistryDirectory};
 use tokio::task::JoinHandle;
 
--- a/components/daemon/src/config_task.rs
+++ b/components/daemon/src/config_task.rs
@@ -4,7 +4,7 @@
 
 use lycheelatch_config::{ConfigStore, CurrentConfig};
 use lycheelatch_peers::Members;
-use lycheelatch_platform::{Budget, WatchIndex};
+use lycheelatch_provider::{Budget, WatchIndex};
 use tokio::{sync::watch, time::sleep};
 
 use crate::Health;
--- a/components/daemon/src/control.rs
+++ b/components/daemon/src/control.rs
@@ -9,8 +9,8 @@
     RouteExplanation, RouteQuery, UpstreamStatus,
 };
 use lycheelatch_peers::{MemberState, PeerLink};
-use lycheelatch_platform::{KeyValue, KvKey};
 use lycheelatch_prelude::{NodeId, RegionName, ZoneName};
+use lycheelatch_provider::{KeyValue, KvKey};
 use lycheelatch_proxy::{LoadControl, Proxy, Upstream};
 use tokio::{sync::Notify, time::timeout};
 
--- a/components/daemon/src/node.rs
+++ b/components/daemon/src/node.rs
@@ -7,8 +7,8 @@
 use lycheelatch_config::{ConfigStore, CurrentConfig};
 use lycheelatch_operator::OperatorApi;
 use lycheelatch_peers::{IdentityCheck, PeerLink, PeersConfig, Pem, QuicLink, TlsFiles};
-use lycheelatch_platform::CallClass;
 use lycheelatch_prelude::NodeId;
+use lycheelatch_provider::CallClass;
 use lycheelatch_proxy::{
     AdmitByPolicy, HttpConnect, LoadControl, PlaceByPolicy, Proxy, ProxyMetrics, ProxyParts,
     Registry, RetryByPolicy, poll_engines, seed_of, tell_homes,
--- a/components/daemon/src/registry_task.rs
+++ b/components/daemon/src/registry_task.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use lycheelatch_config::CurrentConfig;
-use lycheelatch_platform::{InstanceList, ListedInstance};
+use lycheelatch_provider::{InstanceList, ListedInstance};
 use lycheelatch_proxy::Registry;
 use tokio::time::{Instant, sleep_until};
 
--- a/components/daemon/src/route.rs
+++ b/components/daemon/src/route.rs
@@ -103,7 +103,7 @@
 mod tests {
     use std::sync::Arc;
 
-    use lycheelatch_platform::ListedInstance;
+    use lycheelatch_provider::ListedInstance;
     use lycheelatch_proxy::{HttpConnect, Registry};
     use serde_json::{Value, json};
 
@@ -118,8 +118,8 @@
             zone: "cenarth".parse().unwrap(),
             region: "ceredigion".parse().unwrap(),
             class: "small".parse().unwrap(),
-            purchase: lycheelatch_platform::Purchase::OnDemand,
-            state: lycheelatch_platform::ListedState::Live,
+            purchase: lycheelatch_provider::Purchase::OnDemand,
+            state: lycheelatch_provider::ListedState::Live,
             labels: format!("tier={tier}").parse().unwrap(),
         }
     }
--- a/components/fakes/examples/generated_inputs/readers.rs
+++ b/components/fakes/examples/generated_inputs/readers.rs
@@ -7,14 +7,14 @@
 use lycheelatch_config::{Delta, Document, Edit, Selector, Snapshot, TokenHash, plan};
 use lycheelatch_fakes::MemoryKv;
 use lycheelatch_peers::{Body, Holding, MemberState, Membership, Message, Record, Topic, Update};
-use lycheelatch_platform::{
-    Entry, ListedInstance, ReclaimNotice,
-    wire::{InstanceListWire, KvEntryWire, ReclaimNoticeWire},
-};
 use lycheelatch_policy::LoadDigest;
 use lycheelatch_prelude::{
     Attempt, IdempotencyKey, Incarnation, Labels, Name, RequestId, UpstreamId,
 };
+use lycheelatch_provider::{
+    Entry, ListedInstance, ReclaimNotice,
+    wire::{InstanceListWire, KvEntryWire, ReclaimNoticeWire},
+};
 use lycheelatch_proxy::{
     AdmitInFlight, Head, HttpConnect, LeastInFlight, Proxy, ProxyMetrics, ProxyParts, Registry,
     RetryFixed,
--- a/components/fakes/examples/quickstart/setup.rs
+++ b/components/fakes/examples/quickstart/setup.rs
@@ -10,8 +10,8 @@
     ServedPlain, ServedPlatform, serve_engine, serve_plain, serve_platform,
 };
 use lycheelatch_peers::{CertificateAuthority, IdentityCheck, PeersConfig};
-use lycheelatch_platform::{Instance, InstanceState, ListedInstance, ListedState, Purchase};
 use lycheelatch_prelude::{Name, Revision, ServiceName};
+use lycheelatch_provider::{Instance, InstanceState, ListedInstance, ListedState, Purchase};
 use lycheelatch_settings::Settings;
 use serde_json::json;
 use tokio::time::{Instant, sleep, timeout};
--- a/components/fakes/src/cloud.rs
+++ b/components/fakes/src/cloud.rs
@@ -8,10 +8,10 @@
 };
 
 use async_trait::async_trait;
-use lycheelatch_platform::{
+use lycheelatch_prelude::{InstanceId, Sequence, ZoneName};
+use lycheelatch_provider::{
     Cloud, CloudError, Instance, InstanceState, Offer, ReclaimNotice, StartInstance,
 };
-use lycheelatch_prelude::{InstanceId, Sequence, ZoneName};
 use tokio::{
     sync::Notify,
     time::{Instant, sleep, timeout},
--- a/components/fakes/src/http/platform.rs
+++ b/components/fakes/src/http/platform.rs
@@ -4,11 +4,11 @@
 
 use actix_web::{HttpResponse, web};
 use bytes::Bytes;
-use lycheelatch_platform::{
+use lycheelatch_prelude::{InstanceId, ModelName, ModelVersion, Sequence};
+use lycheelatch_provider::{
     CasOutcome, Cloud, CloudError, InstanceList, KeyValue, KvError, KvKey, LeaseId, Version,
     WatchIndex, Watched, WeightStore, wire,
 };
-use lycheelatch_prelude::{InstanceId, ModelName, ModelVersion, Sequence};
 use serde::Deserialize;
 
 use crate::http::server::{HttpServerHandle, serve};
@@ -73,7 +73,7 @@
     }
 }
 
-fn kv_answer(index: WatchIndex, entries: Vec<lycheelatch_platform::Entry>) -> HttpResponse {
+fn kv_answer(index: WatchIndex, entries: Vec<lycheelatch_provider::Entry>) -> HttpResponse {
     let wire: Vec<_> = entries.into_iter().map(wire::KvEntryWire::from).collect();
     let mut answer = if wire.is_empty() { HttpResponse::NotFound() } else { HttpResponse::Ok() };
     answer.insert_header(("X-Consul-Index", index.0.to_string())).json(wire)
--- a/components/fakes/src/instances.rs
+++ b/components/fakes/src/instances.rs
@@ -6,7 +6,7 @@
 };
 
 use async_trait::async_trait;
-use lycheelatch_platform::{InstanceList, InstanceListError, ListedInstance};
+use lycheelatch_provider::{InstanceList, InstanceListError, ListedInstance};
 use tokio::time::{Instant, sleep};
 
 use crate::{Fault, Faults};
--- a/components/fakes/src/kv.rs
+++ b/components/fakes/src/kv.rs
@@ -12,7 +12,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use lycheelatch_platform::{
+use lycheelatch_provider::{
     CasOutcome, Entry, KeyValue, KvError, KvKey, LeaseId, Version, WatchIndex, Watched,
     check_value_size,
 };
--- a/components/fakes/src/weights.rs
+++ b/components/fakes/src/weights.rs
@@ -6,8 +6,8 @@
 };
 
 use async_trait::async_trait;
-use lycheelatch_platform::{WeightInfo, WeightStore, WeightStoreError};
 use lycheelatch_prelude::{ModelName, ModelVersion};
+use lycheelatch_provider::{WeightInfo, WeightStore, WeightStoreError};
 
 use crate::{Fault, Faults};
 
--- a/components/fleet/examples/fleet_slopes.rs
+++ b/components/fleet/examples/fleet_slopes.rs
@@ -61,7 +61,7 @@
     for count in [100_u64, 1_000, 4_000] {
         let (now, leaving) = (Instant::now(), Leaving::new());
         let notices: Vec<_> = (0..count)
-            .map(|i| lycheelatch_platform::ReclaimNotice {
+            .map(|i| lycheelatch_provider::ReclaimNotice {
                 sequence: lycheelatch_prelude::Sequence(i + 1),
                 instance: format!("i-{i:016}").parse().unwrap(),
                 remaining: Duration::from_secs(3),
--- a/components/fleet/src/fleet.rs
+++ b/components/fleet/src/fleet.rs
@@ -4,8 +4,8 @@
 
 use lycheelatch_config::CurrentConfig;
 use lycheelatch_peers::PeerLink;
-use lycheelatch_platform::{Cloud, InstanceList, KeyValue, WeightStore};
 use lycheelatch_prelude::ServiceName;
+use lycheelatch_provider::{Cloud, InstanceList, KeyValue, WeightStore};
 use prometheus::Registry;
 use rand::Rng;
 use tokio::{
--- a/components/fleet/src/gate.rs
+++ b/components/fleet/src/gate.rs
@@ -11,8 +11,8 @@
 
 use bytes::Bytes;
 use displaydoc::Display;
-use lycheelatch_platform::{CasOutcome, Entry, KeyValue, KvError, KvKey};
 use lycheelatch_prelude::{Fence, UpstreamId};
+use lycheelatch_provider::{CasOutcome, Entry, KeyValue, KvError, KvKey};
 use serde::{Deserialize, Serialize};
 
 use crate::lease::within;
--- a/components/fleet/src/lease.rs
+++ b/components/fleet/src/lease.rs
@@ -10,8 +10,8 @@
 };
 
 use bytes::Bytes;
-use lycheelatch_platform::{CasOutcome, Entry, KeyValue, KvError, KvKey, LeaseId};
 use lycheelatch_prelude::{Fence, NodeId};
+use lycheelatch_provider::{CasOutcome, Entry, KeyValue, KvError, KvKey, LeaseId};
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, timeout};
 
--- a/components/fleet/src/leaving.rs
+++ b/components/fleet/src/leaving.rs
@@ -10,8 +10,8 @@
     time::Duration,
 };
 
-use lycheelatch_platform::ReclaimNotice;
 use lycheelatch_prelude::{InstanceId, Sequence};
+use lycheelatch_provider::ReclaimNotice;
 use tokio::{sync::watch, time::Instant};
 use xxhash_rust::xxh3::xxh3_64;
 
--- a/components/fleet/src/listing.rs
+++ b/components/fleet/src/listing.rs
@@ -6,8 +6,8 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use lycheelatch_platform::{ListedInstance, ListedState};
 use lycheelatch_prelude::InstanceId;
+use lycheelatch_provider::{ListedInstance, ListedState};
 use tokio::time::Instant;
 
 use crate::{Leaving, Standing};
--- a/components/fleet/src/metrics.rs
+++ b/components/fleet/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of the fleet.
 
-use lycheelatch_platform::Purchase;
+use lycheelatch_provider::Purchase;
 use prometheus::{
     IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, core::Collector,
 };
--- a/components/fleet/src/notices.rs
+++ b/components/fleet/src/notices.rs
@@ -5,8 +5,8 @@
 use std::{sync::Arc, time::Duration};
 
 use lycheelatch_peers::{Member, Members};
-use lycheelatch_platform::{Cloud, InstanceList};
 use lycheelatch_prelude::{NodeId, Sequence};
+use lycheelatch_provider::{Cloud, InstanceList};
 use rand::Rng;
 use tokio::time::{Instant, sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
--- a/components/fleet/src/orders.rs
+++ b/components/fleet/src/orders.rs
@@ -6,8 +6,8 @@
 };
 
 use displaydoc::Display;
-use lycheelatch_platform::KeyValue;
 use lycheelatch_prelude::{Fence, UpstreamId};
+use lycheelatch_provider::KeyValue;
 use lycheelatch_upstream::{Engine, Order, OrderKind, Reached, UpstreamError};
 use tokio::time::{Instant, timeout};
 
--- a/components/fleet/src/scale.rs
+++ b/components/fleet/src/scale.rs
@@ -6,7 +6,7 @@
 };
 
 use lycheelatch_config::FleetSpec;
-use lycheelatch_platform::Offer;
+use lycheelatch_provider::Offer;
 use rand::Rng;
 use tokio::time::Instant;
 
--- a/components/fleet/src/shard.rs
+++ b/components/fleet/src/shard.rs
@@ -7,10 +7,10 @@
 };
 
 use lycheelatch_config::{FleetSpec, Service};
-use lycheelatch_platform::{
+use lycheelatch_prelude::{Fence, InstanceId, ServiceName, UpstreamId};
+use lycheelatch_provider::{
     Cloud, CloudError, Instance, InstanceState, KeyValue, StartInstance, WeightStore,
 };
-use lycheelatch_prelude::{Fence, InstanceId, ServiceName, UpstreamId};
 use lycheelatch_upstream::{LoadReport, LoadedModel, OrderKind};
 use tokio::time::{Instant, timeout};
 
--- a/components/fleet/src/size.rs
+++ b/components/fleet/src/size.rs
@@ -7,8 +7,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use lycheelatch_config::FleetSpec;
-use lycheelatch_platform::{Offer, Purchase};
 use lycheelatch_prelude::{InstanceClass, ZoneName};
+use lycheelatch_provider::{Offer, Purchase};
 
 /// Share of the reclaimable instances that may go at once, over all zones.
 const RECLAIMED_AT_ONCE: f64 = 0.45;
--- a/components/fleet/tests/common/day.rs
+++ b/components/fleet/tests/common/day.rs
@@ -7,8 +7,8 @@
 
 use lycheelatch_config::{ClassCapacity, FleetSpec};
 use lycheelatch_fleet::{InstanceKind, Mix, NeedWindow, StartBackoff, choices, decide, judge};
-use lycheelatch_platform::{Offer, Purchase};
 use lycheelatch_prelude::Labels;
+use lycheelatch_provider::{Offer, Purchase};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::time::Instant;
 
--- a/components/fleet/tests/fleet.rs
+++ b/components/fleet/tests/fleet.rs
@@ -8,8 +8,8 @@
     MemoryWeights,
 };
 use lycheelatch_fleet::{Demand, EngineDirectory, Fleet, FleetDeps, Leaving, Runner};
-use lycheelatch_platform::{Offer, Purchase, WeightInfo};
 use lycheelatch_prelude::{Revision, ServiceName, UpstreamId};
+use lycheelatch_provider::{Offer, Purchase, WeightInfo};
 use lycheelatch_upstream::{Engine, OrderKind};
 use serde_json::json;
 use tokio::time::sleep;
--- a/components/fleet/tests/holder.rs
+++ b/components/fleet/tests/holder.rs
@@ -6,10 +6,10 @@
 use bytes::Bytes;
 use lycheelatch_fakes::{EngineSpeed, Fault, MemoryEngine, MemoryKv};
 use lycheelatch_fleet::{OrderError, Orders, ShardLease};
-use lycheelatch_platform::{
+use lycheelatch_prelude::{Sequence, UpstreamId};
+use lycheelatch_provider::{
     CasOutcome, Entry, KeyValue, KvError, KvKey, LeaseId, Version, WatchIndex, Watched,
 };
-use lycheelatch_prelude::{Sequence, UpstreamId};
 use lycheelatch_upstream::{
     CacheEvents, Engine, EngineRequest, EngineStream, KvBlob, LoadReport, Order, OrderKind, Role,
     UpstreamError,
--- a/components/fleet/tests/leaving.rs
+++ b/components/fleet/tests/leaving.rs
@@ -4,8 +4,8 @@
 
 use lycheelatch_fakes::MemoryNet;
 use lycheelatch_fleet::{Leaving, ReclaimSpread, Record, Stamp, Standing};
-use lycheelatch_platform::ReclaimNotice;
 use lycheelatch_prelude::{InstanceId, NodeId, Sequence};
+use lycheelatch_provider::ReclaimNotice;
 use proptest::prelude::*;
 use tokio::time::Instant;
 
--- a/components/fleet/tests/listing.rs
+++ b/components/fleet/tests/listing.rs
@@ -7,8 +7,8 @@
     Finding, FleetMetrics, Leaving, ListObserver, NoticeSources, ReclaimListener, ReclaimSpread,
     is_poller,
 };
-use lycheelatch_platform::{ListedInstance, ListedState, Purchase, ReclaimNotice};
 use lycheelatch_prelude::{InstanceId, Sequence};
+use lycheelatch_provider::{ListedInstance, ListedState, Purchase, ReclaimNotice};
 use tokio::time::{Instant, sleep};
 
 const NODES: usize = 7;
--- a/components/fleet/tests/scale.rs
+++ b/components/fleet/tests/scale.rs
@@ -7,8 +7,8 @@
     Choice, InstanceKind, Load, Mix, NeedWindow, StartBackoff, cheapest_mix, choices, decide,
     judge, share_rate,
 };
-use lycheelatch_platform::{Offer, Purchase};
 use lycheelatch_prelude::Labels;
+use lycheelatch_provider::{Offer, Purchase};
 use proptest::prelude::*;
 use rand::{SeedableRng, rngs::StdRng};
 use tokio::time::Instant;
--- a/components/peers/src/config_spread/watch_store.rs
+++ b/components/peers/src/config_spread/watch_store.rs
@@ -3,8 +3,8 @@
 use std::{future::pending, sync::Arc, time::Duration};
 
 use lycheelatch_config::Snapshot;
-use lycheelatch_platform::WatchIndex;
 use lycheelatch_prelude::Revision;
+use lycheelatch_provider::WatchIndex;
 use rand::Rng;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
--- a/components/peers/src/seeds.rs
+++ b/components/peers/src/seeds.rs
@@ -10,10 +10,10 @@
 
 use async_trait::async_trait;
 use displaydoc::Display;
-use lycheelatch_platform::{
+use lycheelatch_prelude::{ServiceName, ZoneName};
+use lycheelatch_provider::{
     CasOutcome, InstanceList, InstanceListError, KeyValue, KvError, KvKey, ListedState,
 };
-use lycheelatch_prelude::{ServiceName, ZoneName};
 use tokio::{
     task::{JoinHandle, spawn_local},
     time::{Instant, sleep, timeout},
@@ -83,10 +83,10 @@
 impl SeedSource for ListedSeeds {
     async fn seeds(&self) -> Result<Vec<SocketAddr>, SeedError> {
         let listed = self.list.list().await.map_err(SeedError::List)?;
-        let is_node = |i: &&lycheelatch_platform::ListedInstance| {
+        let is_node = |i: &&lycheelatch_provider::ListedInstance| {
             i.service == self.service && i.state == ListedState::Live
         };
-        let addr = |i: &lycheelatch_platform::ListedInstance| (i.addr.ip(), self.port).into();
+        let addr = |i: &lycheelatch_provider::ListedInstance| (i.addr.ip(), self.port).into();
         Ok(listed.iter().filter(is_node).map(addr).collect())
     }
 }
--- a/components/platform/tests/budget.rs
+++ b/components/provider/tests/budget.rs
@@ -4,7 +4,7 @@
 
 use futures_util::future::join_all;
 use lycheelatch_fakes::{Fault, MemoryKv};
-use lycheelatch_platform::{
+use lycheelatch_provider::{
     Budget, BudgetLimits, CallClass, KeyValue, KvError, KvKey, Version, WatchIndex,
 };
 use prometheus::Registry;
--- a/components/platform/tests/generated.rs
+++ b/components/provider/tests/generated.rs
@@ -1,7 +1,7 @@
 //! Generated answers of the platform.
 
 use lycheelatch_fakes::Inputs;
-use lycheelatch_platform::{
+use lycheelatch_provider::{
     Entry, ListedInstance, ReclaimNotice,
     wire::{InstanceListWire, KvEntryWire, ReclaimNoticeWire},
 };
--- a/components/proxy/src/connect.rs
+++ b/components/proxy/src/connect.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use lycheelatch_config::{Service, ServiceKind};
-use lycheelatch_platform::ListedInstance;
+use lycheelatch_provider::ListedInstance;
 use lycheelatch_upstream::{Engine, HttpEngine, HttpPlainService, PlainService, UpstreamTimeouts};
 
 /// Client of one upstream.
--- a/components/proxy/src/load/mod.rs
+++ b/components/proxy/src/load/mod.rs
@@ -141,7 +141,7 @@
             region: listed.region.clone(),
             labels: listed.labels.clone(),
             price_per_hour: UNKNOWN_PRICE,
-            reclaimable: listed.purchase == lycheelatch_platform::Purchase::Reclaimable,
+            reclaimable: listed.purchase == lycheelatch_provider::Purchase::Reclaimable,
             state: if is_leaving { CandidateState::Leaving } else { CandidateState::Live },
         }
     }
--- a/components/proxy/src/registry.rs
+++ b/components/proxy/src/registry.rs
@@ -10,8 +10,8 @@
 
 use arc_swap::ArcSwap;
 use lycheelatch_config::{Service, Snapshot};
-use lycheelatch_platform::{ListedInstance, ListedState};
 use lycheelatch_prelude::{InstanceId, ServiceName, UpstreamId};
+use lycheelatch_provider::{ListedInstance, ListedState};
 
 use crate::{Connect, Target};
 
--- a/components/proxy/tests/bench/node.rs
+++ b/components/proxy/tests/bench/node.rs
@@ -9,8 +9,8 @@
 use lycheelatch_config::{Service, ServiceKind, Snapshot, TokenHash, Workspace};
 use lycheelatch_fakes::{MemoryKv, MemoryNet};
 use lycheelatch_peers::{MemberState, PeerLink};
-use lycheelatch_platform::{ListedInstance, ListedState, Purchase};
 use lycheelatch_prelude::{NodeId, Revision, ServiceName};
+use lycheelatch_provider::{ListedInstance, ListedState, Purchase};
 use lycheelatch_proxy::{
     AdmitInFlight, CallerLimits, Connect, HandoverReport, LeastInFlight, Proxy, ProxyMetrics,
     ProxyParts, Registry, RetryFixed, Target, configure,
--- a/components/proxy/tests/common/mod.rs
+++ b/components/proxy/tests/common/mod.rs
@@ -9,7 +9,7 @@
 use lycheelatch_claims::{Claims, ClaimsConfig};
 use lycheelatch_config::{Document, Edit, Snapshot, plan};
 use lycheelatch_fakes::{MemoryKv, ServedEngine, ServedPlain};
-use lycheelatch_platform::{ListedInstance, ListedState, Purchase};
+use lycheelatch_provider::{ListedInstance, ListedState, Purchase};
 use lycheelatch_proxy::{
     AdmitInFlight, CallerLimits, HttpConnect, LeastInFlight, Proxy, ProxyMetrics, ProxyParts,
     Registry, RetryFixed, configure,
--- a/components/proxy/tests/load.rs
+++ b/components/proxy/tests/load.rs
@@ -6,8 +6,8 @@
 use lycheelatch_claims::{Claims, ClaimsConfig};
 use lycheelatch_config::{Service, ServiceKind, ServiceLimits, Snapshot, TokenHash, Workspace};
 use lycheelatch_fakes::{MemoryKv, MemoryNet, ServedPlain, serve_plain};
-use lycheelatch_platform::{ListedInstance, ListedState, Purchase};
 use lycheelatch_prelude::{Labels, Revision};
+use lycheelatch_provider::{ListedInstance, ListedState, Purchase};
 use lycheelatch_proxy::{
     AdmitByPolicy, CallerLimits, HttpConnect, LoadControl, PlaceByPolicy, Proxy, ProxyMetrics,
     ProxyParts, Registry, RetryByPolicy,
