--- a/components/daemon/src/cli.rs
+++ b/components/daemon/src/cli.rs
@@ -3,9 +3,9 @@
 use std::{ffi::OsString, path::PathBuf, process::ExitCode};
 
 use clap::{Arg, ArgAction, Command, value_parser};
-use lycheelatch_settings::Settings;
+use lycheelatch_settings::{NodeSettings, Settings};
 
-use crate::{Node, StartError, logging, peers_config, signals::Signals};
+use crate::{Node, StartError, gateway::run_gateway, logging, peers_config, signals::Signals};
 
 fn command() -> Command {
     Command::new("lycheelatchd")
@@ -43,16 +43,22 @@
     if matches.get_flag("check") {
         return ExitCode::SUCCESS;
     }
-    match actix::System::new().block_on(run_node(settings)) {
+    let ended = actix::System::new().block_on(async {
+        match settings {
+            NodeSettings::Own(settings) => run_node(settings).await,
+            NodeSettings::Gateway(settings) => run_gateway(settings).await,
+        }
+    });
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => fail(&err, 1),
     }
 }
 
-fn read_settings(path: PathBuf) -> Result<Settings, StartError> {
+fn read_settings(path: PathBuf) -> Result<NodeSettings, StartError> {
     let text = std::fs::read_to_string(&path)
         .map_err(|source| StartError::ReadSettings { path, source })?;
-    Settings::from_json(&text).map_err(StartError::Settings)
+    NodeSettings::from_json(&text).map_err(StartError::Settings)
 }
 
 #[expect(clippy::print_stderr, reason = "the log is not open yet")]
--- a/components/daemon/src/error.rs
+++ b/components/daemon/src/error.rs
@@ -24,6 +24,8 @@
         /// What the operating system said.
         source: std::io::Error,
     },
+    /// the gateway does not start: {0}
+    Gateway(std::io::Error),
     /// the metrics can't be registered: {0}
     Metrics(prometheus::Error),
     /// the links to the other nodes do not start: {0}
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 mod config_task;
 mod control;
 mod error;
+mod gateway;
 mod health;
 mod logging;
 mod node;
--- a/components/daemon/src/logging.rs
+++ b/components/daemon/src/logging.rs
@@ -1,6 +1,9 @@
 //! The log: text or JSON lines on the standard error.
 
-use flexi_logger::{LogSpecification, Logger, LoggerHandle};
+use std::io::{self, Write};
+
+use flexi_logger::{DeferredNow, LogSpecification, Logger, LoggerHandle, Record};
+use lycheelatch_gateway::DECISIONS;
 use lycheelatch_settings::{LogFormat, LogSettings};
 
 use crate::StartError;
@@ -19,3 +22,23 @@
     };
     Logger::with(spec).format(format).log_to_stderr().start().map_err(StartError::Log)
 }
+
+/// Opens the log of a gateway: JSON lines on the standard output.
+pub(crate) fn open_lines(cfg: &LogSettings) -> Result<LoggerHandle, StartError> {
+    let spec = LogSpecification::builder().default(cfg.level).build();
+    Logger::with(spec).format(json_line).log_to_stdout().start().map_err(StartError::Log)
+}
+
+/// Writes one JSON line; decisions are JSON already.
+fn json_line(w: &mut dyn Write, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
+    if record.target() == DECISIONS {
+        return write!(w, "{}", record.args());
+    }
+    let line = serde_json::json!({
+        "event": "log",
+        "time": now.now().to_rfc3339(),
+        "level": record.level().as_str(),
+        "text": record.args().to_string(),
+    });
+    write!(w, "{line}")
+}
--- /dev/null
+++ b/components/gateway/src/answer.rs
@@ -0,0 +1,64 @@
+//! Answers that this node gives by itself.
+
+use std::time::Duration;
+
+use actix_http::{
+    Response, StatusCode,
+    body::BoxBody,
+    header::{HeaderValue, RETRY_AFTER},
+};
+
+use crate::{decision::Reason, gateway::Gateway};
+
+/// An answer that this node gives by itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct OwnAnswer {
+    pub(crate) reason: Reason,
+    /// Time after which the caller may come back.
+    pub(crate) retry_after: Option<Duration>,
+}
+
+impl OwnAnswer {
+    pub(crate) fn new(reason: Reason) -> OwnAnswer {
+        OwnAnswer { reason, retry_after: None }
+    }
+
+    pub(crate) fn come_back(reason: Reason, after: Duration) -> OwnAnswer {
+        OwnAnswer { reason, retry_after: Some(after) }
+    }
+
+    pub(crate) fn into_response(self, gateway: &Gateway, request: &str) -> Response<BoxBody> {
+        let mut response = Response::new(status_of(self.reason));
+        let headers = response.head_mut();
+        if let Some(after) = self.retry_after
+            && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", after.as_secs_f64()))
+        {
+            headers.headers.insert(RETRY_AFTER, value);
+        }
+        if !request.is_empty() {
+            gateway.dialect.mark_own(&mut headers.headers, request);
+        }
+        response
+    }
+}
+
+/// Returns the status of an answer; 429 and 503 promise that the request did not run.
+fn status_of(reason: Reason) -> StatusCode {
+    match reason {
+        Reason::BadRequest => StatusCode::BAD_REQUEST,
+        Reason::UnknownKey => StatusCode::UNAUTHORIZED,
+        Reason::UnknownRoute => StatusCode::NOT_FOUND,
+        Reason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        Reason::BodyIncomplete => StatusCode::BAD_REQUEST,
+        Reason::OverQuota => StatusCode::TOO_MANY_REQUESTS,
+        Reason::NotInformed
+        | Reason::NoUpstream
+        | Reason::Busy
+        | Reason::NotRun
+        | Reason::TooLate => StatusCode::SERVICE_UNAVAILABLE,
+        Reason::UpstreamFailed => StatusCode::BAD_GATEWAY,
+        Reason::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        Reason::Answered | Reason::AnswerBroke | Reason::CallerLeft => StatusCode::BAD_GATEWAY,
+    }
+}
+
--- /dev/null
+++ b/components/gateway/src/clock.rs
@@ -0,0 +1,63 @@
+//! Clocks: time since the start of the machine, and the time of day.
+
+use std::{
+    cell::Cell,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+/// Difference of the time of day that other nodes must agree on before it is taken over.
+const MAX_DRIFT: Duration = Duration::from_millis(500);
+
+/// Time since the machine started, which goes on while it is suspended.
+pub trait BootClock {
+    /// Returns the time since the machine started.
+    fn elapsed(&self) -> Duration;
+}
+
+/// The machine's own clock.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct MachineClock;
+
+impl BootClock for MachineClock {
+    fn elapsed(&self) -> Duration {
+        let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        let seconds = u64::try_from(now.tv_sec).unwrap_or(0);
+        let nanos = u32::try_from(now.tv_nsec).unwrap_or(0);
+        Duration::new(seconds, nanos)
+    }
+}
+
+/// Time since 1970 that doesn't follow jumps of the local time of day.
+///
+/// It is read once, goes on by the boot clock, and is set again only when the
+/// other nodes agree on a different time.
+pub struct TrueTime {
+    boot: std::rc::Rc<dyn BootClock>,
+    offset: Cell<Duration>,
+}
+
+impl TrueTime {
+    /// Reads the time of day.
+    pub fn new(boot: std::rc::Rc<dyn BootClock>) -> TrueTime {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let offset = Cell::new(wall.saturating_sub(boot.elapsed()));
+        TrueTime { boot, offset }
+    }
+
+    /// Returns the time since 1970.
+    pub fn now(&self) -> Duration {
+        self.offset.get() + self.boot.elapsed()
+    }
+
+    /// Takes the median of what other nodes say now, if it differs by much.
+    pub fn compare(&self, mut others: Vec<Duration>) {
+        others.push(self.now());
+        others.sort();
+        let median = others[others.len() / 2];
+        let now = self.now();
+        if median.abs_diff(now) > MAX_DRIFT {
+            log::warn!("clock: set from {} ms to {} ms", now.as_millis(), median.as_millis());
+            self.offset.set(median.saturating_sub(self.boot.elapsed()));
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/connection.rs
@@ -0,0 +1,283 @@
+//! One connection to an upstream.
+//!
+//! The HTTP client of the house keeps its connections to itself. This one uses
+//! the same codec and shows what decides between "not run" and "unknown":
+//! whether a byte was sent, whether an answer belongs to the request, and
+//! whether the connection is clean afterwards.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use actix_http::{
+    BoxedPayloadStream, Method, Payload, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, Uri,
+    body::BodySize,
+    h1::{ClientCodec, ClientPayloadCodec, Message},
+    header::HeaderMap,
+};
+use bytes::{Bytes, BytesMut};
+use displaydoc::Display;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::{Instant, timeout},
+};
+use tokio_util::codec::{Decoder, Encoder};
+
+/// Largest head of an answer, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// Time after which unacknowledged bytes end a connection.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(4);
+
+thread_local! {
+    /// Shared by all connections, since each configuration keeps a task of its own.
+    static CODEC_CONFIG: ServiceConfig = ServiceConfig::default();
+}
+
+/// Why an exchange failed.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub(crate) enum ExchangeError {
+    /// no byte was sent: {0}
+    NotSent(Arc<str>),
+    /// the connection broke after a byte was sent: {0}
+    Broken(Arc<str>),
+    /// the answer can't be read: {0}
+    BadAnswer(Arc<str>),
+}
+
+impl std::error::Error for ExchangeError {}
+
+impl From<io::Error> for ExchangeError {
+    fn from(err: io::Error) -> ExchangeError {
+        ExchangeError::Broken(err.to_string().into())
+    }
+}
+
+/// One request as it goes out.
+pub(crate) struct Outgoing {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// What is read next.
+enum State {
+    Idle(ClientCodec),
+    Body(ClientPayloadCodec),
+    Done,
+}
+
+/// One connection to an upstream.
+pub(crate) struct Connection {
+    io: TcpStream,
+    buf: BytesMut,
+    state: State,
+    /// Whether an end of the connection ends the body.
+    ends_by_close: bool,
+    is_clean: bool,
+    keep_alive: Option<Duration>,
+    pub(crate) idle_since: Instant,
+    pub(crate) is_reused: bool,
+}
+
+impl Connection {
+    /// Opens a connection.
+    pub(crate) async fn open(address: SocketAddr, limit: Duration) -> Result<Connection, ExchangeError> {
+        let not_sent = |reason: String| ExchangeError::NotSent(reason.into());
+        let opened = timeout(limit, TcpStream::connect(address)).await;
+        let io = opened
+            .map_err(|_| not_sent(format!("no connection after {} ms", limit.as_millis())))?
+            .map_err(|err| not_sent(err.to_string()))?;
+        io.set_nodelay(true).map_err(|err| not_sent(err.to_string()))?;
+        let socket = socket2::SockRef::from(&io);
+        if let Err(err) = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT)) {
+            log::debug!("connection: no limit on unacknowledged bytes: {err}");
+        }
+        Ok(Connection {
+            io,
+            buf: BytesMut::new(),
+            state: State::Idle(CODEC_CONFIG.with(|cfg| ClientCodec::new(cfg.clone()))),
+            ends_by_close: false,
+            is_clean: true,
+            keep_alive: None,
+            idle_since: Instant::now(),
+            is_reused: false,
+        })
+    }
+
+    /// Returns whether the upstream has neither closed the connection nor sent stray bytes.
+    pub(crate) fn is_quiet(&self) -> bool {
+        let mut probe = [0; 1];
+        let read = self.io.try_read(&mut probe);
+        self.buf.is_empty() && matches!(read, Err(err) if err.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Returns the idle time that the upstream announced.
+    pub(crate) fn keep_alive(&self) -> Option<Duration> {
+        self.keep_alive
+    }
+
+    /// Returns whether the connection may carry another request.
+    pub(crate) fn is_reusable(&self) -> bool {
+        self.is_clean && matches!(self.state, State::Idle(_)) && self.buf.is_empty()
+    }
+
+    /// Sends a request and reads the head of the next answer.
+    ///
+    /// An answer that comes before the whole request is sent is returned; the
+    /// connection is then not used again.
+    pub(crate) async fn exchange(&mut self, req: Outgoing) -> Result<ResponseHead, ExchangeError> {
+        let State::Idle(mut codec) = std::mem::replace(&mut self.state, State::Done) else {
+            return Err(ExchangeError::NotSent("the connection is busy".into()));
+        };
+        let out = encode(&mut codec, req)
+            .map_err(|err| ExchangeError::NotSent(err.to_string().into()))?;
+        let (mut rd, mut wr) = self.io.split();
+        let mut unsent = &out[..];
+        let head = loop {
+            tokio::select! {
+                written = wr.write(unsent), if !unsent.is_empty() => {
+                    let n = written?;
+                    unsent = &unsent[n..];
+                }
+                read = rd.read_buf(&mut self.buf) => {
+                    if read? == 0 {
+                        return Err(ExchangeError::Broken("closed before the answer".into()));
+                    }
+                    if let Some(head) = decode_head(&mut codec, &mut self.buf)? {
+                        break head;
+                    }
+                }
+            }
+        };
+        self.is_clean = unsent.is_empty();
+        self.begin_body(codec, &head);
+        Ok(head)
+    }
+
+    /// Reads the head of the answer that follows one that was skipped.
+    pub(crate) async fn next_head(&mut self) -> Result<ResponseHead, ExchangeError> {
+        let State::Idle(mut codec) = std::mem::replace(&mut self.state, State::Done) else {
+            return Err(ExchangeError::Broken("no further answer can follow".into()));
+        };
+        loop {
+            if let Some(head) = decode_head(&mut codec, &mut self.buf)? {
+                self.begin_body(codec, &head);
+                return Ok(head);
+            }
+            if self.io.read_buf(&mut self.buf).await? == 0 {
+                return Err(ExchangeError::Broken("closed before the answer".into()));
+            }
+        }
+    }
+
+    fn begin_body(&mut self, codec: ClientCodec, head: &ResponseHead) {
+        use actix_http::h1::MessageType;
+        self.keep_alive = announced_keep_alive(&head.headers).or(self.keep_alive);
+        self.is_clean &= codec.keep_alive();
+        self.state = match codec.message_type() {
+            MessageType::None => State::Idle(codec),
+            kind => {
+                self.ends_by_close = matches!(kind, MessageType::Stream);
+                self.is_clean &= !self.ends_by_close;
+                State::Body(codec.into_payload_codec())
+            }
+        };
+    }
+
+    /// Reads the next part of the body; none: the body is whole.
+    pub(crate) async fn chunk(&mut self) -> Result<Option<Bytes>, ExchangeError> {
+        loop {
+            let State::Body(codec) = &mut self.state else { return Ok(None) };
+            let decoded = codec.decode(&mut self.buf);
+            match decoded.map_err(|err| ExchangeError::BadAnswer(err.to_string().into()))? {
+                Some(Some(chunk)) => return Ok(Some(chunk)),
+                Some(None) => {
+                    self.finish_body();
+                    return Ok(None);
+                }
+                None => {}
+            }
+            if self.io.read_buf(&mut self.buf).await? == 0 {
+                if !self.ends_by_close {
+                    return Err(ExchangeError::Broken("closed within the answer".into()));
+                }
+                self.state = State::Done;
+                return Ok(None);
+            }
+        }
+    }
+
+    fn finish_body(&mut self) {
+        if let State::Body(codec) = std::mem::replace(&mut self.state, State::Done) {
+            self.state = State::Idle(codec.into_message_codec());
+        }
+    }
+
+    /// Reads a whole body of at most `max_bytes`.
+    pub(crate) async fn whole_body(&mut self, max_bytes: usize) -> Result<Bytes, ExchangeError> {
+        let mut body = BytesMut::new();
+        while let Some(chunk) = self.chunk().await? {
+            if body.len() + chunk.len() > max_bytes {
+                let reason = format!("the body is larger than {max_bytes} bytes");
+                return Err(ExchangeError::BadAnswer(reason.into()));
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(body.freeze())
+    }
+}
+
+fn encode(codec: &mut ClientCodec, req: Outgoing) -> io::Result<BytesMut> {
+    let mut head = RequestHead::default();
+    head.method = req.method;
+    head.uri = req.uri;
+    head.headers = req.headers;
+    let has_body = !req.body.is_empty() || head.method == Method::POST || head.method == Method::PUT;
+    let size = if has_body { BodySize::Sized(req.body.len() as u64) } else { BodySize::None };
+    let mut out = BytesMut::with_capacity(1024 + req.body.len());
+    codec.encode(Message::Item((RequestHeadType::from(head), size)), &mut out)?;
+    out.extend_from_slice(&req.body);
+    Ok(out)
+}
+
+fn decode_head(
+    codec: &mut ClientCodec,
+    buf: &mut BytesMut,
+) -> Result<Option<ResponseHead>, ExchangeError> {
+    let bad = |reason: String| ExchangeError::BadAnswer(reason.into());
+    let head = codec.decode(buf).map_err(|err| bad(err.to_string()))?;
+    if head.is_none() && buf.len() > MAX_HEAD_BYTES {
+        return Err(bad(format!("the head is larger than {MAX_HEAD_BYTES} bytes")));
+    }
+    Ok(head)
+}
+
+/// Reads the idle time that an answer announces, in whole seconds.
+fn announced_keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let mut params = text.split(',').map(str::trim);
+    let seconds = params.find_map(|param| param.strip_prefix("timeout=")?.parse().ok())?;
+    Some(Duration::from_secs(seconds))
+}
+
+/// Reads a caller's body of at most `max_bytes`; none: it is larger.
+pub(crate) async fn read_payload(
+    payload: &mut Payload<BoxedPayloadStream>,
+    max_bytes: usize,
+) -> Result<Option<Bytes>, actix_http::error::PayloadError> {
+    use futures_util::StreamExt;
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk?;
+        if body.len() + chunk.len() > max_bytes {
+            return Ok(None);
+        }
+        if body.is_empty() {
+            body = BytesMut::from(chunk);
+        } else {
+            body.extend_from_slice(&chunk);
+        }
+    }
+    Ok(Some(body.freeze()))
+}
--- /dev/null
+++ b/components/gateway/src/demand.rs
@@ -0,0 +1,90 @@
+//! How many upstreams a service needs, from what callers asked lately.
+
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    time::Duration,
+};
+
+use lycheelatch_prelude::{NodeId, ServiceName};
+use tokio::time::Instant;
+
+use crate::{
+    ServiceSpec,
+    gateway::{Demand, Gateway},
+    size::Need,
+};
+
+/// Time that the demand is averaged over.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// Tokens a second that one engine reads when half of its time goes to other work.
+const READ_PER_SECOND: f64 = 25_000.0;
+
+/// Part of the asked tokens that caches don't save.
+const UNCACHED_SHARE: f64 = 0.45;
+
+/// Engines beyond the demand: one zone's worth may go at once.
+const SPARE: u32 = 2;
+
+/// Fewest engines, before any demand is seen.
+const FEWEST: u32 = 6;
+
+/// On-demand engines that stay when every reclaimable one goes.
+const ON_DEMAND: u32 = 0;
+
+/// Demand of each service over the last seconds.
+#[derive(Debug, Default)]
+pub(crate) struct Forecast {
+    last: HashMap<(NodeId, ServiceName), Demand>,
+    recent: BTreeMap<ServiceName, VecDeque<(Instant, Demand)>>,
+}
+
+impl Forecast {
+    /// Takes note of what all nodes were asked since the last call.
+    pub(crate) fn observe(&mut self, gateway: &Gateway, now: Instant) {
+        let own = gateway.settings.node.clone();
+        for (service, demand) in gateway.arrivals.borrow().iter() {
+            self.add(own.clone(), service.clone(), *demand, now);
+        }
+        for digest in gateway.peers.borrow().heard_digests(now) {
+            for asked in &digest.demand {
+                let demand = Demand {
+                    requests: asked.requests,
+                    read_tokens: asked.read_tokens,
+                    generated_tokens: asked.generated_tokens,
+                    refused: asked.refused,
+                };
+                self.add(digest.node.clone(), asked.service.clone(), demand, now);
+            }
+        }
+        for recent in self.recent.values_mut() {
+            while recent.front().is_some_and(|(at, _)| now - *at > WINDOW) {
+                recent.pop_front();
+            }
+        }
+    }
+
+    fn add(&mut self, node: NodeId, service: ServiceName, total: Demand, now: Instant) {
+        let before = self.last.insert((node, service.clone()), total);
+        // A node that is seen for the first time, or started again, says nothing of the last seconds.
+        let Some(before) = before.filter(|before| before.requests <= total.requests) else {
+            return;
+        };
+        let since = Demand {
+            requests: total.requests - before.requests,
+            read_tokens: total.read_tokens.saturating_sub(before.read_tokens),
+            generated_tokens: total.generated_tokens.saturating_sub(before.generated_tokens),
+            refused: total.refused.saturating_sub(before.refused),
+        };
+        self.recent.entry(service).or_default().push_back((now, since));
+    }
+
+    /// Returns what a service needs.
+    pub(crate) fn need(&self, service: &ServiceSpec, _now: Instant) -> Need {
+        let recent = self.recent.get(&service.name);
+        let read: u64 = recent.into_iter().flatten().map(|(_, demand)| demand.read_tokens).sum();
+        let per_second = read as f64 / WINDOW.as_secs_f64();
+        let busy = (per_second * UNCACHED_SHARE / READ_PER_SECOND).ceil() as u32;
+        Need { total: (busy + SPARE).max(FEWEST), on_demand: ON_DEMAND }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/dispatch.rs
@@ -0,0 +1,448 @@
+//! Sends a request to upstreams until one answers.
+
+use std::{rc::Rc, time::Duration};
+
+use actix_http::{Response, ResponseHead, StatusCode, body::BoxBody};
+use bytes::Bytes;
+use lycheelatch_prelude::UpstreamId;
+use tokio::time::{Instant, timeout_at};
+
+use crate::{
+    AnswerFacts, Forwarded,
+    answer::OwnAnswer,
+    attempts::{Attempts, Next, SendEnd},
+    connection::{Connection, ExchangeError, Outgoing},
+    decision::{Decision, Reason, SendEnded, millis},
+    directory::Upstream,
+    engine_load::{Expected, InFlight},
+    frames::FrameReader,
+    gateway::Read,
+    place::{Choice, NoChoice, PlaceAsk, place},
+    relay::{EventRelay, LongRelay},
+    serve::Job,
+};
+
+/// Longest answer that is read whole before its head goes out, in bytes.
+const MAX_WHOLE_BYTES: usize = 256 * 1024;
+
+/// Answers to earlier requests that are skipped on one connection.
+const MAX_SKIPPED: u32 = 3;
+
+/// Shortest time that a caller is asked to stay away.
+const MIN_RETRY: Duration = Duration::from_millis(50);
+
+/// Part by which the time that callers stay away is spread.
+const RETRY_SPREAD: f64 = 0.5;
+
+/// Time left below which nothing is sent.
+const MIN_LEFT: Duration = Duration::from_millis(20);
+
+/// A send that is under way; gives its room back when dropped.
+pub(crate) struct Running {
+    pub(crate) upstream: Rc<Upstream>,
+    work: Option<InFlight>,
+    expected: Option<Expected>,
+    started: Instant,
+}
+
+impl Running {
+    fn start(job: &Job, choice: &Choice) -> Running {
+        let upstream = choice.upstream.clone();
+        upstream.running.set(upstream.running.get() + 1);
+        let mut work = None;
+        if let (Some(chain), Some(expected)) = (&job.chain, &choice.expected) {
+            let mut load = upstream.load.borrow_mut();
+            work = Some(load.sent(chain, expected));
+            let memory = job.service.engine.as_ref().map_or(0, |engine| engine.memory_tokens);
+            load.remember(&chain.links, memory, Instant::now());
+            let read = Read { upstream: upstream.id(), links: chain.links.clone() };
+            job.gateway.reads.borrow_mut().push(read);
+        }
+        Running { upstream, work, expected: choice.expected, started: Instant::now() }
+    }
+
+    /// Takes note of the first event.
+    pub(crate) fn first_event(&mut self) {
+        let now = Instant::now();
+        if let (Some(work), Some(expected)) = (&mut self.work, &self.expected) {
+            let mut load = self.upstream.load.borrow_mut();
+            load.first_token(work);
+            load.measured(expected.first_token, now - self.started, now);
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.upstream.running.set(self.upstream.running.get().saturating_sub(1));
+        if let Some(work) = self.work.take() {
+            self.upstream.load.borrow_mut().ended(work);
+        }
+    }
+}
+
+/// How a send failed.
+struct Failure {
+    end: SendEnd,
+    reason: String,
+    /// The upstream's own answer, when it ran the request and failed.
+    answer: Option<Whole>,
+}
+
+/// An answer that was read whole.
+#[derive(Clone)]
+pub(crate) struct Whole {
+    status: StatusCode,
+    headers: actix_http::header::HeaderMap,
+    body: Bytes,
+}
+
+/// A stream whose first event has come.
+pub(crate) struct Started {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: actix_http::header::HeaderMap,
+    pub(crate) connection: Connection,
+    pub(crate) frames: FrameReader,
+    pub(crate) running: Running,
+}
+
+/// A good answer.
+enum Answered {
+    Whole(Whole),
+    Events(Started),
+    Long { whole: Whole, connection: Connection, running: Running },
+}
+
+/// Sends a request to upstreams until one answers.
+pub(crate) async fn dispatch(job: &Rc<Job>) -> Result<Response<BoxBody>, OwnAnswer> {
+    let mut attempts = Attempts::new(job.route.kind, job.route.max_attempts);
+    let mut failed: Option<Whole> = None;
+    let result = timeout_at(job.ends, until_answered(job, &mut attempts, &mut failed)).await;
+    let sends = attempts.tried().len();
+    match result {
+        Ok(Ok(answered)) => Ok(respond(job, answered, attempts)),
+        Ok(Err(refusal)) => match failed {
+            Some(whole) => {
+                job.log_end(Reason::Answered, whole.status.as_u16(), sends);
+                Ok(whole_response(whole))
+            }
+            None => Err(refusal),
+        },
+        Err(_) => Err(OwnAnswer::new(Reason::TimedOut)),
+    }
+}
+
+async fn until_answered(
+    job: &Rc<Job>,
+    attempts: &mut Attempts,
+    failed: &mut Option<Whole>,
+) -> Result<Answered, OwnAnswer> {
+    loop {
+        let choice = match choose(job, attempts) {
+            Ok(choice) => choice,
+            Err(refusal) if attempts.tried().is_empty() => return Err(refusal),
+            Err(refusal) => return Err(after_sends(attempts, refusal)),
+        };
+        if attempts.is_retry() && !job.gateway.try_retry(&job.service.name, Instant::now()) {
+            return Err(given_up(attempts.give_up()));
+        }
+        let id = choice.upstream.id();
+        let failure = match send(job, &choice, job.facts.resume_after).await {
+            Ok(answered) => return Ok(answered),
+            Err(failure) => failure,
+        };
+        let next = attempts.ended(id, failure.end);
+        *failed = failure.answer.or(failed.take());
+        if next != Next::MayRepeat {
+            return Err(given_up(next));
+        }
+    }
+}
+
+/// Returns the refusal when no further upstream can be found after some sends.
+fn after_sends(attempts: &Attempts, refusal: OwnAnswer) -> OwnAnswer {
+    match attempts.give_up() {
+        Next::FailUnknown => OwnAnswer::new(Reason::UpstreamFailed),
+        _ => refusal,
+    }
+}
+
+fn given_up(next: Next) -> OwnAnswer {
+    match next {
+        Next::FailUnknown => OwnAnswer::new(Reason::UpstreamFailed),
+        _ => OwnAnswer::come_back(Reason::NotRun, spread(MIN_RETRY)),
+    }
+}
+
+/// Spreads a time, so that callers that were refused together don't return together.
+fn spread(time: Duration) -> Duration {
+    time.mul_f64(1.0 + RETRY_SPREAD * rand::random::<f64>())
+}
+
+/// Chooses an upstream for the next send.
+pub(crate) fn choose(job: &Job, attempts: &Attempts) -> Result<Choice, OwnAnswer> {
+    let now = Instant::now();
+    if job.left() < MIN_LEFT {
+        return Err(OwnAnswer::new(Reason::TooLate));
+    }
+    let candidates = job.gateway.directory.of(&job.service.name);
+    let late = job.arrived + job.route.target;
+    let rank = job.workspace.as_ref().and_then(|workspace| workspace.rank);
+    let ask = PlaceAsk {
+        service: &job.service,
+        chain: job.chain.as_ref(),
+        zone: &job.gateway.settings.zone,
+        tried: attempts.tried(),
+        until_late: late.saturating_duration_since(now),
+        rank: rank.unwrap_or(job.route.rank),
+    };
+    place(&ask, &candidates, now, rand::random()).map_err(|none| {
+        job.gateway.count_no_room(&job.service.name);
+        match none {
+            NoChoice::NoUpstream => OwnAnswer::come_back(Reason::NoUpstream, spread(MIN_RETRY * 4)),
+            NoChoice::Busy(after) => {
+                OwnAnswer::come_back(Reason::Busy, spread(after.max(MIN_RETRY)))
+            }
+        }
+    })
+}
+
+/// Sends the request to one upstream and reads its answer, or the first event of it.
+async fn send(
+    job: &Rc<Job>,
+    choice: &Choice,
+    resume_after: Option<u64>,
+) -> Result<Answered, Failure> {
+    let running = Running::start(job, choice);
+    let started = Instant::now();
+    let (here, elsewhere) =
+        (running.upstream.running.get(), running.upstream.running_elsewhere.get());
+    let result = exchange(job, running, resume_after).await;
+    let (end, reason) = match &result {
+        Ok(_) => ("answered", ""),
+        Err(failure) => (end_label(failure.end), failure.reason.as_str()),
+    };
+    note_health(&choice.upstream, &result);
+    job.gateway.metrics.sends.with_label_values(&[end]).inc();
+    let upstream = choice.upstream.id();
+    job.gateway.decisions.write(&Decision::SendEnded(SendEnded {
+        request: &job.facts.id,
+        upstream: &upstream,
+        expected_ms: choice.expected.map(|expected| millis(expected.first_token)),
+        uncached_tokens: choice.expected.map(|expected| expected.uncached_tokens),
+        running_here: here,
+        running_elsewhere: elsewhere,
+        elapsed_ms: millis(started.elapsed()),
+        end: if reason.is_empty() { end } else { reason },
+    }));
+    result
+}
+
+fn end_label(end: SendEnd) -> &'static str {
+    match end {
+        SendEnd::NotSent => "not_sent",
+        SendEnd::NotRun => "not_run",
+        SendEnd::Unknown => "unknown",
+        SendEnd::RanAndFailed => "ran_and_failed",
+    }
+}
+
+fn note_health(upstream: &Upstream, result: &Result<Answered, Failure>) {
+    let now = Instant::now();
+    let mut health = upstream.health.borrow_mut();
+    match result {
+        Ok(_) => health.succeeded(),
+        Err(_) => {
+            if health.failed(now) {
+                log::warn!("health: {} is set aside", upstream.id());
+            }
+        }
+    }
+}
+
+async fn exchange(
+    job: &Rc<Job>,
+    mut running: Running,
+    resume_after: Option<u64>,
+) -> Result<Answered, Failure> {
+    let upstream = running.upstream.clone();
+    let address = upstream.entry.borrow().address;
+    let taken = upstream.pool.take(address, job.route.kind.may_repeat()).await;
+    let mut connection = taken.map_err(failure_of)?;
+    let out = outgoing(job, &upstream.id(), resume_after);
+    let head = connection.exchange(out).await.map_err(failure_of)?;
+    let (head, facts) = own_head(job, &mut connection, head).await?;
+    if let Some(load) = facts.load {
+        upstream.reported.set(Some((load, Instant::now())));
+    }
+    if facts.is_not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
+        return Err(refused(connection, &upstream, head.status).await);
+    }
+    if !facts.is_signed || facts.is_encoded {
+        return Err(unknown(format!("status {} without a signature", head.status.as_u16())));
+    }
+    let headers = job.gateway.dialect.pass_back(&head.headers);
+    if job.route.kind.is_stream() && head.status.is_success() {
+        let started =
+            Started { status: head.status, headers, connection, frames: FrameReader::default(), running };
+        return first_event(job, started).await.map(Answered::Events);
+    }
+    let (body, is_whole) = read_start(&mut connection).await?;
+    running.first_event();
+    note_began(job, running.started);
+    let whole = Whole { status: head.status, headers, body };
+    if !is_whole {
+        return Ok(Answered::Long { whole, connection, running });
+    }
+    upstream.pool.put(connection);
+    if head.status.is_server_error() && job.route.kind.may_repeat() {
+        let reason = format!("status {}", head.status.as_u16());
+        return Err(Failure { end: SendEnd::RanAndFailed, reason, answer: Some(whole) });
+    }
+    Ok(Answered::Whole(whole))
+}
+
+/// Counts a request that ran for the usage report.
+fn note_began(job: &Job, began: Instant) {
+    if let Some(workspace) = &job.workspace {
+        let time = job.gateway.time.now().saturating_sub(began.elapsed());
+        job.gateway.usage.borrow_mut().count(&workspace.name, time);
+    }
+}
+
+fn failure_of(err: ExchangeError) -> Failure {
+    let end = match err {
+        ExchangeError::NotSent(_) => SendEnd::NotSent,
+        ExchangeError::Broken(_) | ExchangeError::BadAnswer(_) => SendEnd::Unknown,
+    };
+    Failure { end, reason: err.to_string(), answer: None }
+}
+
+fn unknown(reason: String) -> Failure {
+    Failure { end: SendEnd::Unknown, reason, answer: None }
+}
+
+fn outgoing(job: &Job, upstream: &UpstreamId, resume_after: Option<u64>) -> Outgoing {
+    let workspace = job.workspace.as_ref().map(|workspace| &workspace.name);
+    let rank = job.workspace.as_ref().and_then(|workspace| workspace.rank);
+    let rank = rank.unwrap_or(job.route.rank);
+    let added = Forwarded {
+        upstream,
+        workspace,
+        deadline_ms: millis(job.left()),
+        resume_after,
+        engine_rank: job.chain.as_ref().map(|_| rank.0.min(9)),
+    };
+    Outgoing {
+        method: job.method.clone(),
+        uri: job.uri.clone(),
+        headers: job.gateway.dialect.forward(&job.headers, added),
+        body: job.body.clone(),
+    }
+}
+
+/// Returns the head that answers this request; answers to earlier ones are skipped.
+async fn own_head(
+    job: &Job,
+    connection: &mut Connection,
+    mut head: ResponseHead,
+) -> Result<(ResponseHead, AnswerFacts), Failure> {
+    for _ in 0..MAX_SKIPPED {
+        let facts = job.gateway.dialect.answer(&head);
+        let is_own = facts.request.as_deref().is_none_or(|id| id == &*job.facts.id);
+        if is_own {
+            return Ok((head, facts));
+        }
+        connection.whole_body(MAX_WHOLE_BYTES).await.map_err(failure_of)?;
+        head = connection.next_head().await.map_err(failure_of)?;
+    }
+    Err(unknown("answers of other requests only".to_owned()))
+}
+
+/// Ends a send that the upstream promises not to run.
+async fn refused(mut connection: Connection, upstream: &Upstream, status: StatusCode) -> Failure {
+    if connection.whole_body(MAX_WHOLE_BYTES).await.is_ok() {
+        upstream.pool.put(connection);
+    }
+    let reason = format!("refused with status {}", status.as_u16());
+    Failure { end: SendEnd::NotRun, reason, answer: None }
+}
+
+async fn first_event(job: &Job, mut started: Started) -> Result<Started, Failure> {
+    loop {
+        match started.connection.chunk().await.map_err(failure_of)? {
+            None => break,
+            Some(chunk) => started.frames.push(&chunk),
+        }
+        if started.frames.has_whole() {
+            break;
+        }
+    }
+    note_began(job, Instant::now());
+    started.running.first_event();
+    Ok(started)
+}
+
+/// Reads the start of a body, and whether that is all of it.
+async fn read_start(connection: &mut Connection) -> Result<(Bytes, bool), Failure> {
+    let mut body = bytes::BytesMut::new();
+    while body.len() < MAX_WHOLE_BYTES {
+        match connection.chunk().await.map_err(failure_of)? {
+            Some(chunk) => body.extend_from_slice(&chunk),
+            None => return Ok((body.freeze(), true)),
+        }
+    }
+    Ok((body.freeze(), false))
+}
+
+fn respond(job: &Rc<Job>, answered: Answered, attempts: Attempts) -> Response<BoxBody> {
+    job.gateway.metrics.first_byte.observe(job.arrived.elapsed().as_secs_f64());
+    match answered {
+        Answered::Whole(whole) => {
+            job.log_end(Reason::Answered, whole.status.as_u16(), attempts.tried().len() + 1);
+            whole_response(whole)
+        }
+        Answered::Long { whole, connection, running } => {
+            let mut response = Response::new(whole.status);
+            response.head_mut().headers = whole.headers.clone();
+            let relay = LongRelay::new(job.clone(), whole.body, connection, running);
+            response.set_body(BoxBody::new(relay.into_body()))
+        }
+        Answered::Events(started) => {
+            let mut response = Response::new(started.status);
+            response.head_mut().headers = started.headers.clone();
+            let relay = EventRelay::new(job.clone(), started, attempts);
+            response.set_body(BoxBody::new(relay.into_body()))
+        }
+    }
+}
+
+fn whole_response(whole: Whole) -> Response<BoxBody> {
+    let mut response = Response::new(whole.status);
+    response.head_mut().headers = whole.headers;
+    response.set_body(BoxBody::new(whole.body))
+}
+
+/// Goes on with a stream at another upstream after the last event that was passed on.
+pub(crate) async fn resume(
+    job: &Rc<Job>,
+    attempts: &mut Attempts,
+    after: Option<u64>,
+) -> Option<Started> {
+    loop {
+        let choice = choose(job, attempts).ok()?;
+        if attempts.is_retry() && !job.gateway.try_retry(&job.service.name, Instant::now()) {
+            return None;
+        }
+        let id = choice.upstream.id();
+        match send(job, &choice, after).await {
+            Ok(Answered::Events(started)) => return Some(started),
+            Ok(_) => return None,
+            Err(failure) => {
+                if attempts.ended(id, failure.end) != Next::MayRepeat {
+                    return None;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/gateway.rs
@@ -0,0 +1,207 @@
+//! What every request of a node shares.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+    time::Duration,
+};
+
+use lycheelatch_prelude::{ServiceName, WorkspaceName};
+use lycheelatch_settings::GatewaySettings;
+use tokio::time::Instant;
+
+use crate::{
+    Dialect, Directory, GatewayMetrics, RoutingTable, TrueTime, Workspace,
+    decision::DecisionLog,
+    engine_load::ChainHash,
+    peers::PeerView,
+    quota::{self, SlidingCount},
+    retry_budget::RetryBudget,
+    usage::Usage,
+};
+
+/// Time after which a refused caller is told to come back for a reason that passes soon.
+const SOON: Duration = Duration::from_millis(500);
+
+/// A prompt that an engine has begun to read, for the other nodes to know.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Read {
+    pub(crate) upstream: lycheelatch_prelude::UpstreamId,
+    pub(crate) links: Vec<(ChainHash, u32)>,
+}
+
+/// What every request of a node shares.
+pub struct Gateway {
+    /// Settings.
+    pub settings: GatewaySettings,
+    /// The upstreams.
+    pub directory: Directory,
+    /// Metrics.
+    pub metrics: GatewayMetrics,
+    pub(crate) dialect: Rc<dyn Dialect>,
+    pub(crate) decisions: DecisionLog,
+    pub(crate) time: Rc<TrueTime>,
+    pub(crate) usage: RefCell<Usage>,
+    pub(crate) peers: RefCell<PeerView>,
+    pub(crate) reads: RefCell<Vec<Read>>,
+    pub(crate) arrivals: RefCell<BTreeMap<ServiceName, Demand>>,
+    table: RefCell<Option<Rc<RoutingTable>>>,
+    quotas: RefCell<HashMap<WorkspaceName, SlidingCount>>,
+    retries: RefCell<HashMap<ServiceName, RetryBudget>>,
+    has_upstreams: Cell<bool>,
+    stopping: Cell<bool>,
+    open: Cell<u32>,
+}
+
+/// Work that callers asked of a service since the start of this process.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(crate) struct Demand {
+    /// Requests.
+    pub(crate) requests: u64,
+    /// Tokens to read.
+    pub(crate) read_tokens: u64,
+    /// Tokens to generate.
+    pub(crate) generated_tokens: u64,
+    /// Requests that were refused for lack of room.
+    pub(crate) refused: u64,
+}
+
+/// Counts a request for as long as it is open.
+pub(crate) struct OpenRequest(Rc<Gateway>);
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+impl Gateway {
+    /// Creates a gateway without a configuration.
+    pub fn new(
+        settings: GatewaySettings,
+        dialect: Rc<dyn Dialect>,
+        metrics: GatewayMetrics,
+        time: Rc<TrueTime>,
+    ) -> Gateway {
+        let node = settings.node.as_str().into();
+        Gateway {
+            usage: RefCell::new(Usage::new(settings.usage_window)),
+            peers: RefCell::new(PeerView::new(settings.node.clone())),
+            settings,
+            directory: Directory::default(),
+            decisions: DecisionLog::new(node, metrics.clone()),
+            metrics,
+            dialect,
+            time,
+            reads: RefCell::default(),
+            arrivals: RefCell::default(),
+            table: RefCell::default(),
+            quotas: RefCell::default(),
+            retries: RefCell::default(),
+            has_upstreams: Cell::new(false),
+            stopping: Cell::new(false),
+            open: Cell::new(0),
+        }
+    }
+
+    /// Returns the routing table in force.
+    pub fn table(&self) -> Option<Rc<RoutingTable>> {
+        self.table.borrow().clone()
+    }
+
+    /// Takes a routing table over, unless a newer one is in force.
+    pub fn set_table(&self, table: RoutingTable) {
+        let mut current = self.table.borrow_mut();
+        if current.as_ref().is_some_and(|current| current.version >= table.version) {
+            return;
+        }
+        log::info!("config: version {} is in force", table.version);
+        self.metrics.config_version.set(i64::try_from(table.version).unwrap_or(i64::MAX));
+        *current = Some(Rc::new(table));
+    }
+
+    /// Takes note that the upstreams were read at least once.
+    pub fn set_upstreams_known(&self) {
+        self.has_upstreams.set(true);
+    }
+
+    /// Returns whether the node takes traffic.
+    pub fn is_ready(&self) -> bool {
+        self.is_informed() && !self.stopping.get()
+    }
+
+    /// Returns whether the node holds a configuration and upstreams.
+    pub fn is_informed(&self) -> bool {
+        self.table.borrow().is_some() && self.has_upstreams.get()
+    }
+
+    /// Stops being ready; answers from now on end their connections.
+    pub fn start_stopping(&self) {
+        self.stopping.set(true);
+    }
+
+    /// Returns whether the node stops.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// Returns how many requests are open.
+    pub fn open_requests(&self) -> u32 {
+        self.open.get()
+    }
+
+    pub(crate) fn open_request(self: &Rc<Self>) -> OpenRequest {
+        self.open.set(self.open.get() + 1);
+        OpenRequest(self.clone())
+    }
+
+    /// Draws a request's cost from its workspace's limit; else returns when to come back.
+    pub(crate) fn try_quota(
+        &self,
+        workspace: &Workspace,
+        cost: u64,
+        now: Instant,
+    ) -> Result<(), Duration> {
+        let Some(limit) = &workspace.quota else { return Ok(()) };
+        let window = self.settings.quota_window;
+        let others = self.peers.borrow().others_use(&workspace.name, now);
+        let mut quotas = self.quotas.borrow_mut();
+        let count = quotas.entry(workspace.name.clone()).or_default();
+        let own = count.sum(window, now);
+        if cost > quota::room(limit, window, own, others) {
+            return Err(SOON);
+        }
+        count.add(cost, now);
+        Ok(())
+    }
+
+    /// Returns what each workspace was let through by this node in the window.
+    pub(crate) fn quota_use(&self, now: Instant) -> Vec<(WorkspaceName, u64)> {
+        let window = self.settings.quota_window;
+        let mut quotas = self.quotas.borrow_mut();
+        quotas.iter_mut().map(|(name, count)| (name.clone(), count.sum(window, now))).collect()
+    }
+
+    pub(crate) fn count_request(&self, service: &ServiceName, demand: Demand, now: Instant) {
+        let mut retries = self.retries.borrow_mut();
+        retries.entry(service.clone()).or_default().count_request(now);
+        let mut arrivals = self.arrivals.borrow_mut();
+        let known = arrivals.entry(service.clone()).or_default();
+        known.requests += demand.requests;
+        known.read_tokens += demand.read_tokens;
+        known.generated_tokens += demand.generated_tokens;
+    }
+
+    pub(crate) fn count_no_room(&self, service: &ServiceName) {
+        self.arrivals.borrow_mut().entry(service.clone()).or_default().refused += 1;
+    }
+
+    /// Takes one send beyond the first, if the limit over all nodes allows it.
+    pub(crate) fn try_retry(&self, service: &ServiceName, now: Instant) -> bool {
+        let nodes = self.peers.borrow().nodes();
+        let mut retries = self.retries.borrow_mut();
+        let budget = retries.entry(service.clone()).or_default();
+        budget.try_take(&self.settings.retry, nodes, now)
+    }
+}
--- /dev/null
+++ b/components/gateway/src/health.rs
@@ -0,0 +1,67 @@
+//! Whether an upstream's answers are good, by its answers alone.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Failures in a row after which an upstream is set aside.
+const MAX_FAILURES: u32 = 3;
+
+/// Weight of a new answer in the share of failures.
+const WEIGHT: f64 = 0.12;
+
+/// Share of failures from which an upstream is set aside.
+const MAX_FAILURE_SHARE: f64 = 0.45;
+
+/// Time for which an upstream is set aside at first.
+const FIRST_REST: Duration = Duration::from_millis(1500);
+
+/// Longest time for which an upstream is set aside.
+const LONGEST_REST: Duration = Duration::from_secs(8);
+
+/// What the answers of an upstream say of it.
+#[derive(Debug, Default)]
+pub(crate) struct Health {
+    in_a_row: u32,
+    failure_share: f64,
+    rests: u32,
+    rest_until: Option<Instant>,
+}
+
+impl Health {
+    /// Returns whether the upstream is set aside.
+    pub(crate) fn is_resting(&self, now: Instant) -> bool {
+        self.rest_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns the share of answers that failed lately.
+    pub(crate) fn failure_share(&self) -> f64 {
+        self.failure_share
+    }
+
+    /// Takes note of a good answer.
+    pub(crate) fn succeeded(&mut self) {
+        self.in_a_row = 0;
+        self.failure_share *= 1.0 - WEIGHT;
+        if self.failure_share < WEIGHT {
+            self.rests = 0;
+        }
+    }
+
+    /// Takes note of a failure; returns whether the upstream is set aside now.
+    pub(crate) fn failed(&mut self, now: Instant) -> bool {
+        self.in_a_row += 1;
+        self.failure_share += WEIGHT * (1.0 - self.failure_share);
+        if self.is_resting(now) {
+            return false;
+        }
+        if self.in_a_row < MAX_FAILURES && self.failure_share < MAX_FAILURE_SHARE {
+            return false;
+        }
+        let rest = FIRST_REST * 2_u32.pow(self.rests.min(4));
+        self.rests += 1;
+        self.in_a_row = 0;
+        self.rest_until = Some(now + rest.min(LONGEST_REST));
+        true
+    }
+}
--- /dev/null
+++ b/components/gateway/src/leader.rs
@@ -0,0 +1,165 @@
+//! Which node makes the calls that one node makes for all.
+//!
+//! The holder has a key under a lease. It counts the lease from the moment at
+//! which a renewal was sent, by the clock that goes on while the machine is
+//! suspended, and looks at it right before each act. A new holder waits until
+//! the holder before can't act any more.
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use lycheelatch_prelude::{Fence, NodeId};
+use tokio::time::sleep;
+
+use crate::{
+    BootClock, Commit, Committed, Freshness, Gateway, Store, StoreError, StoreLease, StoreRevision,
+    layout::OWN_PREFIX,
+};
+
+/// Part of the lease within which it is renewed.
+const RENEW_SHARE: u32 = 3;
+
+/// Part of the lease before whose end the holder stops to act.
+const MARGIN_SHARE: u32 = 8;
+
+/// Pause between two looks at who holds the key.
+const LOOK_INTERVAL: Duration = Duration::from_millis(1500);
+
+/// Age of a process below which no lease of an earlier holder can have ended.
+const EARLY: Duration = Duration::from_millis(2500);
+
+/// What one node knows of its holding.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Holding {
+    /// Number that grows with each holder.
+    pub fence: Fence,
+    /// Time since the machine's start from which the holder acts.
+    pub acts_from: Duration,
+    /// Time since the machine's start at which the holder stops to act.
+    pub acts_until: Duration,
+}
+
+impl Holding {
+    /// Returns whether the holder may act at a time since the machine's start.
+    pub fn may_act(&self, now: Duration) -> bool {
+        self.acts_from <= now && now < self.acts_until
+    }
+
+    /// Takes note of a renewal that was sent at `sent` and confirmed.
+    pub fn renewed(&mut self, sent: Duration, ttl: Duration) {
+        let until = sent + ttl - ttl / MARGIN_SHARE;
+        self.acts_until = self.acts_until.max(until);
+    }
+}
+
+/// Whether this node holds the duties.
+pub struct Leader {
+    boot: Rc<dyn BootClock>,
+    holding: Cell<Option<Holding>>,
+}
+
+impl Leader {
+    /// Creates a node that holds nothing.
+    pub fn new(boot: Rc<dyn BootClock>) -> Leader {
+        Leader { boot, holding: Cell::new(None) }
+    }
+
+    /// Returns the fencing number, if this node may act right now.
+    pub fn fence(&self) -> Option<Fence> {
+        let holding = self.holding.get()?;
+        holding.may_act(self.boot.elapsed()).then_some(holding.fence)
+    }
+
+    /// Returns whether this node holds the key, though it may not act yet.
+    pub fn holds(&self) -> bool {
+        self.holding.get().is_some_and(|holding| self.boot.elapsed() < holding.acts_until)
+    }
+}
+
+fn holder_key() -> String {
+    format!("{OWN_PREFIX}holder")
+}
+
+/// Tries to hold the duties, and renews what it holds, until the task is dropped.
+pub(crate) async fn hold(gateway: Rc<Gateway>, store: Rc<dyn Store>, leader: Rc<Leader>) {
+    let ttl = gateway.settings.duty_lease.max(gateway.settings.shortest_lease);
+    let started = leader.boot.elapsed();
+    let node = &gateway.settings.node;
+    loop {
+        let is_free = match store.list(&holder_key(), Freshness::Stale).await {
+            Ok(listing) => listing.items.is_empty(),
+            Err(_) => false,
+        };
+        if is_free && !gateway.is_stopping() {
+            match acquire(&*store, &leader, node, ttl, started).await {
+                Ok(Some((lease, holding))) => {
+                    log::info!("leader: {node} holds the duties with fence {}", holding.fence);
+                    leader.holding.set(Some(holding));
+                    keep(&gateway, &*store, &leader, lease, ttl).await;
+                    leader.holding.set(None);
+                    log::warn!("leader: {node} holds the duties no more");
+                }
+                Ok(None) => {}
+                Err(err) => log::info!("leader: not acquired: {err}"),
+            }
+        }
+        sleep(LOOK_INTERVAL.mul_f64(0.7 + 0.6 * rand::random::<f64>())).await;
+    }
+}
+
+async fn acquire(
+    store: &dyn Store,
+    leader: &Leader,
+    node: &NodeId,
+    ttl: Duration,
+    started: Duration,
+) -> Result<Option<(StoreLease, Holding)>, StoreError> {
+    let sent = leader.boot.elapsed();
+    let lease = store.grant(ttl).await?;
+    let commit = Commit {
+        key: holder_key().into(),
+        expected: StoreRevision(0),
+        value: node.as_str().to_owned().into(),
+        lease: Some(lease),
+    };
+    let Committed::Done(revision) = store.commit(commit).await? else { return Ok(None) };
+    let now = leader.boot.elapsed();
+    let is_first = now.saturating_sub(started) < EARLY;
+    let acts_from = if is_first { now } else { now + ttl };
+    let mut holding =
+        Holding { fence: Fence(revision.0), acts_from, acts_until: Duration::ZERO };
+    holding.renewed(sent, ttl);
+    Ok(Some((lease, holding)))
+}
+
+/// Renews the lease until it is lost or the node stops.
+async fn keep(
+    gateway: &Gateway,
+    store: &dyn Store,
+    leader: &Leader,
+    lease: StoreLease,
+    ttl: Duration,
+) {
+    loop {
+        sleep(ttl / RENEW_SHARE).await;
+        if gateway.is_stopping() {
+            leader.holding.set(None);
+            if let Err(err) = store.end(lease).await {
+                log::info!("leader: the lease ends by itself: {err}");
+            }
+            return;
+        }
+        let sent = leader.boot.elapsed();
+        match store.renew(lease).await {
+            Ok(()) => {
+                let Some(mut holding) = leader.holding.get() else { return };
+                holding.renewed(sent, ttl);
+                leader.holding.set(Some(holding));
+            }
+            Err(StoreError::LeaseEnded) => return,
+            Err(err) => log::info!("leader: not renewed: {err}"),
+        }
+        if !leader.holds() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/peers.rs
@@ -0,0 +1,237 @@
+//! What the nodes of a cluster tell each other, by datagrams.
+//!
+//! A datagram holds the whole state that the others need, so that a lost one
+//! costs nothing but age. What lasts goes through the store.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use lycheelatch_prelude::{NodeId, ServiceName, UpstreamId, WorkspaceName};
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use crate::{
+    engine_load::{ChainHash, InFlight},
+    quota::OthersUse,
+    usage::UsageWindow,
+};
+
+/// Age from which a node is taken for not heard.
+const HEARD: Duration = Duration::from_millis(1200);
+
+/// Age from which a node that the store does not list is forgotten.
+const FORGOTTEN: Duration = Duration::from_secs(20);
+
+/// Work of one node at one upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct UpstreamUse {
+    pub(crate) upstream: UpstreamId,
+    pub(crate) requests: u32,
+    pub(crate) unread_tokens: u64,
+    pub(crate) memory_tokens: u64,
+}
+
+/// A prompt that an engine began to read.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ReadPrompt {
+    pub(crate) upstream: UpstreamId,
+    pub(crate) links: Vec<(u64, u32)>,
+}
+
+/// Counts of one usage window.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct WindowUse {
+    pub(crate) window: UsageWindow,
+    pub(crate) counts: Vec<(WorkspaceName, u64)>,
+}
+
+/// Work asked of one service since the start of a process.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ServiceDemand {
+    pub(crate) service: ServiceName,
+    pub(crate) requests: u64,
+    pub(crate) read_tokens: u64,
+    pub(crate) generated_tokens: u64,
+    pub(crate) refused: u64,
+}
+
+/// What one node tells the others.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Digest {
+    pub(crate) node: NodeId,
+    /// Drawn at the start of the process.
+    pub(crate) incarnation: u64,
+    pub(crate) sequence: u64,
+    /// Milliseconds since 1970.
+    pub(crate) time_ms: u64,
+    /// What workspaces were let through in the window of their limits.
+    pub(crate) quota_use: Vec<(WorkspaceName, u64)>,
+    pub(crate) upstreams: Vec<UpstreamUse>,
+    pub(crate) reads: Vec<ReadPrompt>,
+    pub(crate) usage: Vec<WindowUse>,
+    pub(crate) demand: Vec<ServiceDemand>,
+}
+
+/// One other node.
+#[derive(Debug)]
+struct Peer {
+    address: SocketAddr,
+    heard: Option<Instant>,
+    digest: Option<Digest>,
+}
+
+/// What this node knows of the others.
+#[derive(Debug)]
+pub(crate) struct PeerView {
+    own: NodeId,
+    peers: HashMap<NodeId, Peer>,
+    /// Counts of processes that ended, for the usage report.
+    ended: BTreeMap<(NodeId, u64), Vec<WindowUse>>,
+}
+
+impl PeerView {
+    pub(crate) fn new(own: NodeId) -> PeerView {
+        PeerView { own, peers: HashMap::new(), ended: BTreeMap::new() }
+    }
+
+    /// Takes over which nodes the store lists.
+    pub(crate) fn listed(&mut self, nodes: Vec<(NodeId, SocketAddr)>, now: Instant) {
+        self.keep(|id, peer| {
+            let is_fresh = peer.heard.is_some_and(|at| now.saturating_duration_since(at) < HEARD);
+            is_fresh || nodes.iter().any(|(known, _)| known == id)
+        });
+        let own = &self.own;
+        for (id, address) in nodes.into_iter().filter(|(id, _)| id != own) {
+            let peer = self.peers.entry(id).or_insert(Peer { address, heard: None, digest: None });
+            peer.address = address;
+        }
+    }
+
+    /// Forgets the other nodes, but for their counts of usage.
+    fn keep(&mut self, is_kept: impl Fn(&NodeId, &Peer) -> bool) {
+        let ended = &mut self.ended;
+        self.peers.retain(|id, peer| {
+            let kept = is_kept(id, peer);
+            if let (false, Some(digest)) = (kept, &peer.digest) {
+                ended.insert((id.clone(), digest.incarnation), digest.usage.clone());
+            }
+            kept
+        });
+    }
+
+    /// Takes over a datagram; returns whether it is newer than what was known.
+    pub(crate) fn heard(&mut self, from: SocketAddr, digest: Digest, now: Instant) -> bool {
+        if digest.node == self.own {
+            return false;
+        }
+        let peer = self.peers.entry(digest.node.clone());
+        let peer = peer.or_insert(Peer { address: from, heard: None, digest: None });
+        if let Some(known) = &peer.digest {
+            if known.incarnation == digest.incarnation && known.sequence >= digest.sequence {
+                return false;
+            }
+            if known.incarnation != digest.incarnation {
+                let key = (known.node.clone(), known.incarnation);
+                self.ended.insert(key, known.usage.clone());
+            }
+        }
+        peer.address = from;
+        peer.heard = Some(now);
+        peer.digest = Some(digest);
+        true
+    }
+
+    /// Forgets nodes that were not heard for long.
+    pub(crate) fn forget_silent(&mut self, now: Instant) {
+        self.keep(|_, peer| {
+            peer.heard.is_none_or(|at| now.saturating_duration_since(at) < FORGOTTEN)
+        });
+    }
+
+    /// Returns the number of nodes, this one included.
+    pub(crate) fn nodes(&self) -> u32 {
+        u32::try_from(self.peers.len()).unwrap_or(u32::MAX).saturating_add(1)
+    }
+
+    /// Returns the addresses of the other nodes.
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
+        self.peers.values().map(|peer| peer.address).collect()
+    }
+
+    /// Returns the nodes that are heard, with their last word.
+    pub(crate) fn heard_digests(&self, now: Instant) -> impl Iterator<Item = &Digest> {
+        let is_heard = move |peer: &&Peer| {
+            peer.heard.is_some_and(|at| now.saturating_duration_since(at) < HEARD)
+        };
+        self.peers.values().filter(is_heard).filter_map(|peer| peer.digest.as_ref())
+    }
+
+    /// Returns the addresses of nodes that are heard.
+    pub(crate) fn heard_addresses(&self, now: Instant) -> Vec<SocketAddr> {
+        let is_heard = move |peer: &&Peer| {
+            peer.heard.is_some_and(|at| now.saturating_duration_since(at) < HEARD)
+        };
+        self.peers.values().filter(is_heard).map(|peer| peer.address).collect()
+    }
+
+    /// Returns what the other nodes let through of a workspace.
+    pub(crate) fn others_use(&self, workspace: &WorkspaceName, now: Instant) -> OthersUse {
+        let mut heard = 0;
+        let mut heard_nodes = 0;
+        for digest in self.heard_digests(now) {
+            heard_nodes += 1;
+            let used = digest.quota_use.iter().find(|(name, _)| name == workspace);
+            heard += used.map_or(0, |(_, used)| *used);
+        }
+        let nodes = self.nodes();
+        OthersUse { heard, unheard_nodes: nodes - 1 - heard_nodes, nodes }
+    }
+
+    /// Returns the work of the nodes that are heard, by upstream.
+    pub(crate) fn in_flight(&self, now: Instant) -> HashMap<UpstreamId, InFlight> {
+        let mut sums: HashMap<UpstreamId, InFlight> = HashMap::new();
+        for used in self.heard_digests(now).flat_map(|digest| &digest.upstreams) {
+            *sums.entry(used.upstream.clone()).or_default() += InFlight {
+                requests: used.requests,
+                unread_tokens: used.unread_tokens,
+                memory_tokens: used.memory_tokens,
+            };
+        }
+        sums
+    }
+
+    /// Returns the other nodes' counts of a window, also of processes that ended.
+    pub(crate) fn usage(&self, window: UsageWindow) -> BTreeMap<WorkspaceName, u64> {
+        let mut sums = BTreeMap::new();
+        let live = self.peers.values().filter_map(|peer| peer.digest.as_ref());
+        let live = live.flat_map(|digest| &digest.usage);
+        let ended = self.ended.values().flatten();
+        for (name, count) in
+            live.chain(ended).filter(|used| used.window == window).flat_map(|used| &used.counts)
+        {
+            *sums.entry(name.clone()).or_default() += count;
+        }
+        sums
+    }
+
+    /// Forgets counts of ended processes before a window.
+    pub(crate) fn forget_usage(&mut self, before: UsageWindow) {
+        self.ended.retain(|_, uses| uses.iter().any(|used| used.window >= before));
+    }
+}
+
+impl From<&crate::gateway::Read> for ReadPrompt {
+    fn from(read: &crate::gateway::Read) -> ReadPrompt {
+        let links = read.links.iter().map(|(hash, tokens)| (hash.0, *tokens)).collect();
+        ReadPrompt { upstream: read.upstream.clone(), links }
+    }
+}
+
+impl ReadPrompt {
+    pub(crate) fn chain(&self) -> Vec<(ChainHash, u32)> {
+        self.links.iter().map(|(hash, tokens)| (ChainHash(*hash), *tokens)).collect()
+    }
+}
--- /dev/null
+++ b/components/gateway/src/run.rs
@@ -0,0 +1,143 @@
+//! Starts and stops a gateway.
+
+use std::{cell::RefCell, io, rc::Rc, time::Duration};
+
+use actix_http::{Response, StatusCode};
+use actix_rt::task::JoinHandle;
+use lycheelatch_settings::GatewaySettings;
+use tokio::{
+    net::UdpSocket,
+    time::{Instant, sleep},
+};
+
+use crate::{
+    BootClock, CallerLimits, Dialect, DutyCalls, Gateway, GatewayMetrics, Layout,
+    Leader, Store, TrueTime, gossip, leader, members, neighbours, report, scale, serve,
+    server::{self, ServerLimits, empty},
+    sync::{self, View},
+};
+
+/// Time limits of connections between nodes.
+const INNER_LIMITS: ServerLimits =
+    ServerLimits { head_timeout: Duration::from_secs(2), idle_timeout: Duration::from_secs(10) };
+
+/// Time after the signal in which the balancer still sends new connections.
+const LINGER: Duration = Duration::from_millis(2600);
+
+/// Time before the end of the grace period at which the process ends in any case.
+const END_MARGIN: Duration = Duration::from_millis(400);
+
+/// Time between two looks at open requests.
+const STOP_POLL: Duration = Duration::from_millis(50);
+
+/// What the adapter of a platform gives to a gateway.
+pub struct PlatformParts {
+    /// The store.
+    pub store: Rc<dyn Store>,
+    /// What others write to the store.
+    pub layout: Rc<dyn Layout>,
+    /// Headers of callers and upstreams.
+    pub dialect: Rc<dyn Dialect>,
+    /// Calls that one node makes for all.
+    pub duty_calls: Rc<dyn DutyCalls>,
+    /// Clock that goes on while the machine is suspended.
+    pub boot: Rc<dyn BootClock>,
+}
+
+/// A gateway that runs.
+pub struct RunningGateway {
+    gateway: Rc<Gateway>,
+    tasks: RefCell<Vec<JoinHandle<()>>>,
+}
+
+impl RunningGateway {
+    /// Binds its addresses and starts its tasks on this thread.
+    pub async fn start(
+        settings: GatewaySettings,
+        metrics: GatewayMetrics,
+        parts: PlatformParts,
+    ) -> io::Result<RunningGateway> {
+        let callers = server::bind(settings.callers)?;
+        let readiness = server::bind(settings.readiness)?;
+        let inner = server::bind(settings.peers)?;
+        let metrics_port = server::bind(settings.metrics)?;
+        let datagrams = UdpSocket::bind(settings.peers).await?;
+        let time = Rc::new(TrueTime::new(parts.boot.clone()));
+        let gateway = Rc::new(Gateway::new(settings, parts.dialect, metrics, time));
+        let view = Rc::new(View::new(gateway.clone(), parts.store.clone(), parts.layout));
+        let leader = Rc::new(Leader::new(parts.boot));
+        let tasks = vec![
+            actix_rt::spawn(serve_callers(gateway.clone(), callers)),
+            actix_rt::spawn(serve_readiness(gateway.clone(), readiness)),
+            actix_rt::spawn(serve_others(gateway.clone(), view.clone(), inner)),
+            actix_rt::spawn(serve_others(gateway.clone(), view.clone(), metrics_port)),
+            actix_rt::spawn(sync::follow_config(view.clone())),
+            actix_rt::spawn(sync::follow_upstreams(view.clone())),
+            actix_rt::spawn(neighbours::follow_others(gateway.clone(), view)),
+            actix_rt::spawn(members::keep_listed(gateway.clone(), parts.store.clone())),
+            actix_rt::spawn(gossip::run(gateway.clone(), datagrams)),
+            actix_rt::spawn(leader::hold(gateway.clone(), parts.store.clone(), leader.clone())),
+            actix_rt::spawn(report::run(
+                gateway.clone(),
+                parts.store,
+                leader.clone(),
+                parts.duty_calls.clone(),
+            )),
+            actix_rt::spawn(scale::run(gateway.clone(), leader, parts.duty_calls)),
+        ];
+        log::info!("gateway: {} serves on {}", gateway.settings.node, gateway.settings.callers);
+        Ok(RunningGateway { gateway, tasks: RefCell::new(tasks) })
+    }
+
+    /// Returns what requests share.
+    pub fn gateway(&self) -> &Rc<Gateway> {
+        &self.gateway
+    }
+
+    /// Lets open requests finish within the grace period, then stops.
+    pub async fn stop(&self) {
+        let started = Instant::now();
+        let ends = started + self.gateway.settings.grace - END_MARGIN;
+        self.gateway.start_stopping();
+        log::info!("gateway: stopping, {} requests open", self.gateway.open_requests());
+        while Instant::now() < ends {
+            let is_idle = self.gateway.open_requests() == 0;
+            if is_idle && started.elapsed() >= LINGER {
+                break;
+            }
+            sleep(STOP_POLL).await;
+        }
+        let left = self.gateway.open_requests();
+        if left > 0 {
+            log::warn!("gateway: {left} requests are cut off by the stop");
+        }
+        for task in self.tasks.take() {
+            task.abort();
+        }
+        log::info!("gateway: stopped");
+    }
+}
+
+async fn serve_callers(gateway: Rc<Gateway>, listener: tokio::net::TcpListener) {
+    let limits_of = gateway.clone();
+    let limits = move || {
+        let limits = limits_of.table().map_or_else(CallerLimits::default, |table| table.limits);
+        ServerLimits { head_timeout: limits.head_timeout, idle_timeout: limits.idle_timeout }
+    };
+    server::serve(listener, limits, move |req| serve::answer(gateway.clone(), req)).await;
+}
+
+async fn serve_readiness(gateway: Rc<Gateway>, listener: tokio::net::TcpListener) {
+    let handler = move |_req| {
+        let status =
+            if gateway.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        let response: Response<actix_http::body::BoxBody> = empty(status);
+        std::future::ready(response)
+    };
+    server::serve(listener, || INNER_LIMITS, handler).await;
+}
+
+async fn serve_others(gateway: Rc<Gateway>, view: Rc<View>, listener: tokio::net::TcpListener) {
+    let handler = move |req| neighbours::answer(gateway.clone(), view.clone(), req);
+    server::serve(listener, || INNER_LIMITS, handler).await;
+}
--- /dev/null
+++ b/components/gateway/src/scale.rs
@@ -0,0 +1,173 @@
+//! Orders the upstreams that services need.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+    time::Duration,
+};
+
+use lycheelatch_prelude::{ServiceName, ZoneName};
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    DutyCalls, DutyError, Gateway, Leader, Purchase, ServiceSpec, SizeOrder,
+    demand::Forecast,
+    size::{ZoneSize, ZoneSupply, plan},
+    table::ScalingSpec,
+};
+
+/// Pause between two plans.
+const INTERVAL: Duration = Duration::from_millis(400);
+
+/// Time for which a zone without reclaimable upstreams is not asked again.
+const DRY_FOR: Duration = Duration::from_secs(2);
+
+/// Time after which an order whose upstreams did not come is sent again.
+const REPEAT_AFTER: Duration = Duration::from_secs(7);
+
+/// Calls of one round.
+const MAX_CALLS: u32 = 8;
+
+/// One order as it was sent last.
+#[derive(Debug, Clone, Copy)]
+struct Sent {
+    count: u32,
+    at: Instant,
+}
+
+type Subject = (ServiceName, ZoneName, Purchase);
+
+/// What was ordered, and where none were to be had.
+#[derive(Default)]
+struct Orders {
+    sent: HashMap<Subject, Sent>,
+    dry_until: BTreeMap<(ServiceName, ZoneName), Instant>,
+    forecast: Forecast,
+}
+
+/// Orders upstreams while this node holds the duties, until the task is dropped.
+pub(crate) async fn run(gateway: Rc<Gateway>, leader: Rc<Leader>, calls: Rc<dyn DutyCalls>) {
+    let mut orders = Orders::default();
+    loop {
+        sleep(INTERVAL).await;
+        orders.forecast.observe(&gateway, Instant::now());
+        if leader.fence().is_none() {
+            orders.sent.clear();
+            continue;
+        }
+        let Some(table) = gateway.table() else { continue };
+        for service in table.services() {
+            if let Some(spec) = &service.scaling {
+                step(&gateway, &leader, &*calls, service, spec, &mut orders).await;
+            }
+        }
+    }
+}
+
+async fn step(
+    gateway: &Gateway,
+    leader: &Leader,
+    calls: &dyn DutyCalls,
+    service: &ServiceSpec,
+    spec: &ScalingSpec,
+    orders: &mut Orders,
+) {
+    let now = Instant::now();
+    let supply = supply(gateway, service, spec, orders, now);
+    let need = orders.forecast.need(service, now);
+    let sizes = plan(spec, need, &supply);
+    let mut left = MAX_CALLS;
+    for (size, zone) in sizes.iter().zip(&supply) {
+        for purchase in [Purchase::Reclaimable, Purchase::OnDemand] {
+            if left > 0 && is_due(service, size, zone, purchase, orders, now) {
+                left -= 1;
+                order(leader, calls, service, size, purchase, orders).await;
+            }
+        }
+    }
+}
+
+fn supply(
+    gateway: &Gateway,
+    service: &ServiceSpec,
+    spec: &ScalingSpec,
+    orders: &Orders,
+    now: Instant,
+) -> Vec<ZoneSupply> {
+    let upstreams = gateway.directory.of(&service.name);
+    let count = |zone: &ZoneName, is_reclaimable: bool| {
+        let fits = |up: &&Rc<crate::Upstream>| {
+            let entry = up.entry.borrow();
+            entry.zone == *zone && entry.is_reclaimable == is_reclaimable
+        };
+        u32::try_from(upstreams.iter().filter(fits).count()).unwrap_or(u32::MAX)
+    };
+    spec.zone_prices
+        .keys()
+        .map(|zone| {
+            let dry = orders.dry_until.get(&(service.name.clone(), zone.clone()));
+            ZoneSupply {
+                zone: zone.clone(),
+                on_demand: count(zone, false),
+                reclaimable: count(zone, true),
+                is_dry: dry.is_some_and(|until| now < *until),
+            }
+        })
+        .collect()
+}
+
+fn is_due(
+    service: &ServiceSpec,
+    size: &ZoneSize,
+    zone: &ZoneSupply,
+    purchase: Purchase,
+    orders: &Orders,
+    now: Instant,
+) -> bool {
+    let wanted = size.of(purchase);
+    let there = match purchase {
+        Purchase::OnDemand => zone.on_demand,
+        Purchase::Reclaimable => zone.reclaimable,
+    };
+    let subject = (service.name.clone(), size.zone.clone(), purchase);
+    match orders.sent.get(&subject) {
+        None => wanted != there,
+        Some(sent) if sent.count != wanted => true,
+        Some(sent) => there != wanted && now - sent.at > REPEAT_AFTER,
+    }
+}
+
+async fn order(
+    leader: &Leader,
+    calls: &dyn DutyCalls,
+    service: &ServiceSpec,
+    size: &ZoneSize,
+    purchase: Purchase,
+    orders: &mut Orders,
+) {
+    let Some(fence) = leader.fence() else { return };
+    let count = size.of(purchase);
+    let order =
+        SizeOrder { service: service.name.clone(), zone: size.zone.clone(), purchase, count };
+    let result = calls.order(fence, &order).await;
+    let now = Instant::now();
+    let subject = (service.name.clone(), size.zone.clone(), purchase);
+    match result {
+        Ok(()) => {
+            log::info!("scale: {} in {}: {purchase:?} {count}", service.name, size.zone);
+            orders.sent.insert(subject, Sent { count, at: now });
+        }
+        Err(DutyError::NoneAvailable) => {
+            log::info!("scale: {} in {}: no {purchase:?} to be had", service.name, size.zone);
+            orders.sent.remove(&subject);
+            if purchase == Purchase::Reclaimable {
+                let until = now + DRY_FOR;
+                orders.dry_until.insert((service.name.clone(), size.zone.clone()), until);
+            }
+        }
+        Err(err) => {
+            log::warn!("scale: {} in {}: {err}", service.name, size.zone);
+            orders.sent.insert(subject, Sent { count, at: now });
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/server.rs
@@ -0,0 +1,120 @@
+//! HTTP servers on the thread of the caller.
+
+use std::{convert::Infallible, future::Future, io, net::SocketAddr, rc::Rc, time::Duration};
+
+use actix_http::{
+    HttpService, KeepAlive, Request, Response, StatusCode,
+    body::BoxBody,
+};
+use actix_rt::net::TcpStream;
+use actix_service::{Service, ServiceFactory, fn_service};
+use tokio::net::TcpListener;
+
+/// Time for which a server waits for a caller to take the rest of an answer.
+const DISCONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// Time limits of a server's connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ServerLimits {
+    pub(crate) head_timeout: Duration,
+    pub(crate) idle_timeout: Duration,
+}
+
+/// Binds an address.
+pub(crate) fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Accepts connections and answers their requests, until the task is dropped.
+///
+/// `limits` is asked for each connection, since a new configuration may change them.
+pub(crate) async fn serve<H, F>(
+    listener: TcpListener,
+    limits: impl Fn() -> ServerLimits,
+    handler: H,
+) where
+    H: Fn(Request) -> F + Clone + 'static,
+    F: Future<Output = Response<BoxBody>> + 'static,
+{
+    let mut current = limits();
+    let mut service = service(current, handler.clone()).await;
+    loop {
+        let (io, peer) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(err) => {
+                log::warn!("server: no connection accepted: {err}");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        if let Err(err) = io.set_nodelay(true) {
+            log::debug!("server: a connection without nodelay: {err}");
+        }
+        let wanted = limits();
+        if wanted != current {
+            current = wanted;
+            service = self::service(current, handler.clone()).await;
+        }
+        let served = service.call((io, Some(peer)));
+        actix_rt::spawn(async move {
+            if let Err(err) = served.await {
+                log::debug!("server: a connection of {peer} ended: {err}");
+            }
+        });
+    }
+}
+
+type Served = Rc<
+    dyn Fn(
+        (TcpStream, Option<SocketAddr>),
+    ) -> std::pin::Pin<Box<dyn Future<Output = Result<(), actix_http::error::DispatchError>>>>,
+>;
+
+/// A service that serves one connection.
+struct ConnectionService(Served);
+
+impl ConnectionService {
+    fn call(
+        &self,
+        io: (TcpStream, Option<SocketAddr>),
+    ) -> std::pin::Pin<Box<dyn Future<Output = Result<(), actix_http::error::DispatchError>>>> {
+        (self.0)(io)
+    }
+}
+
+async fn service<H, F>(limits: ServerLimits, handler: H) -> ConnectionService
+where
+    H: Fn(Request) -> F + Clone + 'static,
+    F: Future<Output = Response<BoxBody>> + 'static,
+{
+    let answer = fn_service(move |req: Request| {
+        let answered = handler(req);
+        async move { Ok::<_, Infallible>(answered.await) }
+    });
+    let factory = HttpService::build()
+        .keep_alive(KeepAlive::Timeout(limits.idle_timeout))
+        .client_request_timeout(limits.head_timeout)
+        .client_disconnect_timeout(DISCONNECT_TIMEOUT)
+        .h1_allow_half_closed(false)
+        .h1(answer);
+    let service = match factory.new_service(()).await {
+        Ok(service) => Rc::new(service),
+        Err(()) => unreachable!("the factory of a plain function can't fail"),
+    };
+    ConnectionService(Rc::new(move |io| {
+        let service = service.clone();
+        Box::pin(async move { service.call(io).await })
+    }))
+}
+
+/// Returns an answer without a body.
+pub(crate) fn empty(status: StatusCode) -> Response<BoxBody> {
+    Response::new(status)
+}
+
--- /dev/null
+++ b/components/gateway/src/size.rs
@@ -0,0 +1,147 @@
+//! How many upstreams of a service each availability zone shall have.
+//!
+//! Reclaimable upstreams cost a fraction, and all of a zone go at once. What is
+//! left of them after the loss of one zone must carry the work; on-demand ones
+//! fill what reclaimable ones can't.
+
+use lycheelatch_prelude::ZoneName;
+
+use crate::{Purchase, table::ScalingSpec};
+
+/// What one availability zone has of a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ZoneSupply {
+    /// The zone.
+    pub zone: ZoneName,
+    /// On-demand upstreams that take work.
+    pub on_demand: u32,
+    /// Reclaimable upstreams that take work.
+    pub reclaimable: u32,
+    /// Whether the cloud has no reclaimable ones there at the moment.
+    pub is_dry: bool,
+}
+
+/// What one availability zone shall have of a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ZoneSize {
+    /// The zone.
+    pub zone: ZoneName,
+    /// On-demand upstreams.
+    pub on_demand: u32,
+    /// Reclaimable upstreams.
+    pub reclaimable: u32,
+}
+
+impl ZoneSize {
+    /// Returns the count of one kind.
+    pub fn of(&self, purchase: Purchase) -> u32 {
+        match purchase {
+            Purchase::OnDemand => self.on_demand,
+            Purchase::Reclaimable => self.reclaimable,
+        }
+    }
+}
+
+/// What a service needs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Need {
+    /// Upstreams in all, reclaimable where they are to be had.
+    pub total: u32,
+    /// On-demand upstreams at least.
+    pub on_demand: u32,
+}
+
+/// Returns what each zone shall have.
+pub fn plan(spec: &ScalingSpec, need: Need, supply: &[ZoneSupply]) -> Vec<ZoneSize> {
+    let mut sizes: Vec<_> = supply
+        .iter()
+        .map(|zone| ZoneSize { zone: zone.zone.clone(), on_demand: 0, reclaimable: 0 })
+        .collect();
+    let by_price = by_price(spec, supply);
+    give_reclaimable(spec, need.total, supply, &by_price, &mut sizes);
+    let given: u32 = sizes.iter().map(|size| size.reclaimable).sum();
+    let wanted = need.on_demand.max(need.total.saturating_sub(given));
+    give_on_demand(spec, wanted, supply, &by_price, &mut sizes);
+    keep_until_replaced(spec, need, supply, &mut sizes);
+    sizes
+}
+
+/// Returns the positions of the zones, cheapest first.
+fn by_price(spec: &ScalingSpec, supply: &[ZoneSupply]) -> Vec<usize> {
+    let price = |at: &usize| spec.zone_prices.get(&supply[*at].zone).copied().unwrap_or(1.0);
+    let mut order: Vec<_> = (0..supply.len()).collect();
+    order.sort_by(|a, b| price(a).total_cmp(&price(b)));
+    order
+}
+
+/// Spreads reclaimable upstreams over the zones that have them.
+fn give_reclaimable(
+    spec: &ScalingSpec,
+    total: u32,
+    supply: &[ZoneSupply],
+    by_price: &[usize],
+    sizes: &mut [ZoneSize],
+) {
+    let open: Vec<_> = by_price.iter().copied().filter(|&at| !supply[at].is_dry).collect();
+    for &at in &open {
+        sizes[at].reclaimable = spec.minimum;
+    }
+    let mut given = spec.minimum * u32::try_from(open.len()).unwrap_or(u32::MAX);
+    while given < total {
+        let before = given;
+        for &at in &open {
+            if given < total && sizes[at].reclaimable < spec.maximum {
+                sizes[at].reclaimable += 1;
+                given += 1;
+            }
+        }
+        if given == before {
+            return;
+        }
+    }
+}
+
+/// Gives on-demand upstreams, first to zones that would have fewer than the minimum.
+fn give_on_demand(
+    spec: &ScalingSpec,
+    wanted: u32,
+    supply: &[ZoneSupply],
+    by_price: &[usize],
+    sizes: &mut [ZoneSize],
+) {
+    let mut given = 0;
+    for (at, zone) in supply.iter().enumerate() {
+        let short = spec.minimum.saturating_sub(sizes[at].reclaimable);
+        if zone.is_dry && short > 0 {
+            sizes[at].on_demand = short;
+            given += short;
+        }
+    }
+    while given < wanted {
+        let has_room = |at: &&usize| {
+            let size = &sizes[**at];
+            size.on_demand + size.reclaimable < spec.maximum
+        };
+        let fewest = |at: &&usize| sizes[**at].on_demand;
+        let Some(&at) = by_price.iter().filter(has_room).min_by_key(fewest) else { return };
+        sizes[at].on_demand += 1;
+        given += 1;
+    }
+}
+
+/// Keeps on-demand upstreams that run until reclaimable ones have taken their place.
+fn keep_until_replaced(
+    spec: &ScalingSpec,
+    need: Need,
+    supply: &[ZoneSupply],
+    sizes: &mut [ZoneSize],
+) {
+    let ready: u32 = supply.iter().map(|zone| zone.reclaimable).sum();
+    let mut missing = need.total.saturating_sub(ready);
+    for (zone, size) in supply.iter().zip(sizes) {
+        let room = spec.maximum.saturating_sub(size.reclaimable);
+        let kept = zone.on_demand.min(missing).min(room).max(size.on_demand);
+        missing = missing.saturating_sub(kept);
+        size.on_demand = kept;
+    }
+}
--- /dev/null
+++ b/components/gateway/src/sync.rs
@@ -0,0 +1,285 @@
+//! Keeps configuration and upstreams as the store holds them.
+//!
+//! Two loops read the store, one for the operators' keys and one for the
+//! upstreams'. While the store does not answer, the other nodes are asked.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use lycheelatch_prelude::UpstreamId;
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    Freshness, Gateway, Item, Layout, RoutingTable, Store, StoreError, StoreEvent, StoreRevision,
+};
+
+/// Longest wait of one watch; a silent connection goes unnoticed for as long.
+const WATCH_WAIT: Duration = Duration::from_millis(1000);
+
+/// Pause between two watches of the upstreams, which write often.
+const GATHER: Duration = Duration::from_millis(250);
+
+/// Pause after a failed call, at first and at most.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(400));
+
+/// Time after the store's return in which lapsed entries may come back.
+const RETURN_GRACE: Duration = Duration::from_millis(2200);
+
+/// Time without an answer after which the store counts as lost.
+const LOST_AFTER: Duration = Duration::from_millis(500);
+
+/// A value as this node holds it, for nodes that can't reach the store.
+#[derive(Debug, Clone)]
+pub(crate) struct Held {
+    pub(crate) value: Bytes,
+    pub(crate) revision: StoreRevision,
+}
+
+/// What this node holds of the store.
+pub(crate) struct View {
+    gateway: Rc<Gateway>,
+    store: Rc<dyn Store>,
+    layout: Rc<dyn Layout>,
+    pub(crate) config: RefCell<Option<Held>>,
+    pub(crate) upstreams: RefCell<BTreeMap<Arc<str>, Held>>,
+    pub(crate) revision: Cell<StoreRevision>,
+    last_answer: Cell<Option<Instant>>,
+    last_failure: Cell<Option<Instant>>,
+    lapsed: RefCell<BTreeMap<Arc<str>, StoreRevision>>,
+}
+
+impl View {
+    pub(crate) fn new(
+        gateway: Rc<Gateway>,
+        store: Rc<dyn Store>,
+        layout: Rc<dyn Layout>,
+    ) -> View {
+        View {
+            gateway,
+            store,
+            layout,
+            config: RefCell::default(),
+            upstreams: RefCell::default(),
+            revision: Cell::default(),
+            last_answer: Cell::default(),
+            last_failure: Cell::default(),
+            lapsed: RefCell::default(),
+        }
+    }
+
+    /// Returns the time since the store answered last.
+    pub(crate) fn age(&self) -> Duration {
+        self.last_answer.get().map_or(Duration::MAX, |at| at.elapsed())
+    }
+
+    /// Returns whether the store has been silent for long.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        let failed = self.last_failure.get();
+        failed.is_some_and(|at| at.elapsed() < 2 * WATCH_WAIT) && self.age() > LOST_AFTER
+    }
+
+    fn answered(&self) {
+        let now = Instant::now();
+        let was_failing = self.last_failure.get() > self.last_answer.get();
+        if was_failing {
+            log::info!("store: reached again");
+        }
+        self.last_answer.set(Some(now));
+    }
+
+    fn failed(&self, call: &str, err: &StoreError) {
+        if self.last_failure.get() <= self.last_answer.get() {
+            log::warn!("store: {call}: {err}");
+        }
+        self.last_failure.set(Some(Instant::now()));
+    }
+
+    /// Returns whether entries may be missing only because the store was away.
+    fn is_returning(&self) -> bool {
+        self.last_failure.get().is_some_and(|at| at.elapsed() < RETURN_GRACE)
+    }
+
+    /// Takes over the configuration, unless a newer one is held.
+    pub(crate) fn take_config(&self, value: Bytes, revision: StoreRevision) {
+        let is_known =
+            self.config.borrow().as_ref().is_some_and(|held| held.revision >= revision);
+        if is_known {
+            return;
+        }
+        match self.layout.config(&value) {
+            Ok(source) => self.gateway.set_table(RoutingTable::from(source)),
+            Err(err) => log::error!("config: not taken over: {err}"),
+        }
+        *self.config.borrow_mut() = Some(Held { value, revision });
+    }
+
+    /// Takes over an upstream's entry, unless a newer one is held.
+    pub(crate) fn take_upstream(&self, key: &Arc<str>, value: Bytes, revision: StoreRevision) {
+        let mut upstreams = self.upstreams.borrow_mut();
+        if upstreams.get(key).is_some_and(|held| held.revision >= revision) {
+            return;
+        }
+        self.lapsed.borrow_mut().remove(key);
+        let Some(id) = self.upstream_id(key) else { return };
+        match self.layout.upstream(&id, &value) {
+            Ok(entry) => self.gateway.directory.put(entry, revision),
+            Err(err) => {
+                log::warn!("directory: the entry {key} names no upstream: {err}");
+                self.gateway.directory.remove(&id, revision);
+            }
+        }
+        upstreams.insert(key.clone(), Held { value, revision });
+    }
+
+    fn upstream_id(&self, key: &str) -> Option<UpstreamId> {
+        let id = key.strip_prefix(self.layout.upstream_prefix())?;
+        id.parse().map_err(|err| log::warn!("directory: {err}")).ok()
+    }
+
+    /// Removes an upstream, or waits whether it comes back after the store was away.
+    pub(crate) fn drop_upstream(&self, key: &Arc<str>, revision: StoreRevision) {
+        if self.is_returning() {
+            self.lapsed.borrow_mut().insert(key.clone(), revision);
+            return;
+        }
+        self.remove_upstream(key, revision);
+    }
+
+    fn remove_upstream(&self, key: &Arc<str>, revision: StoreRevision) {
+        let mut upstreams = self.upstreams.borrow_mut();
+        if upstreams.get(key).is_some_and(|held| held.revision < revision) {
+            upstreams.remove(key);
+        }
+        if let Some(id) = self.upstream_id(key) {
+            self.gateway.directory.remove(&id, revision);
+        }
+    }
+
+    /// Removes the upstreams that did not come back.
+    fn drop_lapsed(&self) {
+        if self.is_returning() {
+            return;
+        }
+        for (key, revision) in self.lapsed.take() {
+            self.remove_upstream(&key, revision);
+        }
+    }
+
+    /// Takes over a whole listing of upstreams.
+    pub(crate) fn take_upstreams(&self, items: Vec<Item>, revision: StoreRevision) {
+        let listed: std::collections::BTreeSet<_> =
+            items.iter().map(|item| item.key.clone()).collect();
+        for item in items {
+            self.take_upstream(&item.key, item.value, item.revision);
+        }
+        let held: Vec<_> = self.upstreams.borrow().keys().cloned().collect();
+        for key in held.iter().filter(|key| !listed.contains(*key)) {
+            self.drop_upstream(key, revision);
+        }
+        self.revision.set(self.revision.get().max(revision));
+        self.gateway.set_upstreams_known();
+    }
+}
+
+/// Follows the operators' keys until the task is dropped.
+pub(crate) async fn follow_config(view: Rc<View>) {
+    let mut after = None;
+    let mut backoff = BACKOFF.0;
+    loop {
+        match config_step(&view, after).await {
+            Ok(revision) => {
+                view.answered();
+                after = Some(revision);
+                backoff = BACKOFF.0;
+            }
+            Err(StoreError::HistoryGone) => after = None,
+            Err(err) => {
+                view.failed("configuration", &err);
+                backoff = pause(backoff).await;
+            }
+        }
+    }
+}
+
+async fn config_step(
+    view: &View,
+    after: Option<StoreRevision>,
+) -> Result<StoreRevision, StoreError> {
+    let prefix = view.layout.operator_prefix();
+    let Some(after) = after else {
+        let listing = view.store.list(prefix, Freshness::Linearizable).await?;
+        for item in listing.items {
+            if &*item.key == view.layout.config_key() {
+                view.take_config(item.value, item.revision);
+            }
+        }
+        return Ok(listing.revision);
+    };
+    let changes = view.store.watch(prefix, after, WATCH_WAIT).await?;
+    for event in changes.events {
+        if let StoreEvent::Written(item) = event
+            && &*item.key == view.layout.config_key()
+        {
+            view.take_config(item.value, item.revision);
+        }
+    }
+    Ok(changes.revision.max(after))
+}
+
+/// Follows the upstreams' keys until the task is dropped.
+pub(crate) async fn follow_upstreams(view: Rc<View>) {
+    let mut after = None;
+    let mut backoff = BACKOFF.0;
+    loop {
+        match upstreams_step(&view, after).await {
+            Ok(revision) => {
+                view.answered();
+                after = Some(revision);
+                backoff = BACKOFF.0;
+                view.drop_lapsed();
+                sleep(GATHER).await;
+            }
+            Err(StoreError::HistoryGone) => after = None,
+            Err(err) => {
+                view.failed("upstreams", &err);
+                backoff = pause(backoff).await;
+                // What happened meanwhile may be missing in the history.
+                if backoff == BACKOFF.1 {
+                    after = None;
+                }
+            }
+        }
+    }
+}
+
+async fn upstreams_step(
+    view: &View,
+    after: Option<StoreRevision>,
+) -> Result<StoreRevision, StoreError> {
+    let prefix = view.layout.upstream_prefix();
+    let Some(after) = after else {
+        let listing = view.store.list(prefix, Freshness::Linearizable).await?;
+        view.take_upstreams(listing.items, listing.revision);
+        return Ok(listing.revision);
+    };
+    let changes = view.store.watch(prefix, after, WATCH_WAIT).await?;
+    for event in changes.events {
+        match event {
+            StoreEvent::Written(item) => view.take_upstream(&item.key, item.value, item.revision),
+            StoreEvent::Deleted { key, revision } => view.drop_upstream(&key, revision),
+        }
+    }
+    view.revision.set(view.revision.get().max(changes.revision));
+    Ok(changes.revision.max(after))
+}
+
+async fn pause(backoff: Duration) -> Duration {
+    sleep(backoff.mul_f64(0.5 + rand::random::<f64>())).await;
+    (backoff * 2).min(BACKOFF.1)
+}
--- a/components/settings/src/settings.rs
+++ b/components/settings/src/settings.rs
@@ -5,7 +5,11 @@
 use displaydoc::Display;
 use lycheelatch_prelude::{InvalidValue, Name, NodeId, OperatorName, RegionName, ZoneName};
 
-use crate::reader::{Errors, Reader};
+use crate::{
+    GatewaySettings,
+    gateway::read_gateway,
+    reader::{Errors, Reader},
+};
 
 /// Settings of one node.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -183,26 +187,61 @@
     }
 }
 
+/// Settings of one node, by what it serves.
+#[derive(Debug, Clone, PartialEq)]
+#[expect(clippy::large_enum_variant, reason = "read once")]
+pub enum NodeSettings {
+    /// A node with its own interface.
+    Own(Settings),
+    /// A node that serves routed requests.
+    Gateway(GatewaySettings),
+}
+
+impl NodeSettings {
+    /// Reads settings from JSON and names every error in them.
+    pub fn from_json(text: &str) -> Result<NodeSettings, SettingsError> {
+        let is_gateway = value_of(text)?.get("gateway").is_some();
+        if !is_gateway {
+            return Settings::from_json(text).map(NodeSettings::Own);
+        }
+        let read = |mut r: Reader<'_>| {
+            let gateway = read_gateway(r.object("gateway"));
+            r.finish();
+            gateway
+        };
+        read_checked(text, read).map(NodeSettings::Gateway)
+    }
+}
+
 impl Settings {
     /// Reads settings from JSON and names every error in them.
     pub fn from_json(text: &str) -> Result<Settings, SettingsError> {
-        let value =
-            serde_json::from_str(text).map_err(|err| SettingsError::Syntax(err.to_string()))?;
-        let errors = Errors::default();
-        let settings = read_settings(Reader::new("", value, &errors));
-        let errors = errors.into_vec();
-        match settings {
-            Some(settings) if errors.is_empty() => Ok(settings),
-            _ => Err(SettingsError::Invalid(errors)),
-        }
+        read_checked(text, read_settings)
+    }
+}
+
+fn value_of(text: &str) -> Result<serde_json::Value, SettingsError> {
+    serde_json::from_str(text).map_err(|err| SettingsError::Syntax(err.to_string()))
+}
+
+fn read_checked<T>(
+    text: &str,
+    read: impl FnOnce(Reader<'_>) -> Option<T>,
+) -> Result<T, SettingsError> {
+    let errors = Errors::default();
+    let settings = read(Reader::new("", value_of(text)?, &errors));
+    let errors = errors.into_vec();
+    match settings {
+        Some(settings) if errors.is_empty() => Ok(settings),
+        _ => Err(SettingsError::Invalid(errors)),
     }
 }
 
-fn parsed<T: FromStr<Err = InvalidValue>>(text: &str) -> Result<T, String> {
+pub(crate) fn parsed<T: FromStr<Err = InvalidValue>>(text: &str) -> Result<T, String> {
     text.parse().map_err(|err: InvalidValue| err.reason)
 }
 
-fn address(text: &str) -> Result<SocketAddr, String> {
+pub(crate) fn address(text: &str) -> Result<SocketAddr, String> {
     text.parse().map_err(|_| "must be an IP address and a port, such as 10.0.0.7:8080".to_owned())
 }
 
@@ -338,7 +377,7 @@
     StopSettings { notice }
 }
 
-fn read_log(mut r: Reader<'_>) -> LogSettings {
+pub(crate) fn read_log(mut r: Reader<'_>) -> LogSettings {
     let format = r.optional("format", |text| match text {
         "text" => Ok(LogFormat::Text),
         "json" => Ok(LogFormat::Json),
