--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -51,7 +51,8 @@
         Reason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         Reason::BodyIncomplete => StatusCode::BAD_REQUEST,
         Reason::OverQuota => StatusCode::TOO_MANY_REQUESTS,
-        Reason::NotInformed
+        Reason::Stopping
+        | Reason::NotInformed
         | Reason::NoUpstream
         | Reason::Busy
         | Reason::NotRun
--- a/components/gateway/src/connection.rs
+++ b/components/gateway/src/connection.rs
@@ -8,10 +8,10 @@
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use actix_http::{
-    BoxedPayloadStream, Method, Payload, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, Uri,
+    BoxedPayloadStream, Method, Payload, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode, Uri,
     body::BodySize,
-    h1::{ClientCodec, ClientPayloadCodec, Message},
-    header::HeaderMap,
+    h1::{ClientCodec, ClientPayloadCodec, Message, MessageType},
+    header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING},
 };
 use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
@@ -64,6 +64,8 @@
 enum State {
     Idle(ClientCodec),
     Body(ClientPayloadCodec),
+    /// A body without a length, which ends with the connection.
+    UntilClose,
     Done,
 }
 
@@ -72,8 +74,6 @@
     io: TcpStream,
     buf: BytesMut,
     state: State,
-    /// Whether an end of the connection ends the body.
-    ends_by_close: bool,
     is_clean: bool,
     keep_alive: Option<Duration>,
     pub(crate) idle_since: Instant,
@@ -97,7 +97,6 @@
             io,
             buf: BytesMut::new(),
             state: State::Idle(CODEC_CONFIG.with(|cfg| ClientCodec::new(cfg.clone()))),
-            ends_by_close: false,
             is_clean: true,
             keep_alive: None,
             idle_since: Instant::now(),
@@ -172,42 +171,52 @@
     }
 
     fn begin_body(&mut self, codec: ClientCodec, head: &ResponseHead) {
-        use actix_http::h1::MessageType;
         self.keep_alive = announced_keep_alive(&head.headers).or(self.keep_alive);
         self.is_clean &= codec.keep_alive();
+        if ends_with_connection(head) {
+            self.is_clean = false;
+            self.state = State::UntilClose;
+            return;
+        }
         self.state = match codec.message_type() {
             MessageType::None => State::Idle(codec),
-            kind => {
-                self.ends_by_close = matches!(kind, MessageType::Stream);
-                self.is_clean &= !self.ends_by_close;
-                State::Body(codec.into_payload_codec())
-            }
+            _ => State::Body(codec.into_payload_codec()),
         };
     }
 
     /// Reads the next part of the body; none: the body is whole.
     pub(crate) async fn chunk(&mut self) -> Result<Option<Bytes>, ExchangeError> {
         loop {
-            let State::Body(codec) = &mut self.state else { return Ok(None) };
-            let decoded = codec.decode(&mut self.buf);
-            match decoded.map_err(|err| ExchangeError::BadAnswer(err.to_string().into()))? {
-                Some(Some(chunk)) => return Ok(Some(chunk)),
-                Some(None) => {
-                    self.finish_body();
-                    return Ok(None);
-                }
-                None => {}
-            }
-            if self.io.read_buf(&mut self.buf).await? == 0 {
-                if !self.ends_by_close {
-                    return Err(ExchangeError::Broken("closed within the answer".into()));
+            match &mut self.state {
+                State::Body(codec) => {
+                    let decoded = codec.decode(&mut self.buf);
+                    match decoded.map_err(|err| ExchangeError::BadAnswer(err.to_string().into()))? {
+                        Some(Some(chunk)) => return Ok(Some(chunk)),
+                        Some(None) => {
+                            self.finish_body();
+                            return Ok(None);
+                        }
+                        None => {}
+                    }
+                    if self.io.read_buf(&mut self.buf).await? == 0 {
+                        return Err(ExchangeError::Broken("closed within the answer".into()));
+                    }
                 }
-                self.state = State::Done;
-                return Ok(None);
+                State::UntilClose => return self.chunk_until_close().await,
+                State::Idle(_) | State::Done => return Ok(None),
             }
         }
     }
 
+    /// Reads a part of a body that ends with the connection; a reset is no end.
+    async fn chunk_until_close(&mut self) -> Result<Option<Bytes>, ExchangeError> {
+        if self.buf.is_empty() && self.io.read_buf(&mut self.buf).await? == 0 {
+            self.state = State::Done;
+            return Ok(None);
+        }
+        Ok(Some(self.buf.split().freeze()))
+    }
+
     fn finish_body(&mut self) {
         if let State::Body(codec) = std::mem::replace(&mut self.state, State::Done) {
             self.state = State::Idle(codec.into_message_codec());
@@ -253,6 +262,16 @@
     Ok(head)
 }
 
+/// Returns whether an answer's body has no length and ends with the connection.
+fn ends_with_connection(head: &ResponseHead) -> bool {
+    let has_length = head.headers.contains_key(CONTENT_LENGTH);
+    let is_chunked = head.headers.contains_key(TRANSFER_ENCODING);
+    let has_body = !head.status.is_informational()
+        && head.status != StatusCode::NO_CONTENT
+        && head.status != StatusCode::NOT_MODIFIED;
+    has_body && !has_length && !is_chunked
+}
+
 /// Reads the idle time that an answer announces, in whole seconds.
 fn announced_keep_alive(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get("keep-alive")?.to_str().ok()?;
--- a/components/gateway/src/decision.rs
+++ b/components/gateway/src/decision.rs
@@ -32,6 +32,8 @@
     BodyIncomplete,
     /// The workspace is over its limit.
     OverQuota,
+    /// The node stops.
+    Stopping,
     /// The node holds no configuration yet.
     NotInformed,
     /// The service has no upstream.
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -9,7 +9,7 @@
 
 use lycheelatch_prelude::{ServiceName, WorkspaceName};
 use lycheelatch_settings::GatewaySettings;
-use tokio::time::Instant;
+use tokio::{sync::watch, time::Instant};
 
 use crate::{
     Dialect, Directory, GatewayMetrics, RoutingTable, TrueTime, Workspace,
@@ -24,6 +24,9 @@
 /// Time after which a refused caller is told to come back for a reason that passes soon.
 const SOON: Duration = Duration::from_millis(500);
 
+/// Time after the signal to stop in which requests are still taken.
+const LAST_TAKEN: Duration = Duration::from_millis(2800);
+
 /// A prompt that an engine has begun to read, for the other nodes to know.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Read {
@@ -50,7 +53,8 @@
     quotas: RefCell<HashMap<WorkspaceName, SlidingCount>>,
     retries: RefCell<HashMap<ServiceName, RetryBudget>>,
     has_upstreams: Cell<bool>,
-    stopping: Cell<bool>,
+    stopping: Cell<Option<Instant>>,
+    closing: watch::Sender<bool>,
     open: Cell<u32>,
 }
 
@@ -100,7 +104,8 @@
             quotas: RefCell::default(),
             retries: RefCell::default(),
             has_upstreams: Cell::new(false),
-            stopping: Cell::new(false),
+            stopping: Cell::new(None),
+            closing: watch::Sender::new(false),
             open: Cell::new(0),
         }
     }
@@ -128,7 +133,7 @@
 
     /// Returns whether the node takes traffic.
     pub fn is_ready(&self) -> bool {
-        self.is_informed() && !self.stopping.get()
+        self.is_informed() && !self.is_stopping()
     }
 
     /// Returns whether the node holds a configuration and upstreams.
@@ -138,12 +143,27 @@
 
     /// Stops being ready; answers from now on end their connections.
     pub fn start_stopping(&self) {
-        self.stopping.set(true);
+        self.stopping.set(Some(Instant::now()));
     }
 
     /// Returns whether the node stops.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.get()
+        self.stopping.get().is_some()
+    }
+
+    /// Returns whether the node has stopped to take requests.
+    pub(crate) fn takes_no_more(&self) -> bool {
+        self.stopping.get().is_some_and(|at| at.elapsed() > LAST_TAKEN)
+    }
+
+    /// Closes idle connections of callers.
+    pub(crate) fn close_idle(&self) {
+        self.closing.send_replace(true);
+    }
+
+    /// Tells when idle connections shall be closed.
+    pub(crate) fn closing(&self) -> watch::Receiver<bool> {
+        self.closing.subscribe()
     }
 
     /// Returns how many requests are open.
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -73,6 +73,7 @@
             actix_rt::spawn(serve_others(gateway.clone(), view.clone(), metrics_port)),
             actix_rt::spawn(sync::follow_config(view.clone())),
             actix_rt::spawn(sync::follow_upstreams(view.clone())),
+            actix_rt::spawn(sync::remove_lapsed(view.clone())),
             actix_rt::spawn(neighbours::follow_others(gateway.clone(), view)),
             actix_rt::spawn(members::keep_listed(gateway.clone(), parts.store.clone())),
             actix_rt::spawn(gossip::run(gateway.clone(), datagrams)),
@@ -102,7 +103,10 @@
         log::info!("gateway: stopping, {} requests open", self.gateway.open_requests());
         while Instant::now() < ends {
             let is_idle = self.gateway.open_requests() == 0;
-            if is_idle && started.elapsed() >= LINGER {
+            if started.elapsed() >= LINGER {
+                self.gateway.close_idle();
+            }
+            if is_idle && started.elapsed() >= LINGER + STOP_POLL {
                 break;
             }
             sleep(STOP_POLL).await;
@@ -124,7 +128,9 @@
         let limits = limits_of.table().map_or_else(CallerLimits::default, |table| table.limits);
         ServerLimits { head_timeout: limits.head_timeout, idle_timeout: limits.idle_timeout }
     };
-    server::serve(listener, limits, move |req| serve::answer(gateway.clone(), req)).await;
+    let closing = gateway.closing();
+    let handler = move |req| serve::answer(gateway.clone(), req);
+    server::serve(listener, limits, Some(closing), handler).await;
 }
 
 async fn serve_readiness(gateway: Rc<Gateway>, listener: tokio::net::TcpListener) {
@@ -134,10 +140,10 @@
         let response: Response<actix_http::body::BoxBody> = empty(status);
         std::future::ready(response)
     };
-    server::serve(listener, || INNER_LIMITS, handler).await;
+    server::serve(listener, || INNER_LIMITS, None, handler).await;
 }
 
 async fn serve_others(gateway: Rc<Gateway>, view: Rc<View>, listener: tokio::net::TcpListener) {
     let handler = move |req| neighbours::answer(gateway.clone(), view.clone(), req);
-    server::serve(listener, || INNER_LIMITS, handler).await;
+    server::serve(listener, || INNER_LIMITS, None, handler).await;
 }
--- a/components/gateway/src/scale.rs
+++ b/components/gateway/src/scale.rs
@@ -1,7 +1,7 @@
 //! Orders the upstreams that services need.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeSet, HashMap},
     rc::Rc,
     time::Duration,
 };
@@ -19,8 +19,8 @@
 /// Pause between two plans.
 const INTERVAL: Duration = Duration::from_millis(400);
 
-/// Time for which a zone without reclaimable upstreams is not asked again.
-const DRY_FOR: Duration = Duration::from_secs(2);
+/// Time after which a zone without reclaimable upstreams is asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(1500);
 
 /// Time after which an order whose upstreams did not come is sent again.
 const REPEAT_AFTER: Duration = Duration::from_secs(7);
@@ -41,7 +41,8 @@
 #[derive(Default)]
 struct Orders {
     sent: HashMap<Subject, Sent>,
-    dry_until: BTreeMap<(ServiceName, ZoneName), Instant>,
+    dry: BTreeSet<(ServiceName, ZoneName)>,
+    asked: HashMap<(ServiceName, ZoneName), Instant>,
     forecast: Forecast,
 }
 
@@ -73,11 +74,14 @@
     orders: &mut Orders,
 ) {
     let now = Instant::now();
-    let supply = supply(gateway, service, spec, orders, now);
+    let supply = supply(gateway, service, spec, orders);
     let need = orders.forecast.need(service, now);
     let sizes = plan(spec, need, &supply);
     let mut left = MAX_CALLS;
     for (size, zone) in sizes.iter().zip(&supply) {
+        if zone.is_dry {
+            ask_again(leader, calls, service, size, zone, orders).await;
+        }
         for purchase in [Purchase::Reclaimable, Purchase::OnDemand] {
             if left > 0 && is_due(service, size, zone, purchase, orders, now) {
                 left -= 1;
@@ -92,7 +96,6 @@
     service: &ServiceSpec,
     spec: &ScalingSpec,
     orders: &Orders,
-    now: Instant,
 ) -> Vec<ZoneSupply> {
     let upstreams = gateway.directory.of(&service.name);
     let count = |zone: &ZoneName, is_reclaimable: bool| {
@@ -105,12 +108,12 @@
     spec.zone_prices
         .keys()
         .map(|zone| {
-            let dry = orders.dry_until.get(&(service.name.clone(), zone.clone()));
+            let key = (service.name.clone(), zone.clone());
             ZoneSupply {
                 zone: zone.clone(),
                 on_demand: count(zone, false),
                 reclaimable: count(zone, true),
-                is_dry: dry.is_some_and(|until| now < *until),
+                is_dry: orders.dry.contains(&key),
             }
         })
         .collect()
@@ -124,6 +127,9 @@
     orders: &Orders,
     now: Instant,
 ) -> bool {
+    if zone.is_dry && purchase == Purchase::Reclaimable {
+        return false;
+    }
     let wanted = size.of(purchase);
     let there = match purchase {
         Purchase::OnDemand => zone.on_demand,
@@ -137,6 +143,26 @@
     }
 }
 
+/// Asks a dry zone for one more reclaimable upstream now and then.
+async fn ask_again(
+    leader: &Leader,
+    calls: &dyn DutyCalls,
+    service: &ServiceSpec,
+    size: &ZoneSize,
+    zone: &ZoneSupply,
+    orders: &mut Orders,
+) {
+    let now = Instant::now();
+    let key = (service.name.clone(), zone.zone.clone());
+    let is_due = orders.asked.get(&key).is_none_or(|at| now - *at > ASK_AGAIN);
+    if !is_due {
+        return;
+    }
+    orders.asked.insert(key.clone(), now);
+    let one_more = ZoneSize { reclaimable: zone.reclaimable + 1, ..size.clone() };
+    order(leader, calls, service, &one_more, Purchase::Reclaimable, orders).await;
+}
+
 async fn order(
     leader: &Leader,
     calls: &dyn DutyCalls,
@@ -155,14 +181,18 @@
     match result {
         Ok(()) => {
             log::info!("scale: {} in {}: {purchase:?} {count}", service.name, size.zone);
+            if purchase == Purchase::Reclaimable {
+                orders.dry.remove(&(service.name.clone(), size.zone.clone()));
+            }
             orders.sent.insert(subject, Sent { count, at: now });
         }
         Err(DutyError::NoneAvailable) => {
             log::info!("scale: {} in {}: no {purchase:?} to be had", service.name, size.zone);
             orders.sent.remove(&subject);
             if purchase == Purchase::Reclaimable {
-                let until = now + DRY_FOR;
-                orders.dry_until.insert((service.name.clone(), size.zone.clone()), until);
+                let key = (service.name.clone(), size.zone.clone());
+                orders.asked.insert(key.clone(), now);
+                orders.dry.insert(key);
             }
         }
         Err(err) => {
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -82,6 +82,7 @@
         Reason::BodyTooLarge => "body_too_large",
         Reason::BodyIncomplete => "body_incomplete",
         Reason::OverQuota => "over_quota",
+        Reason::Stopping => "stopping",
         Reason::NotInformed => "not_informed",
         Reason::NoUpstream => "no_upstream",
         Reason::Busy => "busy",
@@ -144,6 +145,9 @@
     arrived: Instant,
 ) -> Result<Job, OwnAnswer> {
     let open = gateway.open_request();
+    if gateway.takes_no_more() {
+        return Err(OwnAnswer::come_back(Reason::Stopping, Duration::ZERO));
+    }
     if !gateway.is_informed() {
         return Err(OwnAnswer::come_back(Reason::NotInformed, NOT_INFORMED_RETRY));
     }
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -8,7 +8,7 @@
 };
 use actix_rt::net::TcpStream;
 use actix_service::{Service, ServiceFactory, fn_service};
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, sync::watch};
 
 /// Time for which a server waits for a caller to take the rest of an answer.
 const DISCONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -33,17 +33,19 @@
 
 /// Accepts connections and answers their requests, until the task is dropped.
 ///
+/// Idle connections are closed when `closing` turns true.
 /// `limits` is asked for each connection, since a new configuration may change them.
 pub(crate) async fn serve<H, F>(
     listener: TcpListener,
     limits: impl Fn() -> ServerLimits,
+    closing: Option<watch::Receiver<bool>>,
     handler: H,
 ) where
     H: Fn(Request) -> F + Clone + 'static,
     F: Future<Output = Response<BoxBody>> + 'static,
 {
     let mut current = limits();
-    let mut service = service(current, handler.clone()).await;
+    let mut service = service(current, closing.clone(), handler.clone()).await;
     loop {
         let (io, peer) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -59,7 +61,7 @@
         let wanted = limits();
         if wanted != current {
             current = wanted;
-            service = self::service(current, handler.clone()).await;
+            service = self::service(current, closing.clone(), handler.clone()).await;
         }
         let served = service.call((io, Some(peer)));
         actix_rt::spawn(async move {
@@ -88,7 +90,11 @@
     }
 }
 
-async fn service<H, F>(limits: ServerLimits, handler: H) -> ConnectionService
+async fn service<H, F>(
+    limits: ServerLimits,
+    closing: Option<watch::Receiver<bool>>,
+    handler: H,
+) -> ConnectionService
 where
     H: Fn(Request) -> F + Clone + 'static,
     F: Future<Output = Response<BoxBody>> + 'static,
@@ -102,6 +108,7 @@
         .client_request_timeout(limits.head_timeout)
         .client_disconnect_timeout(DISCONNECT_TIMEOUT)
         .h1_allow_half_closed(false)
+        .graceful_shutdown_signal(move || closed(closing.clone()))
         .h1(answer);
     let service = match factory.new_service(()).await {
         Ok(service) => Rc::new(service),
@@ -113,6 +120,16 @@
     }))
 }
 
+/// Waits until idle connections shall be closed.
+async fn closed(closing: Option<watch::Receiver<bool>>) {
+    if let Some(mut closing) = closing
+        && closing.wait_for(|is_closing| *is_closing).await.is_ok()
+    {
+        return;
+    }
+    std::future::pending().await
+}
+
 /// Returns an answer without a body.
 pub(crate) fn empty(status: StatusCode) -> Response<BoxBody> {
     Response::new(status)
--- a/components/gateway/src/size.rs
+++ b/components/gateway/src/size.rs
@@ -74,7 +74,7 @@
     order
 }
 
-/// Spreads reclaimable upstreams over the zones that have them.
+/// Spreads reclaimable upstreams over the zones that have them; a dry zone keeps its own.
 fn give_reclaimable(
     spec: &ScalingSpec,
     total: u32,
@@ -82,11 +82,12 @@
     by_price: &[usize],
     sizes: &mut [ZoneSize],
 ) {
-    let open: Vec<_> = by_price.iter().copied().filter(|&at| !supply[at].is_dry).collect();
-    for &at in &open {
-        sizes[at].reclaimable = spec.minimum;
+    let mut given = 0;
+    for (zone, size) in supply.iter().zip(&mut *sizes) {
+        size.reclaimable = if zone.is_dry { zone.reclaimable } else { spec.minimum };
+        given += size.reclaimable;
     }
-    let mut given = spec.minimum * u32::try_from(open.len()).unwrap_or(u32::MAX);
+    let open: Vec<_> = by_price.iter().copied().filter(|&at| !supply[at].is_dry).collect();
     while given < total {
         let before = given;
         for &at in &open {
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -29,7 +29,13 @@
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(400));
 
 /// Time after the store's return in which lapsed entries may come back.
-const RETURN_GRACE: Duration = Duration::from_millis(2200);
+const RETURN_GRACE: Duration = Duration::from_millis(2000);
+
+/// Shortest absence of the store in which an entry can have lapsed.
+const LAPSE_AFTER: Duration = Duration::from_millis(900);
+
+/// Pause between two looks at lapsed entries.
+const LAPSE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Time without an answer after which the store counts as lost.
 const LOST_AFTER: Duration = Duration::from_millis(500);
@@ -52,6 +58,10 @@
     last_answer: Cell<Option<Instant>>,
     last_failure: Cell<Option<Instant>>,
     lapsed: RefCell<BTreeMap<Arc<str>, StoreRevision>>,
+    /// When the store came back after an absence.
+    returned: Cell<Option<Instant>>,
+    /// Revision of the store at its return; later deletions are no lapses.
+    revision_at_return: Cell<Option<StoreRevision>>,
 }
 
 impl View {
@@ -70,6 +80,8 @@
             last_answer: Cell::default(),
             last_failure: Cell::default(),
             lapsed: RefCell::default(),
+            returned: Cell::default(),
+            revision_at_return: Cell::default(),
         }
     }
 
@@ -89,6 +101,10 @@
         let was_failing = self.last_failure.get() > self.last_answer.get();
         if was_failing {
             log::info!("store: reached again");
+            if self.age() > LAPSE_AFTER {
+                self.returned.set(Some(now));
+                self.revision_at_return.set(None);
+            }
         }
         self.last_answer.set(Some(now));
     }
@@ -100,9 +116,18 @@
         self.last_failure.set(Some(Instant::now()));
     }
 
-    /// Returns whether entries may be missing only because the store was away.
-    fn is_returning(&self) -> bool {
-        self.last_failure.get().is_some_and(|at| at.elapsed() < RETURN_GRACE)
+    /// Returns whether entries that are missing at a revision may come back.
+    fn may_come_back(&self, revision: StoreRevision) -> bool {
+        let is_soon = self.returned.get().is_some_and(|at| at.elapsed() < RETURN_GRACE);
+        is_soon && self.revision_at_return.get().is_none_or(|at| revision <= at)
+    }
+
+    /// Takes note of the first revision that was read after the store's return.
+    fn read_up_to(&self, revision: StoreRevision) {
+        self.revision.set(self.revision.get().max(revision));
+        if self.revision_at_return.get().is_none() {
+            self.revision_at_return.set(Some(revision));
+        }
     }
 
     /// Takes over the configuration, unless a newer one is held.
@@ -144,7 +169,7 @@
 
     /// Removes an upstream, or waits whether it comes back after the store was away.
     pub(crate) fn drop_upstream(&self, key: &Arc<str>, revision: StoreRevision) {
-        if self.is_returning() {
+        if self.may_come_back(revision) {
             self.lapsed.borrow_mut().insert(key.clone(), revision);
             return;
         }
@@ -163,7 +188,7 @@
 
     /// Removes the upstreams that did not come back.
     fn drop_lapsed(&self) {
-        if self.is_returning() {
+        if self.returned.get().is_some_and(|at| at.elapsed() < RETURN_GRACE) {
             return;
         }
         for (key, revision) in self.lapsed.take() {
@@ -182,7 +207,7 @@
         for key in held.iter().filter(|key| !listed.contains(*key)) {
             self.drop_upstream(key, revision);
         }
-        self.revision.set(self.revision.get().max(revision));
+        self.read_up_to(revision);
         self.gateway.set_upstreams_known();
     }
 }
@@ -239,10 +264,8 @@
     loop {
         match upstreams_step(&view, after).await {
             Ok(revision) => {
-                view.answered();
                 after = Some(revision);
                 backoff = BACKOFF.0;
-                view.drop_lapsed();
                 sleep(GATHER).await;
             }
             Err(StoreError::HistoryGone) => after = None,
@@ -265,20 +288,30 @@
     let prefix = view.layout.upstream_prefix();
     let Some(after) = after else {
         let listing = view.store.list(prefix, Freshness::Linearizable).await?;
+        view.answered();
         view.take_upstreams(listing.items, listing.revision);
         return Ok(listing.revision);
     };
     let changes = view.store.watch(prefix, after, WATCH_WAIT).await?;
+    view.answered();
     for event in changes.events {
         match event {
             StoreEvent::Written(item) => view.take_upstream(&item.key, item.value, item.revision),
             StoreEvent::Deleted { key, revision } => view.drop_upstream(&key, revision),
         }
     }
-    view.revision.set(view.revision.get().max(changes.revision));
+    view.read_up_to(changes.revision);
     Ok(changes.revision.max(after))
 }
 
+/// Removes lapsed entries in time, until the task is dropped.
+pub(crate) async fn remove_lapsed(view: Rc<View>) {
+    loop {
+        sleep(LAPSE_INTERVAL).await;
+        view.drop_lapsed();
+    }
+}
+
 async fn pause(backoff: Duration) -> Duration {
     sleep(backoff.mul_f64(0.5 + rand::random::<f64>())).await;
     (backoff * 2).min(BACKOFF.1)
