scale: Run many reclaimable runners, and on-demand ones only where the work is not carried

Cause: an on-demand runner costs as much as six reclaimable ones, and the fleet bought them for each zone that was reclaimed; prefill on few runners slowed every stream beside it.

--- a/components/gateway/src/demand.rs
+++ b/components/gateway/src/demand.rs
@@ -23,14 +23,14 @@
 /// Part of the asked tokens that caches don't save.
 const UNCACHED_SHARE: f64 = 0.45;
 
-/// Engines beyond the demand: one zone's worth may go at once.
-const SPARE: u32 = 2;
+/// Reclaimable engines for each engine's worth of demand: they are cheap, and a zone's go at once.
+const RECLAIMABLE_SHARE: f64 = 3.0;
 
-/// Fewest engines, before any demand is seen.
-const FEWEST: u32 = 6;
+/// Fewest reclaimable engines.
+const FEWEST_RECLAIMABLE: u32 = 12;
 
-/// On-demand engines that stay when every reclaimable one goes.
-const ON_DEMAND: u32 = 0;
+/// Fewest engines of any kind while there is work.
+const FEWEST: u32 = 3;
 
 /// Demand of each service over the last seconds.
 #[derive(Debug, Default)]
@@ -80,11 +80,16 @@
     }
 
     /// Returns what a service needs.
-    pub(crate) fn need(&self, service: &ServiceSpec, _now: Instant) -> Need {
+    pub(crate) fn need(&self, service: &ServiceSpec) -> Need {
         let recent = self.recent.get(&service.name);
         let read: u64 = recent.into_iter().flatten().map(|(_, demand)| demand.read_tokens).sum();
         let per_second = read as f64 / WINDOW.as_secs_f64();
-        let busy = (per_second * UNCACHED_SHARE / READ_PER_SECOND).ceil() as u32;
-        Need { total: (busy + SPARE).max(FEWEST), on_demand: ON_DEMAND }
+        let busy = (per_second * UNCACHED_SHARE / READ_PER_SECOND).ceil();
+        let reclaimable = (busy * RECLAIMABLE_SHARE) as u32;
+        Need {
+            reclaimable: reclaimable.max(FEWEST_RECLAIMABLE),
+            least: (busy as u32).max(FEWEST),
+            is_busy: read > 0,
+        }
     }
 }
--- a/components/gateway/src/size.rs
+++ b/components/gateway/src/size.rs
@@ -45,10 +45,12 @@
 /// What a service needs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Need {
-    /// Upstreams in all, reclaimable where they are to be had.
-    pub total: u32,
-    /// On-demand upstreams at least.
-    pub on_demand: u32,
+    /// Reclaimable upstreams, where they are to be had.
+    pub reclaimable: u32,
+    /// Upstreams without which the work isn't carried; on-demand ones fill the gap.
+    pub least: u32,
+    /// Whether there is work now.
+    pub is_busy: bool,
 }
 
 /// Returns what each zone shall have.
@@ -58,11 +60,12 @@
         .map(|zone| ZoneSize { zone: zone.zone.clone(), on_demand: 0, reclaimable: 0 })
         .collect();
     let by_price = by_price(spec, supply);
-    give_reclaimable(spec, need.total, supply, &by_price, &mut sizes);
+    give_reclaimable(spec, need.reclaimable, supply, &by_price, &mut sizes);
     let given: u32 = sizes.iter().map(|size| size.reclaimable).sum();
-    let wanted = need.on_demand.max(need.total.saturating_sub(given));
-    give_on_demand(spec, wanted, supply, &by_price, &mut sizes);
-    keep_until_replaced(spec, need, supply, &mut sizes);
+    give_on_demand(spec, need.least.saturating_sub(given), &by_price, &mut sizes);
+    if need.is_busy {
+        keep_until_replaced(spec, need, supply, &mut sizes);
+    }
     sizes
 }
 
@@ -102,22 +105,9 @@
     }
 }
 
-/// Gives on-demand upstreams, first to zones that would have fewer than the minimum.
-fn give_on_demand(
-    spec: &ScalingSpec,
-    wanted: u32,
-    supply: &[ZoneSupply],
-    by_price: &[usize],
-    sizes: &mut [ZoneSize],
-) {
+/// Gives on-demand upstreams, in the cheapest zones that have room.
+fn give_on_demand(spec: &ScalingSpec, wanted: u32, by_price: &[usize], sizes: &mut [ZoneSize]) {
     let mut given = 0;
-    for (at, zone) in supply.iter().enumerate() {
-        let short = spec.minimum.saturating_sub(sizes[at].reclaimable);
-        if zone.is_dry && short > 0 {
-            sizes[at].on_demand = short;
-            given += short;
-        }
-    }
     while given < wanted {
         let has_room = |at: &&usize| {
             let size = &sizes[**at];
@@ -138,7 +128,7 @@
     sizes: &mut [ZoneSize],
 ) {
     let ready: u32 = supply.iter().map(|zone| zone.reclaimable).sum();
-    let mut missing = need.total.saturating_sub(ready);
+    let mut missing = need.least.saturating_sub(ready);
     for (zone, size) in supply.iter().zip(sizes) {
         let room = spec.maximum.saturating_sub(size.reclaimable);
         let kept = zone.on_demand.min(missing).min(room).max(size.on_demand);
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -23,7 +23,7 @@
 const WATCH_WAIT: Duration = Duration::from_millis(1000);
 
 /// Pause between two watches of the upstreams, which write often.
-const GATHER: Duration = Duration::from_millis(250);
+const GATHER: Duration = Duration::from_millis(500);
 
 /// Pause after a failed call, at first and at most.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(400));
