--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -62,4 +62,3 @@
         Reason::Answered | Reason::AnswerBroke | Reason::CallerLeft => StatusCode::BAD_GATEWAY,
     }
 }
-
--- a/components/gateway/src/connection.rs
+++ b/components/gateway/src/connection.rs
@@ -8,7 +8,8 @@
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use actix_http::{
-    BoxedPayloadStream, Method, Payload, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode, Uri,
+    BoxedPayloadStream, Method, Payload, RequestHead, RequestHeadType, ResponseHead, ServiceConfig,
+    StatusCode, Uri,
     body::BodySize,
     h1::{ClientCodec, ClientPayloadCodec, Message, MessageType},
     header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING},
@@ -82,7 +83,10 @@
 
 impl Connection {
     /// Opens a connection.
-    pub(crate) async fn open(address: SocketAddr, limit: Duration) -> Result<Connection, ExchangeError> {
+    pub(crate) async fn open(
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<Connection, ExchangeError> {
         let not_sent = |reason: String| ExchangeError::NotSent(reason.into());
         let opened = timeout(limit, TcpStream::connect(address)).await;
         let io = opened
@@ -242,7 +246,8 @@
     head.method = req.method;
     head.uri = req.uri;
     head.headers = req.headers;
-    let has_body = !req.body.is_empty() || head.method == Method::POST || head.method == Method::PUT;
+    let has_body =
+        !req.body.is_empty() || head.method == Method::POST || head.method == Method::PUT;
     let size = if has_body { BodySize::Sized(req.body.len() as u64) } else { BodySize::None };
     let mut out = BytesMut::with_capacity(1024 + req.body.len());
     codec.encode(Message::Item((RequestHeadType::from(head), size)), &mut out)?;
--- a/components/gateway/src/decision.rs
+++ b/components/gateway/src/decision.rs
@@ -81,6 +81,21 @@
     pub(crate) end: &'a str,
 }
 
+/// A request that its workspace's limit refused.
+#[derive(Debug, Serialize)]
+pub(crate) struct QuotaRefused<'a> {
+    pub(crate) workspace: &'a WorkspaceName,
+    /// Tokens or requests that it would have cost.
+    pub(crate) cost: u64,
+    pub(crate) limit: u64,
+    pub(crate) own: u64,
+    pub(crate) heard: u64,
+    pub(crate) unheard_nodes: u32,
+    pub(crate) unmet_nodes: u32,
+    pub(crate) nodes: u32,
+    pub(crate) retry_after_ms: u64,
+}
+
 /// One line of the decision log.
 #[derive(Debug, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -89,6 +104,8 @@
     RequestEnded(RequestEnded<'a>),
     /// A send ended.
     SendEnded(SendEnded<'a>),
+    /// A workspace's limit refused a request.
+    QuotaRefused(QuotaRefused<'a>),
 }
 
 impl Decision<'_> {
@@ -96,6 +113,7 @@
         match self {
             Decision::RequestEnded(ended) => ended.reason == Reason::Answered,
             Decision::SendEnded(ended) => ended.end == "answered",
+            Decision::QuotaRefused(_) => true,
         }
     }
 }
--- a/components/gateway/src/demand.rs
+++ b/components/gateway/src/demand.rs
@@ -17,6 +17,9 @@
 /// Time that the demand is averaged over.
 const WINDOW: Duration = Duration::from_secs(4);
 
+/// Time for which the highest demand is kept ready for.
+const PEAK_KEPT: Duration = Duration::from_secs(12);
+
 /// Tokens a second that one engine reads when half of its time goes to other work.
 const READ_PER_SECOND: f64 = 25_000.0;
 
@@ -37,6 +40,14 @@
 pub(crate) struct Forecast {
     last: HashMap<(NodeId, ServiceName), Demand>,
     recent: BTreeMap<ServiceName, VecDeque<(Instant, Demand)>>,
+    peaks: BTreeMap<ServiceName, Peak>,
+}
+
+/// Highest demand lately.
+#[derive(Debug, Clone, Copy)]
+struct Peak {
+    engines: f64,
+    at: Instant,
 }
 
 impl Forecast {
@@ -80,11 +91,16 @@
     }
 
     /// Returns what a service needs.
-    pub(crate) fn need(&self, service: &ServiceSpec) -> Need {
+    pub(crate) fn need(&mut self, service: &ServiceSpec, now: Instant) -> Need {
         let recent = self.recent.get(&service.name);
         let read: u64 = recent.into_iter().flatten().map(|(_, demand)| demand.read_tokens).sum();
         let per_second = read as f64 / WINDOW.as_secs_f64();
-        let busy = (per_second * UNCACHED_SHARE / READ_PER_SECOND).ceil();
+        let engines = per_second * UNCACHED_SHARE / READ_PER_SECOND;
+        let peak = self.peaks.entry(service.name.clone()).or_insert(Peak { engines, at: now });
+        if engines >= peak.engines || now - peak.at > PEAK_KEPT {
+            *peak = Peak { engines, at: now };
+        }
+        let busy = peak.engines.ceil();
         let reclaimable = (busy * RECLAIMABLE_SHARE) as u32;
         Need {
             reclaimable: reclaimable.max(FEWEST_RECLAIMABLE),
--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -12,11 +12,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    StoreRevision,
-    engine_load::EngineLoad,
-    facts::ReportedLoad,
-    health::Health,
-    pool::Pool,
+    StoreRevision, engine_load::EngineLoad, facts::ReportedLoad, health::Health, pool::Pool,
 };
 
 /// What an upstream says of itself.
@@ -142,8 +138,7 @@
     /// Returns the upstreams of a service that take new requests.
     pub fn of(&self, service: &ServiceName) -> Vec<Rc<Upstream>> {
         let upstreams = self.upstreams.borrow();
-        let fits =
-            |up: &&Rc<Upstream>| up.takes_work() && up.entry.borrow().service == *service;
+        let fits = |up: &&Rc<Upstream>| up.takes_work() && up.entry.borrow().service == *service;
         upstreams.values().filter(fits).cloned().collect()
     }
 }
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -283,8 +283,13 @@
     }
     let headers = job.gateway.dialect.pass_back(&head.headers);
     if job.route.kind.is_stream() && head.status.is_success() {
-        let started =
-            Started { status: head.status, headers, connection, frames: FrameReader::default(), running };
+        let started = Started {
+            status: head.status,
+            headers,
+            connection,
+            frames: FrameReader::default(),
+            running,
+        };
         return first_event(job, started).await.map(Answered::Events);
     }
     let (body, is_whole) = read_start(&mut connection).await?;
--- a/components/gateway/src/engine_load.rs
+++ b/components/gateway/src/engine_load.rs
@@ -150,7 +150,11 @@
         let Some(measured) = self.measured else { return self.slowness };
         let idle = now.saturating_duration_since(measured).as_secs_f64();
         let halves = idle / SLOWNESS_HALF_LIFE.as_secs_f64();
-        if self.slowness > 1.0 { 1.0 + (self.slowness - 1.0) * 0.5_f64.powf(halves) } else { self.slowness }
+        if self.slowness > 1.0 {
+            1.0 + (self.slowness - 1.0) * 0.5_f64.powf(halves)
+        } else {
+            self.slowness
+        }
     }
 
     /// Returns the tokens of a prompt that are cached, from its start.
@@ -168,8 +172,8 @@
         let to_read = total.unread_tokens as f64 + f64::from(uncached_tokens);
         let step = STEP_MS + f64::from(total.requests) * 0.05;
         let ms = (to_read / READ_TOKENS_PER_MS + step + FIRST_TOKEN_MS) * self.slowness(now);
-        let has_room = total.requests < slots
-            && total.memory_tokens + chain.memory_tokens <= memory_tokens;
+        let has_room =
+            total.requests < slots && total.memory_tokens + chain.memory_tokens <= memory_tokens;
         Expected {
             first_token: Duration::from_secs_f64(ms / 1000.0),
             uncached_tokens,
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -13,17 +13,14 @@
 
 use crate::{
     Dialect, Directory, GatewayMetrics, RoutingTable, TrueTime, Workspace,
-    decision::DecisionLog,
+    decision::{Decision, DecisionLog, QuotaRefused, millis},
     engine_load::ChainHash,
     peers::PeerView,
-    quota::{self, SlidingCount},
+    quota::{self, Age, SlidingCount},
     retry_budget::RetryBudget,
     usage::Usage,
 };
 
-/// Time after which a refused caller is told to come back for a reason that passes soon.
-const SOON: Duration = Duration::from_millis(500);
-
 /// Time after the signal to stop in which requests are still taken.
 const LAST_TAKEN: Duration = Duration::from_millis(2800);
 
@@ -50,9 +47,10 @@
     pub(crate) reads: RefCell<Vec<Read>>,
     pub(crate) arrivals: RefCell<BTreeMap<ServiceName, Demand>>,
     table: RefCell<Option<Rc<RoutingTable>>>,
-    quotas: RefCell<HashMap<WorkspaceName, SlidingCount>>,
+    quotas: RefCell<HashMap<WorkspaceName, QuotaCount>>,
     retries: RefCell<HashMap<ServiceName, RetryBudget>>,
     has_upstreams: Cell<bool>,
+    started: Instant,
     stopping: Cell<Option<Instant>>,
     closing: watch::Sender<bool>,
     open: Cell<u32>,
@@ -71,6 +69,13 @@
     pub(crate) refused: u64,
 }
 
+/// What a workspace asked of this node in the window of its limit.
+#[derive(Debug, Default)]
+struct QuotaCount {
+    passed: SlidingCount,
+    refused: SlidingCount,
+}
+
 /// Counts a request for as long as it is open.
 pub(crate) struct OpenRequest(Rc<Gateway>);
 
@@ -104,6 +109,7 @@
             quotas: RefCell::default(),
             retries: RefCell::default(),
             has_upstreams: Cell::new(false),
+            started: Instant::now(),
             stopping: Cell::new(None),
             closing: watch::Sender::new(false),
             open: Cell::new(0),
@@ -185,22 +191,64 @@
     ) -> Result<(), Duration> {
         let Some(limit) = &workspace.quota else { return Ok(()) };
         let window = self.settings.quota_window;
-        let others = self.peers.borrow().others_use(&workspace.name, now);
+        let mut others = self.peers.borrow().others_use(&workspace.name, now);
+        let nodes = self.nodes();
+        others.unmet_nodes += nodes - others.nodes;
+        others.nodes = nodes;
         let mut quotas = self.quotas.borrow_mut();
         let count = quotas.entry(workspace.name.clone()).or_default();
-        let own = count.sum(window, now);
-        if cost > quota::room(limit, window, own, others) {
-            return Err(SOON);
+        let own = count.passed.sum(window, now);
+        if cost <= quota::room(limit, window, own, others, self.age(now)) {
+            count.passed.add(cost, now);
+            return Ok(());
         }
-        count.add(cost, now);
-        Ok(())
+        count.refused.add(cost, now);
+        let waiting = count.refused.sum(window, now);
+        let after = quota::retry_after(limit, waiting, others.nodes);
+        self.decisions.write(&Decision::QuotaRefused(QuotaRefused {
+            workspace: &workspace.name,
+            cost,
+            limit: quota::window_limit(limit, window),
+            own,
+            heard: others.heard,
+            unheard_nodes: others.unheard_nodes,
+            unmet_nodes: others.unmet_nodes,
+            nodes: others.nodes,
+            retry_after_ms: millis(after),
+        }));
+        Err(after)
+    }
+
+    fn age(&self, now: Instant) -> Age {
+        if self.settings.is_first_start {
+            return Age::FirstStart;
+        }
+        Age::Since(now.saturating_duration_since(self.started))
     }
 
     /// Returns what each workspace was let through by this node in the window.
     pub(crate) fn quota_use(&self, now: Instant) -> Vec<(WorkspaceName, u64)> {
         let window = self.settings.quota_window;
+        let Some(table) = self.table() else { return Vec::new() };
+        let nodes = self.nodes();
         let mut quotas = self.quotas.borrow_mut();
-        quotas.iter_mut().map(|(name, count)| (name.clone(), count.sum(window, now))).collect()
+        let mut used = Vec::new();
+        for workspace in table.workspaces() {
+            let Some(limit) = &workspace.quota else { continue };
+            let count = quotas.get_mut(&workspace.name);
+            let passed = count.map_or(0, |count| count.passed.sum(window, now));
+            let assumed = quota::assumed_use(limit, window, nodes, self.age(now));
+            if passed + assumed > 0 {
+                used.push((workspace.name.clone(), passed + assumed));
+            }
+        }
+        used
+    }
+
+    /// Returns the number of nodes; seeds count while the others are not known yet.
+    fn nodes(&self) -> u32 {
+        let seeds = u32::try_from(self.settings.seeds.len()).unwrap_or(u32::MAX);
+        self.peers.borrow().nodes().max(seeds.saturating_add(1))
     }
 
     pub(crate) fn count_request(&self, service: &ServiceName, demand: Demand, now: Instant) {
@@ -219,7 +267,7 @@
 
     /// Takes one send beyond the first, if the limit over all nodes allows it.
     pub(crate) fn try_retry(&self, service: &ServiceName, now: Instant) -> bool {
-        let nodes = self.peers.borrow().nodes();
+        let nodes = self.nodes();
         let mut retries = self.retries.borrow_mut();
         let budget = retries.entry(service.clone()).or_default();
         budget.try_take(&self.settings.retry, nodes, now)
--- a/components/gateway/src/leader.rs
+++ b/components/gateway/src/leader.rs
@@ -125,8 +125,7 @@
     let now = leader.boot.elapsed();
     let is_first = now.saturating_sub(started) < EARLY;
     let acts_from = if is_first { now } else { now + ttl };
-    let mut holding =
-        Holding { fence: Fence(revision.0), acts_from, acts_until: Duration::ZERO };
+    let mut holding = Holding { fence: Fence(revision.0), acts_from, acts_until: Duration::ZERO };
     holding.renewed(sent, ttl);
     Ok(Some((lease, holding)))
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -48,16 +48,14 @@
 pub use decision::{DECISIONS, Reason};
 pub use directory::{Directory, Upstream, UpstreamEntry};
 pub use engine_load::{Chain, ChainHash, EngineLoad, Expected, InFlight};
-pub use facts::{
-    AnswerFacts, Dialect, Forwarded, Prompt, PromptPart, ReportedLoad, RequestFacts,
-};
+pub use facts::{AnswerFacts, Dialect, Forwarded, Prompt, PromptPart, ReportedLoad, RequestFacts};
 pub use frames::{Frame, FrameReader, FrameTooLarge};
 pub use gateway::Gateway;
 pub use layout::Layout;
 pub use leader::{Holding, Leader};
 pub use metrics::GatewayMetrics;
 pub use place::{Choice, NoChoice, PlaceAsk, place};
-pub use quota::{OthersUse, SlidingCount, room, window_limit};
+pub use quota::{Age, OthersUse, SlidingCount, assumed_use, retry_after, room, window_limit};
 pub use retry_budget::RetryBudget;
 pub use run::{PlatformParts, RunningGateway};
 pub use size::{Need, ZoneSize, ZoneSupply, plan};
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -187,7 +187,14 @@
             heard += used.map_or(0, |(_, used)| *used);
         }
         let nodes = self.nodes();
-        OthersUse { heard, unheard_nodes: nodes - 1 - heard_nodes, nodes }
+        let met = self.peers.values().filter(|peer| peer.heard.is_some()).count();
+        let met = u32::try_from(met).unwrap_or(u32::MAX);
+        OthersUse {
+            heard,
+            unheard_nodes: met.saturating_sub(heard_nodes),
+            unmet_nodes: (nodes - 1).saturating_sub(met),
+            nodes,
+        }
     }
 
     /// Returns the work of the nodes that are heard, by upstream.
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -73,10 +73,8 @@
     now: Instant,
     random: f64,
 ) -> Result<Choice, NoChoice> {
-    let untried: Vec<_> = candidates
-        .iter()
-        .filter(|up| !ask.tried.contains(&up.entry.borrow().id))
-        .collect();
+    let untried: Vec<_> =
+        candidates.iter().filter(|up| !ask.tried.contains(&up.entry.borrow().id)).collect();
     let sound: Vec<_> =
         untried.iter().copied().filter(|up| !up.health.borrow().is_resting(now)).collect();
     // When most look unsound, the fault is not theirs alone.
@@ -138,9 +136,8 @@
 
 /// Returns the upstream with the highest hash: every node prefers the same one.
 fn preferred(affinity: u64, usable: &[&Rc<Upstream>]) -> UpstreamId {
-    let weight = |up: &&&Rc<Upstream>| {
-        xxh3_64_with_seed(up.entry.borrow().id.as_str().as_bytes(), affinity)
-    };
+    let weight =
+        |up: &&&Rc<Upstream>| xxh3_64_with_seed(up.entry.borrow().id.as_str().as_bytes(), affinity);
     let best = usable.iter().max_by_key(weight).expect("not empty");
     best.entry.borrow().id.clone()
 }
--- a/components/gateway/src/quota.rs
+++ b/components/gateway/src/quota.rs
@@ -51,8 +51,10 @@
 pub struct OthersUse {
     /// Sum over the window of the nodes that are heard.
     pub heard: u64,
-    /// Nodes that are known and not heard.
+    /// Nodes that were heard and are not any more.
     pub unheard_nodes: u32,
+    /// Nodes that were not heard since this process started.
+    pub unmet_nodes: u32,
     /// All nodes, this one included.
     pub nodes: u32,
 }
@@ -63,10 +65,48 @@
     rate as u64 + quota.burst
 }
 
+/// Part of a node's share that a process that was started again assumes to be used.
+const ASSUMED_SHARE: f64 = 0.85;
+
+/// Shortest and longest time that a workspace over its limit is asked to stay away.
+const RETRY_RANGE: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(4));
+
+/// Returns the use that one node can't know of, since its process was started again.
+///
+/// It fades over the window as real use would.
+pub fn assumed_use(quota: &Quota, window: Duration, nodes: u32, age: Age) -> u64 {
+    let Age::Since(age) = age else { return 0 };
+    let share = window_limit(quota, window) as f64 / f64::from(nodes.max(1));
+    let left = (1.0 - age.as_secs_f64() / window.as_secs_f64()).max(0.0);
+    (share * ASSUMED_SHARE * left) as u64
+}
+
+/// Returns when a refused workspace may come back: when this node's share of its rate has
+/// carried what it was refused lately.
+pub fn retry_after(quota: &Quota, refused: u64, nodes: u32) -> Duration {
+    let rate = quota.per_second as f64 / f64::from(nodes.max(1));
+    let wait = Duration::from_secs_f64((refused as f64 / rate.max(1.0)).min(60.0));
+    wait.clamp(RETRY_RANGE.0, RETRY_RANGE.1)
+}
+
 /// Returns how much this node may still let through in `window`.
-pub fn room(quota: &Quota, window: Duration, own: u64, others: OthersUse) -> u64 {
+///
+/// A node that is not heard any more may use its equal share. One that was never heard may
+/// have used it before this process started, unless the whole system has just started.
+pub fn room(quota: &Quota, window: Duration, own: u64, others: OthersUse, age: Age) -> u64 {
     let limit = window_limit(quota, window);
-    let nodes = u64::from(others.nodes.max(1));
-    let unheard = limit / nodes * u64::from(others.unheard_nodes);
-    limit.saturating_sub(others.heard).saturating_sub(unheard).saturating_sub(own)
+    let share = limit / u64::from(others.nodes.max(1));
+    let unheard = share * u64::from(others.unheard_nodes);
+    let assumed = assumed_use(quota, window, others.nodes, age);
+    let unmet = assumed * u64::from(others.unmet_nodes);
+    limit.saturating_sub(others.heard + unheard + unmet + own + assumed)
+}
+
+/// Age of a process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Age {
+    /// The whole system started with it: nothing was used before.
+    FirstStart,
+    /// It was started again this long ago.
+    Since(Duration),
 }
--- a/components/gateway/src/report.rs
+++ b/components/gateway/src/report.rs
@@ -129,8 +129,7 @@
 ) -> Result<Last, StoreError> {
     let value = serde_json::to_vec(&recorded)
         .map_err(|err| StoreError::BadAnswer(err.to_string().into()))?;
-    let commit =
-        Commit { key: report_key().into(), expected, value: value.into(), lease: None };
+    let commit = Commit { key: report_key().into(), expected, value: value.into(), lease: None };
     match store.commit(commit).await? {
         Committed::Done(revision) => {
             Ok(Last { recorded: Some(recorded), revision, is_sent: false })
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -11,8 +11,8 @@
 };
 
 use crate::{
-    BootClock, CallerLimits, Dialect, DutyCalls, Gateway, GatewayMetrics, Layout,
-    Leader, Store, TrueTime, gossip, leader, members, neighbours, report, scale, serve,
+    BootClock, CallerLimits, Dialect, DutyCalls, Gateway, GatewayMetrics, Layout, Leader, Store,
+    TrueTime, gossip, leader, members, neighbours, report, scale, serve,
     server::{self, ServerLimits, empty},
     sync::{self, View},
 };
--- a/components/gateway/src/scale.rs
+++ b/components/gateway/src/scale.rs
@@ -75,7 +75,7 @@
 ) {
     let now = Instant::now();
     let supply = supply(gateway, service, spec, orders);
-    let need = orders.forecast.need(service);
+    let need = orders.forecast.need(service, now);
     let sizes = plan(spec, need, &supply);
     let mut left = MAX_CALLS;
     for (size, zone) in sizes.iter().zip(&supply) {
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -2,10 +2,7 @@
 
 use std::{convert::Infallible, future::Future, io, net::SocketAddr, rc::Rc, time::Duration};
 
-use actix_http::{
-    HttpService, KeepAlive, Request, Response, StatusCode,
-    body::BoxBody,
-};
+use actix_http::{HttpService, KeepAlive, Request, Response, StatusCode, body::BoxBody};
 use actix_rt::net::TcpStream;
 use actix_service::{Service, ServiceFactory, fn_service};
 use tokio::{net::TcpListener, sync::watch};
@@ -75,7 +72,8 @@
 type Served = Rc<
     dyn Fn(
         (TcpStream, Option<SocketAddr>),
-    ) -> std::pin::Pin<Box<dyn Future<Output = Result<(), actix_http::error::DispatchError>>>>,
+    )
+        -> std::pin::Pin<Box<dyn Future<Output = Result<(), actix_http::error::DispatchError>>>>,
 >;
 
 /// A service that serves one connection.
@@ -134,4 +132,3 @@
 pub(crate) fn empty(status: StatusCode) -> Response<BoxBody> {
     Response::new(status)
 }
-
--- a/components/gateway/src/size.rs
+++ b/components/gateway/src/size.rs
@@ -62,6 +62,10 @@
     let by_price = by_price(spec, supply);
     give_reclaimable(spec, need.reclaimable, supply, &by_price, &mut sizes);
     let given: u32 = sizes.iter().map(|size| size.reclaimable).sum();
+    // When reclaimable ones can't be replaced, the next zone to go must not be missed.
+    let is_dry = supply.iter().any(|zone| zone.is_dry);
+    let at_risk = sizes.iter().map(|size| size.reclaimable).max().unwrap_or(0);
+    let given = if is_dry { given - at_risk } else { given };
     give_on_demand(spec, need.least.saturating_sub(given), &by_price, &mut sizes);
     if need.is_busy {
         keep_until_replaced(spec, need, supply, &mut sizes);
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -65,11 +65,7 @@
 }
 
 impl View {
-    pub(crate) fn new(
-        gateway: Rc<Gateway>,
-        store: Rc<dyn Store>,
-        layout: Rc<dyn Layout>,
-    ) -> View {
+    pub(crate) fn new(gateway: Rc<Gateway>, store: Rc<dyn Store>, layout: Rc<dyn Layout>) -> View {
         View {
             gateway,
             store,
@@ -132,8 +128,7 @@
 
     /// Takes over the configuration, unless a newer one is held.
     pub(crate) fn take_config(&self, value: Bytes, revision: StoreRevision) {
-        let is_known =
-            self.config.borrow().as_ref().is_some_and(|held| held.revision >= revision);
+        let is_known = self.config.borrow().as_ref().is_some_and(|held| held.revision >= revision);
         if is_known {
             return;
         }
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -10,8 +10,8 @@
 
 pub use gateway::{GatewaySettings, RetryLimit};
 pub use settings::{
-    CallerSettings, EndpointSettings, KeyValueSettings, LogFormat, LogSettings, NodeSettings, OperatorRole,
-    OperatorSettings, OperatorTokenSettings, PeerSettings, PlatformSettings, Settings,
-    SettingsError, StopSettings,
+    CallerSettings, EndpointSettings, KeyValueSettings, LogFormat, LogSettings, NodeSettings,
+    OperatorRole, OperatorSettings, OperatorTokenSettings, PeerSettings, PlatformSettings,
+    Settings, SettingsError, StopSettings,
 };
 pub use units::{parse_duration, parse_size};
