--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -10,6 +10,9 @@
 
 use crate::{decision::Reason, gateway::Gateway};
 
+/// Longest time that a caller is asked to stay away, as a share of the time that it has left.
+const MAX_RETRY_SHARE: f64 = 0.33;
+
 /// An answer that this node gives by itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct OwnAnswer {
@@ -27,6 +30,12 @@
         OwnAnswer { reason, retry_after: Some(after) }
     }
 
+    /// Asks the caller to come back in a part of the time that it has left.
+    pub(crate) fn within(self, left: Duration) -> OwnAnswer {
+        let limit = left.mul_f64(MAX_RETRY_SHARE);
+        OwnAnswer { retry_after: self.retry_after.map(|after| after.min(limit)), ..self }
+    }
+
     pub(crate) fn into_response(self, gateway: &Gateway, request: &str) -> Response<BoxBody> {
         let mut response = Response::new(status_of(self.reason));
         let headers = response.head_mut();
--- a/components/gateway/src/leader.rs
+++ b/components/gateway/src/leader.rs
@@ -80,7 +80,7 @@
 }
 
 /// Tries to hold the duties, and renews what it holds, until the task is dropped.
-pub(crate) async fn hold(gateway: Rc<Gateway>, store: Rc<dyn Store>, leader: Rc<Leader>) {
+pub async fn hold_duties(gateway: Rc<Gateway>, store: Rc<dyn Store>, leader: Rc<Leader>) {
     let ttl = gateway.settings.duty_lease.max(gateway.settings.shortest_lease);
     let started = leader.boot.elapsed();
     let node = &gateway.settings.node;
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -52,10 +52,11 @@
 pub use frames::{Frame, FrameReader, FrameTooLarge};
 pub use gateway::Gateway;
 pub use layout::Layout;
-pub use leader::{Holding, Leader};
+pub use leader::{Holding, Leader, hold_duties};
 pub use metrics::GatewayMetrics;
 pub use place::{Choice, NoChoice, PlaceAsk, place};
 pub use quota::{Age, OthersUse, SlidingCount, assumed_use, retry_after, room, window_limit};
+pub use report::report_usage;
 pub use retry_budget::RetryBudget;
 pub use run::{PlatformParts, RunningGateway};
 pub use size::{Need, ZoneSize, ZoneSupply, plan};
--- a/components/gateway/src/report.rs
+++ b/components/gateway/src/report.rs
@@ -44,7 +44,7 @@
 }
 
 /// Reports usage while this node holds the duties, until the task is dropped.
-pub(crate) async fn run(
+pub async fn report_usage(
     gateway: Rc<Gateway>,
     store: Rc<dyn Store>,
     leader: Rc<Leader>,
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -53,7 +53,7 @@
 impl RunningGateway {
     /// Binds its addresses and starts its tasks on this thread.
     pub async fn start(
-        settings: GatewaySettings,
+        mut settings: GatewaySettings,
         metrics: GatewayMetrics,
         parts: PlatformParts,
     ) -> io::Result<RunningGateway> {
@@ -61,6 +61,11 @@
         let readiness = server::bind(settings.readiness)?;
         let inner = server::bind(settings.peers)?;
         let metrics_port = server::bind(settings.metrics)?;
+        // A port of 0 lets the operating system choose.
+        settings.callers = callers.local_addr()?;
+        settings.readiness = readiness.local_addr()?;
+        settings.peers = inner.local_addr()?;
+        settings.metrics = metrics_port.local_addr()?;
         let datagrams = UdpSocket::bind(settings.peers).await?;
         let time = Rc::new(TrueTime::new(parts.boot.clone()));
         let gateway = Rc::new(Gateway::new(settings, parts.dialect, metrics, time));
@@ -77,8 +82,12 @@
             actix_rt::spawn(neighbours::follow_others(gateway.clone(), view)),
             actix_rt::spawn(members::keep_listed(gateway.clone(), parts.store.clone())),
             actix_rt::spawn(gossip::run(gateway.clone(), datagrams)),
-            actix_rt::spawn(leader::hold(gateway.clone(), parts.store.clone(), leader.clone())),
-            actix_rt::spawn(report::run(
+            actix_rt::spawn(leader::hold_duties(
+                gateway.clone(),
+                parts.store.clone(),
+                leader.clone(),
+            )),
+            actix_rt::spawn(report::report_usage(
                 gateway.clone(),
                 parts.store,
                 leader.clone(),
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -24,9 +24,6 @@
 /// Time after which a caller of a node that holds no configuration may come back.
 const NOT_INFORMED_RETRY: Duration = Duration::from_millis(300);
 
-/// Longest time that a caller is asked to stay away, as a share of the time that it has left.
-const MAX_RETRY_SHARE: f64 = 0.33;
-
 /// Deadline of callers that name none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
 
@@ -116,9 +113,8 @@
         Ok(response) => return response,
         Err(refusal) => refusal,
     };
-    let limit = job.left().mul_f64(MAX_RETRY_SHARE);
-    let refusal =
-        OwnAnswer { retry_after: refusal.retry_after.map(|after| after.min(limit)), ..refusal };
+    let deadline = job.facts.deadline.unwrap_or(DEFAULT_DEADLINE);
+    let refusal = refusal.within(deadline.saturating_sub(job.arrived.elapsed()));
     let response = refusal.into_response(&job.gateway, &job.facts.id);
     job.log_end(refusal.reason, response.status().as_u16(), 0);
     response
@@ -135,7 +131,9 @@
         (Arc::from(""), OwnAnswer::new(Reason::BadRequest))
     })?;
     let id = facts.id.clone();
-    open_known(gateway, req, facts, arrived).await.map_err(|refusal| (id, refusal))
+    let deadline = facts.deadline.unwrap_or(DEFAULT_DEADLINE);
+    let opened = open_known(gateway, req, facts, arrived).await;
+    opened.map_err(|refusal| (id, refusal.within(deadline)))
 }
 
 async fn open_known(
