--- a/components/gateway/src/demand.rs
+++ b/components/gateway/src/demand.rs
@@ -32,6 +32,9 @@
 /// Fewest reclaimable engines.
 const FEWEST_RECLAIMABLE: u32 = 12;
 
+/// Of the engines that are found at the start, one in so many is ordered beyond them.
+const FOUND_EXTRA: u32 = 3;
+
 /// Fewest engines of any kind while there is work.
 const FEWEST: u32 = 3;
 
@@ -41,6 +44,15 @@
     last: HashMap<(NodeId, ServiceName), Demand>,
     recent: BTreeMap<ServiceName, VecDeque<(Instant, Demand)>>,
     peaks: BTreeMap<ServiceName, Peak>,
+    found: BTreeMap<ServiceName, Found>,
+}
+
+/// Upstreams that were there before any demand was seen.
+#[derive(Debug, Clone, Copy)]
+struct Found {
+    upstreams: u32,
+    /// When demand was seen first.
+    until: Option<Instant>,
 }
 
 /// Highest demand lately.
@@ -90,8 +102,22 @@
         self.recent.entry(service).or_default().push_back((now, since));
     }
 
-    /// Returns what a service needs.
-    pub(crate) fn need(&mut self, service: &ServiceSpec, now: Instant) -> Need {
+    /// Returns how many upstreams somebody ordered before any demand was seen.
+    fn found(&mut self, service: &ServiceName, there: u32, has_demand: bool, now: Instant) -> u32 {
+        let new = Found { upstreams: 0, until: None };
+        let found = self.found.entry(service.clone()).or_insert(new);
+        if !has_demand && found.until.is_none() {
+            found.upstreams = found.upstreams.max(there);
+        }
+        if has_demand && found.until.is_none() {
+            found.until = Some(now);
+        }
+        let is_over = found.until.is_some_and(|since| now - since > PEAK_KEPT);
+        if is_over { 0 } else { found.upstreams }
+    }
+
+    /// Returns what a service needs that has `there` upstreams now.
+    pub(crate) fn need(&mut self, service: &ServiceSpec, there: u32, now: Instant) -> Need {
         let recent = self.recent.get(&service.name);
         let read: u64 = recent.into_iter().flatten().map(|(_, demand)| demand.read_tokens).sum();
         let per_second = read as f64 / WINDOW.as_secs_f64();
@@ -101,7 +127,9 @@
             *peak = Peak { engines, at: now };
         }
         let busy = peak.engines.ceil();
+        let found = self.found(&service.name, there, read > 0, now);
         let reclaimable = (busy * RECLAIMABLE_SHARE) as u32;
+        let reclaimable = reclaimable.max(found + found / FOUND_EXTRA);
         Need {
             reclaimable: reclaimable.max(FEWEST_RECLAIMABLE),
             least: (busy as u32).max(FEWEST),
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -193,6 +193,7 @@
         service: &job.service,
         chain: job.chain.as_ref(),
         zone: &job.gateway.settings.zone,
+        far_news: job.gateway.far_news(),
         keepers: &keepers,
         tried: attempts.tried(),
         until_late: late.saturating_duration_since(now),
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -15,6 +15,7 @@
     Dialect, Directory, GatewayMetrics, RoutingTable, TrueTime, Workspace,
     decision::{Decision, DecisionLog, QuotaRefused, millis},
     engine_load::ChainHash,
+    gossip,
     peers::PeerView,
     quota::{self, Age, SlidingCount},
     retry_budget::RetryBudget,
@@ -245,6 +246,11 @@
         used
     }
 
+    /// Returns the time beyond the usual that news from other availability zones takes.
+    pub(crate) fn far_news(&self) -> Duration {
+        self.peers.borrow().far_interval().saturating_sub(gossip::INTERVAL)
+    }
+
     /// Returns the number of nodes; seeds count while the others are not known yet.
     fn nodes(&self) -> u32 {
         let seeds = u32::try_from(self.settings.seeds.len()).unwrap_or(u32::MAX);
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -1,6 +1,6 @@
 //! Sends and takes the datagrams between nodes.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::VecDeque, net::SocketAddr, rc::Rc, time::Duration};
 
 use lycheelatch_prelude::ServiceName;
 use tokio::{
@@ -9,15 +9,18 @@
 };
 
 use crate::{
-    gateway::{Demand, Gateway},
-    peers::{Digest, ReadPrompt, ServiceDemand, UpstreamUse, WindowUse},
+    gateway::{Demand, Gateway, Read},
+    peers::{Addresses, Digest, ReadPrompt, ServiceDemand, UpstreamUse, WindowUse},
 };
 
 /// Time between two datagrams to each node of a small cluster.
-const INTERVAL: Duration = Duration::from_millis(200);
+pub(crate) const INTERVAL: Duration = Duration::from_millis(200);
 
-/// Most datagrams that a node sends a second.
-const MAX_PER_SECOND: usize = 100;
+/// Most nodes of the own availability zone that get a datagram in one round.
+const MAX_NEAR_PER_ROUND: usize = 24;
+
+/// Most nodes of other availability zones that get a datagram in one round.
+const MAX_FAR_PER_ROUND: usize = 12;
 
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
@@ -30,50 +33,94 @@
     let mut ticks = interval(INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut sequence = 0;
+    let mut recent: VecDeque<Vec<Read>> = VecDeque::new();
     loop {
         ticks.tick().await;
         sequence += 1;
         let now = Instant::now();
         let targets = targets(&gateway, sequence);
-        if targets.is_empty() {
-            continue;
-        }
-        let digest = digest(&gateway, incarnation, sequence, now);
-        match postcard::to_stdvec(&digest) {
-            Ok(bytes) => send(&socket, &bytes, &targets).await,
-            Err(err) => log::error!("peers: the state can't be encoded: {err}"),
-        }
+        recent.push_front(gateway.reads.take());
+        recent.truncate(targets.turns);
+        let near = recent.iter().take(1).flatten();
+        tell(&gateway, &socket, incarnation, sequence, near, &targets.near).await;
+        let far = recent.iter().flatten();
+        tell(&gateway, &socket, incarnation, sequence, far, &targets.far).await;
         share_in_flight(&gateway, now);
     }
 }
 
-async fn send(socket: &UdpSocket, bytes: &[u8], targets: &[SocketAddr]) {
+/// Sends this node's state to some of the others.
+async fn tell(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    incarnation: u64,
+    sequence: u64,
+    reads: impl Iterator<Item = &Read>,
+    targets: &[SocketAddr],
+) {
+    if targets.is_empty() {
+        return;
+    }
+    let reads = reads.map(ReadPrompt::from).collect();
+    let digest = digest(gateway, incarnation, sequence, reads);
+    let bytes = match postcard::to_stdvec(&digest) {
+        Ok(bytes) => bytes,
+        Err(err) => {
+            log::error!("peers: the state can't be encoded: {err}");
+            return;
+        }
+    };
     for target in targets {
-        if let Err(err) = socket.send_to(bytes, target).await {
+        if let Err(err) = socket.send_to(&bytes, target).await {
             log::debug!("peers: no datagram to {target}: {err}");
         }
     }
 }
 
-/// Returns whom this round's datagram goes to: a large cluster is served by turns.
-fn targets(gateway: &Gateway, sequence: u64) -> Vec<SocketAddr> {
-    let mut all = gateway.peers.borrow().addresses();
-    if all.is_empty() {
+/// Whom one round's datagrams go to.
+struct Targets {
+    near: Vec<SocketAddr>,
+    far: Vec<SocketAddr>,
+    /// Rounds until every far node had one.
+    turns: usize,
+}
+
+/// Returns whom this round's datagrams go to: near nodes first, far ones by turns.
+fn targets(gateway: &Gateway, sequence: u64) -> Targets {
+    let Addresses { near, far } = gateway.peers.borrow().addresses(&gateway.settings.zone);
+    if near.is_empty() && far.is_empty() {
         let own = gateway.settings.peers;
-        all = gateway.settings.seeds.iter().copied().filter(|seed| *seed != own).collect();
+        let seeds = gateway.settings.seeds.iter().copied();
+        let near = seeds.filter(|seed| *seed != own).collect();
+        return Targets { near, far, turns: 1 };
     }
-    let rounds = u128::try_from(MAX_PER_SECOND).unwrap_or(1) * INTERVAL.as_millis() / 1000;
-    let most = usize::try_from(rounds).unwrap_or(1).max(1);
-    if all.len() <= most {
-        return all;
+    let sequence = usize::try_from(sequence).unwrap_or(0);
+    let turns = far.len().div_ceil(MAX_FAR_PER_ROUND).max(1);
+    Targets {
+        near: by_turns(near, MAX_NEAR_PER_ROUND, sequence),
+        far: by_turns(far, MAX_FAR_PER_ROUND, sequence),
+        turns,
     }
-    all.sort();
-    let turns = all.len().div_ceil(most);
-    let turn = usize::try_from(sequence).unwrap_or(0) % turns;
-    all.into_iter().skip(turn).step_by(turns).collect()
 }
 
-fn digest(gateway: &Gateway, incarnation: u64, sequence: u64, now: Instant) -> Digest {
+/// Returns at most `most` of the addresses, others in the next rounds.
+fn by_turns(all: Vec<SocketAddr>, most: usize, sequence: usize) -> Vec<SocketAddr> {
+    let turns = all.len().div_ceil(most).max(1);
+    all.into_iter().skip(sequence % turns).step_by(turns).collect()
+}
+
+/// Returns the time between two datagrams from a node of another availability zone.
+pub(crate) fn far_interval(far_nodes: usize) -> Duration {
+    let turns = far_nodes.div_ceil(MAX_FAR_PER_ROUND).max(1);
+    INTERVAL * u32::try_from(turns).unwrap_or(u32::MAX)
+}
+
+fn digest(
+    gateway: &Gateway,
+    incarnation: u64,
+    sequence: u64,
+    reads: Vec<ReadPrompt>,
+) -> Digest {
     let upstreams = gateway.directory.all();
     let upstreams = upstreams.iter().filter(|up| up.running.get() > 0).map(|up| {
         let own = up.load.borrow().own;
@@ -91,12 +138,13 @@
     });
     Digest {
         node: gateway.settings.node.clone(),
+        zone: gateway.settings.zone.clone(),
         incarnation,
         sequence,
         time_ms: u64::try_from(gateway.time.now().as_millis()).unwrap_or(u64::MAX),
-        quota_use: gateway.quota_use(now),
+        quota_use: gateway.quota_use(Instant::now()),
         upstreams: upstreams.collect(),
-        reads: gateway.reads.take().iter().map(ReadPrompt::from).collect(),
+        reads,
         usage: usage.collect(),
         demand: gateway.arrivals.borrow().iter().map(service_demand).collect(),
     }
@@ -156,7 +204,6 @@
         upstream.running_elsewhere.set(others.requests);
         upstream.load.borrow_mut().others = others;
     }
-    let times = peers.heard_digests(now).map(|digest| Duration::from_millis(digest.time_ms));
-    let times: Vec<_> = times.collect();
+    let times = peers.times(now);
     gateway.time.compare(times);
 }
--- a/components/gateway/src/leader.rs
+++ b/components/gateway/src/leader.rs
@@ -24,6 +24,9 @@
 /// Pause between two looks at who holds the key.
 const LOOK_INTERVAL: Duration = Duration::from_millis(1500);
 
+/// Nodes that look at the usual interval.
+const LOOKING_NODES: u32 = 12;
+
 /// Age of a process below which no lease of an earlier holder can have ended.
 const EARLY: Duration = Duration::from_millis(2500);
 
@@ -102,7 +105,10 @@
                 Err(err) => log::info!("leader: not acquired: {err}"),
             }
         }
-        sleep(LOOK_INTERVAL.mul_f64(0.7 + 0.6 * rand::random::<f64>())).await;
+        // However many nodes there are, about as many look at any time.
+        let nodes = gateway.peers.borrow().nodes();
+        let rarer = f64::from(nodes.max(LOOKING_NODES)) / f64::from(LOOKING_NODES);
+        sleep(LOOK_INTERVAL.mul_f64(rarer * (0.7 + 0.6 * rand::random::<f64>()))).await;
     }
 }
 
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -9,18 +9,19 @@
     time::Duration,
 };
 
-use lycheelatch_prelude::{NodeId, ServiceName, UpstreamId, WorkspaceName};
+use lycheelatch_prelude::{NodeId, ServiceName, UpstreamId, WorkspaceName, ZoneName};
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use crate::{
     engine_load::{ChainHash, InFlight},
+    gossip::far_interval,
     quota::OthersUse,
     usage::UsageWindow,
 };
 
-/// Age from which a node is taken for not heard.
-const HEARD: Duration = Duration::from_millis(1200);
+/// Age from which a node is taken for not heard, beyond two intervals of its datagrams.
+const HEARD: Duration = Duration::from_millis(1000);
 
 /// Age from which a node that the store does not list is forgotten.
 const FORGOTTEN: Duration = Duration::from_secs(20);
@@ -62,6 +63,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Digest {
     pub(crate) node: NodeId,
+    pub(crate) zone: ZoneName,
     /// Drawn at the start of the process.
     pub(crate) incarnation: u64,
     pub(crate) sequence: u64,
@@ -83,6 +85,15 @@
     digest: Option<Digest>,
 }
 
+/// Addresses of other nodes.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub(crate) struct Addresses {
+    /// In this node's availability zone, or in an unknown one.
+    pub(crate) near: Vec<SocketAddr>,
+    /// In other availability zones.
+    pub(crate) far: Vec<SocketAddr>,
+}
+
 /// What this node knows of the others.
 #[derive(Debug)]
 pub(crate) struct PeerView {
@@ -97,10 +108,16 @@
         PeerView { own, peers: HashMap::new(), ended: BTreeMap::new() }
     }
 
+    /// Returns the age from which a node is taken for not heard.
+    fn heard_limit(&self) -> Duration {
+        HEARD + 2 * far_interval(self.peers.len())
+    }
+
     /// Takes over which nodes the store lists.
     pub(crate) fn listed(&mut self, nodes: Vec<(NodeId, SocketAddr)>, now: Instant) {
+        let limit = self.heard_limit();
         self.keep(|id, peer| {
-            let is_fresh = peer.heard.is_some_and(|at| now.saturating_duration_since(at) < HEARD);
+            let is_fresh = peer.heard.is_some_and(|at| now.saturating_duration_since(at) < limit);
             is_fresh || nodes.iter().any(|(known, _)| known == id)
         });
         let own = &self.own;
@@ -156,23 +173,62 @@
         u32::try_from(self.peers.len()).unwrap_or(u32::MAX).saturating_add(1)
     }
 
-    /// Returns the addresses of the other nodes.
-    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
-        self.peers.values().map(|peer| peer.address).collect()
+    /// Returns the addresses of the other nodes, those of an availability zone first.
+    pub(crate) fn addresses(&self, zone: &ZoneName) -> Addresses {
+        let is_near = |peer: &&Peer| peer.digest.as_ref().is_none_or(|said| said.zone == *zone);
+        let (near, far): (Vec<&Peer>, Vec<&Peer>) = self.peers.values().partition(is_near);
+        let of = |peers: Vec<&Peer>| {
+            let mut addresses: Vec<_> = peers.iter().map(|peer| peer.address).collect();
+            addresses.sort();
+            addresses
+        };
+        Addresses { near: of(near), far: of(far) }
     }
 
     /// Returns the nodes that are heard, with their last word.
     pub(crate) fn heard_digests(&self, now: Instant) -> impl Iterator<Item = &Digest> {
+        let limit = self.heard_limit();
         let is_heard = move |peer: &&Peer| {
-            peer.heard.is_some_and(|at| now.saturating_duration_since(at) < HEARD)
+            peer.heard.is_some_and(|at| now.saturating_duration_since(at) < limit)
         };
         self.peers.values().filter(is_heard).filter_map(|peer| peer.digest.as_ref())
     }
 
+    /// Returns the true time now, as each node that is heard says it.
+    pub(crate) fn times(&self, now: Instant) -> Vec<Duration> {
+        let limit = self.heard_limit();
+        let time_of = |peer: &Peer| {
+            let age = now.saturating_duration_since(peer.heard?);
+            let said = Duration::from_millis(peer.digest.as_ref()?.time_ms);
+            (age < limit).then_some(said + age)
+        };
+        self.peers.values().filter_map(time_of).collect()
+    }
+
+    /// Returns the nodes of an availability zone that are heard, in the order of their names.
+    pub(crate) fn near(&self, zone: &ZoneName, now: Instant) -> Vec<(NodeId, SocketAddr)> {
+        let limit = self.heard_limit();
+        let is_near = |peer: &&Peer| {
+            let is_heard =
+                peer.heard.is_some_and(|at| now.saturating_duration_since(at) < limit);
+            is_heard && peer.digest.as_ref().is_some_and(|said| said.zone == *zone)
+        };
+        let near = self.peers.iter().filter(|(_, peer)| is_near(peer));
+        let mut near: Vec<_> = near.map(|(id, peer)| (id.clone(), peer.address)).collect();
+        near.sort();
+        near
+    }
+
+    /// Returns the time between two datagrams from a node of another availability zone.
+    pub(crate) fn far_interval(&self) -> Duration {
+        far_interval(self.peers.len())
+    }
+
     /// Returns the addresses of nodes that are heard.
     pub(crate) fn heard_addresses(&self, now: Instant) -> Vec<SocketAddr> {
+        let limit = self.heard_limit();
         let is_heard = move |peer: &&Peer| {
-            peer.heard.is_some_and(|at| now.saturating_duration_since(at) < HEARD)
+            peer.heard.is_some_and(|at| now.saturating_duration_since(at) < limit)
         };
         self.peers.values().filter(is_heard).map(|peer| peer.address).collect()
     }
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -15,6 +15,9 @@
 /// Time by which an upstream of another availability zone must be better.
 const ZONE_PENALTY_MS: f64 = 12.0;
 
+/// Part of the age of far news that counts against an upstream there.
+const FAR_NEWS_SHARE: f64 = 0.15;
+
 /// Time that a read of a thousand shared tokens costs beyond the reading.
 const READ_PENALTY_MS: f64 = 4.0;
 
@@ -47,6 +50,8 @@
     pub chain: Option<&'a Chain>,
     /// This node's availability zone.
     pub zone: &'a ZoneName,
+    /// Time that news from other availability zones takes.
+    pub far_news: Duration,
     /// Every upstream of the service, also those that take no new work.
     pub keepers: &'a [Rc<Upstream>],
     /// Upstreams that it was sent to already.
@@ -125,7 +130,7 @@
         score += f64::from(expected.fetched_tokens) / 1000.0 * FETCH_PENALTY_MS;
         score += up.health.borrow().failure_share() * FAILURE_PENALTY_MS;
         if entry.zone != *ask.zone {
-            score += ZONE_PENALTY_MS;
+            score += far_penalty(ask);
         }
         if entry.id != preferred {
             score += AFFINITY_PENALTY_MS;
@@ -146,6 +151,10 @@
     }
 }
 
+fn far_penalty(ask: &PlaceAsk<'_>) -> f64 {
+    ZONE_PENALTY_MS + ask.far_news.as_secs_f64() * 1000.0 * FAR_NEWS_SHARE
+}
+
 /// An engine that keeps the longest beginning of a prompt.
 struct Keeper {
     tokens: u32,
@@ -196,7 +205,7 @@
     let mut cost = f64::from(busy(up, now)) / f64::from(entry.slots.max(1)) * PLAIN_WORK_MS;
     cost += up.health.borrow().failure_share() * FAILURE_PENALTY_MS;
     if entry.zone != *ask.zone {
-        cost += ZONE_PENALTY_MS;
+        cost += far_penalty(ask);
     }
     cost
 }
--- a/components/gateway/src/quota.rs
+++ b/components/gateway/src/quota.rs
@@ -66,7 +66,7 @@
 }
 
 /// Part of a node's share that a process that was started again assumes to be used.
-const ASSUMED_SHARE: f64 = 0.85;
+const ASSUMED_SHARE: f64 = 0.97;
 
 /// Shortest and longest time that a workspace over its limit is asked to stay away.
 const RETRY_RANGE: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(4));
--- a/components/gateway/src/report.rs
+++ b/components/gateway/src/report.rs
@@ -142,7 +142,11 @@
     for _ in 0..MAX_SENDS {
         let Some(fence) = leader.fence() else { return };
         match calls.report_usage(fence, recorded.window, &recorded.counts).await {
-            Ok(()) => return,
+            Ok(()) => {
+                let total: u64 = recorded.counts.values().sum();
+                log::info!("usage: window {}: {total} requests reported", recorded.window.0);
+                return;
+            }
             Err(err) => log::info!("usage: window {}: {err}", recorded.window.0),
         }
         sleep(INTERVAL).await;
--- a/components/gateway/src/scale.rs
+++ b/components/gateway/src/scale.rs
@@ -75,7 +75,8 @@
 ) {
     let now = Instant::now();
     let supply = supply(gateway, service, spec, orders);
-    let need = orders.forecast.need(service, now);
+    let there = supply.iter().map(|zone| zone.on_demand + zone.reclaimable).sum();
+    let need = orders.forecast.need(service, there, now);
     let sizes = plan(spec, need, &supply);
     let mut left = MAX_CALLS;
     for (size, zone) in sizes.iter().zip(&supply) {
