--- a/components/gateway/src/demand.rs
+++ b/components/gateway/src/demand.rs
@@ -32,6 +32,9 @@
 /// Fewest reclaimable engines.
 const FEWEST_RECLAIMABLE: u32 = 12;
 
+/// Time after the first upstream in which every other one has written its entry.
+const SETTLE: Duration = Duration::from_millis(1600);
+
 /// Of the engines that are found at the start, one in so many is ordered beyond them.
 const FOUND_EXTRA: u32 = 3;
 
@@ -51,6 +54,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Found {
     upstreams: u32,
+    /// When the first of them was seen.
+    since: Option<Instant>,
     /// When demand was seen first.
     until: Option<Instant>,
 }
@@ -104,8 +109,11 @@
 
     /// Returns how many upstreams somebody ordered before any demand was seen.
     fn found(&mut self, service: &ServiceName, there: u32, has_demand: bool, now: Instant) -> u32 {
-        let new = Found { upstreams: 0, until: None };
+        let new = Found { upstreams: 0, since: None, until: None };
         let found = self.found.entry(service.clone()).or_insert(new);
+        if there > 0 && found.since.is_none() {
+            found.since = Some(now);
+        }
         if !has_demand && found.until.is_none() {
             found.upstreams = found.upstreams.max(there);
         }
@@ -116,8 +124,14 @@
         if is_over { 0 } else { found.upstreams }
     }
 
-    /// Returns what a service needs that has `there` upstreams now.
-    pub(crate) fn need(&mut self, service: &ServiceSpec, there: u32, now: Instant) -> Need {
+    /// Returns whether the upstreams that were there at the start have all been seen.
+    fn is_settled(&self, service: &ServiceName, now: Instant) -> bool {
+        let since = self.found.get(service).and_then(|found| found.since);
+        since.is_some_and(|since| now - since > SETTLE)
+    }
+
+    /// Returns what a service needs that has `there` upstreams now; none: it is not known yet.
+    pub(crate) fn need(&mut self, service: &ServiceSpec, there: u32, now: Instant) -> Option<Need> {
         let recent = self.recent.get(&service.name);
         let read: u64 = recent.into_iter().flatten().map(|(_, demand)| demand.read_tokens).sum();
         let per_second = read as f64 / WINDOW.as_secs_f64();
@@ -130,10 +144,10 @@
         let found = self.found(&service.name, there, read > 0, now);
         let reclaimable = (busy * RECLAIMABLE_SHARE) as u32;
         let reclaimable = reclaimable.max(found + found / FOUND_EXTRA);
-        Need {
+        self.is_settled(&service.name, now).then_some(Need {
             reclaimable: reclaimable.max(FEWEST_RECLAIMABLE),
             least: (busy as u32).max(FEWEST),
             is_busy: read > 0,
-        }
+        })
     }
 }
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -115,12 +115,7 @@
     INTERVAL * u32::try_from(turns).unwrap_or(u32::MAX)
 }
 
-fn digest(
-    gateway: &Gateway,
-    incarnation: u64,
-    sequence: u64,
-    reads: Vec<ReadPrompt>,
-) -> Digest {
+fn digest(gateway: &Gateway, incarnation: u64, sequence: u64, reads: Vec<ReadPrompt>) -> Digest {
     let upstreams = gateway.directory.all();
     let upstreams = upstreams.iter().filter(|up| up.running.get() > 0).map(|up| {
         let own = up.load.borrow().own;
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -209,8 +209,7 @@
     pub(crate) fn near(&self, zone: &ZoneName, now: Instant) -> Vec<(NodeId, SocketAddr)> {
         let limit = self.heard_limit();
         let is_near = |peer: &&Peer| {
-            let is_heard =
-                peer.heard.is_some_and(|at| now.saturating_duration_since(at) < limit);
+            let is_heard = peer.heard.is_some_and(|at| now.saturating_duration_since(at) < limit);
             is_heard && peer.digest.as_ref().is_some_and(|said| said.zone == *zone)
         };
         let near = self.peers.iter().filter(|(_, peer)| is_near(peer));
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -79,6 +79,7 @@
             actix_rt::spawn(sync::follow_config(view.clone())),
             actix_rt::spawn(sync::follow_upstreams(view.clone())),
             actix_rt::spawn(sync::remove_lapsed(view.clone())),
+            actix_rt::spawn(neighbours::follow_reader(gateway.clone(), view.clone())),
             actix_rt::spawn(neighbours::follow_others(gateway.clone(), view)),
             actix_rt::spawn(members::keep_listed(gateway.clone(), parts.store.clone())),
             actix_rt::spawn(gossip::run(gateway.clone(), datagrams)),
--- a/components/gateway/src/scale.rs
+++ b/components/gateway/src/scale.rs
@@ -76,7 +76,7 @@
     let now = Instant::now();
     let supply = supply(gateway, service, spec, orders);
     let there = supply.iter().map(|zone| zone.on_demand + zone.reclaimable).sum();
-    let need = orders.forecast.need(service, there, now);
+    let Some(need) = orders.forecast.need(service, there, now) else { return };
     let sizes = plan(spec, need, &supply);
     let mut left = MAX_CALLS;
     for (size, zone) in sizes.iter().zip(&supply) {
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -5,7 +5,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -13,7 +13,10 @@
 
 use bytes::Bytes;
 use lycheelatch_prelude::UpstreamId;
-use tokio::time::{Instant, sleep};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep},
+};
 
 use crate::{
     Freshness, Gateway, Item, Layout, RoutingTable, Store, StoreError, StoreEvent, StoreRevision,
@@ -25,6 +28,9 @@
 /// Pause between two watches of the upstreams, which write often.
 const GATHER: Duration = Duration::from_millis(500);
 
+/// Pause between two looks whether another node's view is still followed.
+const FOLLOW_LOOK: Duration = Duration::from_millis(50);
+
 /// Pause after a failed call, at first and at most.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(400));
 
@@ -40,13 +46,30 @@
 /// Time without an answer after which the store counts as lost.
 const LOST_AFTER: Duration = Duration::from_millis(500);
 
-/// A value as this node holds it, for nodes that can't reach the store.
+/// A value as this node holds it, for nodes that don't read the store.
 #[derive(Debug, Clone)]
 pub(crate) struct Held {
     pub(crate) value: Bytes,
     pub(crate) revision: StoreRevision,
+    /// The local change that made it differ in more than its sequence number.
+    pub(crate) changed: LocalChange,
 }
 
+/// Number of a change of this node's view, by its process.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct LocalChange(pub(crate) u64);
+
+/// An upstream that is gone.
+#[derive(Debug, Clone)]
+pub(crate) struct Tombstone {
+    pub(crate) key: Arc<str>,
+    pub(crate) revision: StoreRevision,
+    pub(crate) changed: LocalChange,
+}
+
+/// Tombstones that are kept.
+const MAX_TOMBSTONES: usize = 4096;
+
 /// What this node holds of the store.
 pub(crate) struct View {
     gateway: Rc<Gateway>,
@@ -55,6 +78,12 @@
     pub(crate) config: RefCell<Option<Held>>,
     pub(crate) upstreams: RefCell<BTreeMap<Arc<str>, Held>>,
     pub(crate) revision: Cell<StoreRevision>,
+    /// Drawn at the start of the process; numbers of changes hold within it.
+    pub(crate) incarnation: u64,
+    pub(crate) tombstones: RefCell<VecDeque<Tombstone>>,
+    changes: watch::Sender<LocalChange>,
+    /// Whether another node's view is followed in place of the store.
+    pub(crate) is_following: Cell<bool>,
     last_answer: Cell<Option<Instant>>,
     last_failure: Cell<Option<Instant>>,
     lapsed: RefCell<BTreeMap<Arc<str>, StoreRevision>>,
@@ -73,6 +102,10 @@
             config: RefCell::default(),
             upstreams: RefCell::default(),
             revision: Cell::default(),
+            incarnation: rand::random(),
+            tombstones: RefCell::default(),
+            changes: watch::Sender::new(LocalChange(0)),
+            is_following: Cell::new(false),
             last_answer: Cell::default(),
             last_failure: Cell::default(),
             lapsed: RefCell::default(),
@@ -81,6 +114,25 @@
         }
     }
 
+    /// Returns the last change of this view.
+    pub(crate) fn last_change(&self) -> LocalChange {
+        *self.changes.borrow()
+    }
+
+    /// Tells of every further change of this view.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<LocalChange> {
+        self.changes.subscribe()
+    }
+
+    fn next_change(&self) -> LocalChange {
+        LocalChange(self.last_change().0 + 1)
+    }
+
+    /// Takes note that the store answered a node this long ago.
+    pub(crate) fn answered_before(&self, age: Duration) {
+        self.last_answer.set(Instant::now().checked_sub(age));
+    }
+
     /// Returns the time since the store answered last.
     pub(crate) fn age(&self) -> Duration {
         self.last_answer.get().map_or(Duration::MAX, |at| at.elapsed())
@@ -136,7 +188,9 @@
             Ok(source) => self.gateway.set_table(RoutingTable::from(source)),
             Err(err) => log::error!("config: not taken over: {err}"),
         }
-        *self.config.borrow_mut() = Some(Held { value, revision });
+        let changed = self.next_change();
+        *self.config.borrow_mut() = Some(Held { value, revision, changed });
+        self.changes.send_replace(changed);
     }
 
     /// Takes over an upstream's entry, unless a newer one is held.
@@ -147,6 +201,7 @@
         }
         self.lapsed.borrow_mut().remove(key);
         let Some(id) = self.upstream_id(key) else { return };
+        let before = self.gateway.directory.get(&id).map(|up| up.entry.borrow().clone());
         match self.layout.upstream(&id, &value) {
             Ok(entry) => self.gateway.directory.put(entry, revision),
             Err(err) => {
@@ -154,7 +209,14 @@
                 self.gateway.directory.remove(&id, revision);
             }
         }
-        upstreams.insert(key.clone(), Held { value, revision });
+        let after = self.gateway.directory.get(&id).map(|up| up.entry.borrow().clone());
+        let known = upstreams.get(key).filter(|_| before == after);
+        let changed = known.map_or_else(|| self.next_change(), |held| held.changed);
+        upstreams.insert(key.clone(), Held { value, revision, changed });
+        drop(upstreams);
+        if changed > self.last_change() {
+            self.changes.send_replace(changed);
+        }
     }
 
     fn upstream_id(&self, key: &str) -> Option<UpstreamId> {
@@ -171,10 +233,18 @@
         self.remove_upstream(key, revision);
     }
 
-    fn remove_upstream(&self, key: &Arc<str>, revision: StoreRevision) {
-        let mut upstreams = self.upstreams.borrow_mut();
-        if upstreams.get(key).is_some_and(|held| held.revision < revision) {
-            upstreams.remove(key);
+    pub(crate) fn remove_upstream(&self, key: &Arc<str>, revision: StoreRevision) {
+        let is_older =
+            self.upstreams.borrow().get(key).is_some_and(|held| held.revision < revision);
+        if is_older {
+            self.upstreams.borrow_mut().remove(key);
+            let changed = self.next_change();
+            let mut tombstones = self.tombstones.borrow_mut();
+            tombstones.push_back(Tombstone { key: key.clone(), revision, changed });
+            if tombstones.len() > MAX_TOMBSTONES {
+                tombstones.pop_front();
+            }
+            self.changes.send_replace(changed);
         }
         if let Some(id) = self.upstream_id(key) {
             self.gateway.directory.remove(&id, revision);
@@ -212,6 +282,7 @@
     let mut after = None;
     let mut backoff = BACKOFF.0;
     loop {
+        wait_for_turn(&view).await;
         match config_step(&view, after).await {
             Ok(revision) => {
                 view.answered();
@@ -227,6 +298,13 @@
     }
 }
 
+/// Waits while another node's view is followed.
+async fn wait_for_turn(view: &View) {
+    while view.is_following.get() {
+        sleep(FOLLOW_LOOK).await;
+    }
+}
+
 async fn config_step(
     view: &View,
     after: Option<StoreRevision>,
@@ -257,6 +335,7 @@
     let mut after = None;
     let mut backoff = BACKOFF.0;
     loop {
+        wait_for_turn(&view).await;
         match upstreams_step(&view, after).await {
             Ok(revision) => {
                 after = Some(revision);
