--- a/components/gateway/src/decision.rs
+++ b/components/gateway/src/decision.rs
@@ -88,8 +88,10 @@
     /// Tokens or requests that it would have cost.
     pub(crate) cost: u64,
     pub(crate) limit: u64,
-    pub(crate) own: u64,
-    pub(crate) heard: u64,
+    /// Use of this node in the parts of the window, the shortest first.
+    pub(crate) own: [u64; 4],
+    /// Use of the other nodes that are heard.
+    pub(crate) heard: [u64; 4],
     pub(crate) unheard_nodes: u32,
     pub(crate) unmet_nodes: u32,
     pub(crate) nodes: u32,
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -17,7 +17,7 @@
     engine_load::ChainHash,
     gossip,
     peers::PeerView,
-    quota::{self, Age, SlidingCount},
+    quota::{self, Age, PartUse, SlidingCount},
     retry_budget::RetryBudget,
     usage::Usage,
 };
@@ -198,7 +198,7 @@
         others.nodes = nodes;
         let mut quotas = self.quotas.borrow_mut();
         let count = quotas.entry(workspace.name.clone()).or_default();
-        let own = count.passed.sum(window, now);
+        let own = count.passed.parts(window, now);
         if cost <= quota::room(limit, window, own, others, self.age(now)) {
             count.passed.add(cost, now);
             return Ok(());
@@ -210,8 +210,8 @@
             workspace: &workspace.name,
             cost,
             limit: quota::window_limit(limit, window),
-            own,
-            heard: others.heard,
+            own: own.0,
+            heard: others.heard.0,
             unheard_nodes: others.unheard_nodes,
             unmet_nodes: others.unmet_nodes,
             nodes: others.nodes,
@@ -228,7 +228,7 @@
     }
 
     /// Returns what each workspace was let through by this node in the window.
-    pub(crate) fn quota_use(&self, now: Instant) -> Vec<(WorkspaceName, u64)> {
+    pub(crate) fn quota_use(&self, now: Instant) -> Vec<(WorkspaceName, PartUse)> {
         let window = self.settings.quota_window;
         let Some(table) = self.table() else { return Vec::new() };
         let nodes = self.nodes();
@@ -237,10 +237,10 @@
         for workspace in table.workspaces() {
             let Some(limit) = &workspace.quota else { continue };
             let count = quotas.get_mut(&workspace.name);
-            let passed = count.map_or(0, |count| count.passed.sum(window, now));
-            let assumed = quota::assumed_use(limit, window, nodes, self.age(now));
-            if passed + assumed > 0 {
-                used.push((workspace.name.clone(), passed + assumed));
+            let mut parts = quota::assumed_use(limit, window, nodes, self.age(now));
+            parts += count.map_or(PartUse::default(), |count| count.passed.parts(window, now));
+            if !parts.is_empty() {
+                used.push((workspace.name.clone(), parts));
             }
         }
         used
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -55,7 +55,9 @@
 pub use leader::{Holding, Leader, hold_duties};
 pub use metrics::GatewayMetrics;
 pub use place::{Choice, NoChoice, PlaceAsk, place};
-pub use quota::{Age, OthersUse, SlidingCount, assumed_use, retry_after, room, window_limit};
+pub use quota::{
+    Age, OthersUse, PartUse, SlidingCount, assumed_use, retry_after, room, window_limit,
+};
 pub use report::report_usage;
 pub use retry_budget::RetryBudget;
 pub use run::{PlatformParts, RunningGateway};
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -16,7 +16,7 @@
 use crate::{
     engine_load::{ChainHash, InFlight},
     gossip::far_interval,
-    quota::OthersUse,
+    quota::{OthersUse, PartUse},
     usage::UsageWindow,
 };
 
@@ -70,7 +70,7 @@
     /// Milliseconds since 1970.
     pub(crate) time_ms: u64,
     /// What workspaces were let through in the window of their limits.
-    pub(crate) quota_use: Vec<(WorkspaceName, u64)>,
+    pub(crate) quota_use: Vec<(WorkspaceName, PartUse)>,
     pub(crate) upstreams: Vec<UpstreamUse>,
     pub(crate) reads: Vec<ReadPrompt>,
     pub(crate) usage: Vec<WindowUse>,
@@ -234,12 +234,12 @@
 
     /// Returns what the other nodes let through of a workspace.
     pub(crate) fn others_use(&self, workspace: &WorkspaceName, now: Instant) -> OthersUse {
-        let mut heard = 0;
+        let mut heard = PartUse::default();
         let mut heard_nodes = 0;
         for digest in self.heard_digests(now) {
             heard_nodes += 1;
             let used = digest.quota_use.iter().find(|(name, _)| name == workspace);
-            heard += used.map_or(0, |(_, used)| *used);
+            heard += used.map_or(PartUse::default(), |(_, used)| *used);
         }
         let nodes = self.nodes();
         let met = self.peers.values().filter(|peer| peer.heard.is_some()).count();
--- a/components/gateway/src/quota.rs
+++ b/components/gateway/src/quota.rs
@@ -7,6 +7,7 @@
 
 use std::{collections::VecDeque, time::Duration};
 
+use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use crate::table::Quota;
@@ -14,6 +15,28 @@
 /// Length of one counted interval.
 const INTERVAL: Duration = Duration::from_millis(250);
 
+/// Parts of the window that the limit is kept in as well, so that it is used evenly.
+const PARTS: [u32; 4] = [8, 4, 2, 1];
+
+/// Use in each part of the window, the shortest first.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartUse(pub [u64; PARTS.len()]);
+
+impl std::ops::AddAssign for PartUse {
+    fn add_assign(&mut self, other: PartUse) {
+        for (sum, more) in self.0.iter_mut().zip(other.0) {
+            *sum += more;
+        }
+    }
+}
+
+impl PartUse {
+    /// Returns whether nothing was used.
+    pub fn is_empty(&self) -> bool {
+        self.0.iter().all(|used| *used == 0)
+    }
+}
+
 /// Counts of one node over a sliding window.
 #[derive(Debug, Clone, Default)]
 pub struct SlidingCount {
@@ -44,13 +67,23 @@
         }
         self.total
     }
+
+    /// Returns the sums over the parts of `window` before now.
+    pub fn parts(&mut self, window: Duration, now: Instant) -> PartUse {
+        self.sum(window, now);
+        PartUse(PARTS.map(|part| {
+            let is_in = |start: &Instant| now.saturating_duration_since(*start) <= window / part;
+            let counts = self.intervals.iter().rev().take_while(|(start, _)| is_in(start));
+            counts.map(|(_, count)| count).sum()
+        }))
+    }
 }
 
 /// What the other nodes let through, as far as they are heard.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct OthersUse {
     /// Sum over the window of the nodes that are heard.
-    pub heard: u64,
+    pub heard: PartUse,
     /// Nodes that were heard and are not any more.
     pub unheard_nodes: u32,
     /// Nodes that were not heard since this process started.
@@ -73,12 +106,15 @@
 
 /// Returns the use that one node can't know of, since its process was started again.
 ///
-/// It fades over the window as real use would.
-pub fn assumed_use(quota: &Quota, window: Duration, nodes: u32, age: Age) -> u64 {
-    let Age::Since(age) = age else { return 0 };
-    let share = window_limit(quota, window) as f64 / f64::from(nodes.max(1));
-    let left = (1.0 - age.as_secs_f64() / window.as_secs_f64()).max(0.0);
-    (share * ASSUMED_SHARE * left) as u64
+/// It is taken for even, and leaves each part of the window as real use would.
+pub fn assumed_use(quota: &Quota, window: Duration, nodes: u32, age: Age) -> PartUse {
+    let Age::Since(age) = age else { return PartUse::default() };
+    PartUse(PARTS.map(|part| {
+        let length = window / part;
+        let share = window_limit(quota, length) as f64 / f64::from(nodes.max(1));
+        let left = (1.0 - age.as_secs_f64() / length.as_secs_f64()).max(0.0);
+        (share * ASSUMED_SHARE * left) as u64
+    }))
 }
 
 /// Returns when a refused workspace may come back: when this node's share of its rate has
@@ -93,13 +129,16 @@
 ///
 /// A node that is not heard any more may use its equal share. One that was never heard may
 /// have used it before this process started, unless the whole system has just started.
-pub fn room(quota: &Quota, window: Duration, own: u64, others: OthersUse, age: Age) -> u64 {
-    let limit = window_limit(quota, window);
-    let share = limit / u64::from(others.nodes.max(1));
-    let unheard = share * u64::from(others.unheard_nodes);
+pub fn room(quota: &Quota, window: Duration, own: PartUse, others: OthersUse, age: Age) -> u64 {
     let assumed = assumed_use(quota, window, others.nodes, age);
-    let unmet = assumed * u64::from(others.unmet_nodes);
-    limit.saturating_sub(others.heard + unheard + unmet + own + assumed)
+    let rooms = PARTS.iter().enumerate().map(|(at, part)| {
+        let limit = window_limit(quota, window / *part);
+        let share = limit / u64::from(others.nodes.max(1));
+        let unheard = share * u64::from(others.unheard_nodes);
+        let unmet = assumed.0[at] * u64::from(others.unmet_nodes);
+        limit.saturating_sub(others.heard.0[at] + unheard + unmet + own.0[at] + assumed.0[at])
+    });
+    rooms.min().unwrap_or(0)
 }
 
 /// Age of a process.
--- /dev/null
+++ b/components/gateway/tests/holding.rs
@@ -0,0 +1,81 @@
+//! Who may act: no two holders at once, nor in turns, whatever freezes between two steps.
+
+use std::time::Duration;
+
+use lycheelatch_gateway::Holding;
+use lycheelatch_prelude::Fence;
+use proptest::prelude::*;
+
+const TTL: Duration = Duration::from_secs(3);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[test]
+fn renewed_counts_from_when_it_was_sent() {
+    let mut holding = Holding { fence: Fence(1), acts_from: ms(0), acts_until: ms(0) };
+    // The answer came after a freeze of ten seconds; the lease has ended meanwhile.
+    holding.renewed(ms(1000), TTL);
+    assert!(!holding.may_act(ms(11_000)));
+    assert!(holding.may_act(ms(3000)));
+}
+
+#[test]
+fn renewed_older_answer_takes_nothing_back() {
+    let mut holding = Holding { fence: Fence(1), acts_from: ms(0), acts_until: ms(0) };
+    holding.renewed(ms(2000), TTL);
+    let until = holding.acts_until;
+    holding.renewed(ms(1000), TTL);
+    assert_eq!(holding.acts_until, until);
+}
+
+proptest! {
+    /// Two nodes take turns at one lease; the store grants it again only after it ended.
+    #[test]
+    fn may_act_never_overlaps_or_returns_within_a_lease(
+        steps in prop::collection::vec((0_u64..4000, 0_u64..3000), 1..40),
+    ) {
+        let mut now = ms(0);
+        let mut lease_ends = ms(0);
+        let mut holder = 0_usize;
+        let mut holdings: [Option<Holding>; 2] = [None, None];
+        let mut acts: Vec<(Duration, usize)> = Vec::new();
+        for (pause, travel) in steps {
+            now += ms(pause);
+            let arrives = now + ms(travel);
+            if arrives < lease_ends {
+                // A renewal of the holder, counted from its sending.
+                lease_ends = arrives + TTL;
+                if let Some(holding) = &mut holdings[holder] {
+                    holding.renewed(now, TTL);
+                }
+            } else {
+                holder = 1 - holder;
+                lease_ends = arrives + TTL;
+                let mut holding =
+                    Holding { fence: Fence(1), acts_from: arrives + TTL, acts_until: ms(0) };
+                holding.renewed(now, TTL);
+                holdings[holder] = Some(holding);
+            }
+            now = arrives;
+            for at in 0..2 {
+                if holdings[at].is_some_and(|holding| holding.may_act(now)) {
+                    acts.push((now, at));
+                }
+            }
+        }
+        for pair in acts.windows(2) {
+            let ((before, a), (after, b)) = (pair[0], pair[1]);
+            if a != b {
+                prop_assert!(after > before, "two holders acted at {after:?}");
+            }
+        }
+        for triple in acts.windows(3) {
+            let ((first, a), (_, b), (last, c)) = (triple[0], triple[1], triple[2]);
+            if a == c && a != b {
+                prop_assert!(last - first > TTL, "A, B, A within a lease");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/tests/size.rs
@@ -0,0 +1,105 @@
+//! How many upstreams zones get, on days when reclaimable ones come and go.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use lycheelatch_gateway::{Need, Purchase, ScalingSpec, ZoneSize, ZoneSupply, plan};
+use lycheelatch_prelude::ZoneName;
+use proptest::prelude::*;
+
+fn zone(name: &str) -> ZoneName {
+    name.parse().unwrap()
+}
+
+fn spec() -> ScalingSpec {
+    let prices = [("a", 1.0), ("b", 0.8), ("c", 1.25), ("d", 0.9)];
+    ScalingSpec {
+        minimum: 1,
+        maximum: 6,
+        boot: Duration::from_secs(4),
+        reclaimable_price: 0.15,
+        zone_prices: prices.into_iter().map(|(name, price)| (zone(name), price)).collect(),
+    }
+}
+
+fn supply(counts: [(u32, u32, bool); 4]) -> Vec<ZoneSupply> {
+    let zones = ["a", "b", "c", "d"].into_iter().zip(counts);
+    zones
+        .map(|(name, (on_demand, reclaimable, is_dry))| ZoneSupply {
+            zone: zone(name),
+            on_demand,
+            reclaimable,
+            is_dry,
+        })
+        .collect()
+}
+
+fn total(sizes: &[ZoneSize], purchase: Purchase) -> u32 {
+    sizes.iter().map(|size| size.of(purchase)).sum()
+}
+
+const NEED: Need = Need { reclaimable: 12, least: 4, is_busy: true };
+
+#[test]
+fn plan_spreads_reclaimable_over_zones() {
+    let sizes = plan(&spec(), NEED, &supply([(0, 3, false); 4]));
+    assert!(sizes.iter().all(|size| size.reclaimable == 3 && size.on_demand == 0), "{sizes:?}");
+}
+
+#[test]
+fn plan_dry_zone_keeps_what_runs() {
+    let sizes =
+        plan(&spec(), NEED, &supply([(0, 3, true), (0, 3, true), (0, 3, true), (0, 0, true)]));
+    assert_eq!(total(&sizes, Purchase::Reclaimable), 9);
+}
+
+#[test]
+fn plan_buys_on_demand_before_the_next_zone_goes() {
+    // Two zones are gone and none can be replaced: the loss of a third leaves three of four.
+    let dry = supply([(0, 3, true), (0, 3, true), (0, 0, true), (0, 0, true)]);
+    let sizes = plan(&spec(), NEED, &dry);
+    assert_eq!(total(&sizes, Purchase::OnDemand), 1, "{sizes:?}");
+    // The last zone is left: all that is needed is bought.
+    let dry = supply([(0, 3, true), (0, 0, true), (0, 0, true), (0, 0, true)]);
+    assert_eq!(total(&plan(&spec(), NEED, &dry), Purchase::OnDemand), 4);
+}
+
+#[test]
+fn plan_buys_in_the_cheapest_zones() {
+    let dry = supply([(0, 0, true); 4]);
+    let need = Need { least: 2, ..NEED };
+    let sizes = plan(&spec(), need, &dry);
+    let bought: Vec<_> = sizes.iter().filter(|size| size.on_demand > 0).collect();
+    assert_eq!(bought.iter().map(|size| size.zone.as_str()).collect::<Vec<_>>(), ["b", "d"]);
+}
+
+#[test]
+fn plan_keeps_on_demand_until_replaced() {
+    let started = supply([(3, 0, false), (2, 0, false), (2, 0, false), (2, 0, false)]);
+    let sizes = plan(&spec(), NEED, &started);
+    assert_eq!(total(&sizes, Purchase::OnDemand), 4, "enough for the work stays");
+    let idle = Need { is_busy: false, ..NEED };
+    assert_eq!(total(&plan(&spec(), idle, &started), Purchase::OnDemand), 0);
+}
+
+proptest! {
+    #[test]
+    fn plan_keeps_to_limits(
+        counts in prop::array::uniform4((0_u32..7, 0_u32..7, any::<bool>())),
+        reclaimable in 0_u32..40,
+        least in 0_u32..12,
+        is_busy in any::<bool>(),
+    ) {
+        let supply = supply(counts);
+        let sizes = plan(&spec(), Need { reclaimable, least, is_busy }, &supply);
+        let by_zone: BTreeMap<_, _> = sizes.iter().map(|size| (&size.zone, size)).collect();
+        for zone in &supply {
+            let size = by_zone[&zone.zone];
+            if !zone.is_dry {
+                prop_assert!(size.reclaimable >= 1 && size.reclaimable <= 6);
+                prop_assert!(size.on_demand + size.reclaimable <= 6.max(zone.on_demand));
+            } else {
+                prop_assert_eq!(size.reclaimable, zone.reclaimable);
+            }
+        }
+    }
+}
