--- a/components/daemon/src/cli.rs
+++ b/components/daemon/src/cli.rs
@@ -36,7 +36,7 @@
         Err(err) => err.exit(),
     };
     let path = matches.get_one::<PathBuf>("config").expect("required").clone();
-    let settings = match read_settings(path) {
+    let settings = match read_settings(path.clone()) {
         Ok(settings) => settings,
         Err(err) => return fail(&err, 2),
     };
@@ -46,7 +46,7 @@
     let ended = actix::System::new().block_on(async {
         match settings {
             NodeSettings::Own(settings) => run_node(settings).await,
-            NodeSettings::Gateway(settings) => run_gateway(settings).await,
+            NodeSettings::Gateway(settings) => run_gateway(settings, path).await,
         }
     });
     match ended {
--- a/components/daemon/src/error.rs
+++ b/components/daemon/src/error.rs
@@ -26,6 +26,8 @@
     },
     /// the gateway does not start: {0}
     Gateway(std::io::Error),
+    /// the settings are of a node with its own interface
+    OtherNode,
     /// the metrics can't be registered: {0}
     Metrics(prometheus::Error),
     /// the links to the other nodes do not start: {0}
--- a/components/daemon/src/gateway.rs
+++ b/components/daemon/src/gateway.rs
@@ -1,22 +1,69 @@
 //! A node that serves routed requests on a platform's instances.
 
-use lycheelatch_gateway::{GatewayMetrics, RunningGateway};
-use lycheelatch_settings::GatewaySettings;
+use std::{path::PathBuf, time::Duration};
+
+use lycheelatch_gateway::{Gateway, GatewayMetrics, RunningGateway};
+use lycheelatch_settings::{GatewaySettings, NodeSettings};
+use tokio::{
+    signal::unix::{Signal, SignalKind, signal},
+    time::timeout,
+};
 
 use crate::{StartError, logging, signals::Signals};
 
+/// Time after which the settings are read again without a signal.
+const READ_AGAIN: Duration = Duration::from_secs(3);
+
 /// Runs a gateway until a signal stops it.
-pub(crate) async fn run_gateway(settings: GatewaySettings) -> Result<(), StartError> {
+pub(crate) async fn run_gateway(
+    settings: GatewaySettings,
+    path: PathBuf,
+) -> Result<(), StartError> {
     let _log = logging::open_lines(&settings.log)?;
     let mut signals = Signals::new()?;
+    let hangup = signal(SignalKind::hangup()).map_err(StartError::Signals)?;
     let metrics = GatewayMetrics::new(&prometheus::Registry::new())?;
     let parts = lycheelatch_platform::parts(settings.store, settings.duties, &settings.node);
+    let known = settings.clone();
     let running = RunningGateway::start(settings, metrics, parts).await;
     let running = running.map_err(StartError::Gateway)?;
-    signals.next().await;
+    tokio::select! {
+        () = signals.next() => {}
+        () = follow_settings(running.gateway(), known, path, hangup) => {}
+    }
     tokio::select! {
         () = running.stop() => {}
         () = signals.next() => log::warn!("gateway: ended at once by a second signal"),
     }
     Ok(())
 }
+
+/// Takes changed settings over, after a signal or some time.
+async fn follow_settings(
+    gateway: &Gateway,
+    mut known: GatewaySettings,
+    path: PathBuf,
+    mut hangup: Signal,
+) {
+    loop {
+        let is_signalled = timeout(READ_AGAIN, hangup.recv()).await.is_ok();
+        match read(&path) {
+            Ok(settings) if settings == known && !is_signalled => {}
+            Ok(settings) => {
+                log::info!("settings: read again");
+                gateway.reload(&settings);
+                known = settings;
+            }
+            Err(err) => log::warn!("settings: kept as they are: {err}"),
+        }
+    }
+}
+
+fn read(path: &PathBuf) -> Result<GatewaySettings, StartError> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|source| StartError::ReadSettings { path: path.clone(), source })?;
+    match NodeSettings::from_json(&text).map_err(StartError::Settings)? {
+        NodeSettings::Gateway(settings) => Ok(settings),
+        NodeSettings::Own(_) => Err(StartError::OtherNode),
+    }
+}
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -3,12 +3,13 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap},
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
 
 use lycheelatch_prelude::{ServiceName, WorkspaceName};
-use lycheelatch_settings::GatewaySettings;
+use lycheelatch_settings::{GatewaySettings, RetryLimit};
 use tokio::{sync::watch, time::Instant};
 
 use crate::{
@@ -51,6 +52,7 @@
     quotas: RefCell<HashMap<WorkspaceName, QuotaCount>>,
     retries: RefCell<HashMap<ServiceName, RetryBudget>>,
     has_upstreams: Cell<bool>,
+    reloaded: RefCell<Reloadable>,
     started: Instant,
     stopping: Cell<Option<Instant>>,
     closing: watch::Sender<bool>,
@@ -70,6 +72,24 @@
     pub(crate) refused: u64,
 }
 
+/// Settings that take effect while the process runs.
+#[derive(Debug, Clone, PartialEq)]
+struct Reloadable {
+    seeds: Vec<SocketAddr>,
+    retry: RetryLimit,
+    quota_window: Duration,
+}
+
+impl From<&GatewaySettings> for Reloadable {
+    fn from(settings: &GatewaySettings) -> Reloadable {
+        Reloadable {
+            seeds: settings.seeds.clone(),
+            retry: settings.retry,
+            quota_window: settings.quota_window,
+        }
+    }
+}
+
 /// What a workspace asked of this node in the window of its limit.
 #[derive(Debug, Default)]
 struct QuotaCount {
@@ -95,6 +115,7 @@
         time: Rc<TrueTime>,
     ) -> Gateway {
         let node = settings.node.as_str().into();
+        let reloaded = Reloadable::from(&settings);
         Gateway {
             usage: RefCell::new(Usage::new(settings.usage_window)),
             peers: RefCell::new(PeerView::new(settings.node.clone())),
@@ -110,6 +131,7 @@
             quotas: RefCell::default(),
             retries: RefCell::default(),
             has_upstreams: Cell::new(false),
+            reloaded: RefCell::new(reloaded),
             started: Instant::now(),
             stopping: Cell::new(None),
             closing: watch::Sender::new(false),
@@ -133,6 +155,20 @@
         *current = Some(Rc::new(table));
     }
 
+    /// Takes changed settings over, as far as a running process can.
+    pub fn reload(&self, settings: &GatewaySettings) {
+        let new = Reloadable::from(settings);
+        if *self.reloaded.borrow() != new {
+            log::info!("settings: seeds, retries and the window of limits are taken over");
+            self.reloaded.replace(new);
+        }
+    }
+
+    /// Returns the nodes to ask before the store has named any.
+    pub(crate) fn seeds(&self) -> Vec<SocketAddr> {
+        self.reloaded.borrow().seeds.clone()
+    }
+
     /// Takes note that the upstreams were read at least once.
     pub fn set_upstreams_known(&self) {
         self.has_upstreams.set(true);
@@ -191,7 +227,7 @@
         now: Instant,
     ) -> Result<(), Duration> {
         let Some(limit) = &workspace.quota else { return Ok(()) };
-        let window = self.settings.quota_window;
+        let window = self.reloaded.borrow().quota_window;
         let mut others = self.peers.borrow().others_use(&workspace.name, now);
         let nodes = self.nodes();
         others.unmet_nodes += nodes - others.nodes;
@@ -229,7 +265,7 @@
 
     /// Returns what each workspace was let through by this node in the window.
     pub(crate) fn quota_use(&self, now: Instant) -> Vec<(WorkspaceName, PartUse)> {
-        let window = self.settings.quota_window;
+        let window = self.reloaded.borrow().quota_window;
         let Some(table) = self.table() else { return Vec::new() };
         let nodes = self.nodes();
         let mut quotas = self.quotas.borrow_mut();
@@ -253,7 +289,7 @@
 
     /// Returns the number of nodes; seeds count while the others are not known yet.
     fn nodes(&self) -> u32 {
-        let seeds = u32::try_from(self.settings.seeds.len()).unwrap_or(u32::MAX);
+        let seeds = u32::try_from(self.reloaded.borrow().seeds.len()).unwrap_or(u32::MAX);
         self.peers.borrow().nodes().max(seeds.saturating_add(1))
     }
 
@@ -276,6 +312,6 @@
         let nodes = self.nodes();
         let mut retries = self.retries.borrow_mut();
         let budget = retries.entry(service.clone()).or_default();
-        budget.try_take(&self.settings.retry, nodes, now)
+        budget.try_take(&self.reloaded.borrow().retry, nodes, now)
     }
 }
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -90,8 +90,7 @@
     let Addresses { near, far } = gateway.peers.borrow().addresses(&gateway.settings.zone);
     if near.is_empty() && far.is_empty() {
         let own = gateway.settings.peers;
-        let seeds = gateway.settings.seeds.iter().copied();
-        let near = seeds.filter(|seed| *seed != own).collect();
+        let near = gateway.seeds().into_iter().filter(|seed| *seed != own).collect();
         return Targets { near, far, turns: 1 };
     }
     let sequence = usize::try_from(sequence).unwrap_or(0);
--- a/components/gateway/src/neighbours.rs
+++ b/components/gateway/src/neighbours.rs
@@ -305,7 +305,7 @@
         }
         let heard = gateway.peers.borrow().heard_addresses(Instant::now());
         let asked = heard.choose(&mut rand::rng()).copied();
-        let seed = gateway.settings.seeds.choose(&mut rand::rng()).copied();
+        let seed = gateway.seeds().choose(&mut rand::rng()).copied();
         let Some(address) = asked.or(seed) else { continue };
         match timeout(ASK_TIMEOUT, ask_once(address)).await {
             Ok(Ok(wire)) => take(&view, wire),
