--- a/components/gateway/src/clock.rs
+++ b/components/gateway/src/clock.rs
@@ -5,6 +5,8 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use crate::decision::{Belief, millis, note};
+
 /// Difference of the time of day that other nodes must agree on before it is taken over.
 const MAX_DRIFT: Duration = Duration::from_millis(500);
 
@@ -56,7 +58,7 @@
         let median = others[others.len() / 2];
         let now = self.now();
         if median.abs_diff(now) > MAX_DRIFT {
-            log::warn!("clock: set from {} ms to {} ms", now.as_millis(), median.as_millis());
+            note(&Belief::ClockSet { from_ms: millis(now), to_ms: millis(median) });
             self.offset.set(median.saturating_sub(self.boot.elapsed()));
         }
     }
--- a/components/gateway/src/cloud.rs
+++ b/components/gateway/src/cloud.rs
@@ -3,11 +3,13 @@
 use async_trait::async_trait;
 use displaydoc::Display;
 use lycheelatch_prelude::{Fence, ServiceName, ZoneName};
+use serde::Serialize;
 
 use crate::usage::{UsageWindow, WindowCounts};
 
 /// Kind of an upstream at the cloud.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Purchase {
     /// Stays until it is given back.
     OnDemand,
--- a/components/gateway/src/decision.rs
+++ b/components/gateway/src/decision.rs
@@ -1,19 +1,27 @@
 //! Decisions as events: one JSON line each, bounded under load.
 
-use std::{cell::Cell, sync::Arc, time::Duration};
+use std::{
+    cell::Cell,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
-use lycheelatch_prelude::{UpstreamId, WorkspaceName};
+use lycheelatch_prelude::{ServiceName, UpstreamId, WorkspaceName, ZoneName};
 use serde::Serialize;
 use tokio::time::Instant;
 
-use crate::GatewayMetrics;
+use crate::{GatewayMetrics, Purchase};
 
 /// Lines a second that are written of requests that went well.
-const MAX_GOOD_PER_SECOND: u32 = 20;
+const MAX_UNEVENTFUL_PER_SECOND: u32 = 20;
 
 /// Lines a second that are written of all others.
 const MAX_PER_SECOND: u32 = 200;
 
+/// Lines a second that are written of what the process believes.
+const MAX_BELIEFS_PER_SECOND: u32 = 100;
+
 /// Why a request ended as it did.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -67,13 +75,29 @@
     pub(crate) config_version: u64,
 }
 
+/// A request that was refused before any upstream was looked for.
+#[derive(Debug, Serialize)]
+pub(crate) struct RequestRefused<'a> {
+    pub(crate) request: &'a str,
+    pub(crate) reason: Reason,
+    pub(crate) status: u16,
+    pub(crate) retry_after_ms: Option<u64>,
+    pub(crate) config_version: Option<u64>,
+}
+
 /// One send and how it ended.
 #[derive(Debug, Serialize)]
 pub(crate) struct SendEnded<'a> {
     pub(crate) request: &'a str,
     pub(crate) upstream: &'a UpstreamId,
+    /// Upstreams that took work when it was chosen.
+    pub(crate) candidates: usize,
     /// Time to the first token that was expected.
     pub(crate) expected_ms: Option<u64>,
+    /// The second choice, and what was expected there.
+    pub(crate) runner_up: Option<&'a UpstreamId>,
+    pub(crate) runner_up_ms: Option<u64>,
+    pub(crate) fetched_tokens: Option<u32>,
     pub(crate) uncached_tokens: Option<u32>,
     pub(crate) running_here: u32,
     pub(crate) running_elsewhere: u32,
@@ -104,6 +128,8 @@
 pub(crate) enum Decision<'a> {
     /// A request ended.
     RequestEnded(RequestEnded<'a>),
+    /// A request was refused at once.
+    RequestRefused(RequestRefused<'a>),
     /// A send ended.
     SendEnded(SendEnded<'a>),
     /// A workspace's limit refused a request.
@@ -116,21 +142,121 @@
             Decision::RequestEnded(ended) => ended.reason == Reason::Answered,
             Decision::SendEnded(ended) => ended.end == "answered",
             Decision::QuotaRefused(_) => true,
+            Decision::RequestRefused(refused) => refused.reason == Reason::OverQuota,
         }
     }
 }
 
+/// Something that the process believes from now on.
+#[derive(Debug, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub(crate) enum Belief<'a> {
+    /// The process serves.
+    Started { node: &'a str, callers: SocketAddr },
+    /// The process takes no new connections.
+    Stopping { open_requests: u32 },
+    /// The process ends.
+    Stopped { cut_off_requests: u32 },
+    /// Changed settings are in force.
+    SettingsReloaded { seeds: usize },
+    /// A configuration is in force.
+    ConfigInForce { version: u64 },
+    /// A configuration was not taken over.
+    ConfigRefused { revision: u64, reason: &'a str },
+    /// An upstream takes work.
+    UpstreamCame { upstream: &'a UpstreamId, service: &'a ServiceName, address: SocketAddr },
+    /// An upstream takes no new work.
+    UpstreamDrains { upstream: &'a UpstreamId, revision: u64 },
+    /// An upstream is gone.
+    UpstreamGone { upstream: &'a UpstreamId, revision: u64 },
+    /// An entry names no upstream.
+    EntryRefused { key: &'a str, reason: &'a str },
+    /// An upstream gets no work for a while, by its answers.
+    UpstreamSetAside { upstream: &'a UpstreamId, failure_share: f64 },
+    /// The store does not answer.
+    StoreLost { call: &'a str, reason: &'a str },
+    /// The store answers again.
+    StoreReached { away_ms: u64 },
+    /// Another node's view is followed in place of the store.
+    Follows { reader: SocketAddr },
+    /// The store is read in place of another node's view.
+    ReadsItself { reason: &'a str },
+    /// This node holds the duties.
+    DutiesWon { fence: u64, acts_in_ms: u64 },
+    /// This node holds the duties no more.
+    DutiesLost { fence: u64 },
+    /// Upstreams were ordered.
+    Ordered { service: &'a ServiceName, zone: &'a ZoneName, purchase: Purchase, count: u32 },
+    /// Upstreams were not to be had.
+    OrderRefused {
+        service: &'a ServiceName,
+        zone: &'a ZoneName,
+        purchase: Purchase,
+        count: u32,
+        reason: &'a str,
+    },
+    /// A window of usage was reported.
+    UsageReported { window: u64, requests: u64 },
+    /// A window of usage was not reported yet.
+    UsageDelayed { window: u64, reason: &'a str },
+    /// True time was set by what the other nodes say.
+    ClockSet { from_ms: u64, to_ms: u64 },
+}
+
+/// Writes a belief to the log, up to a rate.
+pub(crate) fn note(belief: &Belief<'_>) {
+    if !BELIEFS.with(|rate| rate.take(MAX_BELIEFS_PER_SECOND)) {
+        return;
+    }
+    match serde_json::to_string(&BeliefLine { time_ms: wall_ms(), belief }) {
+        Ok(line) => log::info!(target: DECISIONS, "{line}"),
+        Err(err) => log::error!("decision: a line can't be written: {err}"),
+    }
+}
+
+thread_local! {
+    static BELIEFS: Rate = Rate::default();
+}
+
+#[derive(Serialize)]
+struct BeliefLine<'a> {
+    time_ms: u64,
+    #[serde(flatten)]
+    belief: &'a Belief<'a>,
+}
+
+/// Counts lines in each second.
+#[derive(Debug, Default)]
+struct Rate {
+    second: Cell<Option<Instant>>,
+    count: Cell<u32>,
+}
+
+impl Rate {
+    /// Returns whether there is room for one more.
+    fn take(&self, most: u32) -> bool {
+        let now = Instant::now();
+        let is_new = self.second.get().is_none_or(|at| now - at >= Duration::from_secs(1));
+        if is_new {
+            self.second.set(Some(now));
+            self.count.set(0);
+        }
+        self.count.set(self.count.get() + 1);
+        self.count.get() <= most
+    }
+}
+
 /// Writes decisions to the log, up to a rate.
 pub(crate) struct DecisionLog {
     node: Arc<str>,
     metrics: GatewayMetrics,
-    second: Cell<Option<Instant>>,
-    good: Cell<u32>,
-    all: Cell<u32>,
+    uneventful: Rate,
+    others: Rate,
 }
 
 #[derive(Serialize)]
 struct Line<'a> {
+    time_ms: u64,
     node: &'a str,
     #[serde(flatten)]
     decision: &'a Decision<'a>,
@@ -138,37 +264,24 @@
 
 impl DecisionLog {
     pub(crate) fn new(node: Arc<str>, metrics: GatewayMetrics) -> DecisionLog {
-        let (second, good, all) = (Cell::new(None), Cell::new(0), Cell::new(0));
-        DecisionLog { node, metrics, second, good, all }
+        DecisionLog { node, metrics, uneventful: Rate::default(), others: Rate::default() }
     }
 
     pub(crate) fn write(&self, decision: &Decision<'_>) {
-        if !self.has_room(decision.is_uneventful()) {
+        let has_room = match decision.is_uneventful() {
+            true => self.uneventful.take(MAX_UNEVENTFUL_PER_SECOND),
+            false => self.others.take(MAX_PER_SECOND),
+        };
+        if !has_room {
             self.metrics.log_lines.with_label_values(&["dropped"]).inc();
             return;
         }
-        match serde_json::to_string(&Line { node: &self.node, decision }) {
+        match serde_json::to_string(&Line { time_ms: wall_ms(), node: &self.node, decision }) {
             Ok(line) => log::info!(target: DECISIONS, "{line}"),
             Err(err) => log::error!("decision: a line can't be written: {err}"),
         }
         self.metrics.log_lines.with_label_values(&["written"]).inc();
     }
-
-    fn has_room(&self, is_uneventful: bool) -> bool {
-        let now = Instant::now();
-        let is_new = self.second.get().is_none_or(|at| now - at >= Duration::from_secs(1));
-        if is_new {
-            self.second.set(Some(now));
-            self.good.set(0);
-            self.all.set(0);
-        }
-        if is_uneventful {
-            self.good.set(self.good.get() + 1);
-            return self.good.get() <= MAX_GOOD_PER_SECOND;
-        }
-        self.all.set(self.all.get() + 1);
-        self.all.get() <= MAX_PER_SECOND
-    }
 }
 
 /// Target of decision lines in the log, which are JSON already.
@@ -178,3 +291,8 @@
 pub(crate) fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
+
+/// Returns the time of day, in milliseconds since 1970.
+fn wall_ms() -> u64 {
+    millis(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default())
+}
--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -12,7 +12,12 @@
 use tokio::time::Instant;
 
 use crate::{
-    StoreRevision, engine_load::EngineLoad, facts::ReportedLoad, health::Health, pool::Pool,
+    StoreRevision,
+    decision::{Belief, note},
+    engine_load::EngineLoad,
+    facts::ReportedLoad,
+    health::Health,
+    pool::Pool,
 };
 
 /// What an upstream says of itself.
@@ -99,14 +104,18 @@
             }
             if is_same_incarnation(&known.entry.borrow(), &entry) {
                 if known.entry.borrow().is_ready && !entry.is_ready {
-                    log::info!("directory: {} drains", entry.id);
+                    note(&Belief::UpstreamDrains { upstream: &entry.id, revision: revision.0 });
                 }
                 known.revision.set(revision);
                 known.entry.replace(entry);
                 return;
             }
         }
-        log::info!("directory: {} of {} at {} came", entry.id, entry.service, entry.address);
+        note(&Belief::UpstreamCame {
+            upstream: &entry.id,
+            service: &entry.service,
+            address: entry.address,
+        });
         let upstream = Rc::new(Upstream::new(entry, revision));
         if let Some(before) = upstreams.insert(upstream.id(), upstream) {
             before.gone.set(true);
@@ -119,7 +128,7 @@
         let mut upstreams = self.upstreams.borrow_mut();
         let is_older = upstreams.get(id).is_some_and(|known| known.revision.get() < revision);
         if is_older && let Some(gone) = upstreams.remove(id) {
-            log::info!("directory: {id} is gone");
+            note(&Belief::UpstreamGone { upstream: id, revision: revision.0 });
             gone.gone.set(true);
             gone.pool.clear();
         }
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -12,7 +12,7 @@
     answer::OwnAnswer,
     attempts::{Attempts, Next, SendEnd},
     connection::{Connection, ExchangeError, Outgoing},
-    decision::{Decision, Reason, SendEnded, millis},
+    decision::{Belief, Decision, Reason, SendEnded, millis, note},
     directory::Upstream,
     engine_load::{Expected, InFlight},
     frames::FrameReader,
@@ -231,6 +231,10 @@
     job.gateway.decisions.write(&Decision::SendEnded(SendEnded {
         request: &job.facts.id,
         upstream: &upstream,
+        candidates: choice.candidates,
+        runner_up: choice.runner_up.as_ref().map(|(id, _)| id),
+        runner_up_ms: choice.runner_up.as_ref().map(|(_, expected)| millis(*expected)),
+        fetched_tokens: choice.expected.map(|expected| expected.fetched_tokens),
         expected_ms: choice.expected.map(|expected| millis(expected.first_token)),
         uncached_tokens: choice.expected.map(|expected| expected.uncached_tokens),
         running_here: here,
@@ -257,7 +261,10 @@
         Ok(_) => health.succeeded(),
         Err(_) => {
             if health.failed(now) {
-                log::warn!("health: {} is set aside", upstream.id());
+                note(&Belief::UpstreamSetAside {
+                    upstream: &upstream.id(),
+                    failure_share: health.failure_share(),
+                });
             }
         }
     }
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     Dialect, Directory, GatewayMetrics, RoutingTable, TrueTime, Workspace,
-    decision::{Decision, DecisionLog, QuotaRefused, millis},
+    decision::{Belief, Decision, DecisionLog, QuotaRefused, millis, note},
     engine_load::ChainHash,
     gossip,
     peers::PeerView,
@@ -150,7 +150,7 @@
         if current.as_ref().is_some_and(|current| current.version >= table.version) {
             return;
         }
-        log::info!("config: version {} is in force", table.version);
+        note(&Belief::ConfigInForce { version: table.version });
         self.metrics.config_version.set(i64::try_from(table.version).unwrap_or(i64::MAX));
         *current = Some(Rc::new(table));
     }
@@ -159,7 +159,7 @@
     pub fn reload(&self, settings: &GatewaySettings) {
         let new = Reloadable::from(settings);
         if *self.reloaded.borrow() != new {
-            log::info!("settings: seeds, retries and the window of limits are taken over");
+            note(&Belief::SettingsReloaded { seeds: new.seeds.len() });
             self.reloaded.replace(new);
         }
     }
--- a/components/gateway/src/leader.rs
+++ b/components/gateway/src/leader.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     BootClock, Commit, Committed, Freshness, Gateway, Store, StoreError, StoreLease, StoreRevision,
+    decision::{Belief, millis, note},
     layout::OWN_PREFIX,
 };
 
@@ -95,11 +96,13 @@
         if is_free && !gateway.is_stopping() {
             match acquire(&*store, &leader, node, ttl, started).await {
                 Ok(Some((lease, holding))) => {
-                    log::info!("leader: {node} holds the duties with fence {}", holding.fence);
+                    let acts_in = holding.acts_from.saturating_sub(leader.boot.elapsed());
+                    let fence = holding.fence.0;
+                    note(&Belief::DutiesWon { fence, acts_in_ms: millis(acts_in) });
                     leader.holding.set(Some(holding));
                     keep(&gateway, &*store, &leader, lease, ttl).await;
                     leader.holding.set(None);
-                    log::warn!("leader: {node} holds the duties no more");
+                    note(&Belief::DutiesLost { fence });
                 }
                 Ok(None) => {}
                 Err(err) => log::info!("leader: not acquired: {err}"),
--- a/components/gateway/src/neighbours.rs
+++ b/components/gateway/src/neighbours.rs
@@ -19,6 +19,7 @@
 use crate::{
     Gateway, Item, StoreRevision,
     connection::{Connection, ExchangeError, Outgoing},
+    decision::{Belief, note},
     server::empty,
     sync::{Held, LocalChange, View},
 };
@@ -232,9 +233,13 @@
             continue;
         };
         match follow_once(&view, address, &mut followed).await {
-            Ok(()) => view.is_following.set(true),
+            Ok(()) => {
+                if !view.is_following.replace(true) {
+                    note(&Belief::Follows { reader: address });
+                }
+            }
             Err(err) => {
-                log::info!("peers: {address} can't be followed: {err}");
+                note(&Belief::ReadsItself { reason: &err.to_string() });
                 stop_following(&view, &mut followed);
                 sleep(READ_SELF.mul_f64(0.5 + rand::random::<f64>())).await;
             }
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -70,6 +70,10 @@
     pub expected: Option<Expected>,
     /// Where the engine fetches cached parts of the prompt from.
     pub fetch_from: Option<SocketAddr>,
+    /// Upstreams that were looked at.
+    pub candidates: usize,
+    /// The second choice, and the time to the first token that was expected there.
+    pub runner_up: Option<(UpstreamId, Duration)>,
 }
 
 /// Why no upstream was chosen.
@@ -113,6 +117,7 @@
     let preferred = preferred(chain.affinity(), usable);
     let keeper = keeper(ask, chain, engine);
     let mut best: Option<(f64, &Rc<Upstream>, Expected)> = None;
+    let mut second: Option<(f64, &Rc<Upstream>, Expected)> = None;
     let mut soonest = Duration::MAX;
     for up in usable {
         let entry = up.entry.borrow();
@@ -135,8 +140,11 @@
         if entry.id != preferred {
             score += AFFINITY_PENALTY_MS;
         }
+        let scored = (score, *up, expected);
         if best.as_ref().is_none_or(|(least, ..)| score < *least) {
-            best = Some((score, up, expected));
+            second = best.replace(scored);
+        } else if second.as_ref().is_none_or(|(least, ..)| score < *least) {
+            second = Some(scored);
         }
     }
     let allowed = ask.until_late.mul_f64(admitted_share(ask.rank));
@@ -144,7 +152,14 @@
         Some((_, upstream, expected)) if expected.first_token <= allowed => {
             let is_fetched = expected.fetched_tokens > 0;
             let fetch_from = keeper.filter(|_| is_fetched).map(|keeper| keeper.address);
-            Ok(Choice { upstream: upstream.clone(), expected: Some(expected), fetch_from })
+            let second = second.map(|(_, up, expected)| (up.id(), expected.first_token));
+            Ok(Choice {
+                upstream: upstream.clone(),
+                expected: Some(expected),
+                fetch_from,
+                candidates: usable.len(),
+                runner_up: second,
+            })
         }
         Some((_, _, expected)) => Err(NoChoice::Busy(expected.first_token - allowed)),
         None => Err(NoChoice::Busy(soonest)),
@@ -197,7 +212,13 @@
     if wait > ask.until_late {
         return Err(NoChoice::Busy(wait - ask.until_late));
     }
-    Ok(Choice { upstream: (*best).clone(), expected: None, fetch_from: None })
+    Ok(Choice {
+        upstream: (*best).clone(),
+        expected: None,
+        fetch_from: None,
+        candidates: usable.len(),
+        runner_up: None,
+    })
 }
 
 fn plain_cost(ask: &PlaceAsk<'_>, up: &Rc<Upstream>, now: Instant) -> f64 {
--- a/components/gateway/src/report.rs
+++ b/components/gateway/src/report.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     Commit, Committed, DutyCalls, Gateway, Leader, Store, StoreError, StoreRevision,
+    decision::{Belief, note},
     layout::OWN_PREFIX,
     usage::{UsageWindow, WindowCounts},
 };
@@ -144,10 +145,12 @@
         match calls.report_usage(fence, recorded.window, &recorded.counts).await {
             Ok(()) => {
                 let total: u64 = recorded.counts.values().sum();
-                log::info!("usage: window {}: {total} requests reported", recorded.window.0);
+                note(&Belief::UsageReported { window: recorded.window.0, requests: total });
                 return;
             }
-            Err(err) => log::info!("usage: window {}: {err}", recorded.window.0),
+            Err(err) => {
+                note(&Belief::UsageDelayed { window: recorded.window.0, reason: &err.to_string() })
+            }
         }
         sleep(INTERVAL).await;
     }
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -12,7 +12,9 @@
 
 use crate::{
     BootClock, CallerLimits, Dialect, DutyCalls, Gateway, GatewayMetrics, Layout, Leader, Store,
-    TrueTime, gossip, leader, members, neighbours, report, scale, serve,
+    TrueTime,
+    decision::{Belief, note},
+    gossip, leader, members, neighbours, report, scale, serve,
     server::{self, ServerLimits, empty},
     sync::{self, View},
 };
@@ -96,7 +98,10 @@
             )),
             actix_rt::spawn(scale::run(gateway.clone(), leader, parts.duty_calls)),
         ];
-        log::info!("gateway: {} serves on {}", gateway.settings.node, gateway.settings.callers);
+        note(&Belief::Started {
+            node: gateway.settings.node.as_str(),
+            callers: gateway.settings.callers,
+        });
         Ok(RunningGateway { gateway, tasks: RefCell::new(tasks) })
     }
 
@@ -110,7 +115,7 @@
         let started = Instant::now();
         let ends = started + self.gateway.settings.grace - END_MARGIN;
         self.gateway.start_stopping();
-        log::info!("gateway: stopping, {} requests open", self.gateway.open_requests());
+        note(&Belief::Stopping { open_requests: self.gateway.open_requests() });
         while Instant::now() < ends {
             let is_idle = self.gateway.open_requests() == 0;
             if started.elapsed() >= LINGER {
@@ -122,13 +127,10 @@
             sleep(STOP_POLL).await;
         }
         let left = self.gateway.open_requests();
-        if left > 0 {
-            log::warn!("gateway: {left} requests are cut off by the stop");
-        }
         for task in self.tasks.take() {
             task.abort();
         }
-        log::info!("gateway: stopped");
+        note(&Belief::Stopped { cut_off_requests: left });
     }
 }
 
--- a/components/gateway/src/scale.rs
+++ b/components/gateway/src/scale.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     DutyCalls, DutyError, Gateway, Leader, Purchase, ServiceSpec, SizeOrder,
+    decision::{Belief, note},
     demand::Forecast,
     size::{ZoneSize, ZoneSupply, plan},
     table::ScalingSpec,
@@ -179,16 +180,25 @@
     let result = calls.order(fence, &order).await;
     let now = Instant::now();
     let subject = (service.name.clone(), size.zone.clone(), purchase);
+    let refused = |err: &DutyError| {
+        note(&Belief::OrderRefused {
+            service: &service.name,
+            zone: &size.zone,
+            purchase,
+            count,
+            reason: &err.to_string(),
+        });
+    };
     match result {
         Ok(()) => {
-            log::info!("scale: {} in {}: {purchase:?} {count}", service.name, size.zone);
+            note(&Belief::Ordered { service: &service.name, zone: &size.zone, purchase, count });
             if purchase == Purchase::Reclaimable {
                 orders.dry.remove(&(service.name.clone(), size.zone.clone()));
             }
             orders.sent.insert(subject, Sent { count, at: now });
         }
         Err(DutyError::NoneAvailable) => {
-            log::info!("scale: {} in {}: no {purchase:?} to be had", service.name, size.zone);
+            refused(&DutyError::NoneAvailable);
             orders.sent.remove(&subject);
             if purchase == Purchase::Reclaimable {
                 let key = (service.name.clone(), size.zone.clone());
@@ -197,7 +207,7 @@
             }
         }
         Err(err) => {
-            log::warn!("scale: {} in {}: {err}", service.name, size.zone);
+            refused(&err);
             orders.sent.insert(subject, Sent { count, at: now });
         }
     }
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -15,7 +15,7 @@
     RequestFacts, Route, RoutingTable, ServiceSpec, Workspace,
     answer::OwnAnswer,
     connection::read_payload,
-    decision::{Decision, Reason, RequestEnded, millis},
+    decision::{Decision, Reason, RequestEnded, RequestRefused, millis},
     dispatch::dispatch,
     engine_load::Chain,
     gateway::{Demand, Gateway, OpenRequest},
@@ -99,7 +99,15 @@
         Ok(job) => run(Rc::new(job)).await,
         Err((id, refusal)) => {
             gateway.metrics.answers.with_label_values(&[reason_label(refusal.reason)]).inc();
-            refusal.into_response(&gateway, &id)
+            let response = refusal.into_response(&gateway, &id);
+            gateway.decisions.write(&Decision::RequestRefused(RequestRefused {
+                request: &id,
+                reason: refusal.reason,
+                status: response.status().as_u16(),
+                retry_after_ms: refusal.retry_after.map(millis),
+                config_version: gateway.table().map(|table| table.version),
+            }));
+            response
         }
     };
     if gateway.is_stopping() {
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     Freshness, Gateway, Item, Layout, RoutingTable, Store, StoreError, StoreEvent, StoreRevision,
+    decision::{Belief, millis, note},
 };
 
 /// Longest wait of one watch; a silent connection goes unnoticed for as long.
@@ -148,7 +149,7 @@
         let now = Instant::now();
         let was_failing = self.last_failure.get() > self.last_answer.get();
         if was_failing {
-            log::info!("store: reached again");
+            note(&Belief::StoreReached { away_ms: millis(self.age()) });
             if self.age() > LAPSE_AFTER {
                 self.returned.set(Some(now));
                 self.revision_at_return.set(None);
@@ -159,7 +160,7 @@
 
     fn failed(&self, call: &str, err: &StoreError) {
         if self.last_failure.get() <= self.last_answer.get() {
-            log::warn!("store: {call}: {err}");
+            note(&Belief::StoreLost { call, reason: &err.to_string() });
         }
         self.last_failure.set(Some(Instant::now()));
     }
@@ -186,7 +187,9 @@
         }
         match self.layout.config(&value) {
             Ok(source) => self.gateway.set_table(RoutingTable::from(source)),
-            Err(err) => log::error!("config: not taken over: {err}"),
+            Err(err) => {
+                note(&Belief::ConfigRefused { revision: revision.0, reason: &err.to_string() })
+            }
         }
         let changed = self.next_change();
         *self.config.borrow_mut() = Some(Held { value, revision, changed });
@@ -205,7 +208,7 @@
         match self.layout.upstream(&id, &value) {
             Ok(entry) => self.gateway.directory.put(entry, revision),
             Err(err) => {
-                log::warn!("directory: the entry {key} names no upstream: {err}");
+                note(&Belief::EntryRefused { key, reason: &err.to_string() });
                 self.gateway.directory.remove(&id, revision);
             }
         }
--- a/components/gateway/tests/holding.rs
+++ b/components/gateway/tests/holding.rs
@@ -59,8 +59,8 @@
                 holdings[holder] = Some(holding);
             }
             now = arrives;
-            for at in 0..2 {
-                if holdings[at].is_some_and(|holding| holding.may_act(now)) {
+            for (at, holding) in holdings.iter().enumerate() {
+                if holding.is_some_and(|holding| holding.may_act(now)) {
                     acts.push((now, at));
                 }
             }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -31,6 +31,7 @@
             Command::new("hash-token")
                 .about("Reads a token from the standard input and shows its salted hash"),
             Command::new("version").about("Shows the version of this program and of the node"),
+            explain(),
             completions(),
         ])
 }
@@ -238,6 +239,25 @@
         )
 }
 
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Shows the life of one request out of nodes' logs")
+        .arg(Arg::new("request").value_name("REQUEST").required(true).help("Id of the request"))
+        .arg(
+            Arg::new("file")
+                .value_name("FILE")
+                .value_hint(ValueHint::FilePath)
+                .num_args(0..)
+                .help("Logs of any number of nodes; without one, the standard input"),
+        )
+        .arg(
+            Arg::new("why")
+                .long("why")
+                .action(ArgAction::SetTrue)
+                .help("Show the cause of how it ended, in one line"),
+        )
+}
+
 fn completions() -> Command {
     Command::new("completions")
         .about("Writes completions for a shell")
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -5,7 +5,7 @@
 use clap::ArgMatches;
 use lycheelatch_config::{Document, ObjectKind, TokenHash};
 use lycheelatch_prelude::InvalidValue;
-use lycheelatch_settings::{Settings, SettingsError};
+use lycheelatch_settings::{NodeSettings, Settings, SettingsError};
 use serde::Serialize;
 use serde_json::Value;
 
@@ -51,8 +51,9 @@
 }
 
 fn check_settings(content: &str) -> Result<Checked, Vec<InvalidValue>> {
-    match Settings::from_json(content) {
-        Ok(settings) => check_tokens(&settings).map(|()| Checked::Settings),
+    match NodeSettings::from_json(content) {
+        Ok(NodeSettings::Own(settings)) => check_tokens(&settings).map(|()| Checked::Settings),
+        Ok(NodeSettings::Gateway(_)) => Ok(Checked::Settings),
         Err(SettingsError::Invalid(errors)) => Err(errors),
         Err(SettingsError::Syntax(reason)) => Err(vec![InvalidValue::new("file", "", reason)]),
     }
--- /dev/null
+++ b/src/cmd/explain.rs
@@ -0,0 +1,189 @@
+//! `lycheelatch explain`: the life of one request out of nodes' logs.
+
+use std::{fmt::Write, io::Read};
+
+use clap::ArgMatches;
+use serde::{Deserialize, Serialize};
+
+use super::read_text;
+use crate::{
+    CliError, Output,
+    cli::{format_of, text},
+};
+
+/// One line of a log that tells of a request.
+#[derive(Debug, Clone, Deserialize, Serialize)]
+struct Line {
+    #[serde(default)]
+    time_ms: u64,
+    #[serde(default)]
+    node: String,
+    request: String,
+    #[serde(flatten)]
+    event: Event,
+}
+
+/// What a line tells.
+#[derive(Debug, Clone, Deserialize, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+enum Event {
+    RequestRefused {
+        reason: String,
+        status: u16,
+        retry_after_ms: Option<u64>,
+        config_version: Option<u64>,
+    },
+    SendEnded {
+        upstream: String,
+        candidates: usize,
+        expected_ms: Option<u64>,
+        runner_up: Option<String>,
+        runner_up_ms: Option<u64>,
+        uncached_tokens: Option<u32>,
+        fetched_tokens: Option<u32>,
+        running_here: u32,
+        running_elsewhere: u32,
+        elapsed_ms: u64,
+        end: String,
+    },
+    RequestEnded {
+        route: String,
+        workspace: Option<String>,
+        reason: String,
+        status: u16,
+        sends: usize,
+        elapsed_ms: u64,
+        config_version: u64,
+    },
+}
+
+pub(super) fn run(args: &ArgMatches, stdin: &mut dyn Read) -> Result<Output, CliError> {
+    let request = text(args, "request").unwrap_or_default();
+    let files: Vec<String> =
+        args.get_many::<String>("file").into_iter().flatten().cloned().collect();
+    let files = if files.is_empty() { vec!["-".to_owned()] } else { files };
+    let mut lines = Vec::new();
+    for file in &files {
+        let content = read_text(file, stdin)?;
+        lines.extend(content.lines().filter_map(|line| parse(line, &request)));
+    }
+    lines.sort_by_key(|line| line.time_ms);
+    if lines.is_empty() {
+        return Err(CliError::NotInLogs { request });
+    }
+    if args.get_flag("why") {
+        return Ok(Output::done(format!("{}\n", why(&lines))));
+    }
+    Ok(Output::done(format_of(args).show(&lines, story)))
+}
+
+/// Reads the JSON part of a line, whatever stands before it.
+fn parse(line: &str, request: &str) -> Option<Line> {
+    let start = line.find('{')?;
+    let parsed: Line = serde_json::from_str(&line[start..]).ok()?;
+    (parsed.request == request).then_some(parsed)
+}
+
+fn story(lines: &Vec<Line>) -> String {
+    let start = lines.first().map_or(0, |line| line.time_ms);
+    let mut story = String::new();
+    for line in lines {
+        let after = line.time_ms - start;
+        let told = tell(&line.event);
+        // Writing to a string can't fail.
+        let _written = writeln!(story, "+{after} ms {}: {told}", line.node);
+    }
+    let _written = writeln!(story, "cause: {}", why(lines));
+    story
+}
+
+fn tell(event: &Event) -> String {
+    match event {
+        Event::RequestRefused { reason, status, retry_after_ms, config_version } => {
+            let retry = retry_after_ms.map_or(String::new(), |ms| format!(", back in {ms} ms"));
+            let version = shown(config_version.as_ref());
+            format!("refused with {status}: {reason}{retry}; configuration {version}")
+        }
+        Event::SendEnded {
+            upstream,
+            candidates,
+            expected_ms,
+            runner_up,
+            runner_up_ms,
+            uncached_tokens,
+            fetched_tokens,
+            running_here,
+            running_elsewhere,
+            elapsed_ms,
+            end,
+        } => format!(
+            "sent to {upstream} of {candidates} ({running_here} running from here, \
+             {running_elsewhere} from other nodes; expected {} ms, {} tokens to read, {} to fetch; \
+             second choice {} at {} ms): {end} after {elapsed_ms} ms",
+            shown(expected_ms.as_ref()),
+            shown(uncached_tokens.as_ref()),
+            shown(fetched_tokens.as_ref()),
+            shown(runner_up.as_ref()),
+            shown(runner_up_ms.as_ref()),
+        ),
+        Event::RequestEnded {
+            route,
+            workspace,
+            reason,
+            status,
+            sends,
+            elapsed_ms,
+            config_version,
+        } => format!(
+            "ended with {status}, {reason}, after {elapsed_ms} ms and {sends} sends; route {route}, \
+             workspace {}, configuration {config_version}",
+            shown(workspace.as_ref()),
+        ),
+    }
+}
+
+fn shown<T: ToString>(value: Option<&T>) -> String {
+    value.map_or_else(|| "-".to_owned(), T::to_string)
+}
+
+/// Returns the cause of how a request ended, in one line.
+fn why(lines: &[Line]) -> String {
+    let failed = lines.iter().rev().find_map(|line| match &line.event {
+        Event::SendEnded { upstream, end, .. } if end != "answered" => {
+            Some(format!("{upstream} said or did: {end}"))
+        }
+        _ => None,
+    });
+    let slow = lines.iter().find_map(|line| match &line.event {
+        Event::SendEnded { upstream, expected_ms: Some(expected), elapsed_ms, end, .. }
+            if end == "answered" && *elapsed_ms > 2 * expected =>
+        {
+            Some(format!(
+                "{upstream} gave its first event after {elapsed_ms} ms, {expected} ms were expected"
+            ))
+        }
+        _ => None,
+    });
+    let reason = lines.iter().rev().find_map(|line| match &line.event {
+        Event::RequestEnded { reason, .. } | Event::RequestRefused { reason, .. } => {
+            Some(reason.as_str())
+        }
+        Event::SendEnded { .. } => None,
+    });
+    let cause = match reason {
+        Some("busy") => "no upstream could answer in time, so none got it".to_owned(),
+        Some("no_upstream") => "the service had no upstream that takes work".to_owned(),
+        Some("over_quota") => "the workspace was over its limit on all nodes together".to_owned(),
+        Some("not_informed") => "the node held no configuration or no upstreams yet".to_owned(),
+        Some("stopping") => "the node was stopping".to_owned(),
+        Some("answered") => slow.unwrap_or_else(|| "it was answered as expected".to_owned()),
+        Some("caller_left") => "the caller left".to_owned(),
+        Some("timed_out") => "the time of the caller or the route was up".to_owned(),
+        Some(other) => other.replace('_', " "),
+        None => "its end is in no log".to_owned(),
+    };
+    match failed {
+        Some(failed) => format!("{cause}; {failed}"),
+        None => cause,
+    }
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 mod delete;
 mod diff;
 mod drain;
+mod explain;
 mod get;
 mod hash_token;
 mod history;
@@ -41,6 +42,7 @@
         Some(("route", args)) => route::run(args).await,
         Some(("drain", args)) => drain::run(args).await,
         Some(("check", args)) => check::run(args, stdin),
+        Some(("explain", args)) => explain::run(args, stdin),
         Some(("hash-token", args)) => hash_token::run(args, stdin),
         Some(("version", args)) => version::run(args).await,
         Some(("completions", args)) => Ok(completions::run(args)),
--- a/src/error.rs
+++ b/src/error.rs
@@ -62,6 +62,11 @@
         /// What was seen.
         reason: String,
     },
+    /// no log tells of the request {request}
+    NotInLogs {
+        /// Id of the request.
+        request: String,
+    },
     /// no server is given: use --server, LYCHEELATCH_SERVER or a settings file
     NoServer,
     /// no token is given: use LYCHEELATCH_TOKEN, --token-file or a settings file
@@ -108,6 +113,7 @@
             CliError::Send { .. } => Code::Unavailable,
             CliError::Problem(problem) => code_of(problem.kind),
             CliError::OutcomeUnknown { .. } => Code::OutcomeUnknown,
+            CliError::NotInLogs { .. } => Code::NotFound,
         }
     }
 
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -406,3 +406,41 @@
 fn command_is_consistent() {
     command().debug_assert();
 }
+
+/// Lines as two nodes write them, behind what a log collector puts before.
+const LOG: &str = r#"12:00 node-2 {"time_ms":1040,"node":"node-2","event":"send_ended","request":"id-1","upstream":"r-2","candidates":3,"expected_ms":90,"runner_up":"r-1","runner_up_ms":120,"uncached_tokens":800,"fetched_tokens":0,"running_here":1,"running_elsewhere":4,"elapsed_ms":400,"end":"answered"}
+12:00 node-2 {"time_ms":1900,"node":"node-2","event":"request_ended","request":"id-1","route":"letters","workspace":"ws","reason":"answered","status":200,"sends":1,"elapsed_ms":1300,"config_version":7}
+12:00 node-1 {"time_ms":1000,"node":"node-1","event":"request_refused","request":"id-2","reason":"over_quota","status":429,"retry_after_ms":300,"config_version":7}
+not a line of ours
+"#;
+
+fn explain(args: &[&str]) -> Output {
+    let matches = command().get_matches_from([&["lycheelatch", "explain"], args].concat());
+    actix_web::rt::System::new().block_on(run(&matches, &mut Cursor::new(LOG)))
+}
+
+#[test]
+fn explain_request_in_order() {
+    let output = explain(&["id-1"]);
+    assert_eq!(output.code, Code::Done);
+    let lines: Vec<_> = output.stdout.lines().collect();
+    assert!(lines[0].starts_with("+0 ms node-2: sent to r-2 of 3"), "{}", lines[0]);
+    assert!(lines[1].starts_with("+860 ms node-2: ended with 200"), "{}", lines[1]);
+}
+
+#[test]
+fn explain_why_late_answer() {
+    let output = explain(&["--why", "id-1"]);
+    assert_eq!(output.stdout, "r-2 gave its first event after 400 ms, 90 ms were expected\n");
+}
+
+#[test]
+fn explain_why_refused() {
+    let output = explain(&["--why", "id-2"]);
+    assert!(output.stdout.starts_with("the workspace was over its limit"), "{}", output.stdout);
+}
+
+#[test]
+fn explain_unknown_request_is_not_found() {
+    assert_eq!(explain(&["id-9"]).code, Code::NotFound);
+}
