--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -17,6 +17,7 @@
     engine_load::{Expected, InFlight},
     frames::FrameReader,
     gateway::Read,
+    gossip::tell_sent,
     place::{Choice, NoChoice, PlaceAsk, place},
     relay::{EventRelay, LongRelay},
     serve::Job,
@@ -52,11 +53,14 @@
         let mut work = None;
         if let (Some(chain), Some(expected)) = (&job.chain, &choice.expected) {
             let mut load = upstream.load.borrow_mut();
-            work = Some(load.sent(chain, expected));
+            let sent = load.sent(chain, expected);
             let memory = job.service.engine.as_ref().map_or(0, |engine| engine.memory_tokens);
             load.remember(&chain.links, memory, Instant::now());
             let read = Read { upstream: upstream.id(), links: chain.links.clone() };
+            drop(load);
+            tell_sent(&job.gateway, &upstream.entry.borrow().zone, &read, sent);
             job.gateway.reads.borrow_mut().push(read);
+            work = Some(sent);
         }
         Running { upstream, work, expected: choice.expected, started: Instant::now() }
     }
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -1,7 +1,7 @@
 //! What every request of a node shares.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, OnceCell, RefCell},
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
     rc::Rc,
@@ -10,7 +10,7 @@
 
 use lycheelatch_prelude::{ServiceName, WorkspaceName};
 use lycheelatch_settings::{GatewaySettings, RetryLimit};
-use tokio::{sync::watch, time::Instant};
+use tokio::{net::UdpSocket, sync::watch, time::Instant};
 
 use crate::{
     Dialect, Directory, GatewayMetrics, RoutingTable, TrueTime, Workspace,
@@ -47,6 +47,7 @@
     pub(crate) usage: RefCell<Usage>,
     pub(crate) peers: RefCell<PeerView>,
     pub(crate) reads: RefCell<Vec<Read>>,
+    pub(crate) datagrams: OnceCell<Rc<UdpSocket>>,
     pub(crate) arrivals: RefCell<BTreeMap<ServiceName, Demand>>,
     table: RefCell<Option<Rc<RoutingTable>>>,
     quotas: RefCell<HashMap<WorkspaceName, QuotaCount>>,
@@ -126,6 +127,7 @@
             dialect,
             time,
             reads: RefCell::default(),
+            datagrams: OnceCell::new(),
             arrivals: RefCell::default(),
             table: RefCell::default(),
             quotas: RefCell::default(),
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -2,15 +2,20 @@
 
 use std::{collections::VecDeque, net::SocketAddr, rc::Rc, time::Duration};
 
-use lycheelatch_prelude::ServiceName;
+use lycheelatch_prelude::{ServiceName, ZoneName};
 use tokio::{
     net::UdpSocket,
     time::{Instant, MissedTickBehavior, interval},
 };
 
 use crate::{
+    directory::Upstream,
+    engine_load::InFlight,
     gateway::{Demand, Gateway, Read},
-    peers::{Addresses, Digest, ReadPrompt, ServiceDemand, UpstreamUse, WindowUse},
+    peers::{
+        Addresses, Datagram, Digest, ReadPrompt, SentNotice, ServiceDemand, UpstreamUse, WindowUse,
+        from_wire, to_wire,
+    },
 };
 
 /// Time between two datagrams to each node of a small cluster.
@@ -28,6 +33,7 @@
 /// Sends this node's state to the others, and takes theirs, until the node ends.
 pub(crate) async fn run(gateway: Rc<Gateway>, socket: UdpSocket) {
     let socket = Rc::new(socket);
+    let _set_before = gateway.datagrams.set(socket.clone());
     let incarnation = rand::random();
     actix_rt::spawn(receive(gateway.clone(), socket.clone()));
     let mut ticks = interval(INTERVAL);
@@ -63,7 +69,7 @@
     }
     let reads = reads.map(ReadPrompt::from).collect();
     let digest = digest(gateway, incarnation, sequence, reads);
-    let bytes = match postcard::to_stdvec(&digest) {
+    let bytes = match postcard::to_stdvec(&Datagram::State(digest)) {
         Ok(bytes) => bytes,
         Err(err) => {
             log::error!("peers: the state can't be encoded: {err}");
@@ -165,8 +171,9 @@
                 continue;
             }
         };
-        match postcard::from_bytes::<Digest>(&buf[..len]) {
-            Ok(digest) => take(&gateway, from, digest),
+        match postcard::from_bytes::<Datagram>(&buf[..len]) {
+            Ok(Datagram::State(digest)) => take(&gateway, from, digest),
+            Ok(Datagram::Sent(notice)) => take_sent(&gateway, notice),
             Err(err) => log::warn!("peers: a datagram of {from} can't be read: {err}"),
         }
     }
@@ -178,14 +185,68 @@
     if !gateway.peers.borrow_mut().heard(from, digest, now) {
         return;
     }
-    let Some(table) = gateway.table() else { return };
     for read in reads {
-        let Some(upstream) = gateway.directory.get(&read.upstream) else { continue };
-        let service = upstream.entry.borrow().service.clone();
-        let engine = table.service(&service).and_then(|service| service.engine.as_ref());
-        let memory = engine.map_or(0, |engine| engine.memory_tokens);
-        upstream.load.borrow_mut().remember(&read.chain(), memory, now);
+        if let Some(upstream) = gateway.directory.get(&read.upstream) {
+            remember(gateway, &upstream, &read.links, now);
+        }
+    }
+}
+
+/// Takes note of a prompt that an engine reads for another node.
+fn remember(gateway: &Gateway, upstream: &Upstream, links: &[(u64, u32)], now: Instant) {
+    let Some(table) = gateway.table() else { return };
+    let service = upstream.entry.borrow().service.clone();
+    let engine = table.service(&service).and_then(|service| service.engine.as_ref());
+    let memory = engine.map_or(0, |engine| engine.memory_tokens);
+    upstream.load.borrow_mut().remember(&from_wire(links), memory, now);
+}
+
+/// Takes note of a request that another node has just sent.
+fn take_sent(gateway: &Gateway, notice: SentNotice) {
+    let SentNotice { used, links, .. } = notice.clone();
+    if !gateway.peers.borrow_mut().heard_sent(notice) {
+        return;
+    }
+    let Some(upstream) = gateway.directory.get(&used.upstream) else { return };
+    upstream.running_elsewhere.set(upstream.running_elsewhere.get() + used.requests);
+    upstream.load.borrow_mut().others += InFlight::from(&used);
+    remember(gateway, &upstream, &links, Instant::now());
+}
+
+/// Tells the nodes that choose among the same engines of a request that is being sent.
+pub(crate) fn tell_sent(gateway: &Gateway, zone: &ZoneName, read: &Read, work: InFlight) {
+    let Some(socket) = gateway.datagrams.get() else { return };
+    let notice = SentNotice {
+        node: gateway.settings.node.clone(),
+        used: UpstreamUse {
+            upstream: read.upstream.clone(),
+            requests: work.requests,
+            unread_tokens: work.unread_tokens,
+            memory_tokens: work.memory_tokens,
+        },
+        links: to_wire(&read.links),
+    };
+    let Ok(bytes) = postcard::to_stdvec(&Datagram::Sent(notice)) else { return };
+    for target in choosers(gateway, zone) {
+        if let Err(err) = socket.try_send_to(&bytes, target) {
+            log::debug!("peers: no notice to {target}: {err}");
+        }
+    }
+}
+
+/// Returns the nodes that choose among the engines of an availability zone, and those of this
+/// node's own.
+fn choosers(gateway: &Gateway, zone: &ZoneName) -> Vec<SocketAddr> {
+    let peers = gateway.peers.borrow();
+    let own = &gateway.settings.zone;
+    let Addresses { mut near, far } = peers.addresses(own);
+    near.truncate(MAX_NEAR_PER_ROUND);
+    if far.len() <= MAX_FAR_PER_ROUND {
+        near.extend(far);
+    } else if zone != own {
+        near.extend(peers.addresses(zone).near.into_iter().take(MAX_NEAR_PER_ROUND));
     }
+    near
 }
 
 /// Writes what the other nodes have in flight into the directory, and compares clocks.
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -35,6 +35,16 @@
     pub(crate) memory_tokens: u64,
 }
 
+impl From<&UpstreamUse> for InFlight {
+    fn from(used: &UpstreamUse) -> InFlight {
+        InFlight {
+            requests: used.requests,
+            unread_tokens: used.unread_tokens,
+            memory_tokens: used.memory_tokens,
+        }
+    }
+}
+
 /// A prompt that an engine began to read.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ReadPrompt {
@@ -59,6 +69,24 @@
     pub(crate) refused: u64,
 }
 
+/// A request that a node has just sent to an engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct SentNotice {
+    pub(crate) node: NodeId,
+    pub(crate) used: UpstreamUse,
+    /// The prompt that is read there.
+    pub(crate) links: Vec<(u64, u32)>,
+}
+
+/// A datagram between nodes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Datagram {
+    /// The whole state of a node, now and then.
+    State(Digest),
+    /// One request, at once.
+    Sent(SentNotice),
+}
+
 /// What one node tells the others.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Digest {
@@ -83,6 +111,14 @@
     address: SocketAddr,
     heard: Option<Instant>,
     digest: Option<Digest>,
+    /// What it sent since its last state.
+    sent: Vec<UpstreamUse>,
+}
+
+impl Peer {
+    fn new(address: SocketAddr) -> Peer {
+        Peer { address, heard: None, digest: None, sent: Vec::new() }
+    }
 }
 
 /// Addresses of other nodes.
@@ -122,7 +158,7 @@
         });
         let own = &self.own;
         for (id, address) in nodes.into_iter().filter(|(id, _)| id != own) {
-            let peer = self.peers.entry(id).or_insert(Peer { address, heard: None, digest: None });
+            let peer = self.peers.entry(id).or_insert_with(|| Peer::new(address));
             peer.address = address;
         }
     }
@@ -145,7 +181,7 @@
             return false;
         }
         let peer = self.peers.entry(digest.node.clone());
-        let peer = peer.or_insert(Peer { address: from, heard: None, digest: None });
+        let peer = peer.or_insert_with(|| Peer::new(from));
         if let Some(known) = &peer.digest {
             if known.incarnation == digest.incarnation && known.sequence >= digest.sequence {
                 return false;
@@ -158,6 +194,14 @@
         peer.address = from;
         peer.heard = Some(now);
         peer.digest = Some(digest);
+        peer.sent.clear();
+        true
+    }
+
+    /// Takes over that a node sent a request; returns whether the node is known.
+    pub(crate) fn heard_sent(&mut self, notice: SentNotice) -> bool {
+        let Some(peer) = self.peers.get_mut(&notice.node) else { return false };
+        peer.sent.push(notice.used);
         true
     }
 
@@ -255,12 +299,15 @@
     /// Returns the work of the nodes that are heard, by upstream.
     pub(crate) fn in_flight(&self, now: Instant) -> HashMap<UpstreamId, InFlight> {
         let mut sums: HashMap<UpstreamId, InFlight> = HashMap::new();
-        for used in self.heard_digests(now).flat_map(|digest| &digest.upstreams) {
-            *sums.entry(used.upstream.clone()).or_default() += InFlight {
-                requests: used.requests,
-                unread_tokens: used.unread_tokens,
-                memory_tokens: used.memory_tokens,
-            };
+        let limit = self.heard_limit();
+        let is_heard =
+            |peer: &&Peer| peer.heard.is_some_and(|at| now.saturating_duration_since(at) < limit);
+        let told = self.peers.values().filter(is_heard).flat_map(|peer| {
+            let in_state = peer.digest.iter().flat_map(|digest| &digest.upstreams);
+            in_state.chain(&peer.sent)
+        });
+        for used in told {
+            *sums.entry(used.upstream.clone()).or_default() += InFlight::from(used);
         }
         sums
     }
@@ -287,13 +334,16 @@
 
 impl From<&crate::gateway::Read> for ReadPrompt {
     fn from(read: &crate::gateway::Read) -> ReadPrompt {
-        let links = read.links.iter().map(|(hash, tokens)| (hash.0, *tokens)).collect();
-        ReadPrompt { upstream: read.upstream.clone(), links }
+        ReadPrompt { upstream: read.upstream.clone(), links: to_wire(&read.links) }
     }
 }
 
-impl ReadPrompt {
-    pub(crate) fn chain(&self) -> Vec<(ChainHash, u32)> {
-        self.links.iter().map(|(hash, tokens)| (ChainHash(*hash), *tokens)).collect()
-    }
+/// Encodes the beginnings of a prompt.
+pub(crate) fn to_wire(links: &[(ChainHash, u32)]) -> Vec<(u64, u32)> {
+    links.iter().map(|(hash, tokens)| (hash.0, *tokens)).collect()
+}
+
+/// Decodes the beginnings of a prompt.
+pub(crate) fn from_wire(links: &[(u64, u32)]) -> Vec<(ChainHash, u32)> {
+    links.iter().map(|(hash, tokens)| (ChainHash(*hash), *tokens)).collect()
 }
