fakes: Stand-ins of the users' platform for tests and the soak; test what nodes do together

A request that is larger than an eighth of its limit's window passes when nothing was used in it; it never could before (found by path_over_quota_answers_429).

--- a/platform/tests/common/caller.rs
+++ b/components/fakes/src/entry/caller.rs
@@ -12,20 +12,25 @@
 
 /// An answer as it came over the wire.
 #[derive(Debug, Clone)]
-pub(crate) struct Answer {
-    pub(crate) status: u16,
-    pub(crate) head: String,
-    pub(crate) body: Vec<u8>,
+pub struct Answer {
+    /// Status.
+    pub status: u16,
+    /// Status line and headers.
+    pub head: String,
+    /// Body.
+    pub body: Vec<u8>,
     /// Whether the framing says that the body is whole.
-    pub(crate) is_whole: bool,
+    pub is_whole: bool,
 }
 
 impl Answer {
-    pub(crate) fn text(&self) -> String {
+    /// Returns the body as text.
+    pub fn text(&self) -> String {
         String::from_utf8_lossy(&self.body).into_owned()
     }
 
-    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+    /// Returns a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
         let mut lines = self.head.lines().skip(1).filter_map(|line| line.split_once(':'));
         let found = lines.find(|(known, _)| known.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.trim())
@@ -33,7 +38,7 @@
 }
 
 /// Text of a request with the usual headers.
-pub(crate) fn request(method: &str, path: &str, id: &str, extra: &str, body: &str) -> String {
+pub fn request(method: &str, path: &str, id: &str, extra: &str, body: &str) -> String {
     let length = body.len();
     format!(
         "{method} {path} HTTP/1.1\r\nHost: shop.example\r\nLycheelatch-Request-Id: {id}\r\n\
@@ -43,19 +48,19 @@
 }
 
 /// Sends a request on a new connection and reads its answer.
-pub(crate) async fn call(to: SocketAddr, method: &str, path: &str, id: &str) -> Answer {
+pub async fn call(to: SocketAddr, method: &str, path: &str, id: &str) -> Answer {
     call_raw(to, &request(method, path, id, "", "")).await
 }
 
 /// Sends the text of a request on a new connection and reads its answer.
-pub(crate) async fn call_raw(to: SocketAddr, text: &str) -> Answer {
+pub async fn call_raw(to: SocketAddr, text: &str) -> Answer {
     let mut io = TcpStream::connect(to).await.unwrap();
     io.write_all(text.as_bytes()).await.unwrap();
     read_answer(&mut io).await.expect("an answer")
 }
 
 /// Reads one answer; none: the connection ended before its head.
-pub(crate) async fn read_answer(io: &mut TcpStream) -> Option<Answer> {
+pub async fn read_answer(io: &mut TcpStream) -> Option<Answer> {
     let mut buf = Vec::new();
     let end = loop {
         if let Some(end) = find(&buf, b"\r\n\r\n") {
@@ -122,7 +127,7 @@
 }
 
 /// Returns whether a connection ends within a time.
-pub(crate) async fn ends_within(io: &mut TcpStream, limit: Duration) -> bool {
+pub async fn ends_within(io: &mut TcpStream, limit: Duration) -> bool {
     let mut byte = [0; 1];
     matches!(timeout(limit, io.read(&mut byte)).await, Ok(Ok(0) | Err(_)))
 }
--- a/platform/tests/common/runner.rs
+++ b/components/fakes/src/entry/runner.rs
@@ -12,7 +12,7 @@
 
 /// What a runner does with one request.
 #[derive(Debug, Clone)]
-pub(crate) enum Act {
+pub enum Act {
     /// Answers whole, with a signature.
     Answer(u16, String),
     /// Answers with a body that ends with the connection.
@@ -39,13 +39,16 @@
 
 /// A request as a runner saw it.
 #[derive(Debug, Clone)]
-pub(crate) struct Seen {
-    pub(crate) head: String,
-    pub(crate) body: String,
+pub struct Seen {
+    /// Request line and headers.
+    pub head: String,
+    /// Body.
+    pub body: String,
 }
 
 impl Seen {
-    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+    /// Returns a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
         let mut lines = self.head.lines().skip(1).filter_map(|line| line.split_once(':'));
         let found = lines.find(|(known, _)| known.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.trim())
@@ -61,13 +64,14 @@
 
 /// A runner that answers each request as a script says; without one, with `ok`.
 #[derive(Clone)]
-pub(crate) struct Runner {
+pub struct Runner {
     address: SocketAddr,
     state: Rc<RefCell<State>>,
 }
 
 impl Runner {
-    pub(crate) async fn start(script: impl IntoIterator<Item = Act>) -> Runner {
+    /// Starts a runner on loopback.
+    pub async fn start(script: impl IntoIterator<Item = Act>) -> Runner {
         let listener = TcpListener::bind(any_port()).await.unwrap();
         let address = listener.local_addr().unwrap();
         let state = Rc::new(RefCell::new(State {
@@ -85,17 +89,18 @@
         runner
     }
 
-    pub(crate) fn address(&self) -> SocketAddr {
+    /// Returns its address.
+    pub fn address(&self) -> SocketAddr {
         self.address
     }
 
     /// Returns the requests that came.
-    pub(crate) fn seen(&self) -> Vec<Seen> {
+    pub fn seen(&self) -> Vec<Seen> {
         self.state.borrow().seen.clone()
     }
 
     /// Returns how many connections the other side closed while a request hung.
-    pub(crate) fn dropped(&self) -> u32 {
+    pub fn dropped(&self) -> u32 {
         self.state.borrow().dropped
     }
 
--- a/platform/tests/common/store.rs
+++ b/components/fakes/src/entry/store.rs
@@ -15,7 +15,7 @@
 
 /// How the store treats calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub(crate) enum Mode {
+pub enum Mode {
     /// Answers.
     #[default]
     Up,
@@ -43,12 +43,23 @@
     history: Vec<Value>,
     dropped_up_to: u64,
     leases: HashMap<u64, (Instant, Duration)>,
-    duty_calls: Vec<(String, Value, u64)>,
+    duty_calls: Vec<DutyCall>,
+}
+
+/// One call that one node makes for all.
+#[derive(Debug, Clone)]
+pub struct DutyCall {
+    /// Path of the call.
+    pub path: String,
+    /// Its body.
+    pub body: Value,
+    /// Fencing number of its sender.
+    pub fence: u64,
 }
 
 /// The platform's store and duty calls on loopback.
 #[derive(Clone)]
-pub(crate) struct StandInStore {
+pub struct StandInStore {
     address: SocketAddr,
     state: Arc<Mutex<State>>,
 }
@@ -56,7 +67,8 @@
 type Shared = web::Data<Mutex<State>>;
 
 impl StandInStore {
-    pub(crate) async fn start() -> StandInStore {
+    /// Starts the store on loopback.
+    pub async fn start() -> StandInStore {
         let state = Arc::new(Mutex::new(State::default()));
         let data = web::Data::from(state.clone());
         let server = HttpServer::new(move || {
@@ -77,38 +89,42 @@
         StandInStore { address, state }
     }
 
-    pub(crate) fn address(&self) -> SocketAddr {
+    /// Returns its address.
+    pub fn address(&self) -> SocketAddr {
         self.address
     }
 
-    pub(crate) fn set_mode(&self, mode: Mode) {
+    /// Sets how calls are treated from now on.
+    pub fn set_mode(&self, mode: Mode) {
         self.state.lock().unwrap().mode = mode;
     }
 
     /// Writes as the operator or a runner does.
-    pub(crate) fn put(&self, key: &str, value: &Value) {
+    pub fn put(&self, key: &str, value: &Value) {
         self.put_bytes(key, value.to_string().as_bytes());
     }
 
-    pub(crate) fn put_bytes(&self, key: &str, value: &[u8]) {
+    /// Writes any bytes.
+    pub fn put_bytes(&self, key: &str, value: &[u8]) {
         use base64::Engine;
         let text = base64::engine::general_purpose::STANDARD.encode(value);
         self.state.lock().unwrap().write(key, text, 0);
     }
 
-    pub(crate) fn delete(&self, key: &str) {
+    /// Deletes a key.
+    pub fn delete(&self, key: &str) {
         self.state.lock().unwrap().delete(key);
     }
 
     /// Drops the history, so that watches have to read again.
-    pub(crate) fn compact(&self) {
+    pub fn compact(&self) {
         let mut state = self.state.lock().unwrap();
         state.dropped_up_to = state.revision;
         state.history.clear();
     }
 
-    /// Returns the duty calls that came: path, body and fence.
-    pub(crate) fn duty_calls(&self) -> Vec<(String, Value, u64)> {
+    /// Returns the duty calls that came.
+    pub fn duty_calls(&self) -> Vec<DutyCall> {
         self.state.lock().unwrap().duty_calls.clone()
     }
 }
@@ -160,16 +176,14 @@
 }
 
 /// Applies the mode; returns the answer of a call that is not served.
-async fn gate(state: &Shared, is_write: bool) -> Option<HttpResponse> {
+async fn gate(state: &Shared) -> Option<HttpResponse> {
     let mode = {
         let mut state = state.lock().unwrap();
         state.expire();
         state.mode
     };
     match mode {
-        Mode::Up => None,
-        Mode::LoseWrites if !is_write => None,
-        Mode::LoseWrites => None,
+        Mode::Up | Mode::LoseWrites => None,
         Mode::Busy => Some(HttpResponse::ServiceUnavailable().finish()),
         Mode::Silent => {
             sleep(Duration::from_secs(60)).await;
@@ -189,7 +203,7 @@
 type Query = web::Query<HashMap<String, String>>;
 
 async fn key(state: Shared, query: Query) -> HttpResponse {
-    if let Some(refused) = gate(&state, false).await {
+    if let Some(refused) = gate(&state).await {
         return refused;
     }
     let state = state.lock().unwrap();
@@ -201,7 +215,7 @@
 }
 
 async fn range(state: Shared, query: Query) -> HttpResponse {
-    if let Some(refused) = gate(&state, false).await {
+    if let Some(refused) = gate(&state).await {
         return refused;
     }
     let state = state.lock().unwrap();
@@ -213,7 +227,7 @@
 }
 
 async fn watch(state: Shared, query: Query) -> HttpResponse {
-    if let Some(refused) = gate(&state, false).await {
+    if let Some(refused) = gate(&state).await {
         return refused;
     }
     let after: u64 = query["after"].parse().unwrap();
@@ -242,7 +256,7 @@
 }
 
 async fn txn(state: Shared, body: web::Json<Value>) -> HttpResponse {
-    if let Some(refused) = gate(&state, true).await {
+    if let Some(refused) = gate(&state).await {
         return refused;
     }
     let answer = {
@@ -267,7 +281,7 @@
 }
 
 async fn lease(state: Shared, body: web::Json<Value>) -> HttpResponse {
-    if let Some(refused) = gate(&state, true).await {
+    if let Some(refused) = gate(&state).await {
         return refused;
     }
     let ttl_ms = body["ttl_ms"].as_u64().unwrap();
@@ -282,7 +296,7 @@
 }
 
 async fn keep(state: Shared, id: web::Path<u64>) -> HttpResponse {
-    if let Some(refused) = gate(&state, true).await {
+    if let Some(refused) = gate(&state).await {
         return refused;
     }
     let mut state = state.lock().unwrap();
@@ -296,7 +310,7 @@
 }
 
 async fn end(state: Shared, id: web::Path<u64>) -> HttpResponse {
-    if let Some(refused) = gate(&state, true).await {
+    if let Some(refused) = gate(&state).await {
         return refused;
     }
     state.lock().unwrap().end_lease(*id);
@@ -307,6 +321,7 @@
     let fence = req.headers().get("lycheelatch-fencing-token").unwrap();
     let fence = fence.to_str().unwrap().parse().unwrap();
     let mut state = state.lock().unwrap();
-    state.duty_calls.push((req.path().to_owned(), body.into_inner(), fence));
+    let path = req.path().to_owned();
+    state.duty_calls.push(DutyCall { path, body: body.into_inner(), fence });
     HttpResponse::Ok().finish()
 }
--- a/components/fakes/src/lib.rs
+++ b/components/fakes/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod cloud;
 mod engine;
+pub mod entry;
 mod faults;
 mod http;
 mod inputs;
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -237,7 +237,7 @@
         let mut quotas = self.quotas.borrow_mut();
         let count = quotas.entry(workspace.name.clone()).or_default();
         let own = count.passed.parts(window, now);
-        if cost <= quota::room(limit, window, own, others, self.age(now)) {
+        if quota::may_pass(limit, window, own, others, self.age(now), cost) {
             count.passed.add(cost, now);
             return Ok(());
         }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -56,7 +56,7 @@
 pub use metrics::GatewayMetrics;
 pub use place::{Choice, NoChoice, PlaceAsk, place};
 pub use quota::{
-    Age, OthersUse, PartUse, SlidingCount, assumed_use, retry_after, room, window_limit,
+    Age, OthersUse, PartUse, SlidingCount, assumed_use, may_pass, retry_after, room, window_limit,
 };
 pub use report::report_usage;
 pub use retry_budget::RetryBudget;
--- a/components/gateway/src/quota.rs
+++ b/components/gateway/src/quota.rs
@@ -130,15 +130,55 @@
 /// A node that is not heard any more may use its equal share. One that was never heard may
 /// have used it before this process started, unless the whole system has just started.
 pub fn room(quota: &Quota, window: Duration, own: PartUse, others: OthersUse, age: Age) -> u64 {
+    parts(quota, window, own, others, age).iter().map(Part::room).min().unwrap_or(0)
+}
+
+/// Returns whether a request of this cost may pass.
+///
+/// One that is larger than a short part of the window carries passes when nothing was used
+/// in that part; else it never could.
+pub fn may_pass(
+    quota: &Quota,
+    window: Duration,
+    own: PartUse,
+    others: OthersUse,
+    age: Age,
+    cost: u64,
+) -> bool {
+    let parts = parts(quota, window, own, others, age);
+    let whole = &parts[PARTS.len() - 1];
+    whole.room() >= cost && parts.iter().all(|part| part.room() >= cost || part.used == 0)
+}
+
+/// Limit and use of one part of the window.
+#[derive(Debug, Clone, Copy)]
+struct Part {
+    limit: u64,
+    used: u64,
+}
+
+impl Part {
+    fn room(&self) -> u64 {
+        self.limit.saturating_sub(self.used)
+    }
+}
+
+fn parts(
+    quota: &Quota,
+    window: Duration,
+    own: PartUse,
+    others: OthersUse,
+    age: Age,
+) -> [Part; PARTS.len()] {
     let assumed = assumed_use(quota, window, others.nodes, age);
-    let rooms = PARTS.iter().enumerate().map(|(at, part)| {
-        let limit = window_limit(quota, window / *part);
+    std::array::from_fn(|at| {
+        let limit = window_limit(quota, window / PARTS[at]);
         let share = limit / u64::from(others.nodes.max(1));
         let unheard = share * u64::from(others.unheard_nodes);
         let unmet = assumed.0[at] * u64::from(others.unmet_nodes);
-        limit.saturating_sub(others.heard.0[at] + unheard + unmet + own.0[at] + assumed.0[at])
-    });
-    rooms.min().unwrap_or(0)
+        let used = others.heard.0[at] + unheard + unmet + own.0[at] + assumed.0[at];
+        Part { limit, used }
+    })
 }
 
 /// Age of a process.
--- a/components/gateway/tests/quota.rs
+++ b/components/gateway/tests/quota.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use lycheelatch_gateway::{
-    Age, OthersUse, PartUse, Quota, SlidingCount, assumed_use, room, window_limit,
+    Age, OthersUse, PartUse, Quota, SlidingCount, assumed_use, may_pass, room, window_limit,
 };
 use proptest::prelude::*;
 use tokio::time::Instant;
@@ -119,6 +119,15 @@
     assert_eq!(left, window_limit(&QUOTA, WINDOW / 8));
 }
 
+#[test]
+fn may_pass_large_request_when_nothing_was_used() {
+    let others = OthersUse { nodes: 6, ..OthersUse::default() };
+    let large = window_limit(&QUOTA, WINDOW / 8) * 2;
+    let pass = |own: PartUse| may_pass(&QUOTA, WINDOW, own, others, Age::FirstStart, large);
+    assert!(pass(PartUse::default()));
+    assert!(!pass(PartUse([1, 1, 1, 1])));
+}
+
 proptest! {
     #[test]
     fn sum_slides(amounts in prop::collection::vec((0_u64..2000, 0_u64..100), 1..60)) {
