--- a/components/fakes/src/entry/mod.rs
+++ b/components/fakes/src/entry/mod.rs
@@ -10,7 +10,7 @@
 };
 
 pub use caller::{Answer, call, call_raw, ends_within, read_answer, request};
-pub use runner::{Act, Runner, Seen};
+pub use runner::{AUTO_EVENTS, Act, Ran, Runner, Seen, auto_event};
 pub use store::{DutyCall, Mode, StandInStore};
 
 /// Time within which an answer must come.
--- a/components/fakes/src/entry/runner.rs
+++ b/components/fakes/src/entry/runner.rs
@@ -5,7 +5,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    time::sleep,
+    time::{Instant, sleep},
 };
 
 use super::any_port;
@@ -25,7 +25,7 @@
     NotRun(u16),
     /// First answers an earlier request, then this one.
     StrayFirst(String),
-    /// Answers, then sends another answer that nobody asked for.
+    /// Answers, with the request's id for an empty text, then once more unasked.
     StrayAfter(String),
     /// Answers without a signature.
     Unsigned,
@@ -35,8 +35,16 @@
     BrokenEvents(Vec<u64>),
     /// Never answers.
     Hang,
+    /// Answers with the request's id, or with events that name it, after the last one.
+    Auto,
 }
 
+/// Events of an answer of [`Act::Auto`].
+pub const AUTO_EVENTS: u64 = 6;
+
+/// Pause between two events of [`Act::Auto`].
+const AUTO_PAUSE: Duration = Duration::from_millis(20);
+
 /// A request as a runner saw it.
 #[derive(Debug, Clone)]
 pub struct Seen {
@@ -58,10 +66,21 @@
 #[derive(Default)]
 struct State {
     script: VecDeque<Act>,
+    default: Option<Act>,
     seen: Vec<Seen>,
+    ran: Vec<Ran>,
     dropped: u32,
 }
 
+/// A request that a runner began to run.
+#[derive(Debug, Clone)]
+pub struct Ran {
+    /// Its id.
+    pub id: String,
+    /// When it came.
+    pub at: Instant,
+}
+
 /// A runner that answers each request as a script says; without one, with `ok`.
 #[derive(Clone)]
 pub struct Runner {
@@ -94,6 +113,21 @@
         self.address
     }
 
+    /// Sets what is done with requests beyond the script.
+    pub fn set_default(&self, act: Act) {
+        self.state.borrow_mut().default = Some(act);
+    }
+
+    /// Adds to the script.
+    pub fn push(&self, act: Act) {
+        self.state.borrow_mut().script.push_back(act);
+    }
+
+    /// Returns the requests that began to run.
+    pub fn ran(&self) -> Vec<Ran> {
+        self.state.borrow().ran.clone()
+    }
+
     /// Returns the requests that came.
     pub fn seen(&self) -> Vec<Seen> {
         self.state.borrow().seen.clone()
@@ -109,9 +143,20 @@
             let id = seen.header("lycheelatch-request-id").unwrap_or("none").to_owned();
             let act = {
                 let mut state = self.state.borrow_mut();
-                state.seen.push(seen);
-                state.script.pop_front().unwrap_or(Act::Answer(200, "ok".to_owned()))
+                let default = state.default.clone().unwrap_or(Act::Answer(200, "ok".to_owned()));
+                let act = state.script.pop_front().unwrap_or(default);
+                if !matches!(act, Act::NotRun(_)) {
+                    state.ran.push(Ran { id: id.clone(), at: Instant::now() });
+                }
+                state.seen.push(seen.clone());
+                act
             };
+            if matches!(act, Act::Auto) {
+                if !answer_by_itself(&mut io, &seen, &id).await {
+                    return;
+                }
+                continue;
+            }
             if !self.act(&mut io, act, &id).await {
                 return;
             }
@@ -149,6 +194,7 @@
                 true
             }
             Act::StrayAfter(body) => {
+                let body = if body.is_empty() { id.to_owned() } else { body };
                 write(io, &answer(200, id, SIGNATURE, &body)).await;
                 write(io, &answer(200, id, SIGNATURE, "again")).await;
                 true
@@ -169,6 +215,7 @@
                 reset(io);
                 false
             }
+            Act::Auto => true,
             Act::Hang => {
                 let mut byte = [0; 1];
                 if let Ok(0) | Err(_) = io.read(&mut byte).await {
@@ -206,6 +253,32 @@
     text
 }
 
+/// Returns the text of one event of [`Act::Auto`].
+pub fn auto_event(id: &str, number: u64) -> String {
+    format!("id: {number}\ndata: {id}-{number}\n\n")
+}
+
+/// Answers as [`Act::Auto`] does; returns whether the connection goes on.
+async fn answer_by_itself(io: &mut TcpStream, seen: &Seen, id: &str) -> bool {
+    let path = seen.head.split(' ').nth(1).unwrap_or_default();
+    if !path.starts_with("/stream/") && !path.starts_with("/resume/") {
+        return io.write_all(answer(200, id, SIGNATURE, id).as_bytes()).await.is_ok();
+    }
+    let after = seen.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
+    if io.write_all(events(id, &[]).as_bytes()).await.is_err() {
+        return false;
+    }
+    for number in after + 1..=AUTO_EVENTS {
+        sleep(AUTO_PAUSE).await;
+        let event = auto_event(id, number);
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        if io.write_all(chunk.as_bytes()).await.is_err() {
+            return false;
+        }
+    }
+    io.write_all(b"0\r\n\r\n").await.is_ok()
+}
+
 async fn write(io: &mut TcpStream, text: &str) {
     // The other side may have closed the connection, which some tests are about.
     let _closed = io.write_all(text.as_bytes()).await;
