leader, clock: Act at once only on the first start of all; no earlier word sets the clock after a suspension

And a node that was started again acted at once with a new lease, which holds only while no lease of an earlier holder can have lapsed.

--- a/components/gateway/src/clock.rs
+++ b/components/gateway/src/clock.rs
@@ -51,6 +51,11 @@
         self.offset.get() + self.boot.elapsed()
     }
 
+    /// Returns the time since the machine started.
+    pub fn since_start(&self) -> Duration {
+        self.boot.elapsed()
+    }
+
     /// Takes the median of what other nodes say now, if it differs by much.
     pub fn compare(&self, mut others: Vec<Duration>) {
         others.push(self.now());
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -182,7 +182,7 @@
 fn take(gateway: &Gateway, from: SocketAddr, digest: Digest) {
     let now = Instant::now();
     let reads = digest.reads.clone();
-    if !gateway.peers.borrow_mut().heard(from, digest, now) {
+    if !gateway.peers.borrow_mut().heard(from, digest, now, gateway.time.since_start()) {
         return;
     }
     for read in reads {
@@ -259,6 +259,6 @@
         upstream.running_elsewhere.set(others.requests);
         upstream.load.borrow_mut().others = others;
     }
-    let times = peers.times(now);
+    let times = peers.times(gateway.time.since_start());
     gateway.time.compare(times);
 }
--- a/components/gateway/src/leader.rs
+++ b/components/gateway/src/leader.rs
@@ -28,7 +28,7 @@
 /// Nodes that look at the usual interval.
 const LOOKING_NODES: u32 = 12;
 
-/// Age of a process below which no lease of an earlier holder can have ended.
+/// Age of the whole system below which no lease of an earlier holder can have ended.
 const EARLY: Duration = Duration::from_millis(2500);
 
 /// What one node knows of its holding.
@@ -94,7 +94,9 @@
             Err(_) => false,
         };
         if is_free && !gateway.is_stopping() {
-            match acquire(&*store, &leader, node, ttl, started).await {
+            let is_first = gateway.settings.is_first_start
+                && leader.boot.elapsed().saturating_sub(started) < EARLY;
+            match acquire(&*store, &leader, node, ttl, is_first).await {
                 Ok(Some((lease, holding))) => {
                     let acts_in = holding.acts_from.saturating_sub(leader.boot.elapsed());
                     let fence = holding.fence.0;
@@ -120,7 +122,7 @@
     leader: &Leader,
     node: &NodeId,
     ttl: Duration,
-    started: Duration,
+    is_first: bool,
 ) -> Result<Option<(StoreLease, Holding)>, StoreError> {
     let sent = leader.boot.elapsed();
     let lease = store.grant(ttl).await?;
@@ -132,7 +134,6 @@
     };
     let Committed::Done(revision) = store.commit(commit).await? else { return Ok(None) };
     let now = leader.boot.elapsed();
-    let is_first = now.saturating_sub(started) < EARLY;
     let acts_from = if is_first { now } else { now + ttl };
     let mut holding = Holding { fence: Fence(revision.0), acts_from, acts_until: Duration::ZERO };
     holding.renewed(sent, ttl);
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -110,6 +110,8 @@
 struct Peer {
     address: SocketAddr,
     heard: Option<Instant>,
+    /// When it was heard, as time since the machine's start.
+    heard_boot: Duration,
     digest: Option<Digest>,
     /// What it sent since its last state.
     sent: Vec<UpstreamUse>,
@@ -117,7 +119,7 @@
 
 impl Peer {
     fn new(address: SocketAddr) -> Peer {
-        Peer { address, heard: None, digest: None, sent: Vec::new() }
+        Peer { address, heard: None, heard_boot: Duration::ZERO, digest: None, sent: Vec::new() }
     }
 }
 
@@ -176,7 +178,13 @@
     }
 
     /// Takes over a datagram; returns whether it is newer than what was known.
-    pub(crate) fn heard(&mut self, from: SocketAddr, digest: Digest, now: Instant) -> bool {
+    pub(crate) fn heard(
+        &mut self,
+        from: SocketAddr,
+        digest: Digest,
+        now: Instant,
+        boot: Duration,
+    ) -> bool {
         if digest.node == self.own {
             return false;
         }
@@ -193,6 +201,7 @@
         }
         peer.address = from;
         peer.heard = Some(now);
+        peer.heard_boot = boot;
         peer.digest = Some(digest);
         peer.sent.clear();
         true
@@ -239,10 +248,13 @@
     }
 
     /// Returns the true time now, as each node that is heard says it.
-    pub(crate) fn times(&self, now: Instant) -> Vec<Duration> {
+    ///
+    /// Ages go by the clock that counts the time of a suspension: after one, no earlier word
+    /// may set the clock back.
+    pub(crate) fn times(&self, boot: Duration) -> Vec<Duration> {
         let limit = self.heard_limit();
         let time_of = |peer: &Peer| {
-            let age = now.saturating_duration_since(peer.heard?);
+            let age = boot.saturating_sub(peer.heard_boot);
             let said = Duration::from_millis(peer.digest.as_ref()?.time_ms);
             (age < limit).then_some(said + age)
         };
@@ -347,3 +359,64 @@
 pub(crate) fn from_wire(links: &[(u64, u32)]) -> Vec<(ChainHash, u32)> {
     links.iter().map(|(hash, tokens)| (ChainHash(*hash), *tokens)).collect()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn digest(node: &str, sequence: u64, time_ms: u64) -> Digest {
+        Digest {
+            node: node.parse().unwrap(),
+            zone: "zone-a".parse().unwrap(),
+            incarnation: 1,
+            sequence,
+            time_ms,
+            quota_use: Vec::new(),
+            upstreams: Vec::new(),
+            reads: Vec::new(),
+            usage: vec![WindowUse {
+                window: UsageWindow(7),
+                counts: vec![("ws".parse().unwrap(), 5)],
+            }],
+            demand: Vec::new(),
+        }
+    }
+
+    fn heard(view: &mut PeerView, digest: Digest, boot_ms: u64) -> bool {
+        let from = "127.0.0.1:1".parse().unwrap();
+        view.heard(from, digest, Instant::now(), Duration::from_millis(boot_ms))
+    }
+
+    #[test]
+    fn times_count_the_age_of_the_word() {
+        let mut view = PeerView::new("node-1".parse().unwrap());
+        heard(&mut view, digest("node-2", 1, 50_000), 1000);
+        assert_eq!(view.times(Duration::from_millis(1600)), [Duration::from_millis(50_600)]);
+    }
+
+    #[test]
+    fn times_after_a_suspension_are_none() {
+        let mut view = PeerView::new("node-1".parse().unwrap());
+        heard(&mut view, digest("node-2", 1, 50_000), 1000);
+        assert!(view.times(Duration::from_millis(5500)).is_empty());
+    }
+
+    #[test]
+    fn heard_older_word_replaces_nothing() {
+        let mut view = PeerView::new("node-1".parse().unwrap());
+        assert!(heard(&mut view, digest("node-2", 2, 0), 0));
+        assert!(!heard(&mut view, digest("node-2", 1, 0), 0));
+    }
+
+    #[test]
+    fn usage_of_a_process_that_ended_counts() {
+        let mut view = PeerView::new("node-1".parse().unwrap());
+        heard(&mut view, digest("node-2", 9, 0), 0);
+        let mut again = digest("node-2", 1, 0);
+        again.incarnation = 2;
+        heard(&mut view, again, 0);
+        assert_eq!(view.usage(UsageWindow(7)).values().sum::<u64>(), 10);
+        view.listed(Vec::new(), Instant::now() + Duration::from_secs(60));
+        assert_eq!(view.usage(UsageWindow(7)).values().sum::<u64>(), 10, "forgotten nodes too");
+    }
+}
