--- a/components/gateway/src/decision.rs
+++ b/components/gateway/src/decision.rs
@@ -105,6 +105,16 @@
     pub(crate) end: &'a str,
 }
 
+/// A stream that ended too early at an upstream.
+#[derive(Debug, Serialize)]
+pub(crate) struct StreamBroke<'a> {
+    pub(crate) request: &'a str,
+    pub(crate) upstream: &'a UpstreamId,
+    /// The last event that the caller got.
+    pub(crate) last_event: Option<u64>,
+    pub(crate) reason: &'a str,
+}
+
 /// A request that its workspace's limit refused.
 #[derive(Debug, Serialize)]
 pub(crate) struct QuotaRefused<'a> {
@@ -132,6 +142,8 @@
     RequestRefused(RequestRefused<'a>),
     /// A send ended.
     SendEnded(SendEnded<'a>),
+    /// A stream ended too early.
+    StreamBroke(StreamBroke<'a>),
     /// A workspace's limit refused a request.
     QuotaRefused(QuotaRefused<'a>),
 }
@@ -141,6 +153,7 @@
         match self {
             Decision::RequestEnded(ended) => ended.reason == Reason::Answered,
             Decision::SendEnded(ended) => ended.end == "answered",
+            Decision::StreamBroke(_) => false,
             Decision::QuotaRefused(_) => true,
             Decision::RequestRefused(refused) => refused.reason == Reason::OverQuota,
         }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod retry_budget;
 mod run;
 mod scale;
+mod send;
 mod serve;
 mod server;
 mod size;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -9,9 +9,10 @@
 
 use crate::{
     attempts::{Attempts, Next, SendEnd},
-    connection::{Connection, ExchangeError},
-    decision::Reason,
-    dispatch::{Running, Started, resume},
+    connection::Connection,
+    decision::{Decision, Reason, StreamBroke},
+    dispatch::resume,
+    send::{Running, Started},
     serve::Job,
 };
 
@@ -148,7 +149,7 @@
                     return Step::Broke("ended within an event".to_owned());
                 }
                 Ok(None) => return Step::Whole,
-                Err(err) => return Step::Broke(reason_of(&err)),
+                Err(err) => return Step::Broke(err.to_string()),
             }
         }
     }
@@ -158,7 +159,12 @@
         let Some(broken) = self.current.take() else { return false };
         let upstream = broken.running.upstream.id();
         drop(broken);
-        log::info!("relay: {} broke at {upstream}: {reason}", self.job.facts.id);
+        self.job.gateway.decisions.write(&Decision::StreamBroke(StreamBroke {
+            request: &self.job.facts.id,
+            upstream: &upstream,
+            last_event: self.last_id,
+            reason,
+        }));
         if self.attempts.ended(upstream, SendEnd::Unknown) != Next::MayRepeat {
             return false;
         }
@@ -210,7 +216,3 @@
     }
     Ok(ready.freeze())
 }
-
-fn reason_of(err: &ExchangeError) -> String {
-    err.to_string()
-}
--- /dev/null
+++ b/components/gateway/src/send.rs
@@ -0,0 +1,314 @@
+//! One send of a request to one upstream, up to its answer or first event.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use actix_http::{ResponseHead, StatusCode, header::HeaderMap};
+use bytes::{Bytes, BytesMut};
+use lycheelatch_prelude::UpstreamId;
+use tokio::time::Instant;
+
+use crate::{
+    AnswerFacts, Forwarded,
+    attempts::SendEnd,
+    connection::{Connection, ExchangeError, Outgoing},
+    decision::{Belief, Decision, SendEnded, millis, note},
+    directory::Upstream,
+    engine_load::{Expected, InFlight},
+    frames::FrameReader,
+    gateway::Read,
+    gossip::tell_sent,
+    place::Choice,
+    serve::Job,
+};
+
+/// Longest answer that is read whole before its head goes out, in bytes.
+const MAX_WHOLE_BYTES: usize = 256 * 1024;
+
+/// Answers to earlier requests that are skipped on one connection.
+const MAX_SKIPPED: u32 = 3;
+
+/// A send that is under way; gives its room back when dropped.
+pub(crate) struct Running {
+    pub(crate) upstream: Rc<Upstream>,
+    work: Option<InFlight>,
+    expected: Option<Expected>,
+    started: Instant,
+}
+
+impl Running {
+    fn start(job: &Job, choice: &Choice) -> Running {
+        let upstream = choice.upstream.clone();
+        upstream.running.set(upstream.running.get() + 1);
+        let mut work = None;
+        if let (Some(chain), Some(expected)) = (&job.chain, &choice.expected) {
+            let mut load = upstream.load.borrow_mut();
+            let sent = load.sent(chain, expected);
+            let memory = job.service.engine.as_ref().map_or(0, |engine| engine.memory_tokens);
+            load.remember(&chain.links, memory, Instant::now());
+            let read = Read { upstream: upstream.id(), links: chain.links.clone() };
+            drop(load);
+            tell_sent(&job.gateway, &upstream.entry.borrow().zone, &read, sent);
+            job.gateway.reads.borrow_mut().push(read);
+            work = Some(sent);
+        }
+        Running { upstream, work, expected: choice.expected, started: Instant::now() }
+    }
+
+    /// Takes note of the first event.
+    pub(crate) fn first_event(&mut self) {
+        let now = Instant::now();
+        if let (Some(work), Some(expected)) = (&mut self.work, &self.expected) {
+            let mut load = self.upstream.load.borrow_mut();
+            load.first_token(work);
+            load.measured(expected.first_token, now - self.started, now);
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.upstream.running.set(self.upstream.running.get().saturating_sub(1));
+        if let Some(work) = self.work.take() {
+            self.upstream.load.borrow_mut().ended(work);
+        }
+    }
+}
+
+/// How a send failed.
+pub(crate) struct Failure {
+    pub(crate) end: SendEnd,
+    reason: String,
+    /// The upstream's own answer, when it ran the request and failed.
+    pub(crate) answer: Option<Whole>,
+}
+
+/// An answer that was read whole.
+#[derive(Clone)]
+pub(crate) struct Whole {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// A stream whose first event has come.
+pub(crate) struct Started {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) connection: Connection,
+    pub(crate) frames: FrameReader,
+    pub(crate) running: Running,
+}
+
+/// A good answer.
+pub(crate) enum Answered {
+    Whole(Whole),
+    Events(Started),
+    Long { whole: Whole, connection: Connection, running: Running },
+}
+
+/// Sends the request to one upstream and reads its answer, or the first event of it.
+pub(crate) async fn send(
+    job: &Rc<Job>,
+    choice: &Choice,
+    resume_after: Option<u64>,
+) -> Result<Answered, Failure> {
+    let running = Running::start(job, choice);
+    let started = Instant::now();
+    let (here, elsewhere) =
+        (running.upstream.running.get(), running.upstream.running_elsewhere.get());
+    let result = exchange(job, running, choice.fetch_from, resume_after).await;
+    let (end, reason) = match &result {
+        Ok(_) => ("answered", ""),
+        Err(failure) => (end_label(failure.end), failure.reason.as_str()),
+    };
+    note_health(&choice.upstream, &result);
+    job.gateway.metrics.sends.with_label_values(&[end]).inc();
+    let upstream = choice.upstream.id();
+    job.gateway.decisions.write(&Decision::SendEnded(SendEnded {
+        request: &job.facts.id,
+        upstream: &upstream,
+        candidates: choice.candidates,
+        runner_up: choice.runner_up.as_ref().map(|(id, _)| id),
+        runner_up_ms: choice.runner_up.as_ref().map(|(_, expected)| millis(*expected)),
+        fetched_tokens: choice.expected.map(|expected| expected.fetched_tokens),
+        expected_ms: choice.expected.map(|expected| millis(expected.first_token)),
+        uncached_tokens: choice.expected.map(|expected| expected.uncached_tokens),
+        running_here: here,
+        running_elsewhere: elsewhere,
+        elapsed_ms: millis(started.elapsed()),
+        end: if reason.is_empty() { end } else { reason },
+    }));
+    result
+}
+
+fn end_label(end: SendEnd) -> &'static str {
+    match end {
+        SendEnd::NotSent => "not_sent",
+        SendEnd::NotRun => "not_run",
+        SendEnd::Unknown => "unknown",
+        SendEnd::RanAndFailed => "ran_and_failed",
+    }
+}
+
+fn note_health(upstream: &Upstream, result: &Result<Answered, Failure>) {
+    let now = Instant::now();
+    let mut health = upstream.health.borrow_mut();
+    match result {
+        Ok(_) => health.succeeded(),
+        Err(_) => {
+            if health.failed(now) {
+                note(&Belief::UpstreamSetAside {
+                    upstream: &upstream.id(),
+                    failure_share: health.failure_share(),
+                });
+            }
+        }
+    }
+}
+
+async fn exchange(
+    job: &Rc<Job>,
+    mut running: Running,
+    fetch_from: Option<SocketAddr>,
+    resume_after: Option<u64>,
+) -> Result<Answered, Failure> {
+    let upstream = running.upstream.clone();
+    let address = upstream.entry.borrow().address;
+    let taken = upstream.pool.take(address, job.route.kind.may_repeat()).await;
+    let mut connection = taken.map_err(failure_of)?;
+    let out = outgoing(job, &upstream.id(), fetch_from, resume_after);
+    let head = connection.exchange(out).await.map_err(failure_of)?;
+    let (head, facts) = own_head(job, &mut connection, head).await?;
+    if let Some(load) = facts.load {
+        upstream.reported.set(Some((load, Instant::now())));
+    }
+    if facts.is_not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
+        return Err(refused(connection, &upstream, head.status).await);
+    }
+    if !facts.is_signed || facts.is_encoded {
+        return Err(unknown(format!("status {} without a signature", head.status.as_u16())));
+    }
+    let headers = job.gateway.dialect.pass_back(&head.headers);
+    if job.route.kind.is_stream() && head.status.is_success() {
+        let started = Started {
+            status: head.status,
+            headers,
+            connection,
+            frames: FrameReader::default(),
+            running,
+        };
+        return first_event(job, started).await.map(Answered::Events);
+    }
+    let (body, is_whole) = read_start(&mut connection).await?;
+    running.first_event();
+    note_began(job, running.started);
+    let whole = Whole { status: head.status, headers, body };
+    if !is_whole {
+        return Ok(Answered::Long { whole, connection, running });
+    }
+    upstream.pool.put(connection);
+    if head.status.is_server_error() && job.route.kind.may_repeat() {
+        let reason = format!("status {}", head.status.as_u16());
+        return Err(Failure { end: SendEnd::RanAndFailed, reason, answer: Some(whole) });
+    }
+    Ok(Answered::Whole(whole))
+}
+
+/// Counts a request that ran for the usage report.
+fn note_began(job: &Job, began: Instant) {
+    if let Some(workspace) = &job.workspace {
+        let time = job.gateway.time.now().saturating_sub(began.elapsed());
+        job.gateway.usage.borrow_mut().count(&workspace.name, time);
+    }
+}
+
+fn failure_of(err: ExchangeError) -> Failure {
+    let end = match err {
+        ExchangeError::NotSent(_) => SendEnd::NotSent,
+        ExchangeError::Broken(_) | ExchangeError::BadAnswer(_) => SendEnd::Unknown,
+    };
+    Failure { end, reason: err.to_string(), answer: None }
+}
+
+fn unknown(reason: String) -> Failure {
+    Failure { end: SendEnd::Unknown, reason, answer: None }
+}
+
+fn outgoing(
+    job: &Job,
+    upstream: &UpstreamId,
+    fetch_from: Option<SocketAddr>,
+    resume_after: Option<u64>,
+) -> Outgoing {
+    let workspace = job.workspace.as_ref().map(|workspace| &workspace.name);
+    let rank = job.workspace.as_ref().and_then(|workspace| workspace.rank);
+    let rank = rank.unwrap_or(job.route.rank);
+    let added = Forwarded {
+        upstream,
+        workspace,
+        deadline_ms: millis(job.left()),
+        resume_after,
+        engine_rank: job.chain.as_ref().map(|_| rank.0.min(9)),
+        fetch_from,
+    };
+    Outgoing {
+        method: job.method.clone(),
+        uri: job.uri.clone(),
+        headers: job.gateway.dialect.forward(&job.headers, added),
+        body: job.body.clone(),
+    }
+}
+
+/// Returns the head that answers this request; answers to earlier ones are skipped.
+async fn own_head(
+    job: &Job,
+    connection: &mut Connection,
+    mut head: ResponseHead,
+) -> Result<(ResponseHead, AnswerFacts), Failure> {
+    for _ in 0..MAX_SKIPPED {
+        let facts = job.gateway.dialect.answer(&head);
+        let is_own = facts.request.as_deref().is_none_or(|id| id == &*job.facts.id);
+        if is_own {
+            return Ok((head, facts));
+        }
+        connection.whole_body(MAX_WHOLE_BYTES).await.map_err(failure_of)?;
+        head = connection.next_head().await.map_err(failure_of)?;
+    }
+    Err(unknown("answers of other requests only".to_owned()))
+}
+
+/// Ends a send that the upstream promises not to run.
+async fn refused(mut connection: Connection, upstream: &Upstream, status: StatusCode) -> Failure {
+    if connection.whole_body(MAX_WHOLE_BYTES).await.is_ok() {
+        upstream.pool.put(connection);
+    }
+    let reason = format!("refused with status {}", status.as_u16());
+    Failure { end: SendEnd::NotRun, reason, answer: None }
+}
+
+async fn first_event(job: &Job, mut started: Started) -> Result<Started, Failure> {
+    loop {
+        match started.connection.chunk().await.map_err(failure_of)? {
+            None => break,
+            Some(chunk) => started.frames.push(&chunk),
+        }
+        if started.frames.has_whole() {
+            break;
+        }
+    }
+    note_began(job, Instant::now());
+    started.running.first_event();
+    Ok(started)
+}
+
+/// Reads the start of a body, and whether that is all of it.
+async fn read_start(connection: &mut Connection) -> Result<(Bytes, bool), Failure> {
+    let mut body = BytesMut::new();
+    while body.len() < MAX_WHOLE_BYTES {
+        match connection.chunk().await.map_err(failure_of)? {
+            Some(chunk) => body.extend_from_slice(&chunk),
+            None => return Ok((body.freeze(), true)),
+        }
+    }
+    Ok((body.freeze(), false))
+}
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -46,6 +46,11 @@
         elapsed_ms: u64,
         end: String,
     },
+    StreamBroke {
+        upstream: String,
+        last_event: Option<u64>,
+        reason: String,
+    },
     RequestEnded {
         route: String,
         workspace: Option<String>,
@@ -126,6 +131,9 @@
             shown(runner_up.as_ref()),
             shown(runner_up_ms.as_ref()),
         ),
+        Event::StreamBroke { upstream, last_event, reason } => {
+            format!("broke at {upstream} after event {}: {reason}", shown(last_event.as_ref()))
+        }
         Event::RequestEnded {
             route,
             workspace,
@@ -152,6 +160,9 @@
         Event::SendEnded { upstream, end, .. } if end != "answered" => {
             Some(format!("{upstream} said or did: {end}"))
         }
+        Event::StreamBroke { upstream, reason, .. } => {
+            Some(format!("it broke at {upstream}: {reason}"))
+        }
         _ => None,
     });
     let slow = lines.iter().find_map(|line| match &line.event {
@@ -168,7 +179,7 @@
         Event::RequestEnded { reason, .. } | Event::RequestRefused { reason, .. } => {
             Some(reason.as_str())
         }
-        Event::SendEnded { .. } => None,
+        Event::SendEnded { .. } | Event::StreamBroke { .. } => None,
     });
     let cause = match reason {
         Some("busy") => "no upstream could answer in time, so none got it".to_owned(),
