--- a/components/gateway/src/demand.rs
+++ b/components/gateway/src/demand.rs
@@ -27,7 +27,7 @@
 const UNCACHED_SHARE: f64 = 0.45;
 
 /// Reclaimable engines for each engine's worth of demand: they are cheap, and a zone's go at once.
-const RECLAIMABLE_SHARE: f64 = 3.0;
+const RECLAIMABLE_SHARE: f64 = 4.0;
 
 /// Fewest reclaimable engines.
 const FEWEST_RECLAIMABLE: u32 = 12;
@@ -36,7 +36,7 @@
 const SETTLE: Duration = Duration::from_millis(1600);
 
 /// Of the engines that are found at the start, one in so many is ordered beyond them.
-const FOUND_EXTRA: u32 = 3;
+const FOUND_EXTRA: u32 = 1;
 
 /// Fewest engines of any kind while there is work.
 const FEWEST: u32 = 3;
