--- a/components/gateway/src/demand.rs
+++ b/components/gateway/src/demand.rs
@@ -27,7 +27,7 @@
 const UNCACHED_SHARE: f64 = 0.45;
 
 /// Reclaimable engines for each engine's worth of demand: they are cheap, and a zone's go at once.
-const RECLAIMABLE_SHARE: f64 = 4.0;
+const RECLAIMABLE_SHARE: f64 = 3.0;
 
 /// Fewest reclaimable engines.
 const FEWEST_RECLAIMABLE: u32 = 12;
@@ -36,7 +36,7 @@
 const SETTLE: Duration = Duration::from_millis(1600);
 
 /// Of the engines that are found at the start, one in so many is ordered beyond them.
-const FOUND_EXTRA: u32 = 1;
+const FOUND_EXTRA: u32 = 3;
 
 /// Fewest engines of any kind while there is work.
 const FEWEST: u32 = 3;
@@ -107,8 +107,9 @@
         self.recent.entry(service).or_default().push_back((now, since));
     }
 
-    /// Returns how many upstreams somebody ordered before any demand was seen.
-    fn found(&mut self, service: &ServiceName, there: u32, has_demand: bool, now: Instant) -> u32 {
+    /// Takes note of the upstreams that a service has.
+    pub(crate) fn see(&mut self, service: &ServiceName, there: u32, now: Instant) {
+        let has_demand = self.read_tokens(service) > 0;
         let new = Found { upstreams: 0, since: None, until: None };
         let found = self.found.entry(service.clone()).or_insert(new);
         if there > 0 && found.since.is_none() {
@@ -120,20 +121,30 @@
         if has_demand && found.until.is_none() {
             found.until = Some(now);
         }
+    }
+
+    /// Returns how many upstreams somebody ordered before any demand was seen.
+    fn found(&self, service: &ServiceName, now: Instant) -> u32 {
+        let Some(found) = self.found.get(service) else { return 0 };
         let is_over = found.until.is_some_and(|since| now - since > PEAK_KEPT);
         if is_over { 0 } else { found.upstreams }
     }
 
+    /// Returns the tokens that callers asked a service to read lately.
+    fn read_tokens(&self, service: &ServiceName) -> u64 {
+        let recent = self.recent.get(service);
+        recent.into_iter().flatten().map(|(_, demand)| demand.read_tokens).sum()
+    }
+
     /// Returns whether the upstreams that were there at the start have all been seen.
     fn is_settled(&self, service: &ServiceName, now: Instant) -> bool {
         let since = self.found.get(service).and_then(|found| found.since);
         since.is_some_and(|since| now - since > SETTLE)
     }
 
-    /// Returns what a service needs that has `there` upstreams now; none: it is not known yet.
-    pub(crate) fn need(&mut self, service: &ServiceSpec, there: u32, now: Instant) -> Option<Need> {
-        let recent = self.recent.get(&service.name);
-        let read: u64 = recent.into_iter().flatten().map(|(_, demand)| demand.read_tokens).sum();
+    /// Returns what a service needs; none: its upstreams are not all known yet.
+    pub(crate) fn need(&mut self, service: &ServiceSpec, now: Instant) -> Option<Need> {
+        let read = self.read_tokens(&service.name);
         let per_second = read as f64 / WINDOW.as_secs_f64();
         let engines = per_second * UNCACHED_SHARE / READ_PER_SECOND;
         let peak = self.peaks.entry(service.name.clone()).or_insert(Peak { engines, at: now });
@@ -141,7 +152,7 @@
             *peak = Peak { engines, at: now };
         }
         let busy = peak.engines.ceil();
-        let found = self.found(&service.name, there, read > 0, now);
+        let found = self.found(&service.name, now);
         let reclaimable = (busy * RECLAIMABLE_SHARE) as u32;
         let reclaimable = reclaimable.max(found + found / FOUND_EXTRA);
         self.is_settled(&service.name, now).then_some(Need {
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -230,7 +230,7 @@
     ) -> Result<(), Duration> {
         let Some(limit) = &workspace.quota else { return Ok(()) };
         let window = self.reloaded.borrow().quota_window;
-        let mut others = self.peers.borrow().others_use(&workspace.name, now);
+        let mut others = self.peers.borrow().others_use(&workspace.name, window, now);
         let nodes = self.nodes();
         others.unmet_nodes += nodes - others.nodes;
         others.nodes = nodes;
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -289,13 +289,24 @@
     }
 
     /// Returns what the other nodes let through of a workspace.
-    pub(crate) fn others_use(&self, workspace: &WorkspaceName, now: Instant) -> OthersUse {
+    pub(crate) fn others_use(
+        &self,
+        workspace: &WorkspaceName,
+        window: Duration,
+        now: Instant,
+    ) -> OthersUse {
         let mut heard = PartUse::default();
         let mut heard_nodes = 0;
-        for digest in self.heard_digests(now) {
+        let limit = self.heard_limit();
+        for peer in self.peers.values() {
+            let (Some(at), Some(digest)) = (peer.heard, &peer.digest) else { continue };
+            let age = now.saturating_duration_since(at);
+            if age >= limit {
+                continue;
+            }
             heard_nodes += 1;
             let used = digest.quota_use.iter().find(|(name, _)| name == workspace);
-            heard += used.map_or(PartUse::default(), |(_, used)| *used);
+            heard += used.map_or(PartUse::default(), |(_, used)| used.after(age, window));
         }
         let nodes = self.nodes();
         let met = self.peers.values().filter(|peer| peer.heard.is_some()).count();
--- a/components/gateway/src/quota.rs
+++ b/components/gateway/src/quota.rs
@@ -31,6 +31,14 @@
 }
 
 impl PartUse {
+    /// Returns the use that a node has likely made this long after it told of this one: it
+    /// goes on as in the shortest part of the window.
+    pub fn after(self, age: Duration, window: Duration) -> PartUse {
+        let shortest = window / PARTS[0];
+        let since = self.0[0] as f64 * age.as_secs_f64() / shortest.as_secs_f64();
+        PartUse(self.0.map(|used| used + since as u64))
+    }
+
     /// Returns whether nothing was used.
     pub fn is_empty(&self) -> bool {
         self.0.iter().all(|used| *used == 0)
--- a/components/gateway/src/scale.rs
+++ b/components/gateway/src/scale.rs
@@ -53,11 +53,15 @@
     loop {
         sleep(INTERVAL).await;
         orders.forecast.observe(&gateway, Instant::now());
+        let Some(table) = gateway.table() else { continue };
+        for service in table.services().filter(|service| service.scaling.is_some()) {
+            let there = u32::try_from(gateway.directory.of(&service.name).len());
+            orders.forecast.see(&service.name, there.unwrap_or(u32::MAX), Instant::now());
+        }
         if leader.fence().is_none() {
             orders.sent.clear();
             continue;
         }
-        let Some(table) = gateway.table() else { continue };
         for service in table.services() {
             if let Some(spec) = &service.scaling {
                 step(&gateway, &leader, &*calls, service, spec, &mut orders).await;
@@ -76,8 +80,7 @@
 ) {
     let now = Instant::now();
     let supply = supply(gateway, service, spec, orders);
-    let there = supply.iter().map(|zone| zone.on_demand + zone.reclaimable).sum();
-    let Some(need) = orders.forecast.need(service, there, now) else { return };
+    let Some(need) = orders.forecast.need(service, now) else { return };
     let sizes = plan(spec, need, &supply);
     let mut left = MAX_CALLS;
     for (size, zone) in sizes.iter().zip(&supply) {
--- a/components/gateway/src/size.rs
+++ b/components/gateway/src/size.rs
@@ -134,9 +134,11 @@
     let ready: u32 = supply.iter().map(|zone| zone.reclaimable).sum();
     let mut missing = need.least.saturating_sub(ready);
     for (zone, size) in supply.iter().zip(sizes) {
-        let room = spec.maximum.saturating_sub(size.reclaimable);
-        let kept = zone.on_demand.min(missing).min(room).max(size.on_demand);
+        let kept = zone.on_demand.min(missing).max(size.on_demand);
         missing = missing.saturating_sub(kept);
         size.on_demand = kept;
+        // Both kinds share the maximum, and what runs goes before what is only ordered.
+        let room = spec.maximum.saturating_sub(kept);
+        size.reclaimable = size.reclaimable.min(room.max(zone.reclaimable));
     }
 }
--- a/components/gateway/tests/quota.rs
+++ b/components/gateway/tests/quota.rs
@@ -119,6 +119,13 @@
     assert_eq!(left, window_limit(&QUOTA, WINDOW / 8));
 }
 
+#[test]
+fn after_goes_on_at_the_latest_rate() {
+    let told = PartUse([100, 150, 200, 300]);
+    // The shortest part of 8 s is 1 s: 100 a second.
+    assert_eq!(told.after(Duration::from_millis(500), WINDOW), PartUse([150, 200, 250, 350]));
+}
+
 #[test]
 fn may_pass_large_request_when_nothing_was_used() {
     let others = OthersUse { nodes: 6, ..OthersUse::default() };
--- a/components/gateway/tests/size.rs
+++ b/components/gateway/tests/size.rs
@@ -81,6 +81,15 @@
     assert_eq!(total(&plan(&spec(), idle, &started), Purchase::OnDemand), 0);
 }
 
+#[test]
+fn plan_full_of_reclaimable_keeps_on_demand_that_runs() {
+    // A new holder does not know yet that no reclaimable ones are to be had.
+    let need = Need { reclaimable: 24, least: 4, is_busy: true };
+    let sizes = plan(&spec(), need, &supply([(1, 0, false); 4]));
+    assert_eq!(total(&sizes, Purchase::OnDemand), 4, "{sizes:?}");
+    assert!(sizes.iter().all(|size| size.on_demand + size.reclaimable <= 6), "{sizes:?}");
+}
+
 proptest! {
     #[test]
     fn plan_keeps_to_limits(
@@ -89,14 +98,22 @@
         least in 0_u32..12,
         is_busy in any::<bool>(),
     ) {
+        // The cloud lets no zone have more than the maximum.
+        prop_assume!(counts.iter().all(|(on_demand, spot, _)| on_demand + spot <= 6));
         let supply = supply(counts);
         let sizes = plan(&spec(), Need { reclaimable, least, is_busy }, &supply);
+        let ready: u32 = supply.iter().map(|zone| zone.reclaimable).sum();
+        let running: u32 = supply.iter().map(|zone| zone.on_demand).sum();
+        if is_busy {
+            let owed = least.saturating_sub(ready).min(running);
+            prop_assert!(total(&sizes, Purchase::OnDemand) >= owed, "{sizes:?}");
+        }
         let by_zone: BTreeMap<_, _> = sizes.iter().map(|size| (&size.zone, size)).collect();
         for zone in &supply {
             let size = by_zone[&zone.zone];
             if !zone.is_dry {
                 prop_assert!(size.reclaimable >= 1 && size.reclaimable <= 6);
-                prop_assert!(size.on_demand + size.reclaimable <= 6.max(zone.on_demand));
+                prop_assert!(size.on_demand + size.reclaimable <= 6);
             } else {
                 prop_assert_eq!(size.reclaimable, zone.reclaimable);
             }
