--- a/components/gateway/src/attempts.rs
+++ b/components/gateway/src/attempts.rs
@@ -54,6 +54,11 @@
         self.delivered > 0
     }
 
+    /// Returns whether a send without an answer may be left for another upstream.
+    pub fn may_leave_silent(&self) -> bool {
+        self.kind.may_repeat() && self.delivered + 1 < self.max_attempts
+    }
+
     /// Returns whether the request may have run.
     pub fn may_have_run(&self) -> bool {
         self.may_have_run
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use actix_http::{Response, body::BoxBody};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::{
     answer::OwnAnswer,
@@ -11,7 +11,7 @@
     decision::Reason,
     place::{Choice, NoChoice, PlaceAsk, place},
     relay::{EventRelay, LongRelay},
-    send::{Answered, Started, Whole, send},
+    send::{Answered, Failure, Started, Whole, send},
     serve::Job,
 };
 
@@ -21,6 +21,11 @@
 /// Part by which the time that callers stay away is spread.
 const RETRY_SPREAD: f64 = 0.5;
 
+/// Silence, in parts of the route's target and of the expected time, after which a request
+/// that may be repeated goes to another upstream.
+const PATIENCE_SHARE: f64 = 1.5;
+const PATIENCE_TIMES: u32 = 3;
+
 /// Time left below which nothing is sent.
 const MIN_LEFT: Duration = Duration::from_millis(20);
 
@@ -48,17 +53,20 @@
     attempts: &mut Attempts,
     failed: &mut Option<Whole>,
 ) -> Result<Answered, OwnAnswer> {
+    let mut is_paid = false;
     loop {
         let choice = match choose(job, attempts) {
             Ok(choice) => choice,
             Err(refusal) if attempts.tried().is_empty() => return Err(refusal),
             Err(refusal) => return Err(after_sends(attempts, refusal)),
         };
-        if attempts.is_retry() && !job.gateway.try_retry(&job.service.name, Instant::now()) {
+        let must_pay = attempts.is_retry() && !is_paid;
+        if must_pay && !job.gateway.try_retry(&job.service.name, Instant::now()) {
             return Err(given_up(attempts.give_up()));
         }
         let id = choice.upstream.id();
-        let failure = match send(job, &choice, job.facts.resume_after).await {
+        is_paid = false;
+        let failure = match send_patiently(job, &choice, attempts, &mut is_paid).await {
             Ok(answered) => return Ok(answered),
             Err(failure) => failure,
         };
@@ -70,6 +78,32 @@
     }
 }
 
+/// Sends, and gives the upstream up for another one when it is silent for long.
+///
+/// The next send is paid for before this one is given up, so that an upstream that is only
+/// slow is not left for nothing.
+async fn send_patiently(
+    job: &Rc<Job>,
+    choice: &Choice,
+    attempts: &Attempts,
+    is_paid: &mut bool,
+) -> Result<Answered, Failure> {
+    let mut sending = Box::pin(send(job, choice, job.facts.resume_after));
+    if !attempts.may_leave_silent() {
+        return sending.await;
+    }
+    let expected = choice.expected.map_or(Duration::ZERO, |expected| expected.first_token);
+    let patience = job.route.target.mul_f64(PATIENCE_SHARE).max(expected * PATIENCE_TIMES);
+    match timeout(patience, &mut sending).await {
+        Ok(result) => result,
+        Err(_) if job.gateway.try_retry(&job.service.name, Instant::now()) => {
+            *is_paid = true;
+            Err(Failure::given_up())
+        }
+        Err(_) => sending.await,
+    }
+}
+
 /// Returns the refusal when no further upstream can be found after some sends.
 fn after_sends(attempts: &Attempts, refusal: OwnAnswer) -> OwnAnswer {
     match attempts.give_up() {
--- a/components/gateway/src/health.rs
+++ b/components/gateway/src/health.rs
@@ -48,6 +48,16 @@
         }
     }
 
+    /// Takes note that no connection could be opened: the upstream is set aside at once.
+    pub(crate) fn unreachable(&mut self, now: Instant) -> bool {
+        let was_resting = self.is_resting(now);
+        self.failed(now);
+        if !self.is_resting(now) {
+            self.rest_until = Some(now + FIRST_REST);
+        }
+        !was_resting
+    }
+
     /// Takes note of a failure; returns whether the upstream is set aside now.
     pub(crate) fn failed(&mut self, now: Instant) -> bool {
         self.in_a_row += 1;
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -19,7 +19,7 @@
 const MAX_KEPT: usize = 64;
 
 /// Time within which a connection must open.
-const OPEN_TIMEOUT: Duration = Duration::from_millis(600);
+const OPEN_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Idle connections to one upstream, the last used first.
 #[derive(Default)]
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -74,6 +74,13 @@
     }
 }
 
+impl Failure {
+    /// Returns the failure of a send that is given up for another upstream.
+    pub(crate) fn given_up() -> Failure {
+        unknown("given up for another upstream".to_owned())
+    }
+}
+
 /// How a send failed.
 pub(crate) struct Failure {
     pub(crate) end: SendEnd,
@@ -113,34 +120,76 @@
     resume_after: Option<u64>,
 ) -> Result<Answered, Failure> {
     let running = Running::start(job, choice);
-    let started = Instant::now();
-    let (here, elsewhere) =
-        (running.upstream.running.get(), running.upstream.running_elsewhere.get());
+    let mut trace = SendTrace::start(job, choice);
     let result = exchange(job, running, choice.fetch_from, resume_after).await;
-    let (end, reason) = match &result {
-        Ok(_) => ("answered", ""),
-        Err(failure) => (end_label(failure.end), failure.reason.as_str()),
-    };
-    note_health(&choice.upstream, &result);
-    job.gateway.metrics.sends.with_label_values(&[end]).inc();
-    let upstream = choice.upstream.id();
-    job.gateway.decisions.write(&Decision::SendEnded(SendEnded {
-        request: &job.facts.id,
-        upstream: &upstream,
-        candidates: choice.candidates,
-        runner_up: choice.runner_up.as_ref().map(|(id, _)| id),
-        runner_up_ms: choice.runner_up.as_ref().map(|(_, expected)| millis(*expected)),
-        fetched_tokens: choice.expected.map(|expected| expected.fetched_tokens),
-        expected_ms: choice.expected.map(|expected| millis(expected.first_token)),
-        uncached_tokens: choice.expected.map(|expected| expected.uncached_tokens),
-        running_here: here,
-        running_elsewhere: elsewhere,
-        elapsed_ms: millis(started.elapsed()),
-        end: if reason.is_empty() { end } else { reason },
-    }));
+    trace.finish(&result);
     result
 }
 
+/// Writes how a send ended, also when it is given up before any answer.
+struct SendTrace<'a> {
+    job: &'a Job,
+    choice: &'a Choice,
+    started: Instant,
+    running_here: u32,
+    running_elsewhere: u32,
+    is_finished: bool,
+}
+
+impl<'a> SendTrace<'a> {
+    fn start(job: &'a Job, choice: &'a Choice) -> SendTrace<'a> {
+        SendTrace {
+            job,
+            choice,
+            started: Instant::now(),
+            running_here: choice.upstream.running.get(),
+            running_elsewhere: choice.upstream.running_elsewhere.get(),
+            is_finished: false,
+        }
+    }
+
+    fn finish(&mut self, result: &Result<Answered, Failure>) {
+        self.is_finished = true;
+        note_health(&self.choice.upstream, result);
+        match result {
+            Ok(_) => self.write("answered", "answered"),
+            Err(failure) => self.write(end_label(failure.end), &failure.reason),
+        }
+    }
+
+    fn write(&self, label: &str, end: &str) {
+        let choice = self.choice;
+        self.job.gateway.metrics.sends.with_label_values(&[label]).inc();
+        self.job.gateway.decisions.write(&Decision::SendEnded(SendEnded {
+            request: &self.job.facts.id,
+            upstream: &choice.upstream.id(),
+            candidates: choice.candidates,
+            runner_up: choice.runner_up.as_ref().map(|(id, _)| id),
+            runner_up_ms: choice.runner_up.as_ref().map(|(_, expected)| millis(*expected)),
+            fetched_tokens: choice.expected.map(|expected| expected.fetched_tokens),
+            expected_ms: choice.expected.map(|expected| millis(expected.first_token)),
+            uncached_tokens: choice.expected.map(|expected| expected.uncached_tokens),
+            running_here: self.running_here,
+            running_elsewhere: self.running_elsewhere,
+            elapsed_ms: millis(self.started.elapsed()),
+            end,
+        }));
+    }
+}
+
+impl Drop for SendTrace<'_> {
+    fn drop(&mut self) {
+        if self.is_finished {
+            return;
+        }
+        // An upstream that gave nothing for as long as the route's target has failed.
+        if self.started.elapsed() >= self.job.route.target {
+            note_failure(&self.choice.upstream, SendEnd::Unknown);
+        }
+        self.write("given_up", "given up without an answer");
+    }
+}
+
 fn end_label(end: SendEnd) -> &'static str {
     match end {
         SendEnd::NotSent => "not_sent",
@@ -151,18 +200,22 @@
 }
 
 fn note_health(upstream: &Upstream, result: &Result<Answered, Failure>) {
+    match result {
+        Ok(_) => upstream.health.borrow_mut().succeeded(),
+        Err(failure) => note_failure(upstream, failure.end),
+    }
+}
+
+fn note_failure(upstream: &Upstream, end: SendEnd) {
     let now = Instant::now();
     let mut health = upstream.health.borrow_mut();
-    match result {
-        Ok(_) => health.succeeded(),
-        Err(_) => {
-            if health.failed(now) {
-                note(&Belief::UpstreamSetAside {
-                    upstream: &upstream.id(),
-                    failure_share: health.failure_share(),
-                });
-            }
-        }
+    let is_set_aside = match end {
+        SendEnd::NotSent => health.unreachable(now),
+        _ => health.failed(now),
+    };
+    if is_set_aside {
+        let failure_share = health.failure_share();
+        note(&Belief::UpstreamSetAside { upstream: &upstream.id(), failure_share });
     }
 }
 
