--- a/components/fakes/src/entry/mod.rs
+++ b/components/fakes/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-ins of the users' platform on loopback: store and duty calls, runners, callers.
 
 mod caller;
+mod documents;
 mod runner;
 mod store;
 
@@ -10,6 +11,7 @@
 };
 
 pub use caller::{Answer, call, call_raw, ends_within, read_answer, request};
+pub use documents::{WorkspaceLimit, document, entry};
 pub use runner::{AUTO_EVENTS, Act, Ran, Runner, Seen, auto_event};
 pub use store::{DutyCall, Mode, StandInStore};
 
--- a/components/fakes/src/entry/runner.rs
+++ b/components/fakes/src/entry/runner.rs
@@ -33,6 +33,8 @@
     Events(Vec<u64>),
     /// Sends events with these ids and half of another one, and resets the connection.
     BrokenEvents(Vec<u64>),
+    /// Begins as [`Act::Auto`], and resets the connection within the second event.
+    AutoBroken,
     /// Never answers.
     Hang,
     /// Answers with the request's id, or with events that name it, after the last one.
@@ -216,6 +218,14 @@
                 false
             }
             Act::Auto => true,
+            Act::AutoBroken => {
+                let event = auto_event(id, 1);
+                let chunk = format!("{:x}\r\n{event}\r\n8\r\nid: 99\nd\r\n", event.len());
+                write(io, &format!("{}{chunk}", events(id, &[]))).await;
+                sleep(Duration::from_millis(30)).await;
+                reset(io);
+                false
+            }
             Act::Hang => {
                 let mut byte = [0; 1];
                 if let Ok(0) | Err(_) = io.read(&mut byte).await {
--- a/components/soak/src/faults.rs
+++ b/components/soak/src/faults.rs
@@ -71,7 +71,7 @@
                 Act::NotRun(421),
                 Act::Unsigned,
                 Act::StrayAfter(String::new()),
-                Act::BrokenEvents(vec![1]),
+                Act::AutoBroken,
                 Act::Hang,
                 Act::UnframedReset("half".to_owned()),
             ];
--- a/components/soak/src/world.rs
+++ b/components/soak/src/world.rs
@@ -2,9 +2,8 @@
 
 use std::{cell::RefCell, path::PathBuf, rc::Rc, time::Duration};
 
-use lycheelatch_fakes::entry::{Act, KEY, Mode, Runner, StandInStore};
+use lycheelatch_fakes::entry::{Act, Mode, Runner, StandInStore, WorkspaceLimit, document, entry};
 use rustix::process::Signal;
-use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
 use crate::{
@@ -42,7 +41,7 @@
     /// Starts everything.
     pub(crate) async fn start(seed: u64, program: PathBuf) -> World {
         let store = StandInStore::start().await;
-        store.put("op/config", &document(1));
+        store.put("op/config", &document(1, WorkspaceLimit::default()));
         let mut runners = Vec::new();
         for at in 0..RUNNERS {
             runners.push(start_runner(&store, at).await);
@@ -123,7 +122,7 @@
 async fn start_runner(store: &StandInStore, at: usize) -> Runner {
     let runner = Runner::start([]).await;
     runner.set_default(Act::Auto);
-    store.put(&format!("servers/r-{at}"), &entry(&runner, "ready"));
+    store.put(&format!("servers/r-{at}"), &entry(runner.address(), "ready"));
     runner
 }
 
@@ -162,7 +161,7 @@
         Fault::Configure => {
             let version = *world.version.borrow() + 1;
             world.version.replace(version);
-            world.store.put("op/config", &document(version));
+            world.store.put("op/config", &document(version, WorkspaceLimit::default()));
         }
     }
 }
@@ -173,7 +172,7 @@
     let at = world.live(at);
     let runner = world.runners.borrow()[at].clone();
     let key = format!("servers/r-{at}");
-    world.store.put(&key, &entry(&runner, "draining"));
+    world.store.put(&key, &entry(runner.address(), "draining"));
     let written = Instant::now();
     sleep(Duration::from_secs(4)).await;
     let is_calm = is_calm && world.is_calm();
@@ -186,24 +185,3 @@
         world.left.borrow_mut().push(Left { runner: at, at: written });
     }
 }
-
-fn entry(runner: &Runner, state: &str) -> Value {
-    json!({"service": "svc", "address": runner.address(), "zone": "zone-0", "version": "v1",
-        "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": 1})
-}
-
-fn document(version: u64) -> Value {
-    let route = |name: &str, kind: &str, resumes: bool| {
-        json!({"name": name, "host": "shop.example", "path_prefix": format!("/{name}/"),
-            "kind": kind, "timeout_ms": 2500, "target_latency_ms": 1500, "priority": 1,
-            "service": "svc", "max_attempts": 2, "public": false,
-            "stream_resumption": resumes, "gap_target_ms": 400})
-    };
-    json!({
-        "version": version,
-        "routes": [route("safe", "safe", false), route("once", "unsafe", false),
-            route("stream", "streaming", false), route("resume", "streaming", true)],
-        "services": [{"name": "svc", "health_path": "/health", "connection_limit": 100}],
-        "tenants": [{"name": "ws", "api_keys": [KEY]}]
-    })
-}
