--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -38,14 +38,14 @@
 
     pub(crate) fn into_response(self, gateway: &Gateway, request: &str) -> Response<BoxBody> {
         let mut response = Response::new(status_of(self.reason));
-        let headers = response.head_mut();
+        let head = response.head_mut();
         if let Some(after) = self.retry_after
             && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", after.as_secs_f64()))
         {
-            headers.headers.insert(RETRY_AFTER, value);
+            head.headers.insert(RETRY_AFTER, value);
         }
         if !request.is_empty() {
-            gateway.dialect.mark_own(&mut headers.headers, request);
+            gateway.dialect.mark_own(&mut head.headers, request);
         }
         response
     }
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -74,13 +74,6 @@
     }
 }
 
-impl Failure {
-    /// Returns the failure of a send that is given up for another upstream.
-    pub(crate) fn given_up() -> Failure {
-        unknown("given up for another upstream".to_owned())
-    }
-}
-
 /// How a send failed.
 pub(crate) struct Failure {
     pub(crate) end: SendEnd,
@@ -89,6 +82,13 @@
     pub(crate) answer: Option<Whole>,
 }
 
+impl Failure {
+    /// Returns the failure of a send that is given up for another upstream.
+    pub(crate) fn given_up() -> Failure {
+        unknown("given up for another upstream".to_owned())
+    }
+}
+
 /// An answer that was read whole.
 #[derive(Clone)]
 pub(crate) struct Whole {
