--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -133,7 +133,6 @@
     let keepers = job.gateway.directory.all_of(&job.service.name);
     let candidates: Vec<_> = keepers.iter().filter(|up| up.takes_work()).cloned().collect();
     let late = job.arrived + job.route.target;
-    let rank = job.workspace.as_ref().and_then(|workspace| workspace.rank);
     let ask = PlaceAsk {
         service: &job.service,
         chain: job.chain.as_ref(),
@@ -142,7 +141,7 @@
         keepers: &keepers,
         tried: attempts.tried(),
         until_late: late.saturating_duration_since(now),
-        rank: rank.unwrap_or(job.route.rank),
+        rank: job.rank(),
     };
     place(&ask, &candidates, now, rand::random()).map_err(|none| {
         job.gateway.count_no_room(&job.service.name);
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -121,6 +121,12 @@
     fn new(address: SocketAddr) -> Peer {
         Peer { address, heard: None, heard_boot: Duration::ZERO, digest: None, sent: Vec::new() }
     }
+
+    /// Returns the time since it was heard, if that is below a limit.
+    fn age_below(&self, limit: Duration, now: Instant) -> Option<Duration> {
+        let age = now.saturating_duration_since(self.heard?);
+        (age < limit).then_some(age)
+    }
 }
 
 /// Addresses of other nodes.
@@ -155,8 +161,7 @@
     pub(crate) fn listed(&mut self, nodes: Vec<(NodeId, SocketAddr)>, now: Instant) {
         let limit = self.heard_limit();
         self.keep(|id, peer| {
-            let is_fresh = peer.heard.is_some_and(|at| now.saturating_duration_since(at) < limit);
-            is_fresh || nodes.iter().any(|(known, _)| known == id)
+            peer.age_below(limit, now).is_some() || nodes.iter().any(|(known, _)| known == id)
         });
         let own = &self.own;
         for (id, address) in nodes.into_iter().filter(|(id, _)| id != own) {
@@ -238,13 +243,15 @@
         Addresses { near: of(near), far: of(far) }
     }
 
-    /// Returns the nodes that are heard, with their last word.
-    pub(crate) fn heard_digests(&self, now: Instant) -> impl Iterator<Item = &Digest> {
+    /// Returns the nodes that are heard.
+    fn heard_peers(&self, now: Instant) -> impl Iterator<Item = (&NodeId, &Peer)> {
         let limit = self.heard_limit();
-        let is_heard = move |peer: &&Peer| {
-            peer.heard.is_some_and(|at| now.saturating_duration_since(at) < limit)
-        };
-        self.peers.values().filter(is_heard).filter_map(|peer| peer.digest.as_ref())
+        self.peers.iter().filter(move |(_, peer)| peer.age_below(limit, now).is_some())
+    }
+
+    /// Returns the last word of the nodes that are heard.
+    pub(crate) fn heard_digests(&self, now: Instant) -> impl Iterator<Item = &Digest> {
+        self.heard_peers(now).filter_map(|(_, peer)| peer.digest.as_ref())
     }
 
     /// Returns the true time now, as each node that is heard says it.
@@ -263,12 +270,8 @@
 
     /// Returns the nodes of an availability zone that are heard, in the order of their names.
     pub(crate) fn near(&self, zone: &ZoneName, now: Instant) -> Vec<(NodeId, SocketAddr)> {
-        let limit = self.heard_limit();
-        let is_near = |peer: &&Peer| {
-            let is_heard = peer.heard.is_some_and(|at| now.saturating_duration_since(at) < limit);
-            is_heard && peer.digest.as_ref().is_some_and(|said| said.zone == *zone)
-        };
-        let near = self.peers.iter().filter(|(_, peer)| is_near(peer));
+        let is_near = |peer: &Peer| peer.digest.as_ref().is_some_and(|said| said.zone == *zone);
+        let near = self.heard_peers(now).filter(|(_, peer)| is_near(peer));
         let mut near: Vec<_> = near.map(|(id, peer)| (id.clone(), peer.address)).collect();
         near.sort();
         near
@@ -281,11 +284,7 @@
 
     /// Returns the addresses of nodes that are heard.
     pub(crate) fn heard_addresses(&self, now: Instant) -> Vec<SocketAddr> {
-        let limit = self.heard_limit();
-        let is_heard = move |peer: &&Peer| {
-            peer.heard.is_some_and(|at| now.saturating_duration_since(at) < limit)
-        };
-        self.peers.values().filter(is_heard).map(|peer| peer.address).collect()
+        self.heard_peers(now).map(|(_, peer)| peer.address).collect()
     }
 
     /// Returns what the other nodes let through of a workspace.
@@ -299,11 +298,8 @@
         let mut heard_nodes = 0;
         let limit = self.heard_limit();
         for peer in self.peers.values() {
-            let (Some(at), Some(digest)) = (peer.heard, &peer.digest) else { continue };
-            let age = now.saturating_duration_since(at);
-            if age >= limit {
-                continue;
-            }
+            let Some(age) = peer.age_below(limit, now) else { continue };
+            let Some(digest) = &peer.digest else { continue };
             heard_nodes += 1;
             let used = digest.quota_use.iter().find(|(name, _)| name == workspace);
             heard += used.map_or(PartUse::default(), |(_, used)| used.after(age, window));
@@ -322,10 +318,7 @@
     /// Returns the work of the nodes that are heard, by upstream.
     pub(crate) fn in_flight(&self, now: Instant) -> HashMap<UpstreamId, InFlight> {
         let mut sums: HashMap<UpstreamId, InFlight> = HashMap::new();
-        let limit = self.heard_limit();
-        let is_heard =
-            |peer: &&Peer| peer.heard.is_some_and(|at| now.saturating_duration_since(at) < limit);
-        let told = self.peers.values().filter(is_heard).flat_map(|peer| {
+        let told = self.heard_peers(now).flat_map(|(_, peer)| {
             let in_state = peer.digest.iter().flat_map(|digest| &digest.upstreams);
             in_state.chain(&peer.sent)
         });
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -294,14 +294,12 @@
     resume_after: Option<u64>,
 ) -> Outgoing {
     let workspace = job.workspace.as_ref().map(|workspace| &workspace.name);
-    let rank = job.workspace.as_ref().and_then(|workspace| workspace.rank);
-    let rank = rank.unwrap_or(job.route.rank);
     let added = Forwarded {
         upstream,
         workspace,
         deadline_ms: millis(job.left()),
         resume_after,
-        engine_rank: job.chain.as_ref().map(|_| rank.0.min(9)),
+        engine_rank: job.chain.as_ref().map(|_| job.rank().0.min(9)),
         fetch_from,
     };
     Outgoing {
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    RequestFacts, Route, RoutingTable, ServiceSpec, Workspace,
+    Rank, RequestFacts, Route, RoutingTable, ServiceSpec, Workspace,
     answer::OwnAnswer,
     connection::read_payload,
     decision::{Decision, Reason, RequestEnded, RequestRefused, millis},
@@ -52,6 +52,12 @@
         self.ends.saturating_duration_since(Instant::now())
     }
 
+    /// Returns the rank: the workspace's goes before the route's.
+    pub(crate) fn rank(&self) -> Rank {
+        let of_workspace = self.workspace.as_ref().and_then(|workspace| workspace.rank);
+        of_workspace.unwrap_or(self.route.rank)
+    }
+
     /// Writes how the request ended.
     pub(crate) fn log_end(&self, reason: Reason, status: u16, sends: usize) {
         let metrics = &self.gateway.metrics;
