peers: A node heard again after it was forgotten counts once in the usage report

Cause: a node that is silent for 20 s is forgotten, and its counts go to the counts of ended processes; when the same process is heard again, its word holds the same counts a second time. Ruled out: a new incarnation, which starts at zero and rightly adds to the ended one. Test: usage_of_a_node_that_is_heard_again_counts_once (10 instead of 5 before).

--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -204,6 +204,8 @@
                 self.ended.insert(key, known.usage.clone());
             }
         }
+        // A process that was taken for ended goes on: its own word holds these counts too.
+        self.ended.remove(&(digest.node.clone(), digest.incarnation));
         peer.address = from;
         peer.heard = Some(now);
         peer.heard_boot = boot;
@@ -423,4 +425,13 @@
         view.listed(Vec::new(), Instant::now() + Duration::from_secs(60));
         assert_eq!(view.usage(UsageWindow(7)).values().sum::<u64>(), 10, "forgotten nodes too");
     }
+
+    #[test]
+    fn usage_of_a_node_that_is_heard_again_counts_once() {
+        let mut view = PeerView::new("node-1".parse().unwrap());
+        heard(&mut view, digest("node-2", 1, 0), 0);
+        view.forget_silent(Instant::now() + Duration::from_secs(60));
+        heard(&mut view, digest("node-2", 2, 0), 0);
+        assert_eq!(view.usage(UsageWindow(7)).values().sum::<u64>(), 5);
+    }
 }
