gateway: Play every loss, delay and repeat of the duties' writes

Two nodes run the real lease and report code against a store in memory; each sequence of seven outcomes for three writes in a row, at each of 16 places, and restarts of both nodes 0 to 6 s apart. Checked: fencing numbers never go down, one node a number, no holder back within a lease, one count a window.

Not shown: a conflict answered with the node's own counts passes, as the late write of an earlier holder must land between two calls 10 ms apart.

The pause between two looks at the holder's key follows from the node's name and the look, so that a run repeats exactly. What the tests drove from outside is no longer public.

--- a/components/gateway/src/clock.rs
+++ b/components/gateway/src/clock.rs
@@ -42,7 +42,12 @@
     /// Reads the time of day.
     pub fn new(boot: std::rc::Rc<dyn BootClock>) -> TrueTime {
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let offset = Cell::new(wall.saturating_sub(boot.elapsed()));
+        TrueTime::starting_at(boot, wall)
+    }
+
+    /// Creates a clock that now shows a time since 1970.
+    pub fn starting_at(boot: std::rc::Rc<dyn BootClock>, now: Duration) -> TrueTime {
+        let offset = Cell::new(now.saturating_sub(boot.elapsed()));
         TrueTime { boot, offset }
     }
 
--- a/components/gateway/src/leader.rs
+++ b/components/gateway/src/leader.rs
@@ -9,6 +9,7 @@
 
 use lycheelatch_prelude::{Fence, NodeId};
 use tokio::time::sleep;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
     BootClock, Commit, Committed, Freshness, Gateway, Store, StoreError, StoreLease, StoreRevision,
@@ -28,6 +29,9 @@
 /// Nodes that look at the usual interval.
 const LOOKING_NODES: u32 = 12;
 
+/// Number of different pauses between two looks.
+const SPREAD_STEPS: u64 = 1024;
+
 /// Age of the whole system below which no lease of an earlier holder can have ended.
 const EARLY: Duration = Duration::from_millis(2500);
 
@@ -84,11 +88,11 @@
 }
 
 /// Tries to hold the duties, and renews what it holds, until the task is dropped.
-pub async fn hold_duties(gateway: Rc<Gateway>, store: Rc<dyn Store>, leader: Rc<Leader>) {
+pub(crate) async fn hold_duties(gateway: Rc<Gateway>, store: Rc<dyn Store>, leader: Rc<Leader>) {
     let ttl = gateway.settings.duty_lease.max(gateway.settings.shortest_lease);
     let started = leader.boot.elapsed();
     let node = &gateway.settings.node;
-    loop {
+    for look in 0_u64.. {
         let is_free = match store.list(&holder_key(), Freshness::Stale).await {
             Ok(listing) => listing.items.is_empty(),
             Err(_) => false,
@@ -113,10 +117,18 @@
         // However many nodes there are, about as many look at any time.
         let nodes = gateway.peers.borrow().nodes();
         let rarer = f64::from(nodes.max(LOOKING_NODES)) / f64::from(LOOKING_NODES);
-        sleep(LOOK_INTERVAL.mul_f64(rarer * (0.7 + 0.6 * rand::random::<f64>()))).await;
+        sleep(LOOK_INTERVAL.mul_f64(rarer * spread(node, look))).await;
     }
 }
 
+/// Returns a factor about 1 that differs between nodes and looks.
+fn spread(node: &NodeId, look: u64) -> f64 {
+    let drawn = xxh3_64_with_seed(node.as_str().as_bytes(), look) % SPREAD_STEPS;
+    #[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
+    let part = drawn as f64 / SPREAD_STEPS as f64;
+    0.7 + 0.6 * part
+}
+
 async fn acquire(
     store: &dyn Store,
     leader: &Leader,
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -14,6 +14,8 @@
 mod demand;
 mod directory;
 mod dispatch;
+#[cfg(test)]
+mod duty_tests;
 mod engine_load;
 mod facts;
 mod frames;
@@ -53,13 +55,12 @@
 pub use frames::{Frame, FrameReader, FrameTooLarge};
 pub use gateway::Gateway;
 pub use layout::Layout;
-pub use leader::{Holding, Leader, hold_duties};
+pub use leader::{Holding, Leader};
 pub use metrics::GatewayMetrics;
 pub use place::{Choice, NoChoice, PlaceAsk, place};
 pub use quota::{
     Age, OthersUse, PartUse, SlidingCount, assumed_use, may_pass, retry_after, room, window_limit,
 };
-pub use report::report_usage;
 pub use retry_budget::RetryBudget;
 pub use run::{PlatformParts, RunningGateway};
 pub use size::{Need, ZoneSize, ZoneSupply, plan};
--- a/components/gateway/src/report.rs
+++ b/components/gateway/src/report.rs
@@ -45,7 +45,7 @@
 }
 
 /// Reports usage while this node holds the duties, until the task is dropped.
-pub async fn report_usage(
+pub(crate) async fn report_usage(
     gateway: Rc<Gateway>,
     store: Rc<dyn Store>,
     leader: Rc<Leader>,
