daemon: Lines of a gateway's log go through a bounded queue

Cause: the log was written to the standard output on the one thread that serves requests; a reader that stops held every request up (the test fails with no answer within 2 s once the pipe is full). Now a thread of its own writes what waits in one call; beyond 1,024 lines they are dropped and counted.

Every decision and belief has a counter by its kind, also those beyond the rate of lines; dropped beliefs were not counted before.

--- a/components/daemon/src/error.rs
+++ b/components/daemon/src/error.rs
@@ -36,6 +36,8 @@
     Signals(std::io::Error),
     /// the log can't be opened: {0}
     Log(flexi_logger::FlexiLoggerError),
+    /// the thread that writes the log does not start: {0}
+    LogThread(std::io::Error),
     /// the hash of operator {0}'s token can't be read
     OperatorToken(lycheelatch_prelude::OperatorName),
 }
--- a/components/daemon/src/gateway.rs
+++ b/components/daemon/src/gateway.rs
@@ -19,10 +19,10 @@
     settings: GatewaySettings,
     path: PathBuf,
 ) -> Result<(), StartError> {
-    let _log = logging::open_lines(&settings.log)?;
+    let metrics = GatewayMetrics::new(&prometheus::Registry::new())?;
+    let _log = logging::open_lines(&settings.log, metrics.unwritten_lines.clone())?;
     let mut signals = Signals::new()?;
     let hangup = signal(SignalKind::hangup()).map_err(StartError::Signals)?;
-    let metrics = GatewayMetrics::new(&prometheus::Registry::new())?;
     let parts = lycheelatch_platform::parts(settings.store, settings.duties, &settings.node);
     let known = settings.clone();
     let running = RunningGateway::start(settings, metrics, parts).await;
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 mod error;
 mod gateway;
 mod health;
+mod line_queue;
 mod logging;
 mod node;
 mod operators;
--- a/components/daemon/src/logging.rs
+++ b/components/daemon/src/logging.rs
@@ -5,8 +5,9 @@
 use flexi_logger::{DeferredNow, LogSpecification, Logger, LoggerHandle, Record};
 use lycheelatch_gateway::DECISIONS;
 use lycheelatch_settings::{LogFormat, LogSettings};
+use prometheus::IntCounter;
 
-use crate::StartError;
+use crate::{StartError, line_queue::LineQueue};
 
 /// Opens the log.
 pub(crate) fn open(cfg: &LogSettings) -> Result<LoggerHandle, StartError> {
@@ -24,9 +25,14 @@
 }
 
 /// Opens the log of a gateway: JSON lines on the standard output.
-pub(crate) fn open_lines(cfg: &LogSettings) -> Result<LoggerHandle, StartError> {
+pub(crate) fn open_lines(
+    cfg: &LogSettings,
+    dropped: IntCounter,
+) -> Result<LoggerHandle, StartError> {
     let spec = LogSpecification::builder().default(cfg.level).build();
-    Logger::with(spec).format(json_line).log_to_stdout().start().map_err(StartError::Log)
+    let queue =
+        LineQueue::start(io::stdout(), json_line, dropped).map_err(StartError::LogThread)?;
+    Logger::with(spec).log_to_writer(Box::new(queue)).start().map_err(StartError::Log)
 }
 
 /// Writes one JSON line; decisions are JSON already.
--- a/components/gateway/src/decision.rs
+++ b/components/gateway/src/decision.rs
@@ -3,15 +3,17 @@
 use std::{
     cell::Cell,
     net::SocketAddr,
-    sync::Arc,
+    sync::{Arc, LazyLock},
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use lycheelatch_prelude::{ServiceName, UpstreamId, WorkspaceName, ZoneName};
+use prometheus::{IntCounterVec, Opts};
 use serde::Serialize;
+use strum::IntoStaticStr;
 use tokio::time::Instant;
 
-use crate::{GatewayMetrics, Purchase};
+use crate::Purchase;
 
 /// Lines a second that are written of requests that went well.
 const MAX_UNEVENTFUL_PER_SECOND: u32 = 20;
@@ -23,8 +25,9 @@
 const MAX_BELIEFS_PER_SECOND: u32 = 100;
 
 /// Why a request ended as it did.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, IntoStaticStr)]
 #[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
 pub enum Reason {
     /// An upstream's answer was passed on.
     Answered,
@@ -133,8 +136,9 @@
 }
 
 /// One line of the decision log.
-#[derive(Debug, Serialize)]
+#[derive(Debug, Serialize, IntoStaticStr)]
 #[serde(tag = "event", rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
 pub(crate) enum Decision<'a> {
     /// A request ended.
     RequestEnded(RequestEnded<'a>),
@@ -161,8 +165,9 @@
 }
 
 /// Something that the process believes from now on.
-#[derive(Debug, Serialize)]
+#[derive(Debug, Serialize, IntoStaticStr)]
 #[serde(tag = "event", rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
 pub(crate) enum Belief<'a> {
     /// The process serves.
     Started { node: &'a str, callers: SocketAddr },
@@ -216,12 +221,32 @@
     ClockSet { from_ms: u64, to_ms: u64 },
 }
 
+/// Events of the process by kind; also those beyond the rate, which get no line.
+pub(crate) static EVENTS: LazyLock<IntCounterVec> = LazyLock::new(|| {
+    let opts = Opts::new(
+        "lycheelatch_gateway_events_total",
+        "Decisions and changes of what the process believes, by kind and whether a line was due",
+    );
+    IntCounterVec::new(opts, &["event", "line"]).expect("a valid name and valid labels")
+});
+
+/// Counts an event.
+fn count(kind: &'static str, has_line: bool) {
+    let line = if has_line { "due" } else { "beyond_rate" };
+    EVENTS.with_label_values(&[kind, line]).inc();
+}
+
 /// Writes a belief to the log, up to a rate.
 pub(crate) fn note(belief: &Belief<'_>) {
-    if !BELIEFS.with(|rate| rate.take(MAX_BELIEFS_PER_SECOND)) {
-        return;
+    let has_room = BELIEFS.with(|rate| rate.take(MAX_BELIEFS_PER_SECOND));
+    count(belief.into(), has_room);
+    if has_room {
+        write_line(&BeliefLine { time_ms: wall_ms(), belief });
     }
-    match serde_json::to_string(&BeliefLine { time_ms: wall_ms(), belief }) {
+}
+
+fn write_line(line: &impl Serialize) {
+    match serde_json::to_string(line) {
         Ok(line) => log::info!(target: DECISIONS, "{line}"),
         Err(err) => log::error!("decision: a line can't be written: {err}"),
     }
@@ -262,7 +287,6 @@
 /// Writes decisions to the log, up to a rate.
 pub(crate) struct DecisionLog {
     node: Arc<str>,
-    metrics: GatewayMetrics,
     uneventful: Rate,
     others: Rate,
 }
@@ -276,8 +300,8 @@
 }
 
 impl DecisionLog {
-    pub(crate) fn new(node: Arc<str>, metrics: GatewayMetrics) -> DecisionLog {
-        DecisionLog { node, metrics, uneventful: Rate::default(), others: Rate::default() }
+    pub(crate) fn new(node: Arc<str>) -> DecisionLog {
+        DecisionLog { node, uneventful: Rate::default(), others: Rate::default() }
     }
 
     pub(crate) fn write(&self, decision: &Decision<'_>) {
@@ -285,15 +309,10 @@
             true => self.uneventful.take(MAX_UNEVENTFUL_PER_SECOND),
             false => self.others.take(MAX_PER_SECOND),
         };
-        if !has_room {
-            self.metrics.log_lines.with_label_values(&["dropped"]).inc();
-            return;
-        }
-        match serde_json::to_string(&Line { time_ms: wall_ms(), node: &self.node, decision }) {
-            Ok(line) => log::info!(target: DECISIONS, "{line}"),
-            Err(err) => log::error!("decision: a line can't be written: {err}"),
+        count(decision.into(), has_room);
+        if has_room {
+            write_line(&Line { time_ms: wall_ms(), node: &self.node, decision });
         }
-        self.metrics.log_lines.with_label_values(&["written"]).inc();
     }
 }
 
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -122,7 +122,7 @@
             peers: RefCell::new(PeerView::new(settings.node.clone())),
             settings,
             directory: Directory::default(),
-            decisions: DecisionLog::new(node, metrics.clone()),
+            decisions: DecisionLog::new(node),
             metrics,
             dialect,
             time,
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -1,9 +1,12 @@
 //! Counters and histograms of a gateway.
 
 use prometheus::{
-    Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, exponential_buckets,
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    exponential_buckets,
 };
 
+use crate::decision::EVENTS;
+
 /// Counters and histograms of a gateway.
 #[derive(Clone)]
 pub struct GatewayMetrics {
@@ -15,8 +18,8 @@
     pub sends: IntCounterVec,
     /// Calls to the store, by call and result.
     pub store_calls: IntCounterVec,
-    /// Decision log lines, by fate.
-    pub log_lines: IntCounterVec,
+    /// Lines of the log that its reader was too slow for.
+    pub unwritten_lines: IntCounter,
     /// Time to the first byte of an answer, in seconds.
     pub first_byte: Histogram,
     /// Version of the configuration in force.
@@ -43,6 +46,12 @@
             "Version of the configuration in force",
         )?;
         registry.register(Box::new(config_version.clone()))?;
+        let unwritten_lines = IntCounter::new(
+            "lycheelatch_gateway_unwritten_log_lines_total",
+            "Lines of the log that were dropped because its reader was too slow",
+        )?;
+        registry.register(Box::new(unwritten_lines.clone()))?;
+        registry.register(Box::new(EVENTS.clone()))?;
         Ok(GatewayMetrics {
             registry: registry.clone(),
             answers: counter(
@@ -60,11 +69,7 @@
                 "Calls to the store by call and result",
                 &["call", "result"],
             )?,
-            log_lines: counter(
-                "lycheelatch_gateway_log_lines_total",
-                "Lines of the decision log by fate",
-                &["fate"],
-            )?,
+            unwritten_lines,
             first_byte,
             config_version,
         })
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -61,7 +61,7 @@
     /// Writes how the request ended.
     pub(crate) fn log_end(&self, reason: Reason, status: u16, sends: usize) {
         let metrics = &self.gateway.metrics;
-        metrics.answers.with_label_values(&[reason_label(reason)]).inc();
+        metrics.answers.with_label_values(&[<&str>::from(reason)]).inc();
         self.gateway.decisions.write(&Decision::RequestEnded(RequestEnded {
             request: &self.facts.id,
             route: &self.route.name,
@@ -75,36 +75,13 @@
     }
 }
 
-/// Returns the label of a reason in metrics.
-pub(crate) fn reason_label(reason: Reason) -> &'static str {
-    match reason {
-        Reason::Answered => "answered",
-        Reason::BadRequest => "bad_request",
-        Reason::UnknownKey => "unknown_key",
-        Reason::UnknownRoute => "unknown_route",
-        Reason::BodyTooLarge => "body_too_large",
-        Reason::BodyIncomplete => "body_incomplete",
-        Reason::OverQuota => "over_quota",
-        Reason::Stopping => "stopping",
-        Reason::NotInformed => "not_informed",
-        Reason::NoUpstream => "no_upstream",
-        Reason::Busy => "busy",
-        Reason::NotRun => "not_run",
-        Reason::TooLate => "too_late",
-        Reason::UpstreamFailed => "upstream_failed",
-        Reason::TimedOut => "timed_out",
-        Reason::AnswerBroke => "answer_broke",
-        Reason::CallerLeft => "caller_left",
-    }
-}
-
 /// Answers one request of a caller.
 pub(crate) async fn answer(gateway: Rc<Gateway>, mut req: Request) -> Response<BoxBody> {
     let arrived = Instant::now();
     let mut response = match open(&gateway, &mut req, arrived).await {
         Ok(job) => run(Rc::new(job)).await,
         Err((id, refusal)) => {
-            gateway.metrics.answers.with_label_values(&[reason_label(refusal.reason)]).inc();
+            gateway.metrics.answers.with_label_values(&[<&str>::from(refusal.reason)]).inc();
             let response = refusal.into_response(&gateway, &id);
             gateway.decisions.write(&Decision::RequestRefused(RequestRefused {
                 request: &id,
