sync: An older view of another node brings no upstream back

Ruled out: the time for which lapsed entries are held (the entry was removed at once), the watch itself.

Change: keys that are gone keep the revision at which they went, also if this node never held them, and an entry that is not held and not newer than all that was read is not taken over.

Tests: take_older_view_brings_nothing_back and ..._that_was_gone_before, both failed before.

--- a/components/gateway/src/duty_tests.rs
+++ b/components/gateway/src/duty_tests.rs
@@ -10,20 +10,20 @@
     time::Duration,
 };
 
-use actix_http::{ResponseHead, header::HeaderMap};
 use async_trait::async_trait;
-use lycheelatch_prelude::{Fence, InvalidValue};
-use lycheelatch_settings::{GatewaySettings, NodeSettings};
+use lycheelatch_prelude::Fence;
 use tokio::{
     task::{LocalSet, spawn_local},
     time::{Instant, sleep},
 };
 
 use crate::{
-    AnswerFacts, BootClock, Changes, Commit, Committed, Dialect, DutyCalls, DutyError, Forwarded,
-    Freshness, Gateway, GatewayMetrics, Item, Leader, Listing, RequestFacts, SizeOrder, Store,
-    StoreError, StoreLease, StoreRevision, TrueTime, UsageWindow, WindowCounts,
-    leader::hold_duties, report::report_usage,
+    BootClock, Changes, Commit, Committed, DutyCalls, DutyError, Freshness, Gateway,
+    GatewayMetrics, Item, Leader, Listing, SizeOrder, Store, StoreError, StoreLease, StoreRevision,
+    TrueTime, UsageWindow, WindowCounts,
+    leader::hold_duties,
+    report::report_usage,
+    test_support::{NoDialect, settings},
 };
 
 /// Writes that get an outcome in each run.
@@ -333,44 +333,6 @@
     }
 }
 
-/// Serves no requests here.
-struct NoDialect;
-
-impl Dialect for NoDialect {
-    fn request(&self, _: &HeaderMap) -> Result<RequestFacts, InvalidValue> {
-        unreachable!("no requests come")
-    }
-
-    fn answer(&self, _: &ResponseHead) -> AnswerFacts {
-        unreachable!("no requests come")
-    }
-
-    fn forward(&self, _: &HeaderMap, _: Forwarded<'_>) -> HeaderMap {
-        unreachable!("no requests come")
-    }
-
-    fn pass_back(&self, _: &HeaderMap) -> HeaderMap {
-        unreachable!("no requests come")
-    }
-
-    fn mark_own(&self, _: &mut HeaderMap, _: &str) {
-        unreachable!("no requests come")
-    }
-}
-
-fn settings(node: usize) -> GatewaySettings {
-    let text = format!(
-        r#"{{"gateway": {{"node": "node-{node}", "zone": "zone-a", "callers": "127.0.0.1:1",
-            "readiness": "127.0.0.1:2", "peers": "127.0.0.1:3", "metrics": "127.0.0.1:4",
-            "seeds": [], "store": "127.0.0.1:5", "duties": "127.0.0.1:6", "duty_lease": "3s",
-            "usage_window": "5s", "usage_due": "10s"}}}}"#
-    );
-    match NodeSettings::from_json(&text) {
-        Ok(NodeSettings::Gateway(settings)) => settings,
-        other => panic!("not the settings of a gateway: {other:?}"),
-    }
-}
-
 /// One process of a node.
 struct Node {
     number: usize,
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -43,6 +43,9 @@
 mod store;
 mod sync;
 mod table;
+#[cfg(test)]
+mod test_support;
+mod tombstones;
 mod usage;
 
 pub use attempts::{Attempts, Next, SendEnd};
--- a/components/gateway/src/neighbours.rs
+++ b/components/gateway/src/neighbours.rs
@@ -16,12 +16,16 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, sleep, timeout};
 
+#[cfg(test)]
+mod tests;
+
 use crate::{
     Gateway, Item, StoreRevision,
     connection::{Connection, ExchangeError, Outgoing},
     decision::{Belief, note},
     server::empty,
     sync::{Held, LocalChange, View},
+    tombstones::Tombstone,
 };
 
 /// Path of what a node holds; its query says what the other node has.
@@ -148,12 +152,14 @@
 /// Returns what changed of a view after a cursor, or everything.
 fn view_wire(view: &View, cursor: Cursor) -> ViewWire {
     let tombstones = view.tombstones.borrow();
-    let oldest = tombstones.front().map_or(LocalChange(0), |gone| gone.changed);
-    let is_whole = cursor.incarnation != view.incarnation || cursor.change < oldest;
+    let is_whole = cursor.incarnation != view.incarnation || cursor.change < tombstones.oldest();
     let after = if is_whole { LocalChange(0) } else { cursor.change };
     let is_new = |held: &Held| is_whole || held.changed > after;
     let upstreams = view.upstreams.borrow();
-    let gone = tombstones.iter().filter(|gone| gone.changed > after);
+    let gone = |(key, gone): (&str, Tombstone)| GoneWire {
+        key: key.to_owned(),
+        revision: gone.revision.0,
+    };
     ViewWire {
         incarnation: view.incarnation,
         change: view.last_change().0,
@@ -171,9 +177,7 @@
             .filter(|(_, held)| is_new(held))
             .map(|(key, held)| value_wire(key, held))
             .collect(),
-        gone: gone
-            .map(|gone| GoneWire { key: gone.key.to_string(), revision: gone.revision.0 })
-            .collect(),
+        gone: tombstones.after(after).map(gone).collect(),
     }
 }
 
@@ -348,7 +352,8 @@
         view.take_upstreams(wire.upstreams.into_iter().map(Item::from).collect(), revision);
         return;
     }
-    for item in wire.upstreams.into_iter().map(Item::from) {
+    let items = wire.upstreams.into_iter().map(Item::from);
+    for item in items.filter(|item| view.may_hold(&item.key, item.revision)) {
         view.take_upstream(&item.key, item.value, item.revision);
     }
     for gone in wire.gone {
--- /dev/null
+++ b/components/gateway/src/neighbours/tests.rs
@@ -0,0 +1,153 @@
+//! What of another node's view is taken over.
+
+use async_trait::async_trait;
+use lycheelatch_prelude::{InvalidValue, UpstreamId};
+
+use super::*;
+use crate::{
+    Changes, Commit, Committed, Freshness, GatewayMetrics, Layout, Listing, MachineClock, Store,
+    StoreError, StoreLease, TableSource, TrueTime, UpstreamEntry,
+    test_support::{NoDialect, settings},
+};
+
+/// A store that can't be reached.
+struct NoStore;
+
+fn away<T>() -> Result<T, StoreError> {
+    Err(StoreError::Refused("away".into()))
+}
+
+#[async_trait(?Send)]
+impl Store for NoStore {
+    async fn get(&self, _: &str) -> Result<Option<Item>, StoreError> {
+        away()
+    }
+
+    async fn list(&self, _: &str, _: Freshness) -> Result<Listing, StoreError> {
+        away()
+    }
+
+    async fn watch(&self, _: &str, _: StoreRevision, _: Duration) -> Result<Changes, StoreError> {
+        away()
+    }
+
+    async fn commit(&self, _: Commit) -> Result<Committed, StoreError> {
+        away()
+    }
+
+    async fn grant(&self, _: Duration) -> Result<StoreLease, StoreError> {
+        away()
+    }
+
+    async fn renew(&self, _: StoreLease) -> Result<(), StoreError> {
+        away()
+    }
+
+    async fn end(&self, _: StoreLease) -> Result<(), StoreError> {
+        away()
+    }
+}
+
+/// Values are an upstream's port.
+struct PortLayout;
+
+impl Layout for PortLayout {
+    fn config_key(&self) -> &'static str {
+        "op/config"
+    }
+
+    fn operator_prefix(&self) -> &'static str {
+        "op/"
+    }
+
+    fn upstream_prefix(&self) -> &'static str {
+        "up/"
+    }
+
+    fn config(&self, _: &[u8]) -> Result<TableSource, InvalidValue> {
+        unreachable!("no configuration comes")
+    }
+
+    fn upstream(&self, id: &UpstreamId, value: &[u8]) -> Result<UpstreamEntry, InvalidValue> {
+        let port = std::str::from_utf8(value).unwrap().parse().unwrap();
+        Ok(UpstreamEntry {
+            id: id.clone(),
+            service: "svc".parse().unwrap(),
+            address: SocketAddr::from(([127, 0, 0, 1], port)),
+            zone: "zone-a".parse().unwrap(),
+            slots: 4,
+            is_ready: true,
+            is_reclaimable: false,
+            leaves_in: None,
+            born: None,
+        })
+    }
+}
+
+fn view() -> View {
+    let metrics = GatewayMetrics::new(&prometheus::Registry::new()).unwrap();
+    let time = Rc::new(TrueTime::new(Rc::new(MachineClock)));
+    let gateway = Rc::new(Gateway::new(settings(1), Rc::new(NoDialect), metrics, time));
+    View::new(gateway, Rc::new(NoStore), Rc::new(PortLayout))
+}
+
+/// The whole view of a node that read the store up to a revision.
+fn whole(revision: u64, upstreams: &[(&str, u64)]) -> ViewWire {
+    let value = |(key, revision): &(&str, u64)| ValueWire {
+        key: (*key).to_owned(),
+        value: b"80".to_vec(),
+        revision: *revision,
+    };
+    ViewWire {
+        incarnation: 1,
+        change: revision,
+        is_whole: true,
+        age_ms: 0,
+        revision,
+        config: None,
+        upstreams: upstreams.iter().map(value).collect(),
+        gone: Vec::new(),
+    }
+}
+
+fn held(view: &View) -> Vec<String> {
+    view.gateway().directory.all().iter().map(|up| up.id().to_string()).collect()
+}
+
+#[test]
+fn take_older_view_brings_nothing_back() {
+    let view = view();
+    take(&view, whole(10, &[("up/a", 5), ("up/b", 6)]));
+    view.remove_upstream(&"up/a".into(), StoreRevision(12));
+    // Another node answers late with what it held before.
+    take(&view, whole(9, &[("up/a", 5), ("up/b", 6)]));
+    assert_eq!(held(&view), ["b"]);
+}
+
+#[test]
+fn take_older_view_brings_nothing_that_was_gone_before() {
+    let view = view();
+    take(&view, whole(10, &[("up/b", 6)]));
+    take(&view, whole(9, &[("up/a", 5), ("up/b", 6)]));
+    assert_eq!(held(&view), ["b"]);
+}
+
+#[test]
+fn take_entry_that_was_written_again_is_held() {
+    let view = view();
+    take(&view, whole(10, &[("up/a", 5)]));
+    view.remove_upstream(&"up/a".into(), StoreRevision(12));
+    take(&view, whole(14, &[("up/a", 13)]));
+    assert_eq!(held(&view), ["a"]);
+}
+
+#[test]
+fn take_older_view_with_a_newer_entry_is_held() {
+    let view = view();
+    take(&view, whole(10, &[("up/a", 5)]));
+    // It has not read the store for long, and missing entries tell nothing.
+    let mut wire = whole(20, &[("up/c", 15)]);
+    wire.age_ms = 60_000;
+    take(&view, wire);
+    assert_eq!(held(&view), ["a", "c"]);
+}
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -5,7 +5,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet},
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -21,6 +21,7 @@
 use crate::{
     Freshness, Gateway, Item, Layout, RoutingTable, Store, StoreError, StoreEvent, StoreRevision,
     decision::{Belief, millis, note},
+    tombstones::{Tombstone, Tombstones},
 };
 
 /// Longest wait of one watch; a silent connection goes unnoticed for as long.
@@ -60,17 +61,6 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct LocalChange(pub(crate) u64);
 
-/// An upstream that is gone.
-#[derive(Debug, Clone)]
-pub(crate) struct Tombstone {
-    pub(crate) key: Arc<str>,
-    pub(crate) revision: StoreRevision,
-    pub(crate) changed: LocalChange,
-}
-
-/// Tombstones that are kept.
-const MAX_TOMBSTONES: usize = 4096;
-
 /// What this node holds of the store.
 pub(crate) struct View {
     gateway: Rc<Gateway>,
@@ -81,7 +71,7 @@
     pub(crate) revision: Cell<StoreRevision>,
     /// Drawn at the start of the process; numbers of changes hold within it.
     pub(crate) incarnation: u64,
-    pub(crate) tombstones: RefCell<VecDeque<Tombstone>>,
+    pub(crate) tombstones: RefCell<Tombstones>,
     changes: watch::Sender<LocalChange>,
     /// Whether another node's view is followed in place of the store.
     pub(crate) is_following: Cell<bool>,
@@ -115,6 +105,12 @@
         }
     }
 
+    /// Returns what requests share.
+    #[cfg(test)]
+    pub(crate) fn gateway(&self) -> &Gateway {
+        &self.gateway
+    }
+
     /// Returns the last change of this view.
     pub(crate) fn last_change(&self) -> LocalChange {
         *self.changes.borrow()
@@ -199,7 +195,8 @@
     /// Takes over an upstream's entry, unless a newer one is held.
     pub(crate) fn take_upstream(&self, key: &Arc<str>, value: Bytes, revision: StoreRevision) {
         let mut upstreams = self.upstreams.borrow_mut();
-        if upstreams.get(key).is_some_and(|held| held.revision >= revision) {
+        let is_known = upstreams.get(key).is_some_and(|held| held.revision >= revision);
+        if is_known || self.tombstones.borrow().covers(key, revision) {
             return;
         }
         self.lapsed.borrow_mut().remove(key);
@@ -236,22 +233,27 @@
         self.remove_upstream(key, revision);
     }
 
+    /// Removes an upstream that is gone at a revision.
     pub(crate) fn remove_upstream(&self, key: &Arc<str>, revision: StoreRevision) {
-        let is_older =
-            self.upstreams.borrow().get(key).is_some_and(|held| held.revision < revision);
-        if is_older {
-            self.upstreams.borrow_mut().remove(key);
-            let changed = self.next_change();
-            let mut tombstones = self.tombstones.borrow_mut();
-            tombstones.push_back(Tombstone { key: key.clone(), revision, changed });
-            if tombstones.len() > MAX_TOMBSTONES {
-                tombstones.pop_front();
-            }
-            self.changes.send_replace(changed);
+        let is_newer =
+            self.upstreams.borrow().get(key).is_some_and(|held| held.revision >= revision);
+        if is_newer || self.tombstones.borrow().covers(key, revision) {
+            return;
         }
+        self.upstreams.borrow_mut().remove(key);
+        let changed = self.next_change();
+        self.tombstones.borrow_mut().put(key.clone(), Tombstone { revision, changed });
         if let Some(id) = self.upstream_id(key) {
             self.gateway.directory.remove(&id, revision);
         }
+        self.changes.send_replace(changed);
+    }
+
+    /// Returns whether an entry is held, or newer than all that was read.
+    ///
+    /// Any other one was gone by then.
+    pub(crate) fn may_hold(&self, key: &str, revision: StoreRevision) -> bool {
+        revision > self.revision.get() || self.upstreams.borrow().contains_key(key)
     }
 
     /// Removes the upstreams that did not come back.
@@ -266,8 +268,7 @@
 
     /// Takes over a whole listing of upstreams.
     pub(crate) fn take_upstreams(&self, items: Vec<Item>, revision: StoreRevision) {
-        let listed: std::collections::BTreeSet<_> =
-            items.iter().map(|item| item.key.clone()).collect();
+        let listed: BTreeSet<_> = items.iter().map(|item| item.key.clone()).collect();
         for item in items {
             self.take_upstream(&item.key, item.value, item.revision);
         }
--- /dev/null
+++ b/components/gateway/src/test_support.rs
@@ -0,0 +1,46 @@
+//! What tests of this crate's inner parts share.
+
+use actix_http::{ResponseHead, header::HeaderMap};
+use lycheelatch_prelude::InvalidValue;
+use lycheelatch_settings::{GatewaySettings, NodeSettings};
+
+use crate::{AnswerFacts, Dialect, Forwarded, RequestFacts};
+
+/// Serves no requests here.
+pub(crate) struct NoDialect;
+
+impl Dialect for NoDialect {
+    fn request(&self, _: &HeaderMap) -> Result<RequestFacts, InvalidValue> {
+        unreachable!("no requests come")
+    }
+
+    fn answer(&self, _: &ResponseHead) -> AnswerFacts {
+        unreachable!("no requests come")
+    }
+
+    fn forward(&self, _: &HeaderMap, _: Forwarded<'_>) -> HeaderMap {
+        unreachable!("no requests come")
+    }
+
+    fn pass_back(&self, _: &HeaderMap) -> HeaderMap {
+        unreachable!("no requests come")
+    }
+
+    fn mark_own(&self, _: &mut HeaderMap, _: &str) {
+        unreachable!("no requests come")
+    }
+}
+
+/// Returns the settings of the node with a number.
+pub(crate) fn settings(node: usize) -> GatewaySettings {
+    let text = format!(
+        r#"{{"gateway": {{"node": "node-{node}", "zone": "zone-a", "callers": "127.0.0.1:1",
+            "readiness": "127.0.0.1:2", "peers": "127.0.0.1:3", "metrics": "127.0.0.1:4",
+            "seeds": [], "store": "127.0.0.1:5", "duties": "127.0.0.1:6", "duty_lease": "3s",
+            "usage_window": "5s", "usage_due": "10s"}}}}"#
+    );
+    match NodeSettings::from_json(&text) {
+        Ok(NodeSettings::Gateway(settings)) => settings,
+        other => panic!("not the settings of a gateway: {other:?}"),
+    }
+}
