sync: A spoilt answer is no absence of the store

Change: the calls of each of the two loops count by themselves, from their first failure (or from when a silent watch was sent) to when the answered call was sent; from 0.3 s on, missing entries may have lapsed.

--- a/components/fakes/src/entry/store.rs
+++ b/components/fakes/src/entry/store.rs
@@ -38,6 +38,8 @@
 #[derive(Default)]
 struct State {
     mode: Mode,
+    /// Watches whose answers can't be read, from the next one on.
+    garbled_watches: u32,
     revision: u64,
     items: BTreeMap<String, Stored>,
     history: Vec<Value>,
@@ -99,6 +101,16 @@
         self.state.lock().unwrap().mode = mode;
     }
 
+    /// Spoils the answers of the next watches.
+    pub fn garble_watches(&self, count: u32) {
+        self.state.lock().unwrap().garbled_watches = count;
+    }
+
+    /// Returns how many watches are still to get a spoilt answer.
+    pub fn garbled_watches_left(&self) -> u32 {
+        self.state.lock().unwrap().garbled_watches
+    }
+
     /// Writes as the operator or a runner does.
     pub fn put(&self, key: &str, value: &Value) {
         self.put_bytes(key, value.to_string().as_bytes());
@@ -247,6 +259,10 @@
             };
             let events: Vec<&Value> = state.history.iter().filter(is_new).collect();
             if !events.is_empty() || Instant::now() >= ends {
+                if state.garbled_watches > 0 {
+                    state.garbled_watches -= 1;
+                    return HttpResponse::Ok().body("{\"events\": [");
+                }
                 let body = json!({"events": events, "store_revision": state.revision});
                 return HttpResponse::Ok().json(body);
             }
--- a/components/gateway/src/decision.rs
+++ b/components/gateway/src/decision.rs
@@ -194,7 +194,7 @@
     /// The store does not answer.
     StoreLost { call: &'a str, reason: &'a str },
     /// The store answers again.
-    StoreReached { away_ms: u64 },
+    StoreReached { call: &'a str, away_ms: u64 },
     /// Another node's view is followed in place of the store.
     Follows { reader: SocketAddr },
     /// The store is read in place of another node's view.
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -39,8 +39,11 @@
 /// Time after the store's return in which lapsed entries may come back.
 const RETURN_GRACE: Duration = Duration::from_millis(2000);
 
+/// Time after which a watch without an answer was silent for all of it.
+const SILENT_WATCH: Duration = WATCH_WAIT.saturating_add(Duration::from_millis(300));
+
 /// Shortest absence of the store in which an entry can have lapsed.
-const LAPSE_AFTER: Duration = Duration::from_millis(900);
+const LAPSE_AFTER: Duration = Duration::from_millis(300);
 
 /// Pause between two looks at lapsed entries.
 const LAPSE_INTERVAL: Duration = Duration::from_millis(200);
@@ -61,6 +64,38 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct LocalChange(pub(crate) u64);
 
+/// Calls of one loop to the store.
+struct StoreCalls {
+    name: &'static str,
+    /// Since when none was answered.
+    away_since: Cell<Option<Instant>>,
+}
+
+impl StoreCalls {
+    fn new(name: &'static str) -> StoreCalls {
+        StoreCalls { name, away_since: Cell::default() }
+    }
+
+    /// Takes note that a call sent at `sent` was answered; returns how long none was before it.
+    fn answered(&self, sent: Instant) -> Option<Duration> {
+        // A watch waits for changes; the store was there when it came.
+        let away = sent.saturating_duration_since(self.away_since.take()?);
+        note(&Belief::StoreReached { call: self.name, away_ms: millis(away) });
+        Some(away)
+    }
+
+    /// Takes note that a call sent at `sent` failed.
+    fn failed(&self, err: &StoreError, sent: Instant) {
+        if self.away_since.get().is_some() {
+            return;
+        }
+        note(&Belief::StoreLost { call: self.name, reason: &err.to_string() });
+        // A watch that fails early was waiting until then, as it does without changes.
+        let was_silent = sent.elapsed() >= SILENT_WATCH;
+        self.away_since.set(Some(if was_silent { sent } else { Instant::now() }));
+    }
+}
+
 /// What this node holds of the store.
 pub(crate) struct View {
     gateway: Rc<Gateway>,
@@ -77,6 +112,8 @@
     pub(crate) is_following: Cell<bool>,
     last_answer: Cell<Option<Instant>>,
     last_failure: Cell<Option<Instant>>,
+    config_calls: StoreCalls,
+    upstream_calls: StoreCalls,
     lapsed: RefCell<BTreeMap<Arc<str>, StoreRevision>>,
     /// When the store came back after an absence.
     returned: Cell<Option<Instant>>,
@@ -99,6 +136,8 @@
             is_following: Cell::new(false),
             last_answer: Cell::default(),
             last_failure: Cell::default(),
+            config_calls: StoreCalls::new("configuration"),
+            upstream_calls: StoreCalls::new("upstreams"),
             lapsed: RefCell::default(),
             returned: Cell::default(),
             revision_at_return: Cell::default(),
@@ -141,23 +180,23 @@
         failed.is_some_and(|at| at.elapsed() < 2 * WATCH_WAIT) && self.age() > LOST_AFTER
     }
 
-    fn answered(&self) {
+    fn config_answered(&self, sent: Instant) {
+        self.config_calls.answered(sent);
+        self.last_answer.set(Some(Instant::now()));
+    }
+
+    fn upstreams_answered(&self, sent: Instant) {
         let now = Instant::now();
-        let was_failing = self.last_failure.get() > self.last_answer.get();
-        if was_failing {
-            note(&Belief::StoreReached { away_ms: millis(self.age()) });
-            if self.age() > LAPSE_AFTER {
-                self.returned.set(Some(now));
-                self.revision_at_return.set(None);
-            }
+        if self.upstream_calls.answered(sent).is_some_and(|away| away > LAPSE_AFTER) {
+            self.returned.set(Some(now));
+            self.revision_at_return.set(None);
         }
         self.last_answer.set(Some(now));
     }
 
-    fn failed(&self, call: &str, err: &StoreError) {
-        if self.last_failure.get() <= self.last_answer.get() {
-            note(&Belief::StoreLost { call, reason: &err.to_string() });
-        }
+    /// Takes note that a call sent at `sent` failed.
+    fn failed(&self, calls: &StoreCalls, err: &StoreError, sent: Instant) {
+        calls.failed(err, sent);
         self.last_failure.set(Some(Instant::now()));
     }
 
@@ -287,15 +326,16 @@
     let mut backoff = BACKOFF.0;
     loop {
         wait_for_turn(&view).await;
+        let sent = Instant::now();
         match config_step(&view, after).await {
             Ok(revision) => {
-                view.answered();
+                view.config_answered(sent);
                 after = Some(revision);
                 backoff = BACKOFF.0;
             }
             Err(StoreError::HistoryGone) => after = None,
             Err(err) => {
-                view.failed("configuration", &err);
+                view.failed(&view.config_calls, &err, sent);
                 backoff = pause(backoff).await;
             }
         }
@@ -340,7 +380,8 @@
     let mut backoff = BACKOFF.0;
     loop {
         wait_for_turn(&view).await;
-        match upstreams_step(&view, after).await {
+        let sent = Instant::now();
+        match upstreams_step(&view, after, sent).await {
             Ok(revision) => {
                 after = Some(revision);
                 backoff = BACKOFF.0;
@@ -348,7 +389,7 @@
             }
             Err(StoreError::HistoryGone) => after = None,
             Err(err) => {
-                view.failed("upstreams", &err);
+                view.failed(&view.upstream_calls, &err, sent);
                 backoff = pause(backoff).await;
                 // What happened meanwhile may be missing in the history.
                 if backoff == BACKOFF.1 {
@@ -362,16 +403,17 @@
 async fn upstreams_step(
     view: &View,
     after: Option<StoreRevision>,
+    sent: Instant,
 ) -> Result<StoreRevision, StoreError> {
     let prefix = view.layout.upstream_prefix();
     let Some(after) = after else {
         let listing = view.store.list(prefix, Freshness::Linearizable).await?;
-        view.answered();
+        view.upstreams_answered(sent);
         view.take_upstreams(listing.items, listing.revision);
         return Ok(listing.revision);
     };
     let changes = view.store.watch(prefix, after, WATCH_WAIT).await?;
-    view.answered();
+    view.upstreams_answered(sent);
     for event in changes.events {
         match event {
             StoreEvent::Written(item) => view.take_upstream(&item.key, item.value, item.revision),
