dispatch: A silent upstream is given up only for another one that was chosen

Ruled out: the limit on retries, which was asked first.

Change: the next send is chosen and paid for first; without one the request waits on. The choice is kept, so that it can't get lost between. Test: path_silent_runner_is_kept_where_there_is_no_other (502 before).

--- a/components/fakes/src/entry/runner.rs
+++ b/components/fakes/src/entry/runner.rs
@@ -37,10 +37,15 @@
     AutoBroken,
     /// Never answers.
     Hang,
+    /// Begins after 1.1 s, then goes on as [`Act::Auto`].
+    AutoLate,
     /// Answers with the request's id, or with events that name it, after the last one.
     Auto,
 }
 
+/// Time after which [`Act::AutoLate`] begins.
+const LATE: Duration = Duration::from_millis(1100);
+
 /// Events of an answer of [`Act::Auto`].
 pub const AUTO_EVENTS: u64 = 6;
 
@@ -153,7 +158,10 @@
                 state.seen.push(seen.clone());
                 act
             };
-            if matches!(act, Act::Auto) {
+            if matches!(act, Act::AutoLate) {
+                sleep(LATE).await;
+            }
+            if matches!(act, Act::Auto | Act::AutoLate) {
                 if !answer_by_itself(&mut io, &seen, &id).await {
                     return;
                 }
@@ -217,7 +225,7 @@
                 reset(io);
                 false
             }
-            Act::Auto => true,
+            Act::Auto | Act::AutoLate => true,
             Act::AutoBroken => {
                 let event = auto_event(id, 1);
                 let chunk = format!("{:x}\r\n{event}\r\n8\r\nid: 99\nd\r\n", event.len());
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use actix_http::{Response, body::BoxBody};
+use lycheelatch_prelude::UpstreamId;
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::{
@@ -53,22 +54,20 @@
     attempts: &mut Attempts,
     failed: &mut Option<Whole>,
 ) -> Result<Answered, OwnAnswer> {
-    let mut is_paid = false;
+    let mut paid: Option<Choice> = None;
     loop {
-        let choice = match choose(job, attempts) {
-            Ok(choice) => choice,
-            Err(refusal) if attempts.tried().is_empty() => return Err(refusal),
-            Err(refusal) => return Err(after_sends(attempts, refusal)),
+        let choice = match paid.take() {
+            Some(choice) => choice,
+            None => choose_and_pay(job, attempts)?,
         };
-        let must_pay = attempts.is_retry() && !is_paid;
-        if must_pay && !job.gateway.try_retry(&job.service.name, Instant::now()) {
-            return Err(given_up(attempts.give_up()));
-        }
         let id = choice.upstream.id();
-        is_paid = false;
-        let failure = match send_patiently(job, &choice, attempts, &mut is_paid).await {
+        let failure = match send_patiently(job, &choice, attempts).await {
             Ok(answered) => return Ok(answered),
-            Err(failure) => failure,
+            Err(Unanswered::Failed(failure)) => failure,
+            Err(Unanswered::Left(next)) => {
+                paid = Some(*next);
+                Failure::given_up()
+            }
         };
         let next = attempts.ended(id, failure.end);
         *failed = failure.answer.or(failed.take());
@@ -78,30 +77,62 @@
     }
 }
 
+/// Chooses an upstream, and takes the send from the limit on retries if it is one.
+fn choose_and_pay(job: &Job, attempts: &Attempts) -> Result<Choice, OwnAnswer> {
+    let choice = match choose(job, attempts.tried()) {
+        Ok(choice) => choice,
+        Err(refusal) if attempts.tried().is_empty() => return Err(refusal),
+        Err(refusal) => return Err(after_sends(attempts, refusal)),
+    };
+    if attempts.is_retry() && !job.gateway.try_retry(&job.service.name, Instant::now()) {
+        return Err(given_up(attempts.give_up()));
+    }
+    Ok(choice)
+}
+
+/// How a send ended without an answer.
+enum Unanswered {
+    Failed(Failure),
+    /// The upstream was silent for long; the next send is chosen and paid for.
+    Left(Box<Choice>),
+}
+
+impl From<Failure> for Unanswered {
+    fn from(failure: Failure) -> Unanswered {
+        Unanswered::Failed(failure)
+    }
+}
+
 /// Sends, and gives the upstream up for another one when it is silent for long.
 ///
-/// The next send is paid for before this one is given up, so that an upstream that is only
-/// slow is not left for nothing.
+/// The next send is chosen and paid for before this one is given up, so that an upstream that
+/// is only slow is not left for nothing.
 async fn send_patiently(
     job: &Rc<Job>,
     choice: &Choice,
     attempts: &Attempts,
-    is_paid: &mut bool,
-) -> Result<Answered, Failure> {
+) -> Result<Answered, Unanswered> {
     let mut sending = Box::pin(send(job, choice, job.facts.resume_after));
     if !attempts.may_leave_silent() {
-        return sending.await;
+        return Ok(sending.await?);
     }
     let expected = choice.expected.map_or(Duration::ZERO, |expected| expected.first_token);
     let patience = job.route.target.mul_f64(PATIENCE_SHARE).max(expected * PATIENCE_TIMES);
-    match timeout(patience, &mut sending).await {
-        Ok(result) => result,
-        Err(_) if job.gateway.try_retry(&job.service.name, Instant::now()) => {
-            *is_paid = true;
-            Err(Failure::given_up())
-        }
-        Err(_) => sending.await,
+    if let Ok(result) = timeout(patience, &mut sending).await {
+        return Ok(result?);
     }
+    match choose_other(job, attempts, choice) {
+        Some(next) => Err(Unanswered::Left(Box::new(next))),
+        None => Ok(sending.await?),
+    }
+}
+
+/// Chooses and pays for another upstream in place of one that is silent, if there is one.
+fn choose_other(job: &Job, attempts: &Attempts, silent: &Choice) -> Option<Choice> {
+    let mut tried = attempts.tried().to_vec();
+    tried.push(silent.upstream.id());
+    let next = choose(job, &tried).ok()?;
+    job.gateway.try_retry(&job.service.name, Instant::now()).then_some(next)
 }
 
 /// Returns the refusal when no further upstream can be found after some sends.
@@ -125,7 +156,7 @@
 }
 
 /// Chooses an upstream for the next send.
-pub(crate) fn choose(job: &Job, attempts: &Attempts) -> Result<Choice, OwnAnswer> {
+fn choose(job: &Job, tried: &[UpstreamId]) -> Result<Choice, OwnAnswer> {
     let now = Instant::now();
     if job.left() < MIN_LEFT {
         return Err(OwnAnswer::new(Reason::TooLate));
@@ -139,7 +170,7 @@
         zone: &job.gateway.settings.zone,
         far_news: job.gateway.far_news(),
         keepers: &keepers,
-        tried: attempts.tried(),
+        tried,
         until_late: late.saturating_duration_since(now),
         rank: job.rank(),
     };
@@ -189,10 +220,7 @@
     after: Option<u64>,
 ) -> Option<Started> {
     loop {
-        let choice = choose(job, attempts).ok()?;
-        if attempts.is_retry() && !job.gateway.try_retry(&job.service.name, Instant::now()) {
-            return None;
-        }
+        let choice = choose_and_pay(job, attempts).ok()?;
         let id = choice.upstream.id();
         match send(job, &choice, after).await {
             Ok(Answered::Events(started)) => return Some(started),
