leader: Nodes that hear the holder don't look for it in the store

Change: a node's datagrams say whether it holds the duties. Nodes that hear the holder ask the store nothing; those that miss it read the key linearizably about every 0.3 s, some twelve of them at once however many there are. Test: duties_holder_that_is_heard_is_not_looked_for.

--- a/components/gateway/src/duty_tests.rs
+++ b/components/gateway/src/duty_tests.rs
@@ -22,6 +22,7 @@
     GatewayMetrics, Item, Leader, Listing, SizeOrder, Store, StoreError, StoreLease, StoreRevision,
     TrueTime, UsageWindow, WindowCounts,
     leader::hold_duties,
+    peers::Digest,
     report::report_usage,
     test_support::{NoDialect, settings},
 };
@@ -121,6 +122,8 @@
     script: VecDeque<Outcome>,
     acts: Vec<Act>,
     reports: Vec<Report>,
+    /// Reads of single keys.
+    reads: u32,
 }
 
 impl World {
@@ -134,6 +137,7 @@
             script,
             acts: Vec::new(),
             reports: Vec::new(),
+            reads: 0,
         }
     }
 
@@ -249,6 +253,7 @@
     async fn get(&self, key: &str) -> Result<Option<Item>, StoreError> {
         sleep(TRAVEL).await;
         let mut world = self.0.borrow_mut();
+        world.reads += 1;
         world.end_leases();
         Ok(world.values.get(key).map(|stored| stored.item.clone()))
     }
@@ -456,6 +461,42 @@
     assert_eq!(windows, [200_000, 200_001, 200_002, 200_003]);
 }
 
+#[test]
+fn duties_holder_that_is_heard_is_not_looked_for() {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_time().start_paused(true).build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let world = Rc::new(RefCell::new(World::new(0, VecDeque::new())));
+        let node = Node::start(&world, 1);
+        for sequence in 0..50 {
+            let digest = holder_digest(sequence);
+            let from = "127.0.0.1:1".parse().unwrap();
+            let boot = world.borrow().started.elapsed();
+            node.gateway.peers.borrow_mut().heard(from, digest, Instant::now(), boot);
+            sleep(LOOK).await;
+        }
+        assert_eq!(world.borrow().reads, 0, "while the holder is heard");
+        sleep(Duration::from_millis(1600)).await;
+        assert!(node.leader.holds(), "soon after the last word of the holder");
+    });
+}
+
+fn holder_digest(sequence: u64) -> Digest {
+    Digest {
+        node: "node-9".parse().unwrap(),
+        zone: "zone-a".parse().unwrap(),
+        incarnation: 1,
+        sequence,
+        time_ms: 0,
+        holds_duties: true,
+        quota_use: Vec::new(),
+        upstreams: Vec::new(),
+        reads: Vec::new(),
+        usage: Vec::new(),
+        demand: Vec::new(),
+    }
+}
+
 #[test]
 fn duties_first_writes_keep_one_holder() {
     play_all(0..4);
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -47,6 +47,8 @@
     pub(crate) usage: RefCell<Usage>,
     pub(crate) peers: RefCell<PeerView>,
     pub(crate) reads: RefCell<Vec<Read>>,
+    /// Whether this node holds the duties of one node for all.
+    pub(crate) holds_duties: Cell<bool>,
     pub(crate) datagrams: OnceCell<Rc<UdpSocket>>,
     pub(crate) arrivals: RefCell<BTreeMap<ServiceName, Demand>>,
     table: RefCell<Option<Rc<RoutingTable>>>,
@@ -127,6 +129,7 @@
             dialect,
             time,
             reads: RefCell::default(),
+            holds_duties: Cell::new(false),
             datagrams: OnceCell::new(),
             arrivals: RefCell::default(),
             table: RefCell::default(),
@@ -290,7 +293,7 @@
     }
 
     /// Returns the number of nodes; seeds count while the others are not known yet.
-    fn nodes(&self) -> u32 {
+    pub(crate) fn nodes(&self) -> u32 {
         let seeds = u32::try_from(self.reloaded.borrow().seeds.len()).unwrap_or(u32::MAX);
         self.peers.borrow().nodes().max(seeds.saturating_add(1))
     }
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -142,6 +142,7 @@
         incarnation,
         sequence,
         time_ms: u64::try_from(gateway.time.now().as_millis()).unwrap_or(u64::MAX),
+        holds_duties: gateway.holds_duties.get(),
         quota_use: gateway.quota_use(Instant::now()),
         upstreams: upstreams.collect(),
         reads,
--- a/components/gateway/src/leader.rs
+++ b/components/gateway/src/leader.rs
@@ -8,11 +8,11 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 use lycheelatch_prelude::{Fence, NodeId};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    BootClock, Commit, Committed, Freshness, Gateway, Store, StoreError, StoreLease, StoreRevision,
+    BootClock, Commit, Committed, Gateway, Store, StoreError, StoreLease, StoreRevision,
     decision::{Belief, millis, note},
     layout::OWN_PREFIX,
 };
@@ -23,11 +23,14 @@
 /// Part of the lease before whose end the holder stops to act.
 const MARGIN_SHARE: u32 = 8;
 
-/// Pause between two looks at who holds the key.
-const LOOK_INTERVAL: Duration = Duration::from_millis(1500);
+/// Pause between two looks whether the holder is heard.
+const LOOK_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Nodes that look at the usual interval.
-const LOOKING_NODES: u32 = 12;
+/// Pause after a look at the store that found the key held.
+const HELD_PAUSE: Duration = Duration::from_millis(1200);
+
+/// Nodes that look at the store in one interval while no holder is heard.
+const LOOKING_NODES: u64 = 12;
 
 /// Number of different pauses between two looks.
 const SPREAD_STEPS: u64 = 1024;
@@ -93,42 +96,68 @@
     let started = leader.boot.elapsed();
     let node = &gateway.settings.node;
     for look in 0_u64.. {
-        let is_free = match store.list(&holder_key(), Freshness::Stale).await {
-            Ok(listing) => listing.items.is_empty(),
-            Err(_) => false,
-        };
-        if is_free && !gateway.is_stopping() {
-            let is_first = gateway.settings.is_first_start
-                && leader.boot.elapsed().saturating_sub(started) < EARLY;
-            match acquire(&*store, &leader, node, ttl, is_first).await {
-                Ok(Some((lease, holding))) => {
-                    let acts_in = holding.acts_from.saturating_sub(leader.boot.elapsed());
-                    let fence = holding.fence.0;
-                    note(&Belief::DutiesWon { fence, acts_in_ms: millis(acts_in) });
-                    leader.holding.set(Some(holding));
-                    keep(&gateway, &*store, &leader, lease, ttl).await;
-                    leader.holding.set(None);
-                    note(&Belief::DutiesLost { fence });
-                }
-                Ok(None) => {}
-                Err(err) => log::info!("leader: not acquired: {err}"),
+        sleep(LOOK_INTERVAL.mul_f64(spread(node, look))).await;
+        if !is_turn(&gateway, look) {
+            continue;
+        }
+        let is_first = gateway.settings.is_first_start
+            && leader.boot.elapsed().saturating_sub(started) < EARLY;
+        match acquire(&*store, &leader, node, ttl, is_first).await {
+            Ok(Some((lease, holding))) => {
+                hold(&gateway, &*store, &leader, lease, holding, ttl).await;
             }
+            Ok(None) => sleep(HELD_PAUSE).await,
+            Err(err) => log::info!("leader: not acquired: {err}"),
         }
-        // However many nodes there are, about as many look at any time.
-        let nodes = gateway.peers.borrow().nodes();
-        let rarer = f64::from(nodes.max(LOOKING_NODES)) / f64::from(LOOKING_NODES);
-        sleep(LOOK_INTERVAL.mul_f64(rarer * spread(node, look))).await;
     }
 }
 
+/// Returns whether this node looks at the store now.
+///
+/// However many nodes miss the holder, about as many look at once.
+fn is_turn(gateway: &Gateway, look: u64) -> bool {
+    let zone = &gateway.settings.zone;
+    if gateway.is_stopping() || gateway.peers.borrow().hears_holder(zone, Instant::now()) {
+        return false;
+    }
+    let turns = (u64::from(gateway.nodes()) / LOOKING_NODES).max(1);
+    draw(&gateway.settings.node, look).is_multiple_of(turns)
+}
+
+/// Acts as the holder until the lease is lost or the node stops.
+async fn hold(
+    gateway: &Gateway,
+    store: &dyn Store,
+    leader: &Leader,
+    lease: StoreLease,
+    holding: Holding,
+    ttl: Duration,
+) {
+    let fence = holding.fence.0;
+    let acts_in = holding.acts_from.saturating_sub(leader.boot.elapsed());
+    note(&Belief::DutiesWon { fence, acts_in_ms: millis(acts_in) });
+    leader.holding.set(Some(holding));
+    gateway.holds_duties.set(true);
+    keep(gateway, store, leader, lease, ttl).await;
+    gateway.holds_duties.set(false);
+    leader.holding.set(None);
+    note(&Belief::DutiesLost { fence });
+}
+
+/// Returns a number that differs between nodes and looks.
+fn draw(node: &NodeId, look: u64) -> u64 {
+    xxh3_64_with_seed(node.as_str().as_bytes(), look)
+}
+
 /// Returns a factor about 1 that differs between nodes and looks.
 fn spread(node: &NodeId, look: u64) -> f64 {
-    let drawn = xxh3_64_with_seed(node.as_str().as_bytes(), look) % SPREAD_STEPS;
+    let drawn = draw(node, look) % SPREAD_STEPS;
     #[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
     let part = drawn as f64 / SPREAD_STEPS as f64;
     0.7 + 0.6 * part
 }
 
+/// Takes the key, if nobody holds it.
 async fn acquire(
     store: &dyn Store,
     leader: &Leader,
@@ -136,6 +165,9 @@
     ttl: Duration,
     is_first: bool,
 ) -> Result<Option<(StoreLease, Holding)>, StoreError> {
+    if store.get(&holder_key()).await?.is_some() {
+        return Ok(None);
+    }
     let sent = leader.boot.elapsed();
     let lease = store.grant(ttl).await?;
     let commit = Commit {
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -97,6 +97,8 @@
     pub(crate) sequence: u64,
     /// Milliseconds since 1970.
     pub(crate) time_ms: u64,
+    /// Whether it holds the duties of one node for all.
+    pub(crate) holds_duties: bool,
     /// What workspaces were let through in the window of their limits.
     pub(crate) quota_use: Vec<(WorkspaceName, PartUse)>,
     pub(crate) upstreams: Vec<UpstreamUse>,
@@ -279,6 +281,20 @@
         near
     }
 
+    /// Returns whether a node that holds the duties is heard.
+    ///
+    /// The nodes of its own availability zone hear it most often, and miss it first.
+    pub(crate) fn hears_holder(&self, zone: &ZoneName, now: Instant) -> bool {
+        let far = self.heard_limit();
+        self.peers.values().any(|peer| {
+            let Some(digest) = peer.digest.as_ref().filter(|said| said.holds_duties) else {
+                return false;
+            };
+            let limit = if digest.zone == *zone { HEARD } else { far };
+            peer.age_below(limit, now).is_some()
+        })
+    }
+
     /// Returns the time between two datagrams from a node of another availability zone.
     pub(crate) fn far_interval(&self) -> Duration {
         far_interval(self.peers.len())
@@ -377,6 +393,7 @@
             incarnation: 1,
             sequence,
             time_ms,
+            holds_duties: false,
             quota_use: Vec::new(),
             upstreams: Vec::new(),
             reads: Vec::new(),
