place: Fetches of a kept prompt are spread over the engines that keep it

Change: the source is chosen after the engine that fetches: one in its availability zone first, spread by the request's hash. Test: place_fetches_are_spread_over_the_engines_that_keep_the_prompt (all 80 from one engine before).

--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -115,16 +115,15 @@
 ) -> Result<Choice, NoChoice> {
     let Some(engine) = &ask.service.engine else { return Err(NoChoice::NoUpstream) };
     let preferred = preferred(chain.affinity(), usable);
-    let keeper = keeper(ask, chain, engine);
+    let kept_elsewhere = kept_elsewhere(ask, chain, engine);
     let mut best: Option<(f64, &Rc<Upstream>, Expected)> = None;
     let mut second: Option<(f64, &Rc<Upstream>, Expected)> = None;
     let mut soonest = Duration::MAX;
     for up in usable {
         let entry = up.entry.borrow();
         let load = up.load.borrow();
-        let kept = keeper.as_ref().map_or(0, |keeper| keeper.tokens);
-        let missing = kept.saturating_sub(load.cached_tokens(chain));
-        let kept = if missing >= MIN_FETCHED_TOKENS { kept } else { 0 };
+        let missing = kept_elsewhere.saturating_sub(load.cached_tokens(chain));
+        let kept = if missing >= MIN_FETCHED_TOKENS { kept_elsewhere } else { 0 };
         let expected = load.expect(chain, engine, kept, now);
         soonest = soonest.min(expected.first_token);
         if !expected.has_room {
@@ -150,8 +149,10 @@
     let allowed = ask.until_late.mul_f64(admitted_share(ask.rank));
     match best {
         Some((_, upstream, expected)) if expected.first_token <= allowed => {
-            let is_fetched = expected.fetched_tokens > 0;
-            let fetch_from = keeper.filter(|_| is_fetched).map(|keeper| keeper.address);
+            let fetch_from = match expected.fetched_tokens {
+                0 => None,
+                _ => keeper(ask, chain, kept_elsewhere, upstream),
+            };
             let second = second.map(|(_, up, expected)| (up.id(), expected.first_token));
             Ok(Choice {
                 upstream: upstream.clone(),
@@ -170,19 +171,27 @@
     ZONE_PENALTY_MS + ask.far_news.as_secs_f64() * 1000.0 * FAR_NEWS_SHARE
 }
 
-/// An engine that keeps the longest beginning of a prompt.
-struct Keeper {
-    tokens: u32,
-    address: SocketAddr,
+/// Returns the tokens of a prompt that can be fetched from an engine.
+fn kept_elsewhere(ask: &PlaceAsk<'_>, chain: &Chain, engine: &EngineSpec) -> u32 {
+    if engine.moved_tokens_per_ms.is_none() {
+        return 0;
+    }
+    let kept = ask.keepers.iter().map(|up| up.load.borrow().cached_tokens(chain));
+    kept.max().filter(|tokens| *tokens >= MIN_FETCHED_TOKENS).unwrap_or(0)
 }
 
-fn keeper(ask: &PlaceAsk<'_>, chain: &Chain, engine: &EngineSpec) -> Option<Keeper> {
-    engine.moved_tokens_per_ms?;
-    let kept = ask.keepers.iter().map(|up| Keeper {
-        tokens: up.load.borrow().cached_tokens(chain),
-        address: up.entry.borrow().address,
-    });
-    kept.max_by_key(|keeper| keeper.tokens).filter(|keeper| keeper.tokens >= MIN_FETCHED_TOKENS)
+/// Returns an engine that keeps so many tokens of a prompt, best in the zone that fetches them.
+///
+/// Transfers of one engine run one after another, so that requests are spread over all of them.
+fn keeper(ask: &PlaceAsk<'_>, chain: &Chain, tokens: u32, to: &Upstream) -> Option<SocketAddr> {
+    let zone = to.entry.borrow().zone.clone();
+    let request = chain.links.last().map_or(0, |(hash, _)| hash.0);
+    let keepers = ask.keepers.iter().filter(|up| up.load.borrow().cached_tokens(chain) >= tokens);
+    let rank = |up: &&Rc<Upstream>| {
+        let entry = up.entry.borrow();
+        (entry.zone == zone, xxh3_64_with_seed(entry.id.as_str().as_bytes(), request))
+    };
+    keepers.max_by_key(rank).map(|up| up.entry.borrow().address)
 }
 
 fn admitted_share(rank: Rank) -> f64 {
--- a/components/gateway/tests/place.rs
+++ b/components/gateway/tests/place.rs
@@ -1,6 +1,6 @@
 //! Where requests go, and what that does to first tokens under load.
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use lycheelatch_gateway::{
     Chain, Choice, Directory, EngineSpec, InFlight, NoChoice, PlaceAsk, Prompt, PromptPart, Rank,
@@ -106,6 +106,23 @@
     assert_eq!(choice.fetch_from, Some(engines[1].entry.borrow().address));
 }
 
+#[test]
+fn place_fetches_are_spread_over_the_engines_that_keep_the_prompt() {
+    let (engines, now) = (engines(8), Instant::now());
+    for engine in &engines[..4] {
+        remember(engine, &chain(7, 13_000, 99, 500), now);
+        burden(engine, 40_000);
+    }
+    let mut fetches: HashMap<SocketAddr, u32> = HashMap::new();
+    for own in 0..80 {
+        let choice = choose(&chain(7, 13_000, 1000 + own, 500), &engines, now).ok().unwrap();
+        *fetches.entry(choice.fetch_from.unwrap()).or_default() += 1;
+    }
+    // Transfers of one engine run one after another.
+    assert_eq!(fetches.len(), 4, "{fetches:?}");
+    assert!(fetches.values().all(|count| *count >= 10), "{fetches:?}");
+}
+
 #[test]
 fn place_refuses_what_would_be_late_and_says_when() {
     let (engines, now) = (engines(2), Instant::now());
