gossip, place: Nodes without engines of their own hear of every request

Change: nodes whose zone has no engine of the service hear of every request to it; half of the age of far news counts against a far engine, in place of 0.15. Test: choosers_of_a_zone_without_engines_hear_of_every_request.

--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -1,6 +1,11 @@
 //! Sends and takes the datagrams between nodes.
 
-use std::{collections::VecDeque, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use lycheelatch_prelude::{ServiceName, ZoneName};
 use tokio::{
@@ -18,6 +23,9 @@
     },
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Time between two datagrams to each node of a small cluster.
 pub(crate) const INTERVAL: Duration = Duration::from_millis(200);
 
@@ -215,7 +223,13 @@
 }
 
 /// Tells the nodes that choose among the same engines of a request that is being sent.
-pub(crate) fn tell_sent(gateway: &Gateway, zone: &ZoneName, read: &Read, work: InFlight) {
+pub(crate) fn tell_sent(
+    gateway: &Gateway,
+    service: &ServiceName,
+    zone: &ZoneName,
+    read: &Read,
+    work: InFlight,
+) {
     let Some(socket) = gateway.datagrams.get() else { return };
     let notice = SentNotice {
         node: gateway.settings.node.clone(),
@@ -228,26 +242,36 @@
         links: to_wire(&read.links),
     };
     let Ok(bytes) = postcard::to_stdvec(&Datagram::Sent(notice)) else { return };
-    for target in choosers(gateway, zone) {
+    for target in choosers(gateway, service, zone) {
         if let Err(err) = socket.try_send_to(&bytes, target) {
             log::debug!("peers: no notice to {target}: {err}");
         }
     }
 }
 
-/// Returns the nodes that choose among the engines of an availability zone, and those of this
-/// node's own.
-fn choosers(gateway: &Gateway, zone: &ZoneName) -> Vec<SocketAddr> {
+/// Returns the nodes that choose among the engines of an availability zone.
+///
+/// These are the nodes of this zone and of that one, and those whose own zone has no engines.
+fn choosers(gateway: &Gateway, service: &ServiceName, zone: &ZoneName) -> BTreeSet<SocketAddr> {
     let peers = gateway.peers.borrow();
     let own = &gateway.settings.zone;
-    let Addresses { mut near, far } = peers.addresses(own);
-    near.truncate(MAX_NEAR_PER_ROUND);
+    let Addresses { near, far } = peers.addresses(own);
+    let mut told: BTreeSet<_> = near.into_iter().take(MAX_NEAR_PER_ROUND).collect();
     if far.len() <= MAX_FAR_PER_ROUND {
-        near.extend(far);
-    } else if zone != own {
-        near.extend(peers.addresses(zone).near.into_iter().take(MAX_NEAR_PER_ROUND));
+        told.extend(far);
+        return told;
     }
-    near
+    if zone != own {
+        told.extend(peers.addresses(zone).near.into_iter().take(MAX_NEAR_PER_ROUND));
+    }
+    told.extend(peers.addresses_outside(&zones_with(gateway, service)));
+    told
+}
+
+/// Returns the availability zones in which a service has upstreams that take work.
+fn zones_with(gateway: &Gateway, service: &ServiceName) -> BTreeSet<ZoneName> {
+    let upstreams = gateway.directory.of(service);
+    upstreams.iter().map(|up| up.entry.borrow().zone.clone()).collect()
 }
 
 /// Writes what the other nodes have in flight into the directory, and compares clocks.
--- /dev/null
+++ b/components/gateway/src/gossip/tests.rs
@@ -0,0 +1,86 @@
+//! Who hears of a request at once.
+
+use std::net::IpAddr;
+
+use lycheelatch_prelude::NodeId;
+
+use super::*;
+use crate::{
+    GatewayMetrics, MachineClock, StoreRevision, TrueTime, UpstreamEntry,
+    test_support::{NoDialect, settings},
+};
+
+const NODES_IN_ZONE: u16 = 10;
+
+const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+
+fn address(zone: usize, node: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, u8::try_from(zone).unwrap(), 1], 1000 + node))
+}
+
+fn digest(node: &str, zone: &str) -> Digest {
+    Digest {
+        node: node.parse().unwrap(),
+        zone: zone.parse().unwrap(),
+        incarnation: 1,
+        sequence: 1,
+        time_ms: 0,
+        holds_duties: false,
+        quota_use: Vec::new(),
+        upstreams: Vec::new(),
+        reads: Vec::new(),
+        usage: Vec::new(),
+        demand: Vec::new(),
+    }
+}
+
+/// Returns a node of zone-a among ten nodes in each zone, with engines in some zones.
+fn gateway(with_engines: &[&str]) -> Gateway {
+    let metrics = GatewayMetrics::new(&prometheus::Registry::new()).unwrap();
+    let time = Rc::new(TrueTime::new(Rc::new(MachineClock)));
+    let gateway = Gateway::new(settings(1), Rc::new(NoDialect), metrics, time);
+    for (at, zone) in ZONES.iter().enumerate() {
+        for node in 0..NODES_IN_ZONE {
+            let name: NodeId = format!("n-{zone}-{node}").parse().unwrap();
+            let said = digest(name.as_str(), zone);
+            let mut peers = gateway.peers.borrow_mut();
+            peers.heard(address(at, node), said, Instant::now(), Duration::ZERO);
+        }
+    }
+    for zone in with_engines {
+        let entry = UpstreamEntry {
+            id: format!("engine-{zone}").parse().unwrap(),
+            service: "svc".parse().unwrap(),
+            address: "127.0.0.1:80".parse().unwrap(),
+            zone: zone.parse().unwrap(),
+            slots: 4,
+            is_ready: true,
+            is_reclaimable: true,
+            leaves_in: None,
+            born: None,
+        };
+        gateway.directory.put(entry, StoreRevision(1));
+    }
+    gateway
+}
+
+/// Returns how many nodes of each zone hear of a request to an engine of `zone`.
+fn heard_by(gateway: &Gateway, zone: &str) -> [usize; 3] {
+    let told = choosers(gateway, &"svc".parse().unwrap(), &zone.parse().unwrap());
+    let of_zone = |at: u8| told.iter().filter(|to| to.ip() == IpAddr::from([10, 0, at, 1])).count();
+    [of_zone(0), of_zone(1), of_zone(2)]
+}
+
+#[test]
+fn choosers_are_the_nodes_of_both_zones() {
+    let gateway = gateway(&ZONES);
+    assert_eq!(heard_by(&gateway, "zone-a"), [10, 0, 0]);
+    assert_eq!(heard_by(&gateway, "zone-b"), [10, 10, 0]);
+}
+
+#[test]
+fn choosers_of_a_zone_without_engines_hear_of_every_request() {
+    let gateway = gateway(&["zone-a", "zone-b"]);
+    assert_eq!(heard_by(&gateway, "zone-a"), [10, 0, 10]);
+    assert_eq!(heard_by(&gateway, "zone-b"), [10, 10, 10]);
+}
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -4,7 +4,7 @@
 //! costs nothing but age. What lasts goes through the store.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     time::Duration,
 };
@@ -247,6 +247,13 @@
         Addresses { near: of(near), far: of(far) }
     }
 
+    /// Returns the addresses of the other nodes outside of some availability zones.
+    pub(crate) fn addresses_outside(&self, zones: &BTreeSet<ZoneName>) -> Vec<SocketAddr> {
+        let is_outside =
+            |peer: &&Peer| peer.digest.as_ref().is_some_and(|said| !zones.contains(&said.zone));
+        self.peers.values().filter(is_outside).map(|peer| peer.address).collect()
+    }
+
     /// Returns the nodes that are heard.
     fn heard_peers(&self, now: Instant) -> impl Iterator<Item = (&NodeId, &Peer)> {
         let limit = self.heard_limit();
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -16,7 +16,7 @@
 const ZONE_PENALTY_MS: f64 = 12.0;
 
 /// Part of the age of far news that counts against an upstream there.
-const FAR_NEWS_SHARE: f64 = 0.15;
+const FAR_NEWS_SHARE: f64 = 0.5;
 
 /// Time that a read of a thousand shared tokens costs beyond the reading.
 const READ_PENALTY_MS: f64 = 4.0;
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -47,7 +47,8 @@
             load.remember(&chain.links, memory, Instant::now());
             let read = Read { upstream: upstream.id(), links: chain.links.clone() };
             drop(load);
-            tell_sent(&job.gateway, &upstream.entry.borrow().zone, &read, sent);
+            let zone = upstream.entry.borrow().zone.clone();
+            tell_sent(&job.gateway, &job.service.name, &zone, &read, sent);
             job.gateway.reads.borrow_mut().push(read);
             work = Some(sent);
         }
