place: Nothing is fetched from an engine that is still reading it

Change: a beginning counts for fetches 0.6 s after it was first sent; the time of the first send stays when it is used again.

--- a/components/gateway/src/engine_load.rs
+++ b/components/gateway/src/engine_load.rs
@@ -30,6 +30,9 @@
 /// Time in which a slow engine that is not used is taken for half as slow.
 const SLOWNESS_HALF_LIFE: Duration = Duration::from_secs(4);
 
+/// Time by which an engine has read a prompt that it was sent, so that others can fetch it.
+const READ_BY_THEN: Duration = Duration::from_millis(600);
+
 /// Share of the memory that cached prompts are believed to keep.
 const CACHE_SHARE: f64 = 0.75;
 
@@ -98,6 +101,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Cached {
     tokens: u32,
+    since: Instant,
     used: Instant,
 }
 
@@ -168,6 +172,15 @@
         chain.links.iter().take_while(is_cached).map(|(_, tokens)| tokens).sum()
     }
 
+    /// Returns the tokens of a prompt that other engines can fetch from here, from its start.
+    pub fn kept_tokens(&self, chain: &Chain, now: Instant) -> u32 {
+        let is_read = |link: &&(ChainHash, u32)| {
+            let cached = self.cache.get(&link.0);
+            cached.is_some_and(|cached| now.duration_since(cached.since) >= READ_BY_THEN)
+        };
+        chain.links.iter().take_while(is_read).map(|(_, tokens)| tokens).sum()
+    }
+
     /// Returns what a request would meet; `kept` tokens may be fetched from another engine.
     pub fn expect(&self, chain: &Chain, engine: &EngineSpec, kept: u32, now: Instant) -> Expected {
         let own = self.cached_tokens(chain);
@@ -227,10 +240,12 @@
     /// Takes note of prompts that the engine has read, by any node.
     pub fn remember(&mut self, links: &[(ChainHash, u32)], memory_tokens: u64, now: Instant) {
         for &(hash, tokens) in links {
-            let known = self.cache.insert(hash, Cached { tokens, used: now });
-            if known.is_none() {
-                self.cached_tokens += u64::from(tokens);
+            if let Some(known) = self.cache.get_mut(&hash) {
+                known.used = now;
+                continue;
             }
+            self.cache.insert(hash, Cached { tokens, since: now, used: now });
+            self.cached_tokens += u64::from(tokens);
         }
         self.evict(memory_tokens);
     }
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -115,7 +115,7 @@
 ) -> Result<Choice, NoChoice> {
     let Some(engine) = &ask.service.engine else { return Err(NoChoice::NoUpstream) };
     let preferred = preferred(chain.affinity(), usable);
-    let kept_elsewhere = kept_elsewhere(ask, chain, engine);
+    let kept_elsewhere = kept_elsewhere(ask, chain, engine, now);
     let mut best: Option<(f64, &Rc<Upstream>, Expected)> = None;
     let mut second: Option<(f64, &Rc<Upstream>, Expected)> = None;
     let mut soonest = Duration::MAX;
@@ -151,7 +151,7 @@
         Some((_, upstream, expected)) if expected.first_token <= allowed => {
             let fetch_from = match expected.fetched_tokens {
                 0 => None,
-                _ => keeper(ask, chain, kept_elsewhere, upstream),
+                _ => keeper(ask, chain, kept_elsewhere, upstream, now),
             };
             let second = second.map(|(_, up, expected)| (up.id(), expected.first_token));
             Ok(Choice {
@@ -172,21 +172,28 @@
 }
 
 /// Returns the tokens of a prompt that can be fetched from an engine.
-fn kept_elsewhere(ask: &PlaceAsk<'_>, chain: &Chain, engine: &EngineSpec) -> u32 {
+fn kept_elsewhere(ask: &PlaceAsk<'_>, chain: &Chain, engine: &EngineSpec, now: Instant) -> u32 {
     if engine.moved_tokens_per_ms.is_none() {
         return 0;
     }
-    let kept = ask.keepers.iter().map(|up| up.load.borrow().cached_tokens(chain));
+    let kept = ask.keepers.iter().map(|up| up.load.borrow().kept_tokens(chain, now));
     kept.max().filter(|tokens| *tokens >= MIN_FETCHED_TOKENS).unwrap_or(0)
 }
 
 /// Returns an engine that keeps so many tokens of a prompt, best in the zone that fetches them.
 ///
 /// Transfers of one engine run one after another, so that requests are spread over all of them.
-fn keeper(ask: &PlaceAsk<'_>, chain: &Chain, tokens: u32, to: &Upstream) -> Option<SocketAddr> {
+fn keeper(
+    ask: &PlaceAsk<'_>,
+    chain: &Chain,
+    tokens: u32,
+    to: &Upstream,
+    now: Instant,
+) -> Option<SocketAddr> {
     let zone = to.entry.borrow().zone.clone();
     let request = chain.links.last().map_or(0, |(hash, _)| hash.0);
-    let keepers = ask.keepers.iter().filter(|up| up.load.borrow().cached_tokens(chain) >= tokens);
+    let keepers =
+        ask.keepers.iter().filter(|up| up.load.borrow().kept_tokens(chain, now) >= tokens);
     let rank = |up: &&Rc<Upstream>| {
         let entry = up.entry.borrow();
         (entry.zone == zone, xxh3_64_with_seed(entry.id.as_str().as_bytes(), request))
