--- a/components/daemon/src/line_queue.rs
+++ b/components/daemon/src/line_queue.rs
@@ -20,9 +20,6 @@
 /// Lines that wait to be written.
 const QUEUE: usize = 1024;
 
-/// Bytes from which lines are written without waiting for more.
-const MAX_BATCH: usize = 64 << 10;
-
 /// Time between two looks at whether the last lines are written.
 const LAST_LINES_POLL: Duration = Duration::from_millis(1);
 
@@ -89,18 +86,11 @@
     let _written = writeln!(io::stderr(), "log: {what}: {err}");
 }
 
-/// Writes lines, those that wait together in one call, until nobody can send more.
+/// Writes lines, each in one call, until nobody can send more.
 fn write_lines(rx: &Receiver<Vec<u8>>, mut out: impl Write, waiting: &AtomicUsize) {
-    while let Ok(mut batch) = rx.recv() {
-        let mut lines = 1;
-        while batch.len() < MAX_BATCH
-            && let Ok(line) = rx.try_recv()
-        {
-            batch.extend(line);
-            lines += 1;
-        }
-        let written = out.write_all(&batch).and_then(|()| out.flush());
-        waiting.fetch_sub(lines, Ordering::Relaxed);
+    while let Ok(line) = rx.recv() {
+        let written = out.write_all(&line).and_then(|()| out.flush());
+        waiting.fetch_sub(1, Ordering::Relaxed);
         if let Err(err) = written {
             complain("no more lines are written", &err);
             return;
