health, gossip: Nodes tell each other of an upstream that is not at its address

Change: a refused connection or a 421 sets the upstream aside at once, and the nodes that choose among the same upstreams hear of it and set it aside for 0.8 s, unless they had a good answer within a second. Time-outs are not told: they may be the teller's own link.

--- a/components/gateway/src/connection.rs
+++ b/components/gateway/src/connection.rs
@@ -39,6 +39,8 @@
 pub(crate) enum ExchangeError {
     /// no byte was sent: {0}
     NotSent(Arc<str>),
+    /// nothing listens at the address: {0}
+    NobodyThere(Arc<str>),
     /// the connection broke after a byte was sent: {0}
     Broken(Arc<str>),
     /// the answer can't be read: {0}
@@ -91,7 +93,12 @@
         let opened = timeout(limit, TcpStream::connect(address)).await;
         let io = opened
             .map_err(|_| not_sent(format!("no connection after {} ms", limit.as_millis())))?
-            .map_err(|err| not_sent(err.to_string()))?;
+            .map_err(|err| match err.kind() {
+                io::ErrorKind::ConnectionRefused => {
+                    ExchangeError::NobodyThere(err.to_string().into())
+                }
+                _ => not_sent(err.to_string()),
+            })?;
         io.set_nodelay(true).map_err(|err| not_sent(err.to_string()))?;
         let socket = socket2::SockRef::from(&io);
         if let Err(err) = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT)) {
--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -82,6 +82,11 @@
         self.entry.borrow().id.clone()
     }
 
+    /// Returns whether it gets no work for a while, by answers that this node or others had.
+    pub fn is_set_aside(&self, now: Instant) -> bool {
+        self.health.borrow().is_resting(now)
+    }
+
     /// Returns whether it takes new requests.
     pub fn takes_work(&self) -> bool {
         !self.gone.get() && self.entry.borrow().is_ready
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use lycheelatch_prelude::{ServiceName, ZoneName};
+use lycheelatch_prelude::{ServiceName, UpstreamId, ZoneName};
 use tokio::{
     net::UdpSocket,
     time::{Instant, MissedTickBehavior, interval},
@@ -183,6 +183,7 @@
         match postcard::from_bytes::<Datagram>(&buf[..len]) {
             Ok(Datagram::State(digest)) => take(&gateway, from, digest),
             Ok(Datagram::Sent(notice)) => take_sent(&gateway, notice),
+            Ok(Datagram::Absent(upstream)) => take_absent(&gateway, &upstream),
             Err(err) => log::warn!("peers: a datagram of {from} can't be read: {err}"),
         }
     }
@@ -241,8 +242,32 @@
         },
         links: to_wire(&read.links),
     };
-    let Ok(bytes) = postcard::to_stdvec(&Datagram::Sent(notice)) else { return };
-    for target in choosers(gateway, service, zone) {
+    send_notice(socket, &Datagram::Sent(notice), choosers(gateway, service, zone));
+}
+
+/// Tells the nodes that choose among the same upstreams that one is not at its address.
+pub(crate) fn tell_absent(gateway: &Gateway, upstream: &Upstream) {
+    let Some(socket) = gateway.datagrams.get() else { return };
+    let entry = upstream.entry.borrow();
+    let targets = choosers(gateway, &entry.service, &entry.zone);
+    send_notice(socket, &Datagram::Absent(entry.id.clone()), targets);
+}
+
+fn take_absent(gateway: &Gateway, upstream: &UpstreamId) {
+    if let Some(upstream) = gateway.directory.get(upstream) {
+        upstream.health.borrow_mut().absent_for_another(Instant::now());
+    }
+}
+
+fn send_notice(socket: &UdpSocket, notice: &Datagram, targets: BTreeSet<SocketAddr>) {
+    let bytes = match postcard::to_stdvec(notice) {
+        Ok(bytes) => bytes,
+        Err(err) => {
+            log::error!("peers: a notice can't be encoded: {err}");
+            return;
+        }
+    };
+    for target in targets {
         if let Err(err) = socket.try_send_to(&bytes, target) {
             log::debug!("peers: no notice to {target}: {err}");
         }
--- a/components/gateway/src/health.rs
+++ b/components/gateway/src/health.rs
@@ -19,6 +19,12 @@
 /// Longest time for which an upstream is set aside.
 const LONGEST_REST: Duration = Duration::from_secs(8);
 
+/// Time for which an upstream is set aside by what another node saw.
+const HEARSAY_REST: Duration = Duration::from_millis(800);
+
+/// Time after a good answer in which nothing is believed of what other nodes saw.
+const KNOWN_GOOD: Duration = Duration::from_millis(1000);
+
 /// What the answers of an upstream say of it.
 #[derive(Debug, Default)]
 pub(crate) struct Health {
@@ -26,6 +32,7 @@
     failure_share: f64,
     rests: u32,
     rest_until: Option<Instant>,
+    last_good: Option<Instant>,
 }
 
 impl Health {
@@ -40,7 +47,8 @@
     }
 
     /// Takes note of a good answer.
-    pub(crate) fn succeeded(&mut self) {
+    pub(crate) fn succeeded(&mut self, now: Instant) {
+        self.last_good = Some(now);
         self.in_a_row = 0;
         self.failure_share *= 1.0 - WEIGHT;
         if self.failure_share < WEIGHT {
@@ -58,6 +66,14 @@
         !was_resting
     }
 
+    /// Takes note that another node found nobody, or another upstream, at the address.
+    pub(crate) fn absent_for_another(&mut self, now: Instant) {
+        let is_known_good = self.last_good.is_some_and(|at| now - at < KNOWN_GOOD);
+        if !is_known_good && !self.is_resting(now) {
+            self.rest_until = Some(now + HEARSAY_REST);
+        }
+    }
+
     /// Takes note of a failure; returns whether the upstream is set aside now.
     pub(crate) fn failed(&mut self, now: Instant) -> bool {
         self.in_a_row += 1;
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -85,6 +85,8 @@
     State(Digest),
     /// One request, at once.
     Sent(SentNotice),
+    /// An upstream that is certainly not at its address any more.
+    Absent(UpstreamId),
 }
 
 /// What one node tells the others.
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -94,8 +94,7 @@
 ) -> Result<Choice, NoChoice> {
     let untried: Vec<_> =
         candidates.iter().filter(|up| !ask.tried.contains(&up.entry.borrow().id)).collect();
-    let sound: Vec<_> =
-        untried.iter().copied().filter(|up| !up.health.borrow().is_resting(now)).collect();
+    let sound: Vec<_> = untried.iter().copied().filter(|up| !up.is_set_aside(now)).collect();
     // When most look unsound, the fault is not theirs alone.
     let usable = if sound.len() * 2 >= untried.len() { sound } else { untried };
     if usable.is_empty() {
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -16,7 +16,7 @@
     engine_load::{Expected, InFlight},
     frames::FrameReader,
     gateway::Read,
-    gossip::tell_sent,
+    gossip::{tell_absent, tell_sent},
     place::Choice,
     serve::Job,
 };
@@ -79,6 +79,8 @@
 pub(crate) struct Failure {
     pub(crate) end: SendEnd,
     reason: String,
+    /// Whether the upstream is certainly not at its address any more.
+    is_absent: bool,
     /// The upstream's own answer, when it ran the request and failed.
     pub(crate) answer: Option<Whole>,
 }
@@ -151,13 +153,36 @@
 
     fn finish(&mut self, result: &Result<Answered, Failure>) {
         self.is_finished = true;
-        note_health(&self.choice.upstream, result);
+        match result {
+            Ok(_) => self.choice.upstream.health.borrow_mut().succeeded(Instant::now()),
+            Err(failure) => self.note_failure(failure.end, failure.is_absent),
+        }
         match result {
             Ok(_) => self.write("answered", "answered"),
             Err(failure) => self.write(end_label(failure.end), &failure.reason),
         }
     }
 
+    fn note_failure(&self, end: SendEnd, is_absent: bool) {
+        let upstream = &self.choice.upstream;
+        let now = Instant::now();
+        let mut health = upstream.health.borrow_mut();
+        let is_set_aside = match end {
+            SendEnd::NotSent => health.unreachable(now),
+            _ if is_absent => health.unreachable(now),
+            _ => health.failed(now),
+        };
+        if !is_set_aside {
+            return;
+        }
+        let failure_share = health.failure_share();
+        drop(health);
+        note(&Belief::UpstreamSetAside { upstream: &upstream.id(), failure_share });
+        if is_absent {
+            tell_absent(&self.job.gateway, upstream);
+        }
+    }
+
     fn write(&self, label: &str, end: &str) {
         let choice = self.choice;
         self.job.gateway.metrics.sends.with_label_values(&[label]).inc();
@@ -185,7 +210,7 @@
         }
         // An upstream that gave nothing for as long as the route's target has failed.
         if self.started.elapsed() >= self.job.route.target {
-            note_failure(&self.choice.upstream, SendEnd::Unknown);
+            self.note_failure(SendEnd::Unknown, false);
         }
         self.write("given_up", "given up without an answer");
     }
@@ -200,26 +225,6 @@
     }
 }
 
-fn note_health(upstream: &Upstream, result: &Result<Answered, Failure>) {
-    match result {
-        Ok(_) => upstream.health.borrow_mut().succeeded(),
-        Err(failure) => note_failure(upstream, failure.end),
-    }
-}
-
-fn note_failure(upstream: &Upstream, end: SendEnd) {
-    let now = Instant::now();
-    let mut health = upstream.health.borrow_mut();
-    let is_set_aside = match end {
-        SendEnd::NotSent => health.unreachable(now),
-        _ => health.failed(now),
-    };
-    if is_set_aside {
-        let failure_share = health.failure_share();
-        note(&Belief::UpstreamSetAside { upstream: &upstream.id(), failure_share });
-    }
-}
-
 async fn exchange(
     job: &Rc<Job>,
     mut running: Running,
@@ -263,7 +268,8 @@
     upstream.pool.put(connection);
     if head.status.is_server_error() && job.route.kind.may_repeat() {
         let reason = format!("status {}", head.status.as_u16());
-        return Err(Failure { end: SendEnd::RanAndFailed, reason, answer: Some(whole) });
+        let answer = Some(whole);
+        return Err(Failure { end: SendEnd::RanAndFailed, reason, is_absent: false, answer });
     }
     Ok(Answered::Whole(whole))
 }
@@ -278,14 +284,15 @@
 
 fn failure_of(err: ExchangeError) -> Failure {
     let end = match err {
-        ExchangeError::NotSent(_) => SendEnd::NotSent,
+        ExchangeError::NotSent(_) | ExchangeError::NobodyThere(_) => SendEnd::NotSent,
         ExchangeError::Broken(_) | ExchangeError::BadAnswer(_) => SendEnd::Unknown,
     };
-    Failure { end, reason: err.to_string(), answer: None }
+    let is_absent = matches!(err, ExchangeError::NobodyThere(_));
+    Failure { end, reason: err.to_string(), is_absent, answer: None }
 }
 
 fn unknown(reason: String) -> Failure {
-    Failure { end: SendEnd::Unknown, reason, answer: None }
+    Failure { end: SendEnd::Unknown, reason, is_absent: false, answer: None }
 }
 
 fn outgoing(
@@ -335,7 +342,9 @@
         upstream.pool.put(connection);
     }
     let reason = format!("refused with status {}", status.as_u16());
-    Failure { end: SendEnd::NotRun, reason, answer: None }
+    // Another instance has taken over the address.
+    let is_absent = status == StatusCode::MISDIRECTED_REQUEST;
+    Failure { end: SendEnd::NotRun, reason, is_absent, answer: None }
 }
 
 async fn first_event(job: &Job, mut started: Started) -> Result<Started, Failure> {
