--- a/components/gateway/src/decision.rs
+++ b/components/gateway/src/decision.rs
@@ -191,6 +191,8 @@
     EntryRefused { key: &'a str, reason: &'a str },
     /// An upstream gets no work for a while, by its answers.
     UpstreamSetAside { upstream: &'a UpstreamId, failure_share: f64 },
+    /// An upstream gets no work for a while, since another node did not find it.
+    UpstreamAbsent { upstream: &'a UpstreamId },
     /// The store does not answer.
     StoreLost { call: &'a str, reason: &'a str },
     /// The store answers again.
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -14,6 +14,7 @@
 };
 
 use crate::{
+    decision::{Belief, note},
     directory::Upstream,
     engine_load::InFlight,
     gateway::{Demand, Gateway, Read},
@@ -254,8 +255,9 @@
 }
 
 fn take_absent(gateway: &Gateway, upstream: &UpstreamId) {
-    if let Some(upstream) = gateway.directory.get(upstream) {
-        upstream.health.borrow_mut().absent_for_another(Instant::now());
+    let Some(known) = gateway.directory.get(upstream) else { return };
+    if known.health.borrow_mut().absent_for_another(Instant::now()) {
+        note(&Belief::UpstreamAbsent { upstream });
     }
 }
 
--- a/components/gateway/src/health.rs
+++ b/components/gateway/src/health.rs
@@ -66,12 +66,15 @@
         !was_resting
     }
 
-    /// Takes note that another node found nobody, or another upstream, at the address.
-    pub(crate) fn absent_for_another(&mut self, now: Instant) {
+    /// Takes note that another node found nobody, or another upstream, at the address; returns
+    /// whether the upstream is set aside for it.
+    pub(crate) fn absent_for_another(&mut self, now: Instant) -> bool {
         let is_known_good = self.last_good.is_some_and(|at| now - at < KNOWN_GOOD);
-        if !is_known_good && !self.is_resting(now) {
-            self.rest_until = Some(now + HEARSAY_REST);
+        if is_known_good || self.is_resting(now) {
+            return false;
         }
+        self.rest_until = Some(now + HEARSAY_REST);
+        true
     }
 
     /// Takes note of a failure; returns whether the upstream is set aside now.
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -163,20 +163,19 @@
         }
     }
 
+    /// Takes note of a failure; the nodes that would send there too hear of an absent upstream.
     fn note_failure(&self, end: SendEnd, is_absent: bool) {
         let upstream = &self.choice.upstream;
         let now = Instant::now();
-        let mut health = upstream.health.borrow_mut();
-        let is_set_aside = match end {
-            SendEnd::NotSent => health.unreachable(now),
-            _ if is_absent => health.unreachable(now),
-            _ => health.failed(now),
+        let is_unreachable = is_absent || end == SendEnd::NotSent;
+        let is_set_aside = match is_unreachable {
+            true => upstream.health.borrow_mut().unreachable(now),
+            false => upstream.health.borrow_mut().failed(now),
         };
         if !is_set_aside {
             return;
         }
-        let failure_share = health.failure_share();
-        drop(health);
+        let failure_share = upstream.health.borrow().failure_share();
         note(&Belief::UpstreamSetAside { upstream: &upstream.id(), failure_share });
         if is_absent {
             tell_absent(&self.job.gateway, upstream);
