gateway: Tests share one node, one first word and one paused runtime

A read of the whole change found the same set-up in three test files and the same empty digest in three; SendTrace::finish matched one result twice.

--- a/components/gateway/src/duty_tests.rs
+++ b/components/gateway/src/duty_tests.rs
@@ -18,13 +18,13 @@
 };
 
 use crate::{
-    BootClock, Changes, Commit, Committed, DutyCalls, DutyError, Freshness, Gateway,
-    GatewayMetrics, Item, Leader, Listing, SizeOrder, Store, StoreError, StoreLease, StoreRevision,
-    TrueTime, UsageWindow, WindowCounts,
+    BootClock, Changes, Commit, Committed, DutyCalls, DutyError, Freshness, Gateway, Item, Leader,
+    Listing, SizeOrder, Store, StoreError, StoreLease, StoreRevision, TrueTime, UsageWindow,
+    WindowCounts,
     leader::hold_duties,
     peers::Digest,
     report::report_usage,
-    test_support::{NoDialect, settings},
+    test_support::{self, digest},
 };
 
 /// Writes that get an outcome in each run.
@@ -348,10 +348,8 @@
 impl Node {
     fn start(world: &Rc<RefCell<World>>, number: usize) -> Node {
         let boot: Rc<dyn BootClock> = Rc::new(RuntimeClock(world.borrow().started));
-        let metrics = GatewayMetrics::new(&prometheus::Registry::new()).unwrap();
-        let time = Rc::new(TrueTime::starting_at(boot.clone(), START + boot.elapsed()));
-        let gateway = Gateway::new(settings(number), Rc::new(NoDialect), metrics, time);
-        let gateway = Rc::new(gateway);
+        let time = TrueTime::starting_at(boot.clone(), START + boot.elapsed());
+        let gateway = Rc::new(test_support::gateway(number, time));
         let store: Rc<dyn Store> = Rc::new(ModelStore(world.clone()));
         let calls: Rc<dyn DutyCalls> = Rc::new(ModelCalls { world: world.clone(), node: number });
         let leader = Rc::new(Leader::new(boot));
@@ -376,10 +374,14 @@
     number: usize,
 }
 
+fn paused_runtime() -> tokio::runtime::Runtime {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    builder.enable_time().start_paused(true).build().unwrap()
+}
+
 /// Plays one run; returns what the platform saw.
 fn play(answered_first: u32, script: &[Outcome], restarts: &[Restart]) -> (Vec<Act>, Vec<Report>) {
-    let mut builder = tokio::runtime::Builder::new_current_thread();
-    let runtime = builder.enable_time().start_paused(true).build().unwrap();
+    let runtime = paused_runtime();
     let script = script.iter().copied().collect();
     LocalSet::new().block_on(&runtime, async move {
         let world = Rc::new(RefCell::new(World::new(answered_first, script)));
@@ -463,8 +465,7 @@
 
 #[test]
 fn duties_holder_that_is_heard_is_not_looked_for() {
-    let mut builder = tokio::runtime::Builder::new_current_thread();
-    let runtime = builder.enable_time().start_paused(true).build().unwrap();
+    let runtime = paused_runtime();
     LocalSet::new().block_on(&runtime, async {
         let world = Rc::new(RefCell::new(World::new(0, VecDeque::new())));
         let node = Node::start(&world, 1);
@@ -482,19 +483,7 @@
 }
 
 fn holder_digest(sequence: u64) -> Digest {
-    Digest {
-        node: "node-9".parse().unwrap(),
-        zone: "zone-a".parse().unwrap(),
-        incarnation: 1,
-        sequence,
-        time_ms: 0,
-        holds_duties: true,
-        quota_use: Vec::new(),
-        upstreams: Vec::new(),
-        reads: Vec::new(),
-        usage: Vec::new(),
-        demand: Vec::new(),
-    }
+    Digest { sequence, holds_duties: true, ..digest("node-9", "zone-a") }
 }
 
 #[test]
--- a/components/gateway/src/gossip/tests.rs
+++ b/components/gateway/src/gossip/tests.rs
@@ -6,8 +6,8 @@
 
 use super::*;
 use crate::{
-    GatewayMetrics, MachineClock, StoreRevision, TrueTime, UpstreamEntry,
-    test_support::{NoDialect, settings},
+    MachineClock, StoreRevision, TrueTime, UpstreamEntry,
+    test_support::{self, digest},
 };
 
 const NODES_IN_ZONE: u16 = 10;
@@ -18,27 +18,9 @@
     SocketAddr::from(([10, 0, u8::try_from(zone).unwrap(), 1], 1000 + node))
 }
 
-fn digest(node: &str, zone: &str) -> Digest {
-    Digest {
-        node: node.parse().unwrap(),
-        zone: zone.parse().unwrap(),
-        incarnation: 1,
-        sequence: 1,
-        time_ms: 0,
-        holds_duties: false,
-        quota_use: Vec::new(),
-        upstreams: Vec::new(),
-        reads: Vec::new(),
-        usage: Vec::new(),
-        demand: Vec::new(),
-    }
-}
-
 /// Returns a node of zone-a among ten nodes in each zone, with engines in some zones.
 fn gateway(with_engines: &[&str]) -> Gateway {
-    let metrics = GatewayMetrics::new(&prometheus::Registry::new()).unwrap();
-    let time = Rc::new(TrueTime::new(Rc::new(MachineClock)));
-    let gateway = Gateway::new(settings(1), Rc::new(NoDialect), metrics, time);
+    let gateway = test_support::gateway(1, TrueTime::new(Rc::new(MachineClock)));
     for (at, zone) in ZONES.iter().enumerate() {
         for node in 0..NODES_IN_ZONE {
             let name: NodeId = format!("n-{zone}-{node}").parse().unwrap();
--- a/components/gateway/src/neighbours/tests.rs
+++ b/components/gateway/src/neighbours/tests.rs
@@ -5,9 +5,8 @@
 
 use super::*;
 use crate::{
-    Changes, Commit, Committed, Freshness, GatewayMetrics, Layout, Listing, MachineClock, Store,
-    StoreError, StoreLease, TableSource, TrueTime, UpstreamEntry,
-    test_support::{NoDialect, settings},
+    Changes, Commit, Committed, Freshness, Layout, Listing, MachineClock, Store, StoreError,
+    StoreLease, TableSource, TrueTime, UpstreamEntry, test_support,
 };
 
 /// A store that can't be reached.
@@ -85,9 +84,7 @@
 }
 
 fn view() -> View {
-    let metrics = GatewayMetrics::new(&prometheus::Registry::new()).unwrap();
-    let time = Rc::new(TrueTime::new(Rc::new(MachineClock)));
-    let gateway = Rc::new(Gateway::new(settings(1), Rc::new(NoDialect), metrics, time));
+    let gateway = Rc::new(test_support::gateway(1, TrueTime::new(Rc::new(MachineClock))));
     View::new(gateway, Rc::new(NoStore), Rc::new(PortLayout))
 }
 
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -394,24 +394,12 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::test_support;
 
     fn digest(node: &str, sequence: u64, time_ms: u64) -> Digest {
-        Digest {
-            node: node.parse().unwrap(),
-            zone: "zone-a".parse().unwrap(),
-            incarnation: 1,
-            sequence,
-            time_ms,
-            holds_duties: false,
-            quota_use: Vec::new(),
-            upstreams: Vec::new(),
-            reads: Vec::new(),
-            usage: vec![WindowUse {
-                window: UsageWindow(7),
-                counts: vec![("ws".parse().unwrap(), 5)],
-            }],
-            demand: Vec::new(),
-        }
+        let counts = vec![("ws".parse().unwrap(), 5)];
+        let usage = vec![WindowUse { window: UsageWindow(7), counts }];
+        Digest { sequence, time_ms, usage, ..test_support::digest(node, "zone-a") }
     }
 
     fn heard(view: &mut PeerView, digest: Digest, boot_ms: u64) -> bool {
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -154,12 +154,14 @@
     fn finish(&mut self, result: &Result<Answered, Failure>) {
         self.is_finished = true;
         match result {
-            Ok(_) => self.choice.upstream.health.borrow_mut().succeeded(Instant::now()),
-            Err(failure) => self.note_failure(failure.end, failure.is_absent),
-        }
-        match result {
-            Ok(_) => self.write("answered", "answered"),
-            Err(failure) => self.write(end_label(failure.end), &failure.reason),
+            Ok(_) => {
+                self.choice.upstream.health.borrow_mut().succeeded(Instant::now());
+                self.write("answered", "answered");
+            }
+            Err(failure) => {
+                self.note_failure(failure.end, failure.is_absent);
+                self.write(end_label(failure.end), &failure.reason);
+            }
         }
     }
 
--- a/components/gateway/src/test_support.rs
+++ b/components/gateway/src/test_support.rs
@@ -1,13 +1,17 @@
 //! What tests of this crate's inner parts share.
 
+use std::rc::Rc;
+
 use actix_http::{ResponseHead, header::HeaderMap};
 use lycheelatch_prelude::InvalidValue;
 use lycheelatch_settings::{GatewaySettings, NodeSettings};
 
-use crate::{AnswerFacts, Dialect, Forwarded, RequestFacts};
+use crate::{
+    AnswerFacts, Dialect, Forwarded, Gateway, GatewayMetrics, RequestFacts, TrueTime, peers::Digest,
+};
 
 /// Serves no requests here.
-pub(crate) struct NoDialect;
+struct NoDialect;
 
 impl Dialect for NoDialect {
     fn request(&self, _: &HeaderMap) -> Result<RequestFacts, InvalidValue> {
@@ -31,8 +35,31 @@
     }
 }
 
+/// Returns the node with a number.
+pub(crate) fn gateway(node: usize, time: TrueTime) -> Gateway {
+    let metrics = GatewayMetrics::new(&prometheus::Registry::new()).unwrap();
+    Gateway::new(settings(node), Rc::new(NoDialect), metrics, Rc::new(time))
+}
+
+/// Returns the first word of a node that has no work.
+pub(crate) fn digest(node: &str, zone: &str) -> Digest {
+    Digest {
+        node: node.parse().unwrap(),
+        zone: zone.parse().unwrap(),
+        incarnation: 1,
+        sequence: 1,
+        time_ms: 0,
+        holds_duties: false,
+        quota_use: Vec::new(),
+        upstreams: Vec::new(),
+        reads: Vec::new(),
+        usage: Vec::new(),
+        demand: Vec::new(),
+    }
+}
+
 /// Returns the settings of the node with a number.
-pub(crate) fn settings(node: usize) -> GatewaySettings {
+fn settings(node: usize) -> GatewaySettings {
     let text = format!(
         r#"{{"gateway": {{"node": "node-{node}", "zone": "zone-a", "callers": "127.0.0.1:1",
             "readiness": "127.0.0.1:2", "peers": "127.0.0.1:3", "metrics": "127.0.0.1:4",
