server: Accept no connection that would be closed unanswered at a stop

Cause: once idle connections are closed at a stop, the same signal ends each new connection before its first request, though the request was read; and the process ended as soon as no request was open, with connections whose request was on its way. Change: the listener is closed with the idle connections, queued connections are answered, and the process waits for connections rather than for requests.

--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -20,6 +20,7 @@
     peers::PeerTable,
     quota::{self, ProcessAge, SlidingCounter, SubwindowUsage},
     retry_budget::RetryBudget,
+    server::Drain,
     usage::Usage,
 };
 
@@ -61,6 +62,7 @@
     stopping: Cell<Option<Instant>>,
     closing: watch::Sender<bool>,
     open: Cell<u32>,
+    connections: Rc<Cell<u32>>,
 }
 
 /// Work requested from a service since this process started.
@@ -142,6 +144,7 @@
             stopping: Cell::new(None),
             closing: watch::Sender::new(false),
             open: Cell::new(0),
+            connections: Rc::default(),
         }
     }
 
@@ -206,14 +209,19 @@
         self.stopping.get().is_some_and(|at| at.elapsed() > ACCEPT_AFTER_STOP)
     }
 
-    /// Closes idle caller connections.
+    /// Accepts no further connections of callers and closes idle ones.
     pub(crate) fn close_idle(&self) {
         self.closing.send_replace(true);
     }
 
-    /// Returns a channel that turns true when idle connections are to be closed.
-    pub(crate) fn closing(&self) -> watch::Receiver<bool> {
-        self.closing.subscribe()
+    /// Returns the drain state of the callers' server.
+    pub(crate) fn drain(&self) -> Drain {
+        Drain { closing: self.closing.subscribe(), open: self.connections.clone() }
+    }
+
+    /// Returns the number of open connections of callers.
+    pub(crate) fn open_connections(&self) -> u32 {
+        self.connections.get()
     }
 
     /// Returns the number of open requests.
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -113,21 +113,21 @@
         &self.gateway
     }
 
-    /// Waits for open requests within the grace period, then aborts all tasks.
+    /// Waits for callers' connections to end within the grace period, then aborts all tasks.
     pub async fn stop(&self) {
         let started = Instant::now();
         let deadline = started + self.gateway.settings.grace - END_MARGIN;
         self.gateway.start_stopping();
         log_event(&NodeEvent::Stopping { open_requests: self.gateway.open_requests() });
         while Instant::now() < deadline {
-            let is_idle = self.gateway.open_requests() == 0;
             if started.elapsed() >= LINGER {
                 self.gateway.close_idle();
             }
-            if is_idle && started.elapsed() >= LINGER + STOP_POLL {
+            sleep(STOP_POLL).await;
+            // A connection without a request may have one on its way, or an unsent response.
+            if started.elapsed() >= LINGER + STOP_POLL && self.gateway.open_connections() == 0 {
                 break;
             }
-            sleep(STOP_POLL).await;
         }
         let left = self.gateway.open_requests();
         for task in self.tasks.take() {
@@ -143,9 +143,9 @@
         let limits = limits_of.table().map_or_else(CallerLimits::default, |table| table.limits);
         ServerLimits { head_timeout: limits.head_timeout, idle_timeout: limits.idle_timeout }
     };
-    let closing = gateway.closing();
+    let drain = gateway.drain();
     let handler = move |req| serve::handle(gateway.clone(), req);
-    server::serve(listener, limits, Some(closing), handler).await;
+    server::serve(listener, limits, Some(drain), handler).await;
 }
 
 async fn serve_readiness(gateway: Rc<Gateway>, listener: tokio::net::TcpListener) {
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -1,15 +1,21 @@
 //! HTTP/1 servers that run on the current thread.
 
-use std::{convert::Infallible, future::Future, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::Cell, convert::Infallible, future::Future, io, net::SocketAddr, rc::Rc, time::Duration,
+};
 
 use actix_http::{HttpService, KeepAlive, Request, Response, StatusCode, body::BoxBody};
 use actix_rt::net::TcpStream;
 use actix_service::{Service, ServiceFactory, fn_service};
+use futures_util::FutureExt;
 use tokio::{net::TcpListener, sync::watch};
 
 /// Time that a client gets to receive the rest of a response when its connection is closed.
 const DISCONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Delay before the next connection is accepted after a failure.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
 /// Maximum number of connections waiting to be accepted.
 const BACKLOG: u32 = 1024;
 
@@ -20,6 +26,31 @@
     pub(crate) idle_timeout: Duration,
 }
 
+/// The end of a server: when it begins, and which connections are still open.
+#[derive(Clone)]
+pub(crate) struct Drain {
+    /// Turns true when no further connection is to be accepted and idle ones are to be closed.
+    pub(crate) closing: watch::Receiver<bool>,
+    /// Number of open connections.
+    pub(crate) open: Rc<Cell<u32>>,
+}
+
+impl Drain {
+    fn open_connection(&self) -> OpenConnection {
+        self.open.set(self.open.get() + 1);
+        OpenConnection(self.open.clone())
+    }
+}
+
+/// Guard that counts a connection as open until dropped.
+struct OpenConnection(Rc<Cell<u32>>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// Binds a listening socket with `SO_REUSEADDR`.
 pub(crate) fn bind(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = tokio::net::TcpSocket::new_v4()?;
@@ -28,47 +59,79 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts connections and passes their requests to `handler`, until the future is dropped.
+/// Accepts connections and passes their requests to `handler`, until the future is dropped or
+/// the server drains.
 ///
-/// Idle connections are closed when `closing` turns true. `limits` is called for each
-/// connection, since a new configuration may change the timeouts.
+/// `limits` is called for each connection, since a new configuration may change the timeouts.
 pub(crate) async fn serve<H, F>(
     listener: TcpListener,
     limits: impl Fn() -> ServerLimits,
-    closing: Option<watch::Receiver<bool>>,
+    drain: Option<Drain>,
     handler: H,
 ) where
     H: Fn(Request) -> F + Clone + 'static,
     F: Future<Output = Response<BoxBody>> + 'static,
 {
     let mut current = limits();
+    let closing = drain.as_ref().map(|drain| drain.closing.clone());
     let mut service = service(current, closing.clone(), handler.clone()).await;
     loop {
-        let (io, peer) = match listener.accept().await {
-            Ok(accepted) => accepted,
-            Err(err) => {
-                log::warn!("server: failed to accept a connection: {err}");
-                tokio::time::sleep(Duration::from_millis(20)).await;
-                continue;
-            }
+        let accepted = tokio::select! {
+            biased;
+            () = closed(closing.clone()) => break,
+            accepted = listener.accept() => accepted,
         };
-        if let Err(err) = io.set_nodelay(true) {
-            log::debug!("server: failed to set TCP_NODELAY: {err}");
-        }
+        let Some((io, peer)) = accepted_connection(accepted).await else { continue };
         let wanted = limits();
         if wanted != current {
             current = wanted;
             service = self::service(current, closing.clone(), handler.clone()).await;
         }
-        let served = service.call((io, Some(peer)));
-        actix_rt::spawn(async move {
-            if let Err(err) = served.await {
-                log::debug!("server: connection from {peer} failed: {err}");
-            }
-        });
+        spawn_connection(&service, io, peer, drain.as_ref());
+    }
+    // Requests on the connections that are left in the queue are answered: with the signal,
+    // a new connection would be closed before its first request.
+    let service = self::service(current, None, handler).await;
+    while let Some(accepted) = listener.accept().now_or_never() {
+        let Some((io, peer)) = accepted_connection(accepted).await else { return };
+        spawn_connection(&service, io, peer, drain.as_ref());
     }
 }
 
+/// Prepares an accepted connection; after an error, waits before the next one.
+async fn accepted_connection(
+    accepted: io::Result<(TcpStream, SocketAddr)>,
+) -> Option<(TcpStream, SocketAddr)> {
+    let (io, peer) = match accepted {
+        Ok(accepted) => accepted,
+        Err(err) => {
+            log::warn!("server: failed to accept a connection: {err}");
+            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            return None;
+        }
+    };
+    if let Err(err) = io.set_nodelay(true) {
+        log::debug!("server: failed to set TCP_NODELAY: {err}");
+    }
+    Some((io, peer))
+}
+
+fn spawn_connection(
+    service: &ConnectionService,
+    io: TcpStream,
+    peer: SocketAddr,
+    drain: Option<&Drain>,
+) {
+    let served = service.call((io, Some(peer)));
+    let guard = drain.map(Drain::open_connection);
+    actix_rt::spawn(async move {
+        if let Err(err) = served.await {
+            log::debug!("server: connection from {peer} failed: {err}");
+        }
+        drop(guard);
+    });
+}
+
 type Served = Rc<
     dyn Fn(
         (TcpStream, Option<SocketAddr>),
