gateway: Fit the engines' speed, size the fleet by load, announce departures

Cause 1: the model of an engine held one site's figures (50 tokens/ms, 7 ms a step, 25,000 tokens/s, 0.45 uncached, at least 12 reclaimable engines). On engines that read 157 tokens/ms, prompts of 54,600 tokens were refused as never in time, and 15 engines were bought for the work of 7. Change: time to the first token is fitted to what all nodes observe; engines follow from uncached tokens, requests in flight and rejections; reclaimable ones from the zones that remain when two are lost; the penalties are shares of the prefill time; a prompt that no engine can process in time is admitted unless much is queued. Cold caches of the first seconds count up to the number of engines found at the start, and are no peak to hold.

Change: nodes tell the upstreams that left lately with their state. The test fails on the code before.

--- a/components/gateway/src/demand.rs
+++ b/components/gateway/src/demand.rs
@@ -9,9 +9,10 @@
 use tokio::time::Instant;
 
 use crate::{
-    ServiceSpec,
+    EngineSpeed, ServiceSpec,
     gateway::{Demand, Gateway},
-    size::CapacityNeed,
+    size::{CapacityNeed, ServiceLoad, reclaimable_engines, required_engines},
+    table::ScalingSpec,
 };
 
 /// Time over which the demand is averaged.
@@ -20,28 +21,12 @@
 /// Time for which capacity for the peak demand is kept.
 const PEAK_HOLD_TIME: Duration = Duration::from_secs(12);
 
-/// Prompt tokens per second that one engine processes while decoding takes half of its time.
-const PREFILL_TOKENS_PER_SECOND: f64 = 25_000.0;
-
-/// Share of the prompt tokens that are not found in a prefix cache.
-const UNCACHED_SHARE: f64 = 0.45;
-
-/// Reclaimable engines per engine of demand. They are cheap, and all of an availability zone may be
-/// reclaimed at once.
-const RECLAIMABLE_FACTOR: f64 = 3.0;
-
-/// Minimum number of reclaimable engines.
-const MIN_RECLAIMABLE: u32 = 12;
-
 /// Time after the first upstream's entry by which all running upstreams have written theirs.
 const DISCOVERY_TIME: Duration = Duration::from_millis(1600);
 
 /// Divisor of the number of initial engines; the quotient is ordered in addition to them.
 const INITIAL_EXTRA_DIVISOR: u32 = 3;
 
-/// Minimum number of engines of both purchase options while there is demand.
-const MIN_ENGINES: u32 = 3;
-
 /// Recent demand of each service over all nodes, and the need that follows from it.
 #[derive(Debug, Default)]
 pub(crate) struct DemandForecast {
@@ -80,8 +65,9 @@
                 let demand = Demand {
                     requests: reported.requests,
                     prompt_tokens: reported.prompt_tokens,
-                    generated_tokens: reported.generated_tokens,
+                    prefill_tokens: reported.prefill_tokens,
                     refused: reported.refused,
+                    speed: reported.speed,
                 };
                 self.record_total(digest.node.clone(), reported.service.clone(), demand, now);
             }
@@ -102,8 +88,9 @@
         let delta = Demand {
             requests: total.requests - previous.requests,
             prompt_tokens: total.prompt_tokens.saturating_sub(previous.prompt_tokens),
-            generated_tokens: total.generated_tokens.saturating_sub(previous.generated_tokens),
+            prefill_tokens: total.prefill_tokens.saturating_sub(previous.prefill_tokens),
             refused: total.refused.saturating_sub(previous.refused),
+            speed: total.speed,
         };
         self.recent.entry(service).or_default().push_back((now, delta));
     }
@@ -133,8 +120,23 @@
 
     /// Returns the prompt tokens of a service's recent requests.
     fn prompt_tokens(&self, service: &ServiceName) -> u64 {
-        let recent = self.recent.get(service);
-        recent.into_iter().flatten().map(|(_, demand)| demand.prompt_tokens).sum()
+        self.recent(service).map(|demand| demand.prompt_tokens).sum()
+    }
+
+    fn recent(&self, service: &ServiceName) -> impl Iterator<Item = &Demand> {
+        self.recent.get(service).into_iter().flatten().map(|(_, demand)| demand)
+    }
+
+    /// Returns the recent load of a service with `in_flight` requests at its engines.
+    fn load(&self, service: &ServiceName, in_flight: u32) -> ServiceLoad {
+        let prefill: u64 = self.recent(service).map(|demand| demand.prefill_tokens).sum();
+        let requests: u64 = self.recent(service).map(|demand| demand.requests).sum();
+        let rejected: u64 = self.recent(service).map(|demand| demand.refused).sum();
+        ServiceLoad {
+            prefill_per_second: prefill as f64 / WINDOW.as_secs_f64(),
+            in_flight,
+            rejected_share: (rejected as f64 / requests.max(1) as f64).min(1.0),
+        }
     }
 
     /// Returns whether all upstreams that ran at the start have been discovered.
@@ -143,24 +145,49 @@
         first_seen.is_some_and(|at| now - at > DISCOVERY_TIME)
     }
 
-    /// Returns the upstreams that a service needs, or `None` while its running upstreams are being
-    /// discovered.
-    pub(crate) fn need(&mut self, service: &ServiceSpec, now: Instant) -> Option<CapacityNeed> {
-        let read = self.prompt_tokens(&service.name);
-        let read_per_second = read as f64 / WINDOW.as_secs_f64();
-        let engines = read_per_second * UNCACHED_SHARE / PREFILL_TOKENS_PER_SECOND;
-        let peak = self.peaks.entry(service.name.clone()).or_insert(Peak { engines, at: now });
+    /// Returns the peak of the required engines, with `engines` as the latest value.
+    fn peak(&mut self, service: &ServiceName, engines: f64, now: Instant) -> f64 {
+        let peak = self.peaks.entry(service.clone()).or_insert(Peak { engines, at: now });
         if engines >= peak.engines || now - peak.at > PEAK_HOLD_TIME {
             *peak = Peak { engines, at: now };
         }
-        let peak_engines = peak.engines.ceil();
+        peak.engines
+    }
+
+    /// Returns the upstreams that a model service needs, or `None` while its running upstreams
+    /// are being discovered.
+    pub(crate) fn need(
+        &mut self,
+        service: &ServiceSpec,
+        scaling: &ScalingSpec,
+        engines: EngineState,
+        now: Instant,
+    ) -> Option<CapacityNeed> {
+        let slots = service.engine.as_ref().map_or(1, |engine| engine.slots);
+        let load = self.load(&service.name, engines.in_flight);
+        let engines = required_engines(&load, slots, engines.speed);
         let initial = self.initial_upstreams(&service.name, now);
-        let reclaimable = (peak_engines * RECLAIMABLE_FACTOR) as u32;
-        let reclaimable = reclaimable.max(initial + initial / INITIAL_EXTRA_DIVISOR);
+        let required = match initial {
+            0 => self.peak(&service.name, engines, now),
+            // The prompts of the first requests are in no cache yet, so this is no peak to hold.
+            _ => engines.min(f64::from(initial)),
+        };
+        let reclaimable = match initial {
+            0 => reclaimable_engines(required, scaling.zone_prices.len()),
+            _ => initial + initial / INITIAL_EXTRA_DIVISOR,
+        };
         self.is_discovered(&service.name, now).then_some(CapacityNeed {
-            reclaimable: reclaimable.max(MIN_RECLAIMABLE),
-            required: (peak_engines as u32).max(MIN_ENGINES),
-            is_busy: read > 0,
+            reclaimable,
+            required: required.ceil() as u32,
+            is_busy: self.prompt_tokens(&service.name) > 0,
         })
     }
 }
+
+/// Current state of a service's engines.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct EngineState {
+    /// Requests in flight at all engines.
+    pub(crate) in_flight: u32,
+    pub(crate) speed: EngineSpeed,
+}
--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -131,6 +131,21 @@
         }
     }
 
+    /// Stops sending requests to an upstream whose entry at `revision` says that it is draining or
+    /// gone; returns whether the upstream accepted requests until now.
+    ///
+    /// The entry of that revision still applies, any older one no longer does.
+    pub(crate) fn mark_departed(&self, id: &UpstreamId, revision: StoreRevision) -> bool {
+        let Some(upstream) = self.get(id) else { return false };
+        if upstream.revision.get() >= revision || !upstream.accepts_requests() {
+            return false;
+        }
+        log_event(&NodeEvent::UpstreamDraining { upstream: id, revision: revision.0 });
+        upstream.entry.borrow_mut().is_ready = false;
+        upstream.revision.set(StoreRevision(revision.0 - 1));
+        true
+    }
+
     /// Removes an upstream, unless its current entry is at least as new.
     pub fn remove(&self, id: &UpstreamId, revision: StoreRevision) {
         let mut upstreams = self.upstreams.borrow_mut();
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -181,6 +181,7 @@
     let late = cx.arrived + cx.route.target;
     let req = PlacementRequest {
         service: &cx.service,
+        speed: cx.gateway.engine_speed(&cx.service.name),
         chain: cx.chain.as_ref(),
         zone: &cx.gateway.settings.zone,
         cross_zone_lag: cx.gateway.cross_zone_lag(),
--- a/components/gateway/src/engine_load.rs
+++ b/components/gateway/src/engine_load.rs
@@ -9,17 +9,12 @@
 
 use crate::{
     dialect::{Prompt, PromptPart},
+    engine_speed::EngineSpeed,
     table::EngineSpec,
 };
 
-/// Prefill rate of an engine of normal speed, in prompt tokens per millisecond.
-const PREFILL_TOKENS_PER_MS: f64 = 50.0;
-
-/// Duration of one decode step of an engine without pending prefill.
-const DECODE_STEP_MS: f64 = 7.0;
-
-/// Fixed part of the time to the first token.
-const FIRST_TOKEN_MS: f64 = 18.0;
+/// Share by which the fixed part of the time to the first token grows until all slots are used.
+const BUSY_SHARE: f64 = 0.2;
 
 /// Weight of a new measurement in the moving average of the slowdown.
 const SLOWDOWN_WEIGHT: f64 = 0.15;
@@ -137,6 +132,10 @@
 pub struct Estimate {
     /// Estimated time to the first token.
     pub time_to_first_token: Duration,
+    /// The same if the engine had no other work.
+    pub time_without_queue: Duration,
+    /// Prompt tokens to be processed before the first token, those of other requests included.
+    pub prefill_tokens: u64,
     /// Prompt tokens that are neither cached nor fetched.
     pub uncached_tokens: u32,
     /// Part of `uncached_tokens` that belongs to shared prefixes.
@@ -189,6 +188,7 @@
         &self,
         chain: &PrefixChain,
         engine: &EngineSpec,
+        speed: EngineSpeed,
         fetchable: u32,
         now: Instant,
     ) -> Estimate {
@@ -198,14 +198,20 @@
         let shared: u32 = chain.shared_prefixes().iter().map(|(_, tokens)| tokens).sum();
         let uncached_tokens = chain.input_tokens.saturating_sub(cached);
         let total = self.total();
-        let prefill = total.prefill_tokens as f64 + f64::from(uncached_tokens);
-        let step = DECODE_STEP_MS + f64::from(total.requests) * 0.05;
-        let ms = (prefill / PREFILL_TOKENS_PER_MS + step + FIRST_TOKEN_MS) * self.slowdown(now);
+        let slowdown = self.slowdown(now);
+        let prefill_tokens = total.prefill_tokens + u64::from(uncached_tokens);
+        let busy = f64::from(total.requests) / f64::from(engine.slots.max(1)) * BUSY_SHARE;
+        let fixed = speed.first_token_ms * (1.0 + busy);
+        let ms = (speed.prefill_ms(prefill_tokens as f64) + fixed) * slowdown;
+        let own_prefill = speed.prefill_ms(f64::from(uncached_tokens));
+        let ms_without_queue = (own_prefill + speed.first_token_ms) * slowdown;
         let has_capacity = total.requests < engine.slots
             && total.memory_tokens + chain.memory_tokens <= engine.memory_tokens;
         let fetch = f64::from(fetched_tokens) / engine.transfer_tokens_per_ms.unwrap_or(f64::MAX);
         Estimate {
             time_to_first_token: Duration::from_secs_f64((ms + fetch) / 1000.0),
+            time_without_queue: Duration::from_secs_f64((ms_without_queue + fetch) / 1000.0),
+            prefill_tokens,
             uncached_tokens,
             uncached_shared: shared.saturating_sub(cached),
             fetched_tokens,
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -15,9 +15,11 @@
 use crate::{
     ClusterClock, Dialect, Directory, GatewayMetrics, RoutingTable, Workspace,
     decision::{Decision, DecisionLog, NodeEvent, QuotaExceeded, log_event, millis},
+    departures::Departures,
     engine_load::PrefixHash,
+    engine_speed::{EngineSpeed, SpeedSamples},
     gossip,
-    peers::PeerTable,
+    peers::{Digest, PeerTable},
     quota::{self, ProcessAge, SlidingCounter, SubwindowUsage},
     retry_budget::RetryBudget,
     server::Drain,
@@ -49,10 +51,12 @@
     pub(crate) usage: RefCell<Usage>,
     pub(crate) peers: RefCell<PeerTable>,
     pub(crate) sent_prompts: RefCell<Vec<SentPrompt>>,
+    pub(crate) departures: RefCell<Departures>,
     /// Whether this node holds the leader lease.
     pub(crate) is_leader: Cell<bool>,
     pub(crate) datagrams: OnceCell<Rc<UdpSocket>>,
     pub(crate) demand: RefCell<BTreeMap<ServiceName, Demand>>,
+    speeds: RefCell<HashMap<ServiceName, EngineSpeed>>,
     table: RefCell<Option<Rc<RoutingTable>>>,
     quotas: RefCell<HashMap<WorkspaceName, QuotaCounters>>,
     retries: RefCell<HashMap<ServiceName, RetryBudget>>,
@@ -72,10 +76,12 @@
     pub(crate) requests: u64,
     /// Prompt tokens.
     pub(crate) prompt_tokens: u64,
-    /// Output tokens expected by the callers.
-    pub(crate) generated_tokens: u64,
+    /// Prompt tokens that engines had to process, those found in a cache excluded.
+    pub(crate) prefill_tokens: u64,
     /// Requests rejected for lack of capacity.
     pub(crate) refused: u64,
+    /// Observed times to the first token.
+    pub(crate) speed: SpeedSamples,
 }
 
 /// Settings that can be changed without a restart.
@@ -132,9 +138,11 @@
             dialect,
             clock,
             sent_prompts: RefCell::default(),
+            departures: RefCell::default(),
             is_leader: Cell::new(false),
             datagrams: OnceCell::new(),
             demand: RefCell::default(),
+            speeds: RefCell::default(),
             table: RefCell::default(),
             quotas: RefCell::default(),
             retries: RefCell::default(),
@@ -320,7 +328,36 @@
         let total = totals.entry(service.clone()).or_default();
         total.requests += demand.requests;
         total.prompt_tokens += demand.prompt_tokens;
-        total.generated_tokens += demand.generated_tokens;
+    }
+
+    /// Counts prompt tokens that an engine has to process.
+    pub(crate) fn count_prefill(&self, service: &ServiceName, tokens: u32) {
+        let mut totals = self.demand.borrow_mut();
+        totals.entry(service.clone()).or_default().prefill_tokens += u64::from(tokens);
+    }
+
+    /// Records the time to the first token of a request.
+    pub(crate) fn record_first_token(&self, service: &ServiceName, tokens: u64, time: Duration) {
+        let mut totals = self.demand.borrow_mut();
+        totals.entry(service.clone()).or_default().speed.record(tokens, time);
+    }
+
+    /// Fits the speed of each service's engines to the observations of all nodes.
+    pub(crate) fn update_engine_speeds<'a>(&self, digests: impl Iterator<Item = &'a Digest>) {
+        let mut samples: HashMap<ServiceName, SpeedSamples> = HashMap::new();
+        for (service, demand) in self.demand.borrow().iter() {
+            *samples.entry(service.clone()).or_default() += demand.speed;
+        }
+        for reported in digests.flat_map(|digest| &digest.demand) {
+            *samples.entry(reported.service.clone()).or_default() += reported.speed;
+        }
+        let fitted = samples.into_iter().map(|(service, samples)| (service, samples.fit()));
+        self.speeds.replace(fitted.collect());
+    }
+
+    /// Returns the speed of a service's engines.
+    pub(crate) fn engine_speed(&self, service: &ServiceName) -> EngineSpeed {
+        self.speeds.borrow().get(service).copied().unwrap_or_default()
     }
 
     pub(crate) fn count_rejected(&self, service: &ServiceName) {
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -14,7 +14,9 @@
 };
 
 use crate::{
+    StoreRevision,
     decision::{NodeEvent, log_event},
+    departures::Departure,
     directory::Upstream,
     engine_load::InFlight,
     gateway::{Demand, Gateway, SentPrompt},
@@ -164,6 +166,7 @@
         sent_prompts,
         usage: windows.collect(),
         demand: gateway.demand.borrow().iter().map(service_demand).collect(),
+        departures: gateway.departures.borrow_mut().announcement(Instant::now()),
     }
 }
 
@@ -172,8 +175,9 @@
         service: service.clone(),
         requests: demand.requests,
         prompt_tokens: demand.prompt_tokens,
-        generated_tokens: demand.generated_tokens,
+        prefill_tokens: demand.prefill_tokens,
         refused: demand.refused,
+        speed: demand.speed,
     }
 }
 
@@ -200,6 +204,7 @@
 fn handle_state(gateway: &Gateway, from: SocketAddr, digest: Digest) {
     let now = Instant::now();
     let sent_prompts = digest.sent_prompts.clone();
+    apply_departures(gateway, &digest.departures, now);
     if !gateway.peers.borrow_mut().record_digest(from, digest, now, gateway.clock.since_boot()) {
         return;
     }
@@ -210,6 +215,16 @@
     }
 }
 
+/// Stops using upstreams that another node saw leave, and passes the news on.
+fn apply_departures(gateway: &Gateway, departures: &[Departure], now: Instant) {
+    for Departure { upstream, revision } in departures {
+        let revision = StoreRevision(*revision);
+        if gateway.directory.mark_departed(upstream, revision) {
+            gateway.departures.borrow_mut().record(upstream.clone(), revision, now);
+        }
+    }
+}
+
 /// Records in the engine's estimated prefix cache a prompt that another node sent to it.
 fn record_prompt(gateway: &Gateway, upstream: &Upstream, links: &[(u64, u32)], now: Instant) {
     let Some(table) = gateway.table() else { return };
@@ -323,6 +338,7 @@
         upstream.running_elsewhere.set(others.requests);
         upstream.load.borrow_mut().others = others;
     }
+    gateway.update_engine_speeds(peers.live_digests(now));
     let estimated_times = peers.estimated_times(gateway.clock.since_boot());
     gateway.clock.adjust_to_peers(estimated_times);
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -11,10 +11,12 @@
 mod connection;
 mod decision;
 mod demand;
+mod departures;
 mod dialect;
 mod directory;
 mod dispatch;
 mod engine_load;
+mod engine_speed;
 mod frames;
 mod gateway;
 mod gossip;
@@ -57,6 +59,7 @@
 };
 pub use directory::{Directory, Upstream, UpstreamEntry};
 pub use engine_load::{EngineLoad, Estimate, InFlight, PrefixChain, PrefixHash};
+pub use engine_speed::{EngineSpeed, SpeedSamples};
 pub use frames::{Frame, FrameReader, FrameTooLarge};
 pub use gateway::Gateway;
 pub use layout::StoreLayout;
@@ -70,7 +73,10 @@
 };
 pub use retry_budget::RetryBudget;
 pub use run::{PlatformParts, RunningGateway};
-pub use size::{CapacityNeed, ZoneCapacity, ZoneTarget, plan};
+pub use size::{
+    CapacityNeed, ServiceLoad, ZoneCapacity, ZoneTarget, plan, reclaimable_engines,
+    required_engines,
+};
 pub use store::{
     Changes, Commit, CommitOutcome, Freshness, KeyValue, LeaseId, Listing, Store, StoreError,
     StoreEvent, StoreRevision,
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -14,7 +14,9 @@
 use tokio::time::Instant;
 
 use crate::{
+    departures::Departure,
     engine_load::{InFlight, PrefixHash},
+    engine_speed::SpeedSamples,
     gossip::cross_zone_interval,
     quota::{PeerUsage, SubwindowUsage},
     usage::UsageWindow,
@@ -60,13 +62,14 @@
 }
 
 /// Demand for one service since the start of a process.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct ServiceDemand {
     pub(crate) service: ServiceName,
     pub(crate) requests: u64,
     pub(crate) prompt_tokens: u64,
-    pub(crate) generated_tokens: u64,
+    pub(crate) prefill_tokens: u64,
     pub(crate) refused: u64,
+    pub(crate) speed: SpeedSamples,
 }
 
 /// Notice of a request that a node has just sent to an engine.
@@ -79,7 +82,7 @@
 }
 
 /// A datagram between nodes.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Datagram {
     /// The whole state of a node, sent periodically.
     State(Digest),
@@ -90,7 +93,7 @@
 }
 
 /// State of one node, for the others.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Digest {
     pub(crate) node: NodeId,
     pub(crate) zone: ZoneName,
@@ -107,6 +110,8 @@
     pub(crate) sent_prompts: Vec<PromptNotice>,
     pub(crate) usage: Vec<WindowUsage>,
     pub(crate) demand: Vec<ServiceDemand>,
+    /// Upstreams that recently stopped accepting requests.
+    pub(crate) departures: Vec<Departure>,
 }
 
 /// One other node.
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -10,6 +10,7 @@
     EngineSpec, Priority, ServiceSpec,
     directory::Upstream,
     engine_load::{Estimate, PrefixChain},
+    engine_speed::EngineSpeed,
 };
 
 /// Penalty for an upstream in another availability zone.
@@ -18,14 +19,15 @@
 /// Share of the cross-zone gossip lag that is added to the penalty of an upstream there.
 const CROSS_ZONE_LAG_FACTOR: f64 = 0.5;
 
-/// Penalty per 1,000 uncached tokens of shared prompt parts, in addition to the prefill time.
-const PREFILL_PENALTY_MS: f64 = 4.0;
+/// Penalty for uncached tokens of shared prompt parts, as a share of the time to process them;
+/// requests that run beside are delayed for that time.
+const PREFILL_PENALTY_SHARE: f64 = 0.2;
 
-/// Penalty per 1,000 tokens fetched from another engine, in addition to the transfer time.
-const FETCH_PENALTY_MS: f64 = 2.6;
+/// Penalty for tokens fetched from another engine, as a share of the time to process them.
+const FETCH_PENALTY_SHARE: f64 = 0.13;
 
-/// Minimum number of tokens for which a fetch from another engine is worthwhile.
-const MIN_FETCHED_TOKENS: u32 = 1500;
+/// Minimum prefill time that a fetch from another engine has to save.
+const MIN_FETCH_GAIN_MS: f64 = 30.0;
 
 /// Penalty for an upstream other than the one preferred by the hash of the prompt's prefix.
 const AFFINITY_PENALTY_MS: f64 = 60.0;
@@ -41,6 +43,10 @@
 /// priorities.
 const ADMISSION_FACTORS: [f64; 3] = [1.1, 1.0, 0.8];
 
+/// Admission limit for a request that would miss the latency target on an idle engine as well,
+/// as a multiple of its time there.
+const UNMEETABLE_TARGET_FACTOR: f64 = 1.5;
+
 /// Age above which a load reported by an upstream is ignored.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(400);
 
@@ -48,6 +54,8 @@
 pub struct PlacementRequest<'a> {
     /// Service to which the request is routed.
     pub service: &'a ServiceSpec,
+    /// Speed of the service's engines.
+    pub speed: EngineSpeed,
     /// Prefix hashes of the prompt, for a request to a model.
     pub chain: Option<&'a PrefixChain>,
     /// Availability zone of this node.
@@ -129,15 +137,17 @@
         let entry = up.entry.borrow();
         let load = up.load.borrow();
         let missing = fetchable.saturating_sub(load.cached_tokens(chain));
-        let fetchable_here = if missing >= MIN_FETCHED_TOKENS { fetchable } else { 0 };
-        let estimate = load.estimate(chain, engine, fetchable_here, now);
+        let is_worthwhile = req.speed.prefill_ms(f64::from(missing)) >= MIN_FETCH_GAIN_MS;
+        let fetchable_here = if is_worthwhile { fetchable } else { 0 };
+        let estimate = load.estimate(chain, engine, req.speed, fetchable_here, now);
         soonest = soonest.min(estimate.time_to_first_token);
         if !estimate.has_capacity {
             continue;
         }
         let mut score = estimate.time_to_first_token.as_secs_f64() * 1000.0;
-        score += f64::from(estimate.uncached_shared) / 1000.0 * PREFILL_PENALTY_MS;
-        score += f64::from(estimate.fetched_tokens) / 1000.0 * FETCH_PENALTY_MS;
+        let read_again = req.speed.prefill_ms(f64::from(estimate.uncached_shared));
+        let fetched = req.speed.prefill_ms(f64::from(estimate.fetched_tokens));
+        score += read_again * PREFILL_PENALTY_SHARE + fetched * FETCH_PENALTY_SHARE;
         score += up.health.borrow().failure_share() * FAILURE_PENALTY_MS;
         if entry.zone != *req.zone {
             score += cross_zone_penalty(req);
@@ -154,7 +164,7 @@
     }
     let max_time = req.time_to_target.mul_f64(admission_factor(req.priority));
     match best {
-        Some((_, upstream, estimate)) if estimate.time_to_first_token <= max_time => {
+        Some((_, upstream, estimate)) if is_admissible(&estimate, max_time) => {
             let fetch_from = match estimate.fetched_tokens {
                 0 => None,
                 _ => fetch_source(req, chain, fetchable, upstream, now),
@@ -176,6 +186,18 @@
     }
 }
 
+/// Returns whether the first token comes soon enough.
+///
+/// Waiting doesn't help a request whose prompt alone takes longer than `max_time`, so it is
+/// admitted if little other work is ahead of it.
+fn is_admissible(estimate: &Estimate, max_time: Duration) -> bool {
+    let limit = match estimate.time_without_queue > max_time {
+        true => estimate.time_without_queue.mul_f64(UNMEETABLE_TARGET_FACTOR),
+        false => max_time,
+    };
+    estimate.time_to_first_token <= limit
+}
+
 fn cross_zone_penalty(req: &PlacementRequest<'_>) -> f64 {
     ZONE_PENALTY_MS + req.cross_zone_lag.as_secs_f64() * 1000.0 * CROSS_ZONE_LAG_FACTOR
 }
@@ -191,7 +213,7 @@
         return 0;
     }
     let tokens = req.all_upstreams.iter().map(|up| up.load.borrow().fetchable_tokens(chain, now));
-    tokens.max().filter(|tokens| *tokens >= MIN_FETCHED_TOKENS).unwrap_or(0)
+    tokens.max().unwrap_or(0)
 }
 
 /// Returns an engine from which `tokens` of a prompt can be fetched, preferably in the
--- a/components/gateway/src/scale.rs
+++ b/components/gateway/src/scale.rs
@@ -12,7 +12,7 @@
 use crate::{
     CapacityOrder, Gateway, Leadership, PlatformApi, PlatformApiError, PurchaseOption, ServiceSpec,
     decision::{NodeEvent, log_event},
-    demand::DemandForecast,
+    demand::{DemandForecast, EngineState},
     size::{ZoneCapacity, ZoneTarget, plan},
     table::ScalingSpec,
 };
@@ -84,7 +84,8 @@
 ) {
     let now = Instant::now();
     let capacity = current_capacity(gateway, service, spec, state);
-    let Some(need) = state.forecast.need(service, now) else { return };
+    let engines = engine_state(gateway, service);
+    let Some(need) = state.forecast.need(service, spec, engines, now) else { return };
     let targets = plan(spec, need, &capacity);
     let mut calls_left = MAX_CALLS_PER_ROUND;
     for (target, zone) in targets.iter().zip(&capacity) {
@@ -100,6 +101,12 @@
     }
 }
 
+fn engine_state(gateway: &Gateway, service: &ServiceSpec) -> EngineState {
+    let upstreams = gateway.directory.for_service(&service.name);
+    let in_flight = upstreams.iter().map(|up| up.running.get() + up.running_elsewhere.get()).sum();
+    EngineState { in_flight, speed: gateway.engine_speed(&service.name) }
+}
+
 fn current_capacity(
     gateway: &Gateway,
     service: &ServiceSpec,
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -43,6 +43,7 @@
         if let (Some(chain), Some(estimate)) = (&cx.chain, &placement.estimate) {
             let mut load = upstream.load.borrow_mut();
             let sent = load.add_request(chain, estimate);
+            cx.gateway.count_prefill(&cx.service.name, estimate.uncached_tokens);
             let memory = cx.service.engine.as_ref().map_or(0, |engine| engine.memory_tokens);
             load.record_prefixes(&chain.links, memory, Instant::now());
             let prompt = SentPrompt { upstream: upstream.id(), links: chain.links.clone() };
@@ -56,12 +57,18 @@
     }
 
     /// Records that the first event, or the start of the response, has arrived.
-    pub(crate) fn record_first_event(&mut self) {
+    pub(crate) fn record_first_event(&mut self, cx: &RequestContext) {
         let now = Instant::now();
+        let measured = now - self.started;
         if let (Some(work), Some(estimate)) = (&mut self.work, &self.estimate) {
             let mut load = self.upstream.load.borrow_mut();
             load.prefill_done(work);
-            load.record_first_token(estimate.time_to_first_token, now - self.started, now);
+            load.record_first_token(estimate.time_to_first_token, measured, now);
+            // A fetch takes time that is not spent on prompt tokens.
+            if estimate.fetched_tokens == 0 {
+                let tokens = estimate.prefill_tokens;
+                cx.gateway.record_first_token(&cx.service.name, tokens, measured);
+            }
         }
     }
 }
@@ -266,7 +273,7 @@
         return first_event(cx, started).await.map(UpstreamResponse::Events);
     }
     let (body, is_whole) = read_start(&mut connection).await?;
-    guard.record_first_event();
+    guard.record_first_event(cx);
     count_usage(cx, guard.started);
     let response = BufferedResponse { status: head.status, headers, body };
     if !is_whole {
@@ -373,7 +380,7 @@
         }
     }
     count_usage(cx, Instant::now());
-    started.guard.record_first_event();
+    started.guard.record_first_event(cx);
     Ok(started)
 }
 
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -240,11 +240,5 @@
     let Some(prompt) = &info.prompt else {
         return Demand { requests: 1, ..Demand::default() };
     };
-    let generated = prompt.expected_output_tokens.unwrap_or(prompt.max_output_tokens);
-    Demand {
-        requests: 1,
-        prompt_tokens: u64::from(prompt.input_tokens),
-        generated_tokens: u64::from(generated),
-        refused: 0,
-    }
+    Demand { requests: 1, prompt_tokens: u64::from(prompt.input_tokens), ..Demand::default() }
 }
--- a/components/gateway/src/size.rs
+++ b/components/gateway/src/size.rs
@@ -6,7 +6,48 @@
 
 use lycheelatch_prelude::ZoneName;
 
-use crate::{PurchaseOption, table::ScalingSpec};
+use crate::{EngineSpeed, PurchaseOption, table::ScalingSpec};
+
+/// Share of an engine's time that may be spent on prompts; the rest is left for the requests that
+/// are being answered.
+const PREFILL_SHARE: f64 = 0.4;
+
+/// Share of an engine's slots that may be used on average.
+const SLOT_SHARE: f64 = 0.5;
+
+/// Minimum number of engines while there is demand, so that one may fail.
+const MIN_ENGINES: f64 = 2.0;
+
+/// Availability zones that may be reclaimed before replacements have started.
+const LOST_ZONES: usize = 2;
+
+/// Load of a model service over all nodes.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct ServiceLoad {
+    /// Prompt tokens per second that engines have to process.
+    pub prefill_per_second: f64,
+    /// Requests in flight at engines.
+    pub in_flight: u32,
+    /// Number of requests rejected for lack of capacity per request of a caller, at most 1.
+    pub rejected_share: f64,
+}
+
+/// Returns the number of engines that carry a load within the latency targets.
+pub fn required_engines(load: &ServiceLoad, slots: u32, speed: EngineSpeed) -> f64 {
+    let prefill_share = speed.prefill_ms(load.prefill_per_second) / 1000.0;
+    let for_prefill = prefill_share / PREFILL_SHARE;
+    let for_slots = f64::from(load.in_flight) / (f64::from(slots.max(1)) * SLOT_SHARE);
+    let engines = for_prefill.max(for_slots) * (1.0 + load.rejected_share);
+    engines.max(MIN_ENGINES)
+}
+
+/// Returns the number of reclaimable engines, evenly spread over `zones`, of which the required
+/// ones are left when `LOST_ZONES` of the zones have been reclaimed.
+pub fn reclaimable_engines(required: f64, zones: usize) -> u32 {
+    let remaining_zones = zones.saturating_sub(LOST_ZONES).max(1);
+    let per_zone = (required / remaining_zones as f64).ceil();
+    per_zone as u32 * u32::try_from(zones).unwrap_or(u32::MAX)
+}
 
 /// Current upstreams of a service in one availability zone.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -258,6 +258,10 @@
             }
         }
         let after = self.gateway.directory.get(&id).map(|up| up.entry.borrow().clone());
+        let was_ready = before.as_ref().is_some_and(|entry| entry.is_ready);
+        if was_ready && !after.as_ref().is_some_and(|entry| entry.is_ready) {
+            self.announce_departure(id, revision);
+        }
         let previous = upstreams.get(key).filter(|_| before == after);
         let changed = previous.map_or_else(|| self.next_change(), |cached| cached.changed);
         upstreams.insert(key.clone(), CachedEntry { value, revision, changed });
@@ -267,6 +271,10 @@
         }
     }
 
+    fn announce_departure(&self, id: UpstreamId, revision: StoreRevision) {
+        self.gateway.departures.borrow_mut().record(id, revision, Instant::now());
+    }
+
     fn upstream_id(&self, key: &str) -> Option<UpstreamId> {
         let id = key.strip_prefix(self.layout.upstream_prefix())?;
         id.parse().map_err(|err| log::warn!("directory: invalid upstream identifier: {err}")).ok()
@@ -293,6 +301,7 @@
         self.tombstones.borrow_mut().put(key.clone(), Tombstone { revision, changed });
         if let Some(id) = self.upstream_id(key) {
             self.gateway.directory.remove(&id, revision);
+            self.announce_departure(id, revision);
         }
         self.changes.send_replace(changed);
     }
--- a/components/gateway/tests/place.rs
+++ b/components/gateway/tests/place.rs
@@ -3,8 +3,9 @@
 use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use lycheelatch_gateway::{
-    Directory, EngineSpec, InFlight, Placement, PlacementError, PlacementRequest, PrefixChain,
-    Priority, Prompt, PromptPart, ServiceSpec, StoreRevision, Upstream, UpstreamEntry, place,
+    Directory, EngineSpec, EngineSpeed, InFlight, Placement, PlacementError, PlacementRequest,
+    PrefixChain, Priority, Prompt, PromptPart, ServiceSpec, StoreRevision, Upstream, UpstreamEntry,
+    place,
 };
 use lycheelatch_prelude::{UpstreamId, ZoneName};
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -66,10 +67,20 @@
     chain: &PrefixChain,
     engines: &[Rc<Upstream>],
     now: Instant,
+) -> Result<Placement, PlacementError> {
+    choose_at(EngineSpeed::default(), chain, engines, now)
+}
+
+fn choose_at(
+    speed: EngineSpeed,
+    chain: &PrefixChain,
+    engines: &[Rc<Upstream>],
+    now: Instant,
 ) -> Result<Placement, PlacementError> {
     let (service, zone) = (service(), zone());
     let req = PlacementRequest {
         service: &service,
+        speed,
         chain: Some(chain),
         zone: &zone,
         cross_zone_lag: Duration::ZERO,
@@ -152,6 +163,24 @@
     assert!(after > Duration::from_millis(900) && after < Duration::from_millis(1500), "{after:?}");
 }
 
+#[test]
+fn place_admits_long_prompts_that_fast_engines_process_in_time() {
+    let (engines, now) = (engines(2), Instant::now());
+    let long = chain(1, 1000, 2, 80_000);
+    let fast = EngineSpeed { first_token_ms: 20.0, prefill_tokens_per_ms: 150.0 };
+    let placement = choose_at(fast, &long, &engines, now).ok().unwrap();
+    assert!(placement.estimate.unwrap().time_to_first_token < TARGET);
+}
+
+#[test]
+fn place_admits_a_prompt_that_no_engine_processes_in_time() {
+    let (engines, now) = (engines(2), Instant::now());
+    let long = chain(1, 1000, 2, 80_000);
+    assert!(choose(&long, &engines, now).is_ok(), "waiting would not help it");
+    engines.iter().for_each(|engine| add_load(engine, 100_000));
+    assert!(choose(&long, &engines, now).is_err(), "waiting helps it");
+}
+
 #[test]
 fn place_is_the_same_on_all_nodes_for_idle_engines() {
     let now = Instant::now();
@@ -214,7 +243,7 @@
         *free_at = free_at.max(at) + f64::from(prefill) / 44_000.0;
         in_time += u32::from(*free_at + 0.03 - at <= TARGET.as_secs_f64());
         let mut load = engine.load.borrow_mut();
-        let estimate = load.estimate(&prompt, &ENGINE, 0, now);
+        let estimate = load.estimate(&prompt, &ENGINE, EngineSpeed::default(), 0, now);
         let work = load.add_request(&prompt, &estimate);
         load.record_prefixes(&prompt.links, ENGINE.memory_tokens, now);
         drop(load);
--- a/components/gateway/tests/size.rs
+++ b/components/gateway/tests/size.rs
@@ -3,7 +3,8 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use lycheelatch_gateway::{
-    CapacityNeed, PurchaseOption, ScalingSpec, ZoneCapacity, ZoneTarget, plan,
+    CapacityNeed, EngineSpeed, PurchaseOption, ScalingSpec, ServiceLoad, ZoneCapacity, ZoneTarget,
+    plan, reclaimable_engines, required_engines,
 };
 use lycheelatch_prelude::ZoneName;
 use proptest::prelude::*;
@@ -93,6 +94,35 @@
     assert!(sizes.iter().all(|size| size.on_demand + size.reclaimable <= 6), "{sizes:?}");
 }
 
+#[test]
+fn required_engines_follow_the_speed_of_the_engines() {
+    let load = ServiceLoad { prefill_per_second: 500_000.0, ..ServiceLoad::default() };
+    let required = |prefill_tokens_per_ms| {
+        let speed = EngineSpeed { first_token_ms: 25.0, prefill_tokens_per_ms };
+        required_engines(&load, 32, speed).ceil()
+    };
+    assert_eq!((required(50.0), required(150.0), required(500.0)), (25.0, 9.0, 3.0));
+}
+
+#[test]
+fn required_engines_have_free_slots() {
+    let load = ServiceLoad { in_flight: 320, ..ServiceLoad::default() };
+    assert_eq!(required_engines(&load, 32, EngineSpeed::default()), 20.0);
+    let rejecting = ServiceLoad { rejected_share: 0.5, ..load };
+    assert_eq!(required_engines(&rejecting, 32, EngineSpeed::default()), 30.0);
+}
+
+#[test]
+fn reclaimable_engines_survive_the_loss_of_two_zones() {
+    for zones in 3..8 {
+        for required in 1..40 {
+            let count = reclaimable_engines(f64::from(required), zones);
+            let per_zone = count / u32::try_from(zones).unwrap();
+            assert!(count - 2 * per_zone >= required, "{required} in {zones} zones: {count}");
+        }
+    }
+}
+
 /// Counts of one zone: both kinds together don't exceed the maximum.
 fn zone_counts() -> impl Strategy<Value = (u32, u32, bool)> {
     let counts = (0_u32..7).prop_flat_map(|on_demand| (Just(on_demand), 0..=6 - on_demand));
