leader: Keep the lease through an outage, and act sooner after a change

The leader gave up its lease at the end of the store's outage, though the store kept it; then waited for that same lease to end, and for a whole lease more. Before that, the leader after a kill of all nodes cancelled the on-demand engines that its predecessor had ordered because no others were to be had. Change: renewals go on until the store says that the lease has ended; a new leader waits a third of a lease for its predecessor's calls, and a whole one only after its own last action; a new leader cancels no on-demand engines within the startup time. The enumeration of lost, late and repeated writes and of restarts passes as before.

--- a/components/gateway/src/leader.rs
+++ b/components/gateway/src/leader.rs
@@ -3,7 +3,8 @@
 //! The leader's key is attached to the lease. The leader counts the lease's
 //! time from the sending of a renewal, by a clock that advances while the
 //! machine is suspended, and checks it right before each action. A new leader
-//! waits until its predecessor's lease can't be valid any more.
+//! waits for the last calls of its predecessor, and a node that led before waits for a whole
+//! lease after its own last action, so that leaders never alternate within one lease.
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
@@ -20,6 +21,10 @@
 /// Renewals in the lease's time to live.
 const RENEWALS_PER_TTL: u32 = 3;
 
+/// Divisor of the time to live; the quotient is the time before a new leader's first action, in
+/// which calls of its predecessor may still arrive.
+const TAKEOVER_DIVISOR: u32 = 3;
+
 /// Divisor of the time to live; the quotient is the margin before the lease's end in which the
 /// leader does not act.
 const MARGIN_DIVISOR: u32 = 8;
@@ -51,6 +56,22 @@
 }
 
 impl LeaderLease {
+    /// Returns the lease of a node that became the leader at `now`, with no validity yet.
+    ///
+    /// The node may not act within `ttl` after its own last action, since another node may have
+    /// acted in between. All times are since the machine's boot.
+    pub fn acquired(
+        fence: Fence,
+        now: Duration,
+        last_action: Option<Duration>,
+        ttl: Duration,
+    ) -> LeaderLease {
+        let after_predecessor = now + ttl / TAKEOVER_DIVISOR;
+        let after_own = last_action.map_or(Duration::ZERO, |at| at + ttl);
+        let valid_from = after_predecessor.max(after_own);
+        LeaderLease { fence, valid_from, valid_until: Duration::ZERO }
+    }
+
     /// Returns whether the leader may act at a time since the machine's boot.
     pub fn is_valid_at(&self, now: Duration) -> bool {
         self.valid_from <= now && now < self.valid_until
@@ -67,18 +88,27 @@
 pub struct Leadership {
     boot: Rc<dyn BootClock>,
     lease: Cell<Option<LeaderLease>>,
+    /// Time since the machine's boot at which this node last could have acted as the leader.
+    last_action: Cell<Option<Duration>>,
 }
 
 impl Leadership {
     /// Creates the state of a node that is not the leader.
     pub fn new(boot: Rc<dyn BootClock>) -> Leadership {
-        Leadership { boot, lease: Cell::new(None) }
+        // An earlier process on this machine may have acted until now.
+        let last_action = Cell::new(Some(boot.elapsed()));
+        Leadership { boot, lease: Cell::new(None), last_action }
     }
 
     /// Returns the fencing number, if this node is the leader and may act now.
     pub fn fence(&self) -> Option<Fence> {
         let lease = self.lease.get()?;
-        lease.is_valid_at(self.boot.elapsed()).then_some(lease.fence)
+        let now = self.boot.elapsed();
+        if !lease.is_valid_at(now) {
+            return None;
+        }
+        self.last_action.set(Some(now));
+        Some(lease.fence)
     }
 
     /// Returns whether this node holds the leader's lease, also while it may not act yet.
@@ -183,14 +213,15 @@
     };
     let CommitOutcome::Applied(revision) = store.commit(commit).await? else { return Ok(None) };
     let now = leader.boot.elapsed();
-    let valid_from = if is_first_lease { now } else { now + ttl };
-    let mut lease =
-        LeaderLease { fence: Fence(revision.0), valid_from, valid_until: Duration::ZERO };
+    let mut lease = LeaderLease::acquired(Fence(revision.0), now, leader.last_action.get(), ttl);
+    if is_first_lease {
+        lease.valid_from = now;
+    }
     lease.extend(sent, ttl);
     Ok(Some((lease_id, lease)))
 }
 
-/// Renews the lease until it is lost or the node stops.
+/// Renews the lease until the store says that it has ended, or the node stops.
 async fn renew_until_lost(
     gateway: &Gateway,
     store: &dyn Store,
@@ -217,8 +248,7 @@
             Err(StoreError::LeaseEnded) => return,
             Err(err) => log::info!("leader: lease not renewed: {err}"),
         }
-        if !leader.holds_lease() {
-            return;
-        }
+        // The store may keep a lease through its own outage, and then nobody else can have led.
+        gateway.is_leader.set(leader.holds_lease());
     }
 }
--- a/components/gateway/src/leader_tests.rs
+++ b/components/gateway/src/leader_tests.rs
@@ -124,6 +124,8 @@
     reports: Vec<Report>,
     /// Number of reads of single keys.
     reads: u32,
+    /// Start of an outage, in which no call is answered and no lease ends.
+    paused_since: Option<Instant>,
 }
 
 impl ModelPlatform {
@@ -138,9 +140,19 @@
             actions: Vec::new(),
             reports: Vec::new(),
             reads: 0,
+            paused_since: None,
         }
     }
 
+    fn pause(&mut self) {
+        self.paused_since = Some(Instant::now());
+    }
+
+    fn resume(&mut self) {
+        let Some(paused_since) = self.paused_since.take() else { return };
+        self.leases.values_mut().for_each(|ends| *ends += paused_since.elapsed());
+    }
+
     fn next_outcome(&mut self) -> Outcome {
         if self.answered_writes > 0 {
             self.answered_writes -= 1;
@@ -197,6 +209,10 @@
         effect: impl Fn(&mut ModelPlatform) -> Result<T, StoreError> + 'static,
     ) -> Result<T, StoreError> {
         let platform = self.0.clone();
+        if platform.borrow().paused_since.is_some() {
+            sleep(CALL_TIMEOUT).await;
+            return Err(StoreError::NoAnswer("paused".into()));
+        }
         let outcome = platform.borrow_mut().next_outcome();
         let apply = move || effect(&mut platform.borrow_mut());
         sleep(NETWORK_DELAY).await;
@@ -490,6 +506,24 @@
     });
 }
 
+#[test]
+fn leader_goes_on_when_the_store_returns_with_its_lease() {
+    let runtime = paused_runtime();
+    LocalSet::new().block_on(&runtime, async {
+        let platform = Rc::new(RefCell::new(ModelPlatform::new(0, VecDeque::new())));
+        let node = Node::start(&platform, 1);
+        sleep(3 * LEASE).await;
+        let fence = node.leader.fence();
+        assert!(fence.is_some());
+        platform.borrow_mut().pause();
+        sleep(2 * LEASE).await;
+        assert_eq!(node.leader.fence(), None, "its renewals were not answered");
+        platform.borrow_mut().resume();
+        sleep(LEASE / 2).await;
+        assert_eq!(node.leader.fence(), fence);
+    });
+}
+
 fn leader_digest(sequence: u64) -> Digest {
     Digest { sequence, is_leader: true, ..digest("node-9", "zone-a") }
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -74,7 +74,7 @@
 pub use retry_budget::RetryBudget;
 pub use run::{PlatformParts, RunningGateway};
 pub use size::{
-    CapacityNeed, ServiceLoad, ZoneCapacity, ZoneTarget, plan, reclaimable_engines,
+    CapacityNeed, ServiceLoad, ZoneCapacity, ZoneTarget, keep_on_demand, plan, reclaimable_engines,
     required_engines,
 };
 pub use store::{
--- a/components/gateway/src/scale.rs
+++ b/components/gateway/src/scale.rs
@@ -13,7 +13,7 @@
     CapacityOrder, Gateway, Leadership, PlatformApi, PlatformApiError, PurchaseOption, ServiceSpec,
     decision::{NodeEvent, log_event},
     demand::{DemandForecast, EngineState},
-    size::{ZoneCapacity, ZoneTarget, plan},
+    size::{ZoneCapacity, ZoneTarget, keep_on_demand, plan},
     table::ScalingSpec,
 };
 
@@ -44,6 +44,8 @@
     sent: HashMap<OrderKey, SentOrder>,
     exhausted: BTreeSet<(ServiceName, ZoneName)>,
     probed: HashMap<(ServiceName, ZoneName), Instant>,
+    /// Start of this node's leadership.
+    leader_since: Option<Instant>,
     forecast: DemandForecast,
 }
 
@@ -64,8 +66,10 @@
         }
         if leader.fence().is_none() {
             state.sent.clear();
+            state.leader_since = None;
             continue;
         }
+        state.leader_since.get_or_insert(Instant::now());
         for service in table.services() {
             if let Some(spec) = &service.scaling {
                 scale_service(&gateway, &leader, &*api, service, spec, &mut state).await;
@@ -86,7 +90,11 @@
     let capacity = current_capacity(gateway, service, spec, state);
     let engines = engine_state(gateway, service);
     let Some(need) = state.forecast.need(service, spec, engines, now) else { return };
-    let targets = plan(spec, need, &capacity);
+    let mut targets = plan(spec, need, &capacity);
+    let is_new = state.leader_since.is_none_or(|since| now - since < spec.startup_time);
+    if is_new && need.is_busy {
+        keep_on_demand(&capacity, &mut targets);
+    }
     let mut calls_left = MAX_CALLS_PER_ROUND;
     for (target, zone) in targets.iter().zip(&capacity) {
         if zone.is_reclaimable_exhausted {
--- a/components/gateway/src/size.rs
+++ b/components/gateway/src/size.rs
@@ -114,6 +114,16 @@
     targets
 }
 
+/// Keeps all running on-demand upstreams.
+///
+/// A new leader does not know where reclaimable ones can be had; its predecessor may have ordered
+/// these because there were none.
+pub fn keep_on_demand(capacity: &[ZoneCapacity], targets: &mut [ZoneTarget]) {
+    for (zone, target) in capacity.iter().zip(targets) {
+        target.on_demand = target.on_demand.max(zone.on_demand);
+    }
+}
+
 /// Returns the indexes of the zones, cheapest first.
 fn zones_by_price(spec: &ScalingSpec, capacity: &[ZoneCapacity]) -> Vec<usize> {
     let price = |at: &usize| spec.zone_prices.get(&capacity[*at].zone).copied().unwrap_or(1.0);
--- a/components/gateway/tests/holding.rs
+++ b/components/gateway/tests/holding.rs
@@ -30,6 +30,15 @@
     assert_eq!(lease.valid_until, until);
 }
 
+#[test]
+fn acquired_acts_soon_unless_the_node_acted_itself() {
+    let acts_from =
+        |last_action| LeaderLease::acquired(Fence(1), ms(20_000), last_action, TTL).valid_from;
+    assert_eq!(acts_from(None), ms(21_000));
+    assert_eq!(acts_from(Some(ms(3000))), ms(21_000));
+    assert_eq!(acts_from(Some(ms(19_500))), ms(22_500), "another node may have acted since");
+}
+
 proptest! {
     /// Two nodes compete for a lease; the store grants it to the other only after it expired.
     #[test]
@@ -40,6 +49,7 @@
         let mut lease_ends = ms(0);
         let mut holder = 0_usize;
         let mut leases: [Option<LeaderLease>; 2] = [None, None];
+        let mut last_actions = [None, None];
         let mut acts: Vec<(Duration, usize)> = Vec::new();
         for (pause, latency) in steps {
             now += ms(pause);
@@ -53,8 +63,8 @@
             } else {
                 holder = 1 - holder;
                 lease_ends = arrives + TTL;
-                let mut lease =
-                    LeaderLease { fence: Fence(1), valid_from: arrives + TTL, valid_until: ms(0) };
+                let last_action = last_actions[holder];
+                let mut lease = LeaderLease::acquired(Fence(1), arrives, last_action, TTL);
                 lease.extend(now, TTL);
                 leases[holder] = Some(lease);
             }
@@ -62,6 +72,7 @@
             for (at, lease) in leases.iter().enumerate() {
                 if lease.is_some_and(|lease| lease.is_valid_at(now)) {
                     acts.push((now, at));
+                    last_actions[at] = Some(now);
                 }
             }
         }
--- a/components/gateway/tests/size.rs
+++ b/components/gateway/tests/size.rs
@@ -4,7 +4,7 @@
 
 use lycheelatch_gateway::{
     CapacityNeed, EngineSpeed, PurchaseOption, ScalingSpec, ServiceLoad, ZoneCapacity, ZoneTarget,
-    plan, reclaimable_engines, required_engines,
+    keep_on_demand, plan, reclaimable_engines, required_engines,
 };
 use lycheelatch_prelude::ZoneName;
 use proptest::prelude::*;
@@ -85,6 +85,16 @@
     assert_eq!(total(&plan(&spec(), idle, &started), PurchaseOption::OnDemand), 0);
 }
 
+#[test]
+fn keep_on_demand_holds_what_a_predecessor_ordered() {
+    // The predecessor knew that no reclaimable upstreams are to be had in two of the zones.
+    let supply = supply([(2, 0, false), (2, 0, false), (0, 4, false), (0, 4, false)]);
+    let mut targets = plan(&spec(), NEED, &supply);
+    assert_eq!(total(&targets, PurchaseOption::OnDemand), 0, "the rest seems to be enough");
+    keep_on_demand(&supply, &mut targets);
+    assert_eq!(total(&targets, PurchaseOption::OnDemand), 4);
+}
+
 #[test]
 fn plan_at_the_maximum_keeps_running_on_demand() {
     // A new leader doesn't know yet that no reclaimable upstreams are available.
