sync, quota: One watch a reader, readers by zone size, Retry-After from what frees

Change: one watch covers all keys, its pause follows the time within which changes must be in force (a new setting, change_bound); one node in three of a zone reads, two at most; a node that lacks a configuration others have had for 0.4 of that time reads it from one of them. Retry-After is the time in which the oldest usage leaves the window, spread over the cost that all nodes refused lately.

--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -20,7 +20,7 @@
     engine_speed::{EngineSpeed, SpeedSamples},
     gossip,
     peers::{Digest, PeerTable},
-    quota::{self, ProcessAge, SlidingCounter, SubwindowUsage},
+    quota::{self, ProcessAge, ReportedUsage, SlidingCounter},
     retry_budget::RetryBudget,
     server::Drain,
     usage::Usage,
@@ -260,13 +260,18 @@
         let mut quotas = self.quotas.borrow_mut();
         let count = quotas.entry(workspace.name.clone()).or_default();
         let own = count.admitted.subwindow_sums(window, now);
-        if quota::admits(limit, window, own, others, self.age(now), cost) {
-            count.admitted.add(cost, now);
-            return Ok(());
-        }
+        let excess = match quota::admits(limit, window, own, others, self.age(now), cost) {
+            Ok(()) => {
+                count.admitted.add(cost, now);
+                return Ok(());
+            }
+            Err(excess) => excess,
+        };
+        let mut used = own;
+        used += others.reported;
+        let waiting = others.refused + count.refused.subwindow_sums(window, now).shortest();
         count.refused.add(cost, now);
-        let refused = count.refused.sum(window, now);
-        let after = quota::retry_after(limit, refused, others.nodes);
+        let after = quota::retry_after(limit, window, used, excess, waiting, rand::random::<f64>());
         self.decisions.write(&Decision::QuotaExceeded(QuotaExceeded {
             workspace: &workspace.name,
             cost,
@@ -288,8 +293,8 @@
         ProcessAge::Restarted(now.saturating_duration_since(self.started))
     }
 
-    /// Returns each workspace's usage that this node has admitted within the quota window.
-    pub(crate) fn quota_use(&self, now: Instant) -> Vec<(WorkspaceName, SubwindowUsage)> {
+    /// Returns each workspace's usage on this node within the quota window.
+    pub(crate) fn quota_use(&self, now: Instant) -> Vec<(WorkspaceName, ReportedUsage)> {
         let window = self.reloaded.borrow().quota_window;
         let Some(table) = self.table() else { return Vec::new() };
         let nodes = self.nodes();
@@ -297,13 +302,14 @@
         let mut used = Vec::new();
         for workspace in table.workspaces() {
             let Some(limit) = &workspace.quota else { continue };
-            let count = quotas.get_mut(&workspace.name);
-            let mut usage = quota::assumed_usage(limit, window, nodes, self.age(now));
-            usage += count.map_or(SubwindowUsage::default(), |count| {
-                count.admitted.subwindow_sums(window, now)
-            });
-            if !usage.is_empty() {
-                used.push((workspace.name.clone(), usage));
+            let mut admitted = quota::assumed_usage(limit, window, nodes, self.age(now));
+            let mut refused = 0;
+            if let Some(count) = quotas.get_mut(&workspace.name) {
+                admitted += count.admitted.subwindow_sums(window, now);
+                refused = count.refused.subwindow_sums(window, now).shortest();
+            }
+            if !admitted.is_empty() || refused > 0 {
+                used.push((workspace.name.clone(), ReportedUsage { admitted, refused }));
             }
         }
         used
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -166,6 +166,7 @@
         sent_prompts,
         usage: windows.collect(),
         demand: gateway.demand.borrow().iter().map(service_demand).collect(),
+        config_version: gateway.table().map_or(0, |table| table.version),
         departures: gateway.departures.borrow_mut().announcement(Instant::now()),
     }
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -68,8 +68,8 @@
 pub use place::{Placement, PlacementError, PlacementRequest, place};
 pub use platform_api::{CapacityOrder, PlatformApi, PlatformApiError, PurchaseOption};
 pub use quota::{
-    PeerUsage, ProcessAge, SlidingCounter, SubwindowUsage, admits, assumed_usage, remaining,
-    retry_after, window_limit,
+    PeerUsage, ProcessAge, ReportedUsage, SlidingCounter, SubwindowUsage, admits, assumed_usage,
+    remaining, retry_after, window_limit,
 };
 pub use retry_budget::RetryBudget;
 pub use run::{PlatformParts, RunningGateway};
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -18,7 +18,7 @@
     engine_load::{InFlight, PrefixHash},
     engine_speed::SpeedSamples,
     gossip::cross_zone_interval,
-    quota::{PeerUsage, SubwindowUsage},
+    quota::{PeerUsage, ReportedUsage, SubwindowUsage},
     usage::UsageWindow,
 };
 
@@ -105,11 +105,13 @@
     /// Whether the node is the leader.
     pub(crate) is_leader: bool,
     /// Admitted cost of each workspace in the window of its limit.
-    pub(crate) quota_use: Vec<(WorkspaceName, SubwindowUsage)>,
+    pub(crate) quota_use: Vec<(WorkspaceName, ReportedUsage)>,
     pub(crate) upstreams: Vec<UpstreamLoad>,
     pub(crate) sent_prompts: Vec<PromptNotice>,
     pub(crate) usage: Vec<WindowUsage>,
     pub(crate) demand: Vec<ServiceDemand>,
+    /// Version of the configuration in force; 0 if there is none.
+    pub(crate) config_version: u64,
     /// Upstreams that recently stopped accepting requests.
     pub(crate) departures: Vec<Departure>,
 }
@@ -324,6 +326,15 @@
         cross_zone_interval(self.peers.len())
     }
 
+    /// Returns the address of a live node with a newer configuration than `version`.
+    pub(crate) fn with_newer_config(&self, version: u64, now: Instant) -> Option<SocketAddr> {
+        let is_newer = |peer: &Peer| {
+            peer.digest.as_ref().is_some_and(|digest| digest.config_version > version)
+        };
+        let mut newer = self.live_peers(now).filter(|(_, peer)| is_newer(peer));
+        newer.next().map(|(_, peer)| peer.address)
+    }
+
     /// Returns the addresses of the live nodes.
     pub(crate) fn live_addresses(&self, now: Instant) -> Vec<SocketAddr> {
         self.live_peers(now).map(|(_, peer)| peer.address).collect()
@@ -337,6 +348,7 @@
         now: Instant,
     ) -> PeerUsage {
         let mut use_of_live = SubwindowUsage::default();
+        let mut refused = 0;
         let mut live_nodes = 0;
         let limit = self.liveness_timeout();
         for peer in self.peers.values() {
@@ -344,14 +356,16 @@
             let Some(digest) = &peer.digest else { continue };
             live_nodes += 1;
             let used = digest.quota_use.iter().find(|(name, _)| name == workspace);
-            use_of_live +=
-                used.map_or(SubwindowUsage::default(), |(_, used)| used.extrapolate(age, window));
+            let Some((_, used)) = used else { continue };
+            use_of_live += used.admitted.extrapolate(age, window);
+            refused += used.refused;
         }
         let nodes = self.node_count();
         let seen = self.peers.values().filter(|peer| peer.last_seen.is_some()).count();
         let seen = u32::try_from(seen).unwrap_or(u32::MAX);
         PeerUsage {
             reported: use_of_live,
+            refused,
             silent_nodes: seen.saturating_sub(live_nodes),
             unseen_nodes: (nodes - 1).saturating_sub(seen),
             nodes,
--- a/components/gateway/src/quota.rs
+++ b/components/gateway/src/quota.rs
@@ -40,6 +40,11 @@
         SubwindowUsage(self.0.map(|used| used + since as u64))
     }
 
+    /// Returns the usage in the shortest subwindow.
+    pub fn shortest(&self) -> u64 {
+        self.0[0]
+    }
+
     /// Returns whether the usage is zero in all subwindows.
     pub fn is_empty(&self) -> bool {
         self.0.iter().all(|used| *used == 0)
@@ -88,11 +93,22 @@
     }
 }
 
+/// Usage of a workspace that a node reports to the others.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportedUsage {
+    /// Admitted cost.
+    pub admitted: SubwindowUsage,
+    /// Cost refused in the shortest subwindow.
+    pub refused: u64,
+}
+
 /// Usage admitted by the other nodes, as far as it is known.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct PeerUsage {
     /// Sum of the usage of the nodes whose reports are current.
     pub reported: SubwindowUsage,
+    /// Sum of the cost that they refused in the shortest subwindow.
+    pub refused: u64,
     /// Number of nodes that reported before but no longer do.
     pub silent_nodes: u32,
     /// Number of nodes that have not reported since this process started.
@@ -110,9 +126,8 @@
 /// Share of a node's part of the limit that is assumed to be used already after a restart.
 const ASSUMED_SHARE: f64 = 0.97;
 
-/// Minimum and maximum `Retry-After` for a workspace that has exceeded its quota.
-const RETRY_AFTER_RANGE: (Duration, Duration) =
-    (Duration::from_millis(300), Duration::from_secs(4));
+/// Minimum `Retry-After` for a workspace that has exceeded its quota.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// Returns the usage to assume for one node from before this process was restarted.
 ///
@@ -133,12 +148,25 @@
     }))
 }
 
-/// Returns the `Retry-After` for a workspace that has exceeded its quota: the time in which
-/// this node's share of the rate covers the cost that was recently refused.
-pub fn retry_after(quota: &Quota, refused: u64, nodes: u32) -> Duration {
-    let rate = quota.per_second as f64 / f64::from(nodes.max(1));
-    let wait = Duration::from_secs_f64((refused as f64 / rate.max(1.0)).min(60.0));
-    wait.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1)
+/// Returns the `Retry-After` of a request that exceeds its workspace's quota by `excess`: the time
+/// after which usage that leaves the window makes room for it.
+///
+/// `used` is the usage of all nodes and `waiting` the cost that they refused lately. Those
+/// callers return too, so they are spread evenly over the time that makes room for all;
+/// `position`, from 0 to 1, is this request's place among them.
+pub fn retry_after(
+    quota: &Quota,
+    window: Duration,
+    used: SubwindowUsage,
+    excess: u64,
+    waiting: u64,
+    position: f64,
+) -> Duration {
+    let [.., half, whole] = used.0;
+    let oldest_half = whole.saturating_sub(half) as f64 / (window / 2).as_secs_f64();
+    let rate = oldest_half.max(quota.per_second as f64).max(1.0);
+    let ahead = excess as f64 + waiting as f64 * position;
+    Duration::from_secs_f64(ahead / rate).clamp(MIN_RETRY_AFTER, window)
 }
 
 /// Returns how much this node may still admit.
@@ -156,7 +184,8 @@
     subwindows(quota, window, own, others, age).iter().map(Subwindow::remaining).min().unwrap_or(0)
 }
 
-/// Returns whether a request of this cost may be admitted.
+/// Checks whether a request of this cost may be admitted; if not, returns by how much it exceeds
+/// the limit that it exceeds most.
 ///
 /// The limit of a subwindow shorter than the window does not apply if nothing was used in it.
 /// Otherwise a request that costs more than such a limit could never be admitted.
@@ -167,11 +196,15 @@
     others: PeerUsage,
     age: ProcessAge,
     cost: u64,
-) -> bool {
+) -> Result<(), u64> {
     let subwindows = subwindows(quota, window, own, others, age);
-    let whole = &subwindows[DIVISORS.len() - 1];
-    whole.remaining() >= cost
-        && subwindows.iter().all(|subwindow| subwindow.remaining() >= cost || subwindow.used == 0)
+    let last = DIVISORS.len() - 1;
+    let applies = |at: usize| at == last || subwindows[at].used > 0;
+    let applying = (0..=last).filter(|at| applies(*at));
+    match applying.map(|at| subwindows[at].excess(cost)).max() {
+        None | Some(0) => Ok(()),
+        Some(excess) => Err(excess),
+    }
 }
 
 /// Limit and usage of a subwindow.
@@ -182,6 +215,11 @@
 }
 
 impl Subwindow {
+    /// Returns by how much a request of this cost would exceed the limit.
+    fn excess(&self, cost: u64) -> u64 {
+        (self.used + cost).saturating_sub(self.limit)
+    }
+
     fn remaining(&self) -> u64 {
         self.limit.saturating_sub(self.used)
     }
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -1,8 +1,7 @@
 //! Local view of the store: the configuration and the registered upstreams.
 //!
-//! Two loops watch the store, one for the operators' keys and one for the
-//! upstreams' keys. While the store is unreachable, `view_exchange` reads the
-//! view of other nodes.
+//! A watch returns the changes of all keys. While the store is unreachable,
+//! `view_exchange` reads the view of other nodes.
 
 use std::{
     cell::{Cell, RefCell},
@@ -29,8 +28,18 @@
 /// Maximum wait of one watch; a stalled connection is detected only after it.
 const WATCH_WAIT: Duration = Duration::from_millis(1000);
 
-/// Pause between two watches of the upstreams' keys, which batches their frequent writes.
-const UPSTREAM_WATCH_INTERVAL: Duration = Duration::from_millis(500);
+/// Time from a call until its response is applied, at most, if it does not wait.
+const RESPONSE_TIME: Duration = Duration::from_millis(300);
+
+/// Divisor of the time within which a change must be in force; the quotient is the pause between
+/// two watches, which batches the upstreams' frequent writes.
+const INTERVALS_PER_BOUND: u32 = 4;
+
+/// Name of the calls in the log.
+const WATCH_CALL: &str = "watch";
+
+/// Prefix of all keys.
+const ALL_KEYS: &str = "";
 
 /// Time between two checks whether another node's view is still followed.
 const FOLLOW_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -67,23 +76,19 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct LocalChange(pub(crate) u64);
 
-/// Status of one loop's calls to the store.
+/// Status of the calls to the store.
+#[derive(Default)]
 struct StoreCallStatus {
-    name: &'static str,
     /// Start of the current outage.
     failing_since: Cell<Option<Instant>>,
 }
 
 impl StoreCallStatus {
-    fn new(name: &'static str) -> StoreCallStatus {
-        StoreCallStatus { name, failing_since: Cell::default() }
-    }
-
     /// Records the success of a call sent at `sent`; returns the length of the outage that it ends.
     fn record_success(&self, sent: Instant) -> Option<Duration> {
         // A watch waits for changes, so the store was reachable when the call arrived.
         let outage = sent.saturating_duration_since(self.failing_since.take()?);
-        log_event(&NodeEvent::StoreRecovered { call: self.name, outage_ms: millis(outage) });
+        log_event(&NodeEvent::StoreRecovered { call: WATCH_CALL, outage_ms: millis(outage) });
         Some(outage)
     }
 
@@ -92,7 +97,7 @@
         if self.failing_since.get().is_some() {
             return;
         }
-        log_event(&NodeEvent::StoreUnreachable { call: self.name, reason: &err.to_string() });
+        log_event(&NodeEvent::StoreUnreachable { call: WATCH_CALL, reason: &err.to_string() });
         // A watch waits while nothing changes, so until an early failure the store was reachable.
         let was_silent = sent.elapsed() >= SILENT_WATCH_TIME;
         self.failing_since.set(Some(if was_silent { sent } else { Instant::now() }));
@@ -115,8 +120,7 @@
     pub(crate) is_following: Cell<bool>,
     last_success: Cell<Option<Instant>>,
     last_failure: Cell<Option<Instant>>,
-    config_calls: StoreCallStatus,
-    upstream_calls: StoreCallStatus,
+    calls: StoreCallStatus,
     pending_removals: RefCell<BTreeMap<Arc<str>, StoreRevision>>,
     /// End of the last outage of the store that was long enough for leases to end.
     recovered_at: Cell<Option<Instant>>,
@@ -143,8 +147,7 @@
             is_following: Cell::new(false),
             last_success: Cell::default(),
             last_failure: Cell::default(),
-            config_calls: StoreCallStatus::new("configuration"),
-            upstream_calls: StoreCallStatus::new("upstreams"),
+            calls: StoreCallStatus::default(),
             pending_removals: RefCell::default(),
             recovered_at: Cell::default(),
             revision_at_recovery: Cell::default(),
@@ -181,20 +184,25 @@
         self.last_success.get().map_or(Duration::MAX, |at| at.elapsed())
     }
 
+    /// Returns the pause between two watches.
+    fn read_interval(&self) -> Duration {
+        self.gateway.settings.change_bound / INTERVALS_PER_BOUND
+    }
+
+    /// Returns the age that the view of a node whose calls succeed does not exceed.
+    pub(crate) fn max_age(&self) -> Duration {
+        self.read_interval() + WATCH_WAIT + RESPONSE_TIME
+    }
+
     /// Returns whether a call to the store failed recently and its last response is too old.
     pub(crate) fn is_store_unreachable(&self) -> bool {
         let failed = self.last_failure.get();
         failed.is_some_and(|at| at.elapsed() < 2 * WATCH_WAIT) && self.age() > UNREACHABLE_AFTER
     }
 
-    fn record_config_success(&self, sent: Instant) {
-        self.config_calls.record_success(sent);
-        self.last_success.set(Some(Instant::now()));
-    }
-
-    fn record_upstreams_success(&self, sent: Instant) {
+    fn record_success(&self, sent: Instant) {
         let now = Instant::now();
-        if self.upstream_calls.record_success(sent).is_some_and(|outage| outage > MIN_OUTAGE) {
+        if self.calls.record_success(sent).is_some_and(|outage| outage > MIN_OUTAGE) {
             self.recovered_at.set(Some(now));
             self.revision_at_recovery.set(None);
         }
@@ -202,8 +210,8 @@
     }
 
     /// Records the failure of a call sent at `sent`.
-    fn record_failure(&self, calls: &StoreCallStatus, err: &StoreError, sent: Instant) {
-        calls.record_failure(err, sent);
+    fn record_failure(&self, err: &StoreError, sent: Instant) {
+        self.calls.record_failure(err, sent);
         self.last_failure.set(Some(Instant::now()));
     }
 
@@ -338,23 +346,29 @@
     }
 }
 
-/// Watches the operators' keys until the task is dropped.
-pub(crate) async fn watch_config(view: Rc<StoreView>) {
+/// Reads the store and watches it for changes until the task is dropped.
+///
+/// One watch covers all keys, since each call to the store is billed.
+pub(crate) async fn watch_store(view: Rc<StoreView>) {
     let mut after = None;
     let mut backoff = BACKOFF.0;
     loop {
         wait_while_following(&view).await;
         let sent = Instant::now();
-        match update_config(&view, after).await {
+        match update(&view, after, sent).await {
             Ok(revision) => {
-                view.record_config_success(sent);
                 after = Some(revision);
                 backoff = BACKOFF.0;
+                sleep(view.read_interval()).await;
             }
             Err(StoreError::Compacted) => after = None,
             Err(err) => {
-                view.record_failure(&view.config_calls, &err, sent);
+                view.record_failure(&err, sent);
                 backoff = sleep_with_jitter(backoff).await;
+                // The history may lack changes of a long outage.
+                if backoff == BACKOFF.1 {
+                    after = None;
+                }
             }
         }
     }
@@ -367,79 +381,50 @@
     }
 }
 
-async fn update_config(
+/// Applies the changes after a revision, or everything if it is `None`; returns the revision
+/// up to which the store was read.
+async fn update(
     view: &StoreView,
     after: Option<StoreRevision>,
+    sent: Instant,
 ) -> Result<StoreRevision, StoreError> {
-    let prefix = view.layout.operator_prefix();
-    let Some(after) = after else {
-        let listing = view.store.list(prefix, Freshness::Linearizable).await?;
-        for item in listing.items {
-            if &*item.key == view.layout.config_key() {
-                view.apply_config(item.value, item.revision);
-            }
-        }
-        return Ok(listing.revision);
-    };
-    let changes = view.store.watch(prefix, after, WATCH_WAIT).await?;
+    let Some(after) = after else { return read_all(view, sent).await };
+    let changes = view.store.watch(ALL_KEYS, after, WATCH_WAIT).await?;
+    view.record_success(sent);
     for event in changes.events {
-        if let StoreEvent::Written(item) = event
-            && &*item.key == view.layout.config_key()
-        {
-            view.apply_config(item.value, item.revision);
-        }
+        apply_event(view, event);
     }
+    view.advance_revision(changes.revision);
     Ok(changes.revision.max(after))
 }
 
-/// Watches the upstreams' keys until the task is dropped.
-pub(crate) async fn watch_upstreams(view: Rc<StoreView>) {
-    let mut after = None;
-    let mut backoff = BACKOFF.0;
-    loop {
-        wait_while_following(&view).await;
-        let sent = Instant::now();
-        match update_upstreams(&view, after, sent).await {
-            Ok(revision) => {
-                after = Some(revision);
-                backoff = BACKOFF.0;
-                sleep(UPSTREAM_WATCH_INTERVAL).await;
-            }
-            Err(StoreError::Compacted) => after = None,
-            Err(err) => {
-                view.record_failure(&view.upstream_calls, &err, sent);
-                backoff = sleep_with_jitter(backoff).await;
-                // The history may lack changes of a long outage.
-                if backoff == BACKOFF.1 {
-                    after = None;
-                }
-            }
+async fn read_all(view: &StoreView, sent: Instant) -> Result<StoreRevision, StoreError> {
+    let operators = view.store.list(view.layout.operator_prefix(), Freshness::Linearizable).await?;
+    for item in operators.items {
+        if &*item.key == view.layout.config_key() {
+            view.apply_config(item.value, item.revision);
         }
     }
+    let upstreams = view.store.list(view.layout.upstream_prefix(), Freshness::Linearizable).await?;
+    view.record_success(sent);
+    view.apply_listing(upstreams.items, upstreams.revision);
+    Ok(operators.revision.min(upstreams.revision))
 }
 
-async fn update_upstreams(
-    view: &StoreView,
-    after: Option<StoreRevision>,
-    sent: Instant,
-) -> Result<StoreRevision, StoreError> {
-    let prefix = view.layout.upstream_prefix();
-    let Some(after) = after else {
-        let listing = view.store.list(prefix, Freshness::Linearizable).await?;
-        view.record_upstreams_success(sent);
-        view.apply_listing(listing.items, listing.revision);
-        return Ok(listing.revision);
-    };
-    let changes = view.store.watch(prefix, after, WATCH_WAIT).await?;
-    view.record_upstreams_success(sent);
-    for event in changes.events {
-        match event {
-            StoreEvent::Written(item) => view.apply_upstream(&item.key, item.value, item.revision),
-            StoreEvent::Deleted { key, revision } => view.handle_deletion(&key, revision),
+fn apply_event(view: &StoreView, event: StoreEvent) {
+    let is_upstream = |key: &str| key.starts_with(view.layout.upstream_prefix());
+    match event {
+        StoreEvent::Written(item) if &*item.key == view.layout.config_key() => {
+            view.apply_config(item.value, item.revision);
+        }
+        StoreEvent::Written(item) if is_upstream(&item.key) => {
+            view.apply_upstream(&item.key, item.value, item.revision);
         }
+        StoreEvent::Deleted { key, revision } if is_upstream(&key) => {
+            view.handle_deletion(&key, revision);
+        }
+        StoreEvent::Written(_) | StoreEvent::Deleted { .. } => {}
     }
-    view.advance_revision(changes.revision);
-    Ok(changes.revision.max(after))
 }
 
 /// Finishes pending removals after the grace period, until the task is dropped.
--- a/components/gateway/src/test_support.rs
+++ b/components/gateway/src/test_support.rs
@@ -56,6 +56,7 @@
         sent_prompts: Vec::new(),
         usage: Vec::new(),
         demand: Vec::new(),
+        config_version: 0,
         departures: Vec::new(),
     }
 }
--- a/components/gateway/src/view_exchange.rs
+++ b/components/gateway/src/view_exchange.rs
@@ -43,18 +43,22 @@
 /// Maximum time that a response waits for a change.
 const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Age from which another node's view is not applied.
-const MAX_VIEW_AGE: Duration = Duration::from_millis(1600);
-
-/// Number of nodes in an availability zone that read the store directly.
-const READERS: usize = 2;
+/// Maximum number of nodes in an availability zone that read the store directly.
+const MAX_READERS: usize = 2;
 
 /// Minimum number of other live nodes in the availability zone for a node to follow one of them.
-const MIN_NODES_TO_FOLLOW: usize = 4;
+const MIN_NODES_TO_FOLLOW: usize = 2;
+
+/// Nodes of an availability zone per node that reads the store directly.
+const NODES_PER_READER: usize = 3;
 
 /// Time for which a node reads the store directly after it failed to follow another.
 const RETRY_FOLLOW_AFTER: Duration = Duration::from_secs(4);
 
+/// Share of the time within which a change must be in force after which a node that lacks a
+/// configuration reads it from another node.
+const MAX_BEHIND_SHARE: f64 = 0.4;
+
 /// Maximum size of a fetched view, in bytes.
 const MAX_VIEW_BYTES: usize = 16 << 20;
 
@@ -274,10 +278,11 @@
     }
     let own = &gateway.settings.node;
     let rank = nodes.iter().filter(|(id, _)| id < own).count();
-    if rank < READERS {
+    let readers = ((nodes.len() + 1) / NODES_PER_READER).min(MAX_READERS);
+    if rank < readers {
         return None;
     }
-    let choice = usize::from(own.as_str().bytes().last().unwrap_or(0)) % READERS;
+    let choice = usize::from(own.as_str().bytes().last().unwrap_or(0)) % readers;
     nodes.get(choice).map(|(_, address)| *address)
 }
 
@@ -296,7 +301,7 @@
     let fetched =
         timeout(LONG_POLL_TIMEOUT + FETCH_TIMEOUT, fetch(&mut current.connection, current.cursor));
     let wire = fetched.await.map_err(|_| FetchError::Timeout)??;
-    if wire.age_ms > u64::try_from(MAX_VIEW_AGE.as_millis()).unwrap_or(u64::MAX) {
+    if Duration::from_millis(wire.age_ms) > view.max_age() {
         return Err(FetchError::Stale(wire.age_ms));
     }
     current.cursor = Cursor { incarnation: wire.incarnation, change: LocalChange(wire.change) };
@@ -306,17 +311,20 @@
     Ok(())
 }
 
-/// Fetches other nodes' views while the store is unreachable.
+/// Fetches other nodes' views while the store is unreachable, or while other nodes have had a
+/// newer configuration for some time.
 pub(crate) async fn fetch_during_outage(gateway: Rc<Gateway>, view: Rc<StoreView>) {
+    let mut behind_since = None;
     loop {
         sleep(FETCH_INTERVAL).await;
-        if !view.is_store_unreachable() {
+        let newer = node_with_newer_config(&gateway, &mut behind_since);
+        if newer.is_none() && !view.is_store_unreachable() {
             continue;
         }
         let live = gateway.peers.borrow().live_addresses(Instant::now());
         let peer = live.choose(&mut rand::rng()).copied();
         let seed = gateway.seeds().choose(&mut rand::rng()).copied();
-        let Some(address) = peer.or(seed) else { continue };
+        let Some(address) = newer.or(peer).or(seed) else { continue };
         match timeout(FETCH_TIMEOUT, fetch_complete_view(address)).await {
             Ok(Ok(wire)) => apply_view(&view, wire),
             Ok(Err(err)) => log::debug!("peers: failed to fetch the view of {address}: {err}"),
@@ -325,6 +333,23 @@
     }
 }
 
+/// Returns a node with a newer configuration than this one, if there has been one for longer than
+/// this node's own reads of the store should take.
+fn node_with_newer_config(
+    gateway: &Gateway,
+    behind_since: &mut Option<Instant>,
+) -> Option<SocketAddr> {
+    let now = Instant::now();
+    let version = gateway.table().map_or(0, |table| table.version);
+    let Some(address) = gateway.peers.borrow().with_newer_config(version, now) else {
+        *behind_since = None;
+        return None;
+    };
+    let since = *behind_since.get_or_insert(now);
+    let max_time = gateway.settings.change_bound.mul_f64(MAX_BEHIND_SHARE);
+    (now - since >= max_time).then_some(address)
+}
+
 async fn fetch_complete_view(address: SocketAddr) -> Result<ViewWire, FetchError> {
     let mut connection = Connection::open(address, FETCH_TIMEOUT).await?;
     fetch(&mut connection, Cursor::default()).await
@@ -347,7 +372,7 @@
     if let Some(config) = wire.config {
         view.apply_config(config.value.into(), StoreRevision(config.revision));
     }
-    let is_fresh = Duration::from_millis(wire.age_ms) <= MAX_VIEW_AGE;
+    let is_fresh = Duration::from_millis(wire.age_ms) <= view.max_age();
     let revision = StoreRevision(wire.revision);
     if wire.is_complete && is_fresh && revision >= view.revision.get() {
         view.apply_listing(wire.upstreams.into_iter().map(KeyValue::from).collect(), revision);
--- a/components/gateway/tests/quota.rs
+++ b/components/gateway/tests/quota.rs
@@ -4,7 +4,7 @@
 
 use lycheelatch_gateway::{
     PeerUsage, ProcessAge, Quota, SlidingCounter, SubwindowUsage, admits, assumed_usage, remaining,
-    window_limit,
+    retry_after, window_limit,
 };
 use proptest::prelude::*;
 use tokio::time::Instant;
@@ -75,7 +75,8 @@
     let unseen = all.iter().filter(|at| cluster[**at].reported_usage.is_none()).count() as u32;
     let silent = all.iter().filter(|at| !is_reachable(at)).count() as u32;
     let nodes = cluster.len() as u32;
-    PeerUsage { reported, silent_nodes: silent, unseen_nodes: unseen, nodes }
+    let refused = 0;
+    PeerUsage { reported, refused, silent_nodes: silent, unseen_nodes: unseen, nodes }
 }
 
 fn max_in_window(admitted: &[(u32, u64)]) -> u64 {
@@ -144,12 +145,41 @@
 fn admits_large_request_when_nothing_was_used() {
     let others = PeerUsage { nodes: 6, ..PeerUsage::default() };
     let large = window_limit(&QUOTA, WINDOW / 8) * 2;
-    let pass =
-        |own: SubwindowUsage| admits(&QUOTA, WINDOW, own, others, ProcessAge::FirstStart, large);
+    let pass = |own: SubwindowUsage| {
+        admits(&QUOTA, WINDOW, own, others, ProcessAge::FirstStart, large).is_ok()
+    };
     assert!(pass(SubwindowUsage::default()));
     assert!(!pass(SubwindowUsage([1, 1, 1, 1])));
 }
 
+/// Usage at the limit, evenly over the window.
+const FULL: SubwindowUsage = SubwindowUsage([1125, 2250, 4500, 9000]);
+
+#[test]
+fn retry_after_is_the_time_until_usage_leaves_the_window() {
+    let after = |excess, waiting, position| {
+        retry_after(&QUOTA, WINDOW, FULL, excess, waiting, position).as_millis()
+    };
+    assert_eq!(after(225, 0, 0.0), 200);
+    assert_eq!(after(225, 1125, 0.5), 700, "half of the waiting cost is ahead");
+    assert_eq!(after(1, 0, 0.0), 50);
+    assert_eq!(after(100_000, 0, 0.0), 8000, "by then all usage has left the window");
+}
+
+#[test]
+fn retry_after_spreads_callers_over_the_capacity_that_becomes_free() {
+    // Twenty callers of 100 tokens were refused within a second, at any number of nodes.
+    let mut returns: Vec<_> = (0..20)
+        .map(|at| retry_after(&QUOTA, WINDOW, FULL, 100, 2000, f64::from(at) / 20.0))
+        .collect();
+    returns.sort();
+    let (first, last) = (returns[0], returns[19]);
+    assert!(first < Duration::from_millis(150), "{first:?}");
+    assert!(last > Duration::from_millis(1500) && last < Duration::from_secs(2), "{last:?}");
+    let largest_gap = returns.windows(2).map(|pair| pair[1] - pair[0]).max().unwrap();
+    assert!(largest_gap < Duration::from_millis(120), "{largest_gap:?}");
+}
+
 proptest! {
     #[test]
     fn sum_slides(amounts in prop::collection::vec((0_u64..2000, 0_u64..100), 1..60)) {
--- a/components/settings/src/gateway.rs
+++ b/components/settings/src/gateway.rs
@@ -50,6 +50,8 @@
     pub quota_window: Duration,
     /// Time from the termination signal to the end of the process.
     pub grace: Duration,
+    /// Time within which a change of the configuration or of an upstream must be in force.
+    pub change_bound: Duration,
     /// Duration of the leader's lease; leadership must not alternate between two nodes within it.
     pub leader_lease: Duration,
     /// Minimum duration of a lease that the store grants.
@@ -76,6 +78,7 @@
     let retry = read_retry(r.object("retry"));
     let quota_window = r.duration("quota_window", Duration::from_secs(8));
     let grace = r.duration("grace", Duration::from_secs(8));
+    let change_bound = r.duration("change_bound", Duration::from_secs(2));
     let leader_lease = r.duration("duty_lease", Duration::from_secs(3));
     let min_lease = r.duration("shortest_lease", Duration::from_secs(1));
     let usage_window = r.duration("usage_window", Duration::from_secs(5));
@@ -99,6 +102,7 @@
         retry,
         quota_window,
         grace,
+        change_bound,
         leader_lease,
         min_lease,
         usage_window,
