--- a/components/gateway/src/demand.rs
+++ b/components/gateway/src/demand.rs
@@ -172,10 +172,8 @@
             // The prompts of the first requests are in no cache yet, so this is no peak to hold.
             _ => engines.min(f64::from(initial)),
         };
-        let reclaimable = match initial {
-            0 => reclaimable_engines(required, scaling.zone_prices.len()),
-            _ => initial + initial / INITIAL_EXTRA_DIVISOR,
-        };
+        let reclaimable = reclaimable_engines(required, scaling.zone_prices.len());
+        let reclaimable = reclaimable.max(initial + initial / INITIAL_EXTRA_DIVISOR);
         self.is_discovered(&service.name, now).then_some(CapacityNeed {
             reclaimable,
             required: required.ceil() as u32,
