send, relay: Bound bytes without end, and leave stalled streams that can go on

Causes, found by tests against a runner that never ends: the first event was collected without a limit until the deadline, each chunk scanned from the start; the body of a refusal that came a byte at a time held the request though the runner had said that it did not run it; a stream whose runner sent a byte now and then held its caller until the timeout, also where it may go on elsewhere. Change: an event of more than 1 MiB fails the attempt at once; a refusal's body gets 50 ms; a resumable stream without a complete event for four gap targets goes on at another upstream that was chosen and paid for first. Streams that can't be resumed are read to their end.

--- a/components/fakes/src/entry/upstream.rs
+++ b/components/fakes/src/entry/upstream.rs
@@ -36,6 +36,14 @@
     /// Sends the first event of [`Behavior::Echo`] and a part of a second one, then resets the
     /// connection.
     TruncatedEcho,
+    /// Sends a response head without end.
+    EndlessHead,
+    /// Sends a stream whose first event has no end.
+    EndlessEvent,
+    /// Sends events with these IDs, then a byte now and then, without end.
+    StallingEvents(Vec<u64>),
+    /// Responds that the request was not executed, with a body of which a byte is sent now and then.
+    EndlessRefusal,
     /// Never responds.
     Hang,
     /// Waits for 1.1 s, then continues as [`Behavior::Echo`].
@@ -51,6 +59,9 @@
 /// Number of events in a stream of [`Behavior::Echo`].
 pub const ECHO_EVENTS: u64 = 6;
 
+/// Interval between two writes of a response that is sent a byte now and then.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Interval between two events of [`Behavior::Echo`].
 const ECHO_EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -79,6 +90,7 @@
     received: Vec<ReceivedRequest>,
     executed: Vec<ExecutedRequest>,
     disconnects: u32,
+    endless_bytes: usize,
 }
 
 /// A request that an upstream started to execute.
@@ -144,11 +156,26 @@
         self.state.borrow().received.clone()
     }
 
-    /// Returns how many connections the peer closed during [`Behavior::Hang`].
+    /// Returns how many connections the peer closed during [`Behavior::Hang`] or a response without
+    /// end.
     pub fn disconnects(&self) -> u32 {
         self.state.borrow().disconnects
     }
 
+    /// Returns how many bytes of responses without end the peers took.
+    pub fn endless_bytes(&self) -> usize {
+        self.state.borrow().endless_bytes
+    }
+
+    /// Sends bytes as fast as the peer takes them, until it closes the connection.
+    async fn write_endlessly(&self, io: &mut TcpStream) {
+        let block = [b'x'; 16 * 1024];
+        while let Ok(written) = io.write(&block).await {
+            self.state.borrow_mut().endless_bytes += written;
+        }
+        self.state.borrow_mut().disconnects += 1;
+    }
+
     async fn serve(&self, mut io: TcpStream) {
         while let Some(req) = read_request(&mut io).await {
             let id = req.header("lycheelatch-request-id").unwrap_or("none").to_owned();
@@ -239,6 +266,29 @@
                 reset(io);
                 false
             }
+            Behavior::EndlessHead => {
+                write(io, "HTTP/1.1 200 OK\r\nX-Padding: ").await;
+                self.write_endlessly(io).await;
+                false
+            }
+            Behavior::EndlessEvent => {
+                let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+                write(io, &format!("{head}Lycheelatch-Request-Id: {id}\r\n{SIGNATURE}\r\n")).await;
+                self.write_endlessly(io).await;
+                false
+            }
+            Behavior::StallingEvents(ids) => {
+                write(io, &events(id, &ids)).await;
+                trickle(io, "1\r\nd\r\n").await;
+                false
+            }
+            Behavior::EndlessRefusal => {
+                let headers = "Lycheelatch-Not-Executed: 1\r\nContent-Length: 100000\r\n";
+                write(io, &format!("HTTP/1.1 503 X\r\nLycheelatch-Request-Id: {id}\r\n")).await;
+                write(io, &format!("{headers}\r\n")).await;
+                trickle(io, "x").await;
+                false
+            }
             Behavior::Hang => {
                 let mut byte = [0; 1];
                 if let Ok(0) | Err(_) = io.read(&mut byte).await {
@@ -250,6 +300,13 @@
     }
 }
 
+/// Sends `text` now and then until the peer closes the connection.
+async fn trickle(io: &mut TcpStream, text: &str) {
+    while io.write_all(text.as_bytes()).await.is_ok() {
+        sleep(TRICKLE_INTERVAL).await;
+    }
+}
+
 const SIGNATURE: &str = "Lycheelatch-Server-Signature: s.1\r\n";
 
 fn response(status: u16, id: &str, headers: &str, body: &str) -> String {
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -129,7 +129,7 @@
     if let Ok(result) = timeout(silence_timeout, &mut sending).await {
         return Ok(result?);
     }
-    match choose_replacement(cx, attempts, placement) {
+    match choose_replacement(cx, attempts, &placement.upstream.id()) {
         Some(next) => Err(SendError::Abandoned(Box::new(next))),
         None => Ok(sending.await?),
     }
@@ -138,13 +138,13 @@
 /// Selects another upstream in place of an unresponsive one and draws on the retry budget.
 ///
 /// Returns `None` if there is no other upstream or the budget is exhausted.
-fn choose_replacement(
+pub(crate) fn choose_replacement(
     cx: &RequestContext,
     attempts: &Attempts,
-    silent: &Placement,
+    silent: &UpstreamId,
 ) -> Option<Placement> {
     let mut tried = attempts.tried().to_vec();
-    tried.push(silent.upstream.id());
+    tried.push(silent.clone());
     let next = choose(cx, &tried).ok()?;
     cx.gateway.try_retry(&cx.service.name, Instant::now()).then_some(next)
 }
@@ -238,14 +238,18 @@
 
 /// Resumes a stream on another upstream, after the last event that was relayed.
 ///
-/// Returns `None` if the stream can't be resumed.
+/// `reserved` is used first. Returns `None` if the stream can't be resumed.
 pub(crate) async fn resume(
     cx: &Rc<RequestContext>,
     attempts: &mut Attempts,
     after: Option<u64>,
+    mut reserved: Option<Placement>,
 ) -> Option<StartedStream> {
     loop {
-        let placement = choose_within_budget(cx, attempts).ok()?;
+        let placement = match reserved.take() {
+            Some(placement) => placement,
+            None => choose_within_budget(cx, attempts).ok()?,
+        };
         let id = placement.upstream.id();
         match send(cx, &placement, after).await {
             Ok(UpstreamResponse::Events(started)) => return Some(started),
--- a/components/gateway/src/frames.rs
+++ b/components/gateway/src/frames.rs
@@ -51,8 +51,17 @@
     }
 
     /// Returns whether a complete event is buffered.
-    pub fn has_complete(&self) -> bool {
-        find_end(&self.buf, 0).is_some()
+    ///
+    /// Fails if an incomplete event exceeds 1 MiB.
+    pub fn has_complete(&mut self) -> Result<bool, FrameTooLarge> {
+        if find_end(&self.buf, self.scanned).is_some() {
+            return Ok(true);
+        }
+        self.scanned = self.buf.len().saturating_sub(3);
+        if self.buf.len() > MAX_EVENT_BYTES {
+            return Err(FrameTooLarge);
+        }
+        Ok(false)
     }
 
     /// Returns whether any bytes are buffered; after `next_frame` has returned `None`, these are
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -5,17 +5,22 @@
 use actix_http::body::{BodyStream, MessageBody};
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, stream};
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 
 use crate::{
     attempts::{Attempts, NextStep, SendOutcome},
     connection::Connection,
     decision::{Decision, Reason, StreamInterrupted},
-    dispatch::resume,
+    dispatch::{choose_replacement, resume},
+    place::Placement,
     send::{InFlightGuard, StartedStream},
     serve::RequestContext,
 };
 
+/// Time without a complete event after which a stream that can be resumed leaves its upstream, as a
+/// multiple of the route's target for the gap between two events.
+const STALLED_AFTER_GAPS: u32 = 4;
+
 /// Relays a response body that is too large to be buffered.
 pub(crate) struct LargeBodyRelay {
     cx: Rc<RequestContext>,
@@ -91,7 +96,17 @@
 enum Step {
     Bytes(Bytes),
     Complete,
-    Interrupted(String),
+    Interrupted {
+        reason: String,
+        /// Upstream for the rest of the stream.
+        reserved: Option<Box<Placement>>,
+    },
+}
+
+impl Step {
+    fn interrupted(reason: impl Into<String>) -> Step {
+        Step::Interrupted { reason: reason.into(), reserved: None }
+    }
 }
 
 impl EventRelay {
@@ -116,18 +131,14 @@
             return None;
         }
         loop {
-            let step = match timeout_at(self.cx.deadline, self.step()).await {
-                Ok(step) => step,
-                Err(_) => return self.fail("the time is up"),
-            };
-            match step {
+            match self.step_or_leave().await {
                 Step::Bytes(bytes) => return Some(Ok(bytes)),
                 Step::Complete => {
                     self.finish();
                     return None;
                 }
-                Step::Interrupted(reason) => {
-                    if !self.try_resume(&reason).await {
+                Step::Interrupted { reason, reserved } => {
+                    if !self.try_resume(&reason, reserved).await {
                         return self.fail(&reason);
                     }
                 }
@@ -135,14 +146,44 @@
         }
     }
 
+    /// Reads the next events. A stream that can go on at another upstream leaves this one if no
+    /// complete event arrives for too long; any other one is read until the deadline.
+    async fn step_or_leave(&mut self) -> Step {
+        let deadline = self.cx.deadline;
+        let leave_at = Instant::now() + self.cx.route.event_gap_target * STALLED_AFTER_GAPS;
+        if self.attempts.may_abandon() && leave_at < deadline {
+            if let Ok(step) = timeout_at(leave_at, self.step()).await {
+                return step;
+            }
+            if let Some(next) = self.replacement() {
+                let reason = "no event for too long".to_owned();
+                return Step::Interrupted { reason, reserved: Some(Box::new(next)) };
+            }
+        }
+        match timeout_at(deadline, self.step()).await {
+            Ok(step) => step,
+            Err(_) => {
+                // No time is left to resume the stream.
+                self.attempts.exhaust();
+                Step::interrupted("the time is up")
+            }
+        }
+    }
+
+    /// Reserves another upstream for the rest of the stream.
+    fn replacement(&self) -> Option<Placement> {
+        let current = self.current.as_ref()?.guard.upstream.id();
+        choose_replacement(&self.cx, &self.attempts, &current)
+    }
+
     async fn step(&mut self) -> Step {
         let Some(current) = &mut self.current else {
-            return Step::Interrupted("no upstream".to_owned());
+            return Step::interrupted("no upstream");
         };
         loop {
             let ready = match take_frames(current, &mut self.last_id) {
                 Ok(ready) => ready,
-                Err(reason) => return Step::Interrupted(reason),
+                Err(reason) => return Step::interrupted(reason),
             };
             if !ready.is_empty() {
                 return Step::Bytes(ready);
@@ -150,16 +191,16 @@
             match current.connection.next_chunk().await {
                 Ok(Some(chunk)) => current.frames.push(&chunk),
                 Ok(None) if current.frames.has_partial() => {
-                    return Step::Interrupted("ended within an event".to_owned());
+                    return Step::interrupted("ended within an event");
                 }
                 Ok(None) => return Step::Complete,
-                Err(err) => return Step::Interrupted(err.to_string()),
+                Err(err) => return Step::interrupted(err.to_string()),
             }
         }
     }
 
     /// Resumes the stream on another upstream, if the route allows it; returns whether it did.
-    async fn try_resume(&mut self, reason: &str) -> bool {
+    async fn try_resume(&mut self, reason: &str, reserved: Option<Box<Placement>>) -> bool {
         let Some(broken) = self.current.take() else { return false };
         let upstream = broken.guard.upstream.id();
         drop(broken);
@@ -172,8 +213,9 @@
         if self.attempts.record(upstream, SendOutcome::Unknown) != NextStep::MayRetry {
             return false;
         }
-        let resumed =
-            timeout_at(self.cx.deadline, resume(&self.cx, &mut self.attempts, self.last_id)).await;
+        let reserved = reserved.map(|placement| *placement);
+        let resuming = resume(&self.cx, &mut self.attempts, self.last_id, reserved);
+        let resumed = timeout_at(self.cx.deadline, resuming).await;
         match resumed {
             Ok(Some(started)) => {
                 self.current = Some(started);
--- a/components/gateway/src/report.rs
+++ b/components/gateway/src/report.rs
@@ -16,8 +16,15 @@
     usage::{UsageWindow, WindowCounts},
 };
 
-/// Time after a window's end by which the counts of all nodes have arrived.
-const COLLECTION_DELAY: Duration = Duration::from_millis(1500);
+/// Minimum time after a window's end by which the counts of all nodes have arrived.
+const MIN_COLLECTION_DELAY: Duration = Duration::from_millis(1500);
+
+/// The same as a number of the longest interval between two messages of a node; the longer time
+/// applies.
+const COLLECTION_INTERVALS: u32 = 2;
+
+/// Maximum of that time, as a share of the time within which a report is due.
+const MAX_COLLECTION_SHARE: f64 = 0.6;
 
 /// Time between two checks for a window to report, and between two attempts.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
@@ -101,7 +108,13 @@
     let oldest = usage.window_at(now.saturating_sub(gateway.settings.usage_due));
     let after_last = last.report.as_ref().map_or(0, |report| report.window.0 + 1);
     let window = UsageWindow(oldest.0.max(after_last));
-    (usage.end_of(window) + COLLECTION_DELAY <= now).then_some(window)
+    (usage.end_of(window) + collection_delay(gateway) <= now).then_some(window)
+}
+
+fn collection_delay(gateway: &Gateway) -> Duration {
+    let interval = gateway.peers.borrow().cross_zone_interval();
+    let delay = (interval * COLLECTION_INTERVALS).max(MIN_COLLECTION_DELAY);
+    delay.min(gateway.settings.usage_due.mul_f64(MAX_COLLECTION_SHARE)).max(MIN_COLLECTION_DELAY)
 }
 
 fn window_counts(gateway: &Gateway, window: UsageWindow) -> WindowCounts {
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -1,11 +1,11 @@
 //! One attempt to send a request to an upstream, up to its response or first event.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::{ResponseHead, StatusCode, header::HeaderMap};
 use bytes::{Bytes, BytesMut};
 use lycheelatch_prelude::UpstreamId;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use crate::{
     ForwardParams, ResponseInfo,
@@ -24,6 +24,9 @@
 /// Maximum size of a response that is buffered completely before it is relayed, in bytes.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
+/// Time within which the body of a refusal must arrive for its connection to be reused.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Maximum number of responses to earlier requests that are skipped on a connection.
 const MAX_SKIPPED: u32 = 3;
 
@@ -357,7 +360,8 @@
 
 /// Returns the failure of an attempt whose request the upstream refused to run.
 async fn refused(mut connection: Connection, upstream: &Upstream, status: StatusCode) -> Failure {
-    if connection.read_body(MAX_BUFFERED_BYTES).await.is_ok() {
+    let drained = timeout(REFUSAL_BODY_TIMEOUT, connection.read_body(MAX_BUFFERED_BYTES)).await;
+    if matches!(drained, Ok(Ok(_))) {
         upstream.pool.put(connection);
     }
     let reason = format!("refused with status {}", status.as_u16());
@@ -375,7 +379,7 @@
             None => break,
             Some(chunk) => started.frames.push(&chunk),
         }
-        if started.frames.has_complete() {
+        if started.frames.has_complete().map_err(|err| unknown(err.to_string()))? {
             break;
         }
     }
