--- a/components/gateway/src/engine_load.rs
+++ b/components/gateway/src/engine_load.rs
@@ -87,9 +87,9 @@
 
 impl std::ops::AddAssign for InFlight {
     fn add_assign(&mut self, other: InFlight) {
-        self.requests += other.requests;
-        self.prefill_tokens += other.prefill_tokens;
-        self.memory_tokens += other.memory_tokens;
+        self.requests = self.requests.saturating_add(other.requests);
+        self.prefill_tokens = self.prefill_tokens.saturating_add(other.prefill_tokens);
+        self.memory_tokens = self.memory_tokens.saturating_add(other.memory_tokens);
     }
 }
 
@@ -199,14 +199,14 @@
         let uncached_tokens = chain.input_tokens.saturating_sub(cached);
         let total = self.total();
         let slowdown = self.slowdown(now);
-        let prefill_tokens = total.prefill_tokens + u64::from(uncached_tokens);
+        let prefill_tokens = total.prefill_tokens.saturating_add(u64::from(uncached_tokens));
         let busy = f64::from(total.requests) / f64::from(engine.slots.max(1)) * BUSY_SHARE;
         let fixed = speed.first_token_ms * (1.0 + busy);
         let ms = (speed.prefill_ms(prefill_tokens as f64) + fixed) * slowdown;
         let own_prefill = speed.prefill_ms(f64::from(uncached_tokens));
         let ms_without_queue = (own_prefill + speed.first_token_ms) * slowdown;
         let has_capacity = total.requests < engine.slots
-            && total.memory_tokens + chain.memory_tokens <= engine.memory_tokens;
+            && total.memory_tokens.saturating_add(chain.memory_tokens) <= engine.memory_tokens;
         let fetch = f64::from(fetched_tokens) / engine.transfer_tokens_per_ms.unwrap_or(f64::MAX);
         Estimate {
             time_to_first_token: Duration::from_secs_f64((ms + fetch) / 1000.0),
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -269,7 +269,8 @@
         };
         let mut used = own;
         used += others.reported;
-        let waiting = others.refused + count.refused.subwindow_sums(window, now).shortest();
+        let refused_here = count.refused.subwindow_sums(window, now).shortest();
+        let waiting = others.refused.saturating_add(refused_here);
         count.refused.add(cost, now);
         let after = quota::retry_after(limit, window, used, excess, waiting, rand::random::<f64>());
         self.decisions.write(&Decision::QuotaExceeded(QuotaExceeded {
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -193,12 +193,16 @@
                 continue;
             }
         };
-        match postcard::from_bytes::<Datagram>(&buf[..len]) {
-            Ok(Datagram::State(digest)) => handle_state(&gateway, from, digest),
-            Ok(Datagram::Sent(notice)) => handle_sent(&gateway, notice),
-            Ok(Datagram::Absent(upstream)) => handle_absent(&gateway, &upstream),
-            Err(err) => log::warn!("peers: failed to decode a datagram from {from}: {err}"),
-        }
+        handle_datagram(&gateway, from, &buf[..len]);
+    }
+}
+
+fn handle_datagram(gateway: &Gateway, from: SocketAddr, bytes: &[u8]) {
+    match postcard::from_bytes::<Datagram>(bytes) {
+        Ok(Datagram::State(digest)) => handle_state(gateway, from, digest),
+        Ok(Datagram::Sent(notice)) => handle_sent(gateway, notice),
+        Ok(Datagram::Absent(upstream)) => handle_absent(gateway, &upstream),
+        Err(err) => log::warn!("peers: failed to decode a datagram from {from}: {err}"),
     }
 }
 
@@ -242,7 +246,7 @@
         return;
     }
     let Some(upstream) = gateway.directory.get(&load.upstream) else { return };
-    upstream.running_elsewhere.set(upstream.running_elsewhere.get() + load.requests);
+    upstream.running_elsewhere.set(upstream.running_elsewhere.get().saturating_add(load.requests));
     upstream.load.borrow_mut().others += InFlight::from(&load);
     record_prompt(gateway, &upstream, &links, Instant::now());
 }
--- a/components/gateway/src/gossip/tests.rs
+++ b/components/gateway/src/gossip/tests.rs
@@ -3,10 +3,12 @@
 use std::net::IpAddr;
 
 use lycheelatch_prelude::NodeId;
+use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use super::*;
 use crate::{
     ClusterClock, StoreRevision, SystemBootClock, UpstreamEntry,
+    quota::{ReportedUsage, SubwindowUsage},
     test_support::{self, digest},
 };
 
@@ -67,3 +69,39 @@
     assert_eq!(receivers_by_zone(&gateway, "zone-a"), [10, 0, 10]);
     assert_eq!(receivers_by_zone(&gateway, "zone-b"), [10, 10, 10]);
 }
+
+#[test]
+fn handle_datagram_survives_any_bytes() {
+    let gateway = gateway(&ZONES);
+    let from = address(0, 1);
+    let mut hostile = digest("n-hostile", "zone-a");
+    let most = SubwindowUsage([u64::MAX; 4]);
+    let used = ReportedUsage { admitted: most, refused: u64::MAX };
+    hostile.quota_use = vec![("ws".parse().unwrap(), used); 2];
+    let upstream = "engine-zone-a".parse().unwrap();
+    let load =
+        UpstreamLoad { upstream, requests: u32::MAX, prefill_tokens: u64::MAX, memory_tokens: 9 };
+    hostile.upstreams = vec![load.clone(); 3];
+    let valid = postcard::to_stdvec(&Datagram::State(hostile)).unwrap();
+    let mut rng = StdRng::seed_from_u64(5);
+    for round in 0..2000 {
+        let mut bytes = valid.clone();
+        bytes.truncate(rng.random_range(0..=bytes.len()));
+        for _ in 0..round % 8 {
+            let at = rng.random_range(0..bytes.len().max(1));
+            if let Some(byte) = bytes.get_mut(at) {
+                *byte = rng.random();
+            }
+        }
+        handle_datagram(&gateway, from, &bytes);
+    }
+    handle_datagram(&gateway, from, &valid);
+    let notice =
+        SentNotice { node: "n-hostile".parse().unwrap(), load, links: vec![(1, u32::MAX)] };
+    let notice = postcard::to_stdvec(&Datagram::Sent(notice)).unwrap();
+    handle_datagram(&gateway, from, &notice);
+    handle_datagram(&gateway, from, &notice);
+    apply_in_flight(&gateway, Instant::now());
+    let loads = gateway.peers.borrow().in_flight(Instant::now());
+    assert_eq!(loads["engine-zone-a"].requests, u32::MAX);
+}
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -358,7 +358,7 @@
             let used = digest.quota_use.iter().find(|(name, _)| name == workspace);
             let Some((_, used)) = used else { continue };
             use_of_live += used.admitted.extrapolate(age, window);
-            refused += used.refused;
+            refused = u64::saturating_add(refused, used.refused);
         }
         let nodes = self.node_count();
         let seen = self.peers.values().filter(|peer| peer.last_seen.is_some()).count();
@@ -396,7 +396,8 @@
             .filter(|usage| usage.window == window)
             .flat_map(|usage| &usage.counts)
         {
-            *sums.entry(name.clone()).or_default() += count;
+            let sum = sums.entry(name.clone()).or_insert(0);
+            *sum = u64::saturating_add(*sum, *count);
         }
         sums
     }
--- a/components/gateway/src/quota.rs
+++ b/components/gateway/src/quota.rs
@@ -26,7 +26,7 @@
 impl std::ops::AddAssign for SubwindowUsage {
     fn add_assign(&mut self, other: SubwindowUsage) {
         for (sum, more) in self.0.iter_mut().zip(other.0) {
-            *sum += more;
+            *sum = sum.saturating_add(more);
         }
     }
 }
@@ -37,7 +37,7 @@
     pub fn extrapolate(self, age: Duration, window: Duration) -> SubwindowUsage {
         let shortest = window / DIVISORS[0];
         let since = self.0[0] as f64 * age.as_secs_f64() / shortest.as_secs_f64();
-        SubwindowUsage(self.0.map(|used| used + since as u64))
+        SubwindowUsage(self.0.map(|used| used.saturating_add(since as u64)))
     }
 
     /// Returns the usage in the shortest subwindow.
@@ -217,7 +217,7 @@
 impl Subwindow {
     /// Returns by how much a request of this cost would exceed the limit.
     fn excess(&self, cost: u64) -> u64 {
-        (self.used + cost).saturating_sub(self.limit)
+        self.used.saturating_add(cost).saturating_sub(self.limit)
     }
 
     fn remaining(&self) -> u64 {
@@ -238,7 +238,8 @@
         let share = limit / u64::from(others.nodes.max(1));
         let silent = share * u64::from(others.silent_nodes);
         let unseen = assumed.0[at] * u64::from(others.unseen_nodes);
-        let used = others.reported.0[at] + silent + unseen + own.0[at] + assumed.0[at];
+        let known = others.reported.0[at].saturating_add(own.0[at]);
+        let used = known.saturating_add(silent + unseen + assumed.0[at]);
         Subwindow { limit, used }
     })
 }
--- a/components/gateway/src/report.rs
+++ b/components/gateway/src/report.rs
@@ -121,7 +121,8 @@
     let mut counts = gateway.peers.borrow().usage(window);
     if let Some(own) = gateway.usage.borrow().windows().get(&window) {
         for (name, count) in own {
-            *counts.entry(name.clone()).or_default() += count;
+            let sum = counts.entry(name.clone()).or_insert(0);
+            *sum = u64::saturating_add(*sum, *count);
         }
     }
     gateway.peers.borrow_mut().remove_usage_before(window);
