gossip: Sums of zones for limits, complete digests to the leader only

Change: two nodes a zone send the sum of their zone five times a second to three nodes of each other zone, which pass on the sum of all others; digests between zones leave out limits, usage, demand and departures once they take more than one round; each node sends its complete digest once a second to the leader. A registration names the zone.

Ruled out: refusals by shares when a sum is missing, tested apart.

--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -20,7 +20,7 @@
     engine_speed::{EngineSpeed, SpeedSamples},
     gossip,
     peers::{Digest, PeerTable},
-    quota::{self, ProcessAge, ReportedUsage, SlidingCounter},
+    quota::{self, PeerUsage, ProcessAge, ReportedUsage, SlidingCounter},
     retry_budget::RetryBudget,
     server::Drain,
     usage::Usage,
@@ -253,7 +253,7 @@
     ) -> Result<(), Duration> {
         let Some(limit) = &workspace.quota else { return Ok(()) };
         let window = self.reloaded.borrow().quota_window;
-        let mut others = self.peers.borrow().quota_use_of_others(&workspace.name, window, now);
+        let mut others = self.quota_use_of_others(&workspace.name, window, now);
         let nodes = self.nodes();
         others.unseen_nodes += nodes - others.nodes;
         others.nodes = nodes;
@@ -287,6 +287,15 @@
         Err(after)
     }
 
+    fn quota_use_of_others(
+        &self,
+        workspace: &WorkspaceName,
+        window: Duration,
+        now: Instant,
+    ) -> PeerUsage {
+        self.peers.borrow().quota_use_of_others(&self.settings.zone, workspace, window, now)
+    }
+
     fn age(&self, now: Instant) -> ProcessAge {
         if self.settings.is_first_start {
             return ProcessAge::FirstStart;
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -38,6 +38,18 @@
 /// Maximum number of nodes in other availability zones that get a datagram in one round.
 const MAX_OTHER_ZONES_PER_ROUND: usize = 12;
 
+/// The same for the leader, which many nodes have to know.
+const MAX_OTHER_ZONES_OF_LEADER: usize = 60;
+
+/// Time between two complete digests to a leader in another availability zone.
+pub(crate) const LEADER_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Nodes of an availability zone that send its usage to other zones.
+const ZONE_REPORTERS: usize = 2;
+
+/// Nodes of each other availability zone that receive it. Some of the first ones may be down.
+const ZONE_RECEIVERS: usize = 3;
+
 /// Maximum size of a received datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
 
@@ -50,6 +62,7 @@
     let mut ticker = interval(INTERVAL);
     ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut sequence = 0;
+    let leader_rounds = LEADER_INTERVAL.div_duration_f64(INTERVAL) as u64;
     let mut recent: VecDeque<Vec<SentPrompt>> = VecDeque::new();
     loop {
         ticker.tick().await;
@@ -58,33 +71,37 @@
         let targets = targets(&gateway, sequence);
         recent.push_front(gateway.sent_prompts.take());
         recent.truncate(targets.rounds);
-        let same_zone = recent.iter().take(1).flatten();
-        send_state(&gateway, &socket, incarnation, sequence, same_zone, &targets.same_zone).await;
-        let other_zones = recent.iter().flatten();
-        send_state(&gateway, &socket, incarnation, sequence, other_zones, &targets.other_zones)
-            .await;
+        let state = |prompts: &mut dyn Iterator<Item = &SentPrompt>| {
+            digest(&gateway, incarnation, sequence, prompts.map(PromptNotice::from).collect())
+        };
+        let full = state(&mut recent.iter().take(1).flatten());
+        send(&socket, &Datagram::State(full), &targets.same_zone).await;
+        let mut for_other_zones = state(&mut recent.iter().flatten());
+        if targets.rounds > 1 {
+            for_other_zones.leave_out_details();
+        }
+        send(&socket, &Datagram::State(for_other_zones), &targets.other_zones).await;
+        if targets.rounds > 1 {
+            if sequence.is_multiple_of(leader_rounds) {
+                let leader = gateway.peers.borrow().leader_outside(&gateway.settings.zone, now);
+                send(&socket, &Datagram::State(state(&mut std::iter::empty())), leader.as_slice())
+                    .await;
+            }
+            send_zone_usage(&gateway, &socket, &targets.same_zone, now).await;
+        }
         apply_in_flight(&gateway, now);
     }
 }
 
-/// Sends this node's digest to `targets`.
-async fn send_state(
-    gateway: &Gateway,
-    socket: &UdpSocket,
-    incarnation: u64,
-    sequence: u64,
-    prompts: impl Iterator<Item = &SentPrompt>,
-    targets: &[SocketAddr],
-) {
+/// Sends a datagram to `targets`.
+async fn send(socket: &UdpSocket, datagram: &Datagram, targets: &[SocketAddr]) {
     if targets.is_empty() {
         return;
     }
-    let sent_prompts = prompts.map(PromptNotice::from).collect();
-    let digest = digest(gateway, incarnation, sequence, sent_prompts);
-    let bytes = match postcard::to_stdvec(&Datagram::State(digest)) {
+    let bytes = match postcard::to_stdvec(datagram) {
         Ok(bytes) => bytes,
         Err(err) => {
-            log::error!("peers: failed to encode the state: {err}");
+            log::error!("peers: failed to encode a datagram: {err}");
             return;
         }
     };
@@ -95,6 +112,37 @@
     }
 }
 
+/// Sends the usage of this availability zone to the other zones, if this node is one of those
+/// that do so, and passes on theirs to `same_zone`, if it has received them.
+async fn send_zone_usage(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    same_zone: &[SocketAddr],
+    now: Instant,
+) {
+    let zone = &gateway.settings.zone;
+    if reports_zone(gateway, now) {
+        let mut sum = gateway.peers.borrow().usage_in_zone(zone, now);
+        let own = gateway.quota_use(now);
+        sum.add(1, own.iter().map(|(name, used)| (name, used)));
+        let targets = gateway.peers.borrow().first_of_other_zones(zone, ZONE_RECEIVERS);
+        send(socket, &Datagram::ZoneUsage(zone.clone(), sum), &targets).await;
+    }
+    let zones = gateway.peers.borrow().other_zones(zone);
+    let passed_on = gateway.peers.borrow().zone_usage.sum_to_pass_on(zones, now);
+    if let Some(sum) = passed_on {
+        gateway.peers.borrow_mut().zone_usage.record_other_zones(sum.clone(), now);
+        send(socket, &Datagram::OtherZonesUsage(sum), same_zone).await;
+    }
+}
+
+/// Returns whether this node is among the first live ones of its availability zone.
+fn reports_zone(gateway: &Gateway, now: Instant) -> bool {
+    let nodes = gateway.peers.borrow().live_in_zone(&gateway.settings.zone, now);
+    let own = &gateway.settings.node;
+    nodes.iter().filter(|(id, _)| id < own).count() < ZONE_REPORTERS
+}
+
 /// Receivers of one round's datagrams.
 struct Targets {
     same_zone: Vec<SocketAddr>,
@@ -113,10 +161,14 @@
         return Targets { same_zone, other_zones, rounds: 1 };
     }
     let sequence = usize::try_from(sequence).unwrap_or(0);
+    let max_other_zones = match gateway.is_leader.get() {
+        true => MAX_OTHER_ZONES_OF_LEADER,
+        false => MAX_OTHER_ZONES_PER_ROUND,
+    };
     let rounds = other_zones.len().div_ceil(MAX_OTHER_ZONES_PER_ROUND).max(1);
     Targets {
         same_zone: rotate(same_zone, MAX_SAME_ZONE_PER_ROUND, sequence),
-        other_zones: rotate(other_zones, MAX_OTHER_ZONES_PER_ROUND, sequence),
+        other_zones: rotate(other_zones, max_other_zones, sequence),
         rounds,
     }
 }
@@ -161,6 +213,7 @@
         sequence,
         time_ms: u64::try_from(gateway.clock.now().as_millis()).unwrap_or(u64::MAX),
         is_leader: gateway.is_leader.get(),
+        is_brief: false,
         quota_use: gateway.quota_use(Instant::now()),
         upstreams: upstreams.collect(),
         sent_prompts,
@@ -202,6 +255,13 @@
         Ok(Datagram::State(digest)) => handle_state(gateway, from, digest),
         Ok(Datagram::Sent(notice)) => handle_sent(gateway, notice),
         Ok(Datagram::Absent(upstream)) => handle_absent(gateway, &upstream),
+        Ok(Datagram::ZoneUsage(zone, sum)) => {
+            let now = Instant::now();
+            gateway.peers.borrow_mut().zone_usage.record_zone(zone, sum, now);
+        }
+        Ok(Datagram::OtherZonesUsage(sum)) => {
+            gateway.peers.borrow_mut().zone_usage.record_other_zones(sum, Instant::now());
+        }
         Err(err) => log::warn!("peers: failed to decode a datagram from {from}: {err}"),
     }
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -50,6 +50,7 @@
 mod tombstones;
 mod usage;
 mod view_exchange;
+mod zone_usage;
 
 pub use attempts::{Attempts, NextStep, SendOutcome};
 pub use clock::{BootClock, ClusterClock, SystemBootClock};
--- a/components/gateway/src/members.rs
+++ b/components/gateway/src/members.rs
@@ -2,11 +2,11 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use lycheelatch_prelude::NodeId;
+use lycheelatch_prelude::{NodeId, ZoneName};
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    Commit, CommitOutcome, Freshness, Gateway, LeaseId, Store, StoreError, StoreRevision,
+    Commit, CommitOutcome, Freshness, Gateway, KeyValue, LeaseId, Store, StoreError, StoreRevision,
     layout::OWN_PREFIX,
 };
 
@@ -56,23 +56,34 @@
         None => register(gateway, store).await?,
     };
     let listing = store.list(&members_prefix(), Freshness::Stale).await?;
-    let parse = |item: &crate::KeyValue| -> Option<(NodeId, SocketAddr)> {
-        let id = item.key.rsplit('/').next()?.parse().ok()?;
-        let address = std::str::from_utf8(&item.value).ok()?.parse().ok()?;
-        Some((id, address))
-    };
-    let nodes = listing.items.iter().filter_map(parse).collect();
+    let nodes = listing.items.iter().filter_map(parse_member).collect();
     gateway.peers.borrow_mut().update_members(nodes, Instant::now());
     Ok(lease)
 }
 
-/// Writes this node's address with a new lease.
+/// A registered node.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Member {
+    pub(crate) id: NodeId,
+    pub(crate) address: SocketAddr,
+    pub(crate) zone: ZoneName,
+}
+
+/// Parses a registration: the key ends with the identifier, the value is the address and the
+/// availability zone.
+fn parse_member(item: &KeyValue) -> Option<Member> {
+    let id = item.key.rsplit('/').next()?.parse().ok()?;
+    let (address, zone) = std::str::from_utf8(&item.value).ok()?.split_once(' ')?;
+    Some(Member { id, address: address.parse().ok()?, zone: zone.parse().ok()? })
+}
+
+/// Writes this node's address and availability zone with a new lease.
 async fn register(gateway: &Gateway, store: &dyn Store) -> Result<LeaseId, StoreError> {
     let key = format!("{}{}", members_prefix(), gateway.settings.node);
     let lease = store.grant(REGISTRATION_TTL).await?;
     let mut expected = StoreRevision(0);
     loop {
-        let value = gateway.settings.peers.to_string().into();
+        let value = format!("{} {}", gateway.settings.peers, gateway.settings.zone).into();
         let commit = Commit { key: key.as_str().into(), expected, value, lease: Some(lease) };
         match store.commit(commit).await? {
             CommitOutcome::Applied(_) => return Ok(lease),
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -18,8 +18,10 @@
     engine_load::{InFlight, PrefixHash},
     engine_speed::SpeedSamples,
     gossip::cross_zone_interval,
+    members::Member,
     quota::{PeerUsage, ReportedUsage, SubwindowUsage},
     usage::UsageWindow,
+    zone_usage::{UsageSum, ZoneUsageTable},
 };
 
 /// Time without a digest after which a node is not live, in addition to two of its intervals.
@@ -90,6 +92,10 @@
     Sent(SentNotice),
     /// An upstream that was found not to be at its address any more.
     Absent(UpstreamId),
+    /// Usage of workspaces in the sender's availability zone, for nodes of other zones.
+    ZoneUsage(ZoneName, UsageSum),
+    /// Usage of workspaces in all other availability zones, for nodes of the sender's zone.
+    OtherZonesUsage(UsageSum),
 }
 
 /// State of one node, for the others.
@@ -104,6 +110,8 @@
     pub(crate) time_ms: u64,
     /// Whether the node is the leader.
     pub(crate) is_leader: bool,
+    /// Whether `quota_use`, `usage`, `demand` and `departures` are left out.
+    pub(crate) is_brief: bool,
     /// Admitted cost of each workspace in the window of its limit.
     pub(crate) quota_use: Vec<(WorkspaceName, ReportedUsage)>,
     pub(crate) upstreams: Vec<UpstreamLoad>,
@@ -116,10 +124,23 @@
     pub(crate) departures: Vec<Departure>,
 }
 
+impl Digest {
+    /// Leaves out what only nodes of the same availability zone and the leader need.
+    pub(crate) fn leave_out_details(&mut self) {
+        self.is_brief = true;
+        self.quota_use.clear();
+        self.usage.clear();
+        self.demand.clear();
+        self.departures.clear();
+    }
+}
+
 /// One other node.
 #[derive(Debug)]
 struct Peer {
     address: SocketAddr,
+    /// Availability zone, once it is known.
+    zone: Option<ZoneName>,
     last_seen: Option<Instant>,
     /// Arrival of the last digest, as time since the machine's boot.
     last_seen_since_boot: Duration,
@@ -129,9 +150,10 @@
 }
 
 impl Peer {
-    fn new(address: SocketAddr) -> Peer {
+    fn new(address: SocketAddr, zone: Option<ZoneName>) -> Peer {
         Peer {
             address,
+            zone,
             last_seen: None,
             last_seen_since_boot: Duration::ZERO,
             digest: None,
@@ -162,11 +184,18 @@
     peers: HashMap<NodeId, Peer>,
     /// Request counts of processes that ended, for the usage report.
     ended_usage: BTreeMap<(NodeId, u64), Vec<WindowUsage>>,
+    /// Sums of other availability zones, in a large cluster.
+    pub(crate) zone_usage: ZoneUsageTable,
 }
 
 impl PeerTable {
     pub(crate) fn new(own: NodeId) -> PeerTable {
-        PeerTable { own, peers: HashMap::new(), ended_usage: BTreeMap::new() }
+        PeerTable {
+            own,
+            peers: HashMap::new(),
+            ended_usage: BTreeMap::new(),
+            zone_usage: ZoneUsageTable::default(),
+        }
     }
 
     /// Returns the time without a digest after which a node is not live.
@@ -175,15 +204,15 @@
     }
 
     /// Updates the table with the nodes that are registered in the store.
-    pub(crate) fn update_members(&mut self, nodes: Vec<(NodeId, SocketAddr)>, now: Instant) {
+    pub(crate) fn update_members(&mut self, nodes: Vec<Member>, now: Instant) {
         let limit = self.liveness_timeout();
-        self.retain(|id, peer| {
-            peer.age_below(limit, now).is_some() || nodes.iter().any(|(member, _)| member == id)
-        });
+        let members: BTreeSet<_> = nodes.iter().map(|member| &member.id).collect();
+        self.retain(|id, peer| peer.age_below(limit, now).is_some() || members.contains(id));
         let own = &self.own;
-        for (id, address) in nodes.into_iter().filter(|(id, _)| id != own) {
-            let peer = self.peers.entry(id).or_insert_with(|| Peer::new(address));
+        for Member { id, address, zone } in nodes.into_iter().filter(|member| member.id != *own) {
+            let peer = self.peers.entry(id).or_insert_with(|| Peer::new(address, None));
             peer.address = address;
+            peer.zone = Some(zone);
         }
     }
 
@@ -203,7 +232,7 @@
     pub(crate) fn record_digest(
         &mut self,
         from: SocketAddr,
-        digest: Digest,
+        mut digest: Digest,
         now: Instant,
         since_boot: Duration,
     ) -> bool {
@@ -211,19 +240,23 @@
             return false;
         }
         let peer = self.peers.entry(digest.node.clone());
-        let peer = peer.or_insert_with(|| Peer::new(from));
-        if let Some(current) = &peer.digest {
+        let peer = peer.or_insert_with(|| Peer::new(from, None));
+        if let Some(current) = &mut peer.digest {
             if current.incarnation == digest.incarnation && current.sequence >= digest.sequence {
                 return false;
             }
             if current.incarnation != digest.incarnation {
                 let key = (current.node.clone(), current.incarnation);
                 self.ended_usage.insert(key, current.usage.clone());
+            } else if digest.is_brief {
+                digest.usage = std::mem::take(&mut current.usage);
+                digest.demand = std::mem::take(&mut current.demand);
             }
         }
         // A process that was considered ended still runs, and its digest includes these counts.
         self.ended_usage.remove(&(digest.node.clone(), digest.incarnation));
         peer.address = from;
+        peer.zone = Some(digest.zone.clone());
         peer.last_seen = Some(now);
         peer.last_seen_since_boot = since_boot;
         peer.digest = Some(digest);
@@ -252,8 +285,7 @@
 
     /// Returns the addresses of the other nodes, split by whether they are in `zone`.
     pub(crate) fn addresses(&self, zone: &ZoneName) -> Addresses {
-        let is_in_zone =
-            |peer: &&Peer| peer.digest.as_ref().is_none_or(|digest| digest.zone == *zone);
+        let is_in_zone = |peer: &&Peer| peer.zone.as_ref().is_none_or(|of_peer| of_peer == zone);
         let (same_zone, other_zones): (Vec<&Peer>, Vec<&Peer>) =
             self.peers.values().partition(is_in_zone);
         let sorted = |peers: Vec<&Peer>| {
@@ -340,9 +372,50 @@
         self.live_peers(now).map(|(_, peer)| peer.address).collect()
     }
 
+    /// Returns the address of the leader outside of `zone`, if it is live.
+    pub(crate) fn leader_outside(&self, zone: &ZoneName, now: Instant) -> Option<SocketAddr> {
+        let is_leader = |peer: &Peer| {
+            let digest = peer.digest.as_ref();
+            digest.is_some_and(|digest| digest.is_leader && digest.zone != *zone)
+        };
+        let mut leaders = self.live_peers(now).filter(|(_, peer)| is_leader(peer));
+        leaders.next().map(|(_, peer)| peer.address)
+    }
+
+    /// Returns the first `count` nodes of each availability zone but `zone`, by identifier.
+    pub(crate) fn first_of_other_zones(&self, zone: &ZoneName, count: usize) -> Vec<SocketAddr> {
+        let mut by_zone: BTreeMap<&ZoneName, BTreeMap<&NodeId, SocketAddr>> = BTreeMap::new();
+        for (id, peer) in &self.peers {
+            let Some(of_peer) = peer.zone.as_ref().filter(|of_peer| *of_peer != zone) else {
+                continue;
+            };
+            by_zone.entry(of_peer).or_default().insert(id, peer.address);
+        }
+        by_zone.values().flat_map(|nodes| nodes.values().take(count)).copied().collect()
+    }
+
+    /// Returns the number of availability zones other than `zone`.
+    pub(crate) fn other_zones(&self, zone: &ZoneName) -> usize {
+        let zones: BTreeSet<_> =
+            self.peers.values().filter_map(|peer| peer.zone.as_ref()).collect();
+        zones.iter().filter(|of_peer| **of_peer != zone).count()
+    }
+
+    /// Returns the usage of the live nodes of an availability zone.
+    pub(crate) fn usage_in_zone(&self, zone: &ZoneName, now: Instant) -> UsageSum {
+        let mut sum = UsageSum::default();
+        for digest in self.live_digests(now).filter(|digest| digest.zone == *zone) {
+            sum.add(1, digest.quota_use.iter().map(|(name, used)| (name, used)));
+        }
+        sum
+    }
+
     /// Returns the cost that the other nodes admitted for a workspace, estimated for now.
+    ///
+    /// For nodes outside of `zone`, the sums of their zones are used if they are known.
     pub(crate) fn quota_use_of_others(
         &self,
+        zone: &ZoneName,
         workspace: &WorkspaceName,
         window: Duration,
         now: Instant,
@@ -351,9 +424,19 @@
         let mut refused = 0;
         let mut live_nodes = 0;
         let limit = self.liveness_timeout();
+        let other_zones = self.zone_usage.in_other_zones(workspace, window, now);
+        if let Some((nodes, used)) = other_zones {
+            live_nodes += nodes;
+            use_of_live += used.admitted;
+            refused = used.refused;
+        }
         for peer in self.peers.values() {
             let Some(age) = peer.age_below(limit, now) else { continue };
             let Some(digest) = &peer.digest else { continue };
+            let is_in_sum = other_zones.is_some() && digest.zone != *zone;
+            if is_in_sum || digest.is_brief {
+                continue;
+            }
             live_nodes += 1;
             let used = digest.quota_use.iter().find(|(name, _)| name == workspace);
             let Some((_, used)) = used else { continue };
--- a/components/gateway/src/report.rs
+++ b/components/gateway/src/report.rs
@@ -12,6 +12,7 @@
 use crate::{
     Commit, CommitOutcome, Gateway, Leadership, PlatformApi, Store, StoreError, StoreRevision,
     decision::{NodeEvent, log_event},
+    gossip,
     layout::OWN_PREFIX,
     usage::{UsageWindow, WindowCounts},
 };
@@ -19,12 +20,9 @@
 /// Minimum time after a window's end by which the counts of all nodes have arrived.
 const MIN_COLLECTION_DELAY: Duration = Duration::from_millis(1500);
 
-/// The same as a number of the longest interval between two messages of a node; the longer time
-/// applies.
-const COLLECTION_INTERVALS: u32 = 2;
-
-/// Maximum of that time, as a share of the time within which a report is due.
-const MAX_COLLECTION_SHARE: f64 = 0.6;
+/// The same as a number of intervals between two complete messages of a node to the leader; the
+/// longer time applies.
+const COLLECTION_INTERVALS: u32 = 3;
 
 /// Time between two checks for a window to report, and between two attempts.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
@@ -112,9 +110,8 @@
 }
 
 fn collection_delay(gateway: &Gateway) -> Duration {
-    let interval = gateway.peers.borrow().cross_zone_interval();
-    let delay = (interval * COLLECTION_INTERVALS).max(MIN_COLLECTION_DELAY);
-    delay.min(gateway.settings.usage_due.mul_f64(MAX_COLLECTION_SHARE)).max(MIN_COLLECTION_DELAY)
+    let interval = gateway.peers.borrow().cross_zone_interval().min(gossip::LEADER_INTERVAL);
+    (interval * COLLECTION_INTERVALS).max(MIN_COLLECTION_DELAY)
 }
 
 fn window_counts(gateway: &Gateway, window: UsageWindow) -> WindowCounts {
--- a/components/gateway/src/test_support.rs
+++ b/components/gateway/src/test_support.rs
@@ -51,6 +51,7 @@
         sequence: 1,
         time_ms: 0,
         is_leader: false,
+        is_brief: false,
         quota_use: Vec::new(),
         upstreams: Vec::new(),
         sent_prompts: Vec::new(),
