--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -37,12 +37,11 @@
     let mut attempts = Attempts::new(cx.route.kind, cx.route.max_attempts);
     let mut failed: Option<BufferedResponse> = None;
     let result = timeout_at(cx.deadline, send_until_answered(cx, &mut attempts, &mut failed)).await;
-    let sends = attempts.tried().len();
     match result {
         Ok(Ok(answered)) => Ok(respond(cx, answered, attempts)),
         Ok(Err(refusal)) => match failed {
             Some(response) => {
-                cx.log_end(Reason::Answered, response.status.as_u16(), sends);
+                cx.log_end(Reason::Answered, response.status.as_u16());
                 Ok(buffered_response(response))
             }
             None => Err(refusal),
@@ -212,13 +211,13 @@
     cx.gateway.metrics.first_byte.observe(cx.arrived.elapsed().as_secs_f64());
     match answered {
         UpstreamResponse::Buffered(response) => {
-            cx.log_end(Reason::Answered, response.status.as_u16(), attempts.tried().len() + 1);
+            cx.log_end(Reason::Answered, response.status.as_u16());
             buffered_response(response)
         }
         UpstreamResponse::Large { start, connection, guard } => {
             let mut response = Response::new(start.status);
             response.head_mut().headers = start.headers.clone();
-            let relay = LargeBodyRelay::new(cx.clone(), start.body, connection, guard);
+            let relay = LargeBodyRelay::new(cx.clone(), start, connection, guard);
             response.set_body(BoxBody::new(relay.into_body()))
         }
         UpstreamResponse::Events(started) => {
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -2,7 +2,10 @@
 
 use std::{io, rc::Rc};
 
-use actix_http::body::{BodyStream, MessageBody};
+use actix_http::{
+    StatusCode,
+    body::{BodyStream, MessageBody},
+};
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, stream};
 use tokio::time::{Instant, timeout_at};
@@ -13,7 +16,7 @@
     decision::{Decision, Reason, StreamInterrupted},
     dispatch::{choose_replacement, resume},
     place::Placement,
-    send::{InFlightGuard, StartedStream},
+    send::{BufferedResponse, InFlightGuard, StartedStream},
     serve::RequestContext,
 };
 
@@ -24,19 +27,23 @@
 /// Relays a response body that is too large to be buffered.
 pub(crate) struct LargeBodyRelay {
     cx: Rc<RequestContext>,
+    status: StatusCode,
     start: Option<Bytes>,
     connection: Option<Connection>,
     guard: InFlightGuard,
+    is_over: bool,
 }
 
 impl LargeBodyRelay {
     pub(crate) fn new(
         cx: Rc<RequestContext>,
-        start: Bytes,
+        start: BufferedResponse,
         connection: Connection,
         guard: InFlightGuard,
     ) -> LargeBodyRelay {
-        LargeBodyRelay { cx, start: Some(start), connection: Some(connection), guard }
+        let BufferedResponse { status, body, .. } = start;
+        let (start, connection) = (Some(body), Some(connection));
+        LargeBodyRelay { cx, status, start, connection, guard, is_over: false }
     }
 
     pub(crate) fn into_body(self) -> impl MessageBody + 'static {
@@ -57,7 +64,7 @@
                 if let Some(connection) = self.connection.take() {
                     self.guard.upstream.pool.put(connection);
                 }
-                self.cx.log_end(Reason::Answered, 200, 1);
+                self.end(Reason::Answered);
                 None
             }
             Ok(Err(err)) => self.fail(&err.to_string()),
@@ -67,9 +74,22 @@
 
     fn fail(&mut self, reason: &str) -> Option<io::Result<Bytes>> {
         self.connection = None;
-        self.cx.log_end(Reason::ResponseInterrupted, 200, 1);
+        self.end(Reason::ResponseInterrupted);
         Some(Err(io::Error::other(reason.to_owned())))
     }
+
+    fn end(&mut self, reason: Reason) {
+        self.is_over = true;
+        self.cx.log_end(reason, self.status.as_u16());
+    }
+}
+
+impl Drop for LargeBodyRelay {
+    fn drop(&mut self) {
+        if !self.is_over {
+            self.end(Reason::CallerDisconnected);
+        }
+    }
 }
 
 fn unfold<T, F, Fut>(state: T, step: F) -> impl Stream<Item = io::Result<Bytes>>
@@ -86,6 +106,7 @@
 /// that the stream can be resumed on another upstream after any event.
 pub(crate) struct EventRelay {
     cx: Rc<RequestContext>,
+    status: StatusCode,
     current: Option<StartedStream>,
     attempts: Attempts,
     last_id: Option<u64>,
@@ -116,7 +137,8 @@
         attempts: Attempts,
     ) -> EventRelay {
         let last_id = cx.info.resume_after;
-        EventRelay { cx, current: Some(started), attempts, last_id, is_over: false }
+        let status = started.status;
+        EventRelay { cx, status, current: Some(started), attempts, last_id, is_over: false }
     }
 
     pub(crate) fn into_body(self) -> impl MessageBody + 'static {
@@ -226,17 +248,20 @@
     }
 
     fn finish(&mut self) {
-        self.is_over = true;
         if let Some(StartedStream { connection, guard, .. }) = self.current.take() {
             guard.upstream.pool.put(connection);
         }
-        self.cx.log_end(Reason::Answered, 200, self.attempts.tried().len() + 1);
+        self.end(Reason::Answered);
     }
 
-    fn fail(&mut self, reason: &str) -> Option<io::Result<Bytes>> {
+    fn end(&mut self, reason: Reason) {
         self.is_over = true;
+        self.cx.log_end(reason, self.status.as_u16());
+    }
+
+    fn fail(&mut self, reason: &str) -> Option<io::Result<Bytes>> {
         self.current = None;
-        self.cx.log_end(Reason::ResponseInterrupted, 200, self.attempts.tried().len());
+        self.end(Reason::ResponseInterrupted);
         Some(Err(io::Error::other(reason.to_owned())))
     }
 }
@@ -244,7 +269,7 @@
 impl Drop for EventRelay {
     fn drop(&mut self) {
         if !self.is_over {
-            self.cx.log_end(Reason::CallerDisconnected, 200, self.attempts.tried().len() + 1);
+            self.end(Reason::CallerDisconnected);
         }
     }
 }
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -137,6 +137,7 @@
     placement: &Placement,
     resume_after: Option<u64>,
 ) -> Result<UpstreamResponse, Failure> {
+    cx.sends.set(cx.sends.get() + 1);
     let guard = InFlightGuard::start(cx, placement);
     let mut trace = SendTrace::start(cx, placement);
     let result = exchange(cx, guard, placement.fetch_from, resume_after).await;
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -1,6 +1,6 @@
 //! Handles a caller's request: routing, authentication, admission, dispatch and response.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
 use actix_http::{
     ConnectionType, HttpMessage, Method, Request, Response, Uri,
@@ -43,6 +43,8 @@
     pub(crate) arrived: Instant,
     /// The earlier of the caller's deadline and the route's timeout.
     pub(crate) deadline: Instant,
+    /// Number of upstreams that the request was sent to.
+    pub(crate) sends: Cell<usize>,
     pub(crate) _open_request: OpenRequest,
 }
 
@@ -59,7 +61,7 @@
     }
 
     /// Logs and counts the end of the request.
-    pub(crate) fn log_end(&self, reason: Reason, status: u16, sends: usize) {
+    pub(crate) fn log_end(&self, reason: Reason, status: u16) {
         let metrics = &self.gateway.metrics;
         metrics.answers.with_label_values(&[<&str>::from(reason)]).inc();
         self.gateway.decisions.write(&Decision::RequestEnded(RequestEnded {
@@ -68,7 +70,7 @@
             workspace: self.workspace.as_ref().map(|workspace| &workspace.name),
             reason,
             status,
-            sends,
+            sends: self.sends.get(),
             elapsed_ms: millis(self.arrived.elapsed()),
             config_version: self.table.version,
         }));
@@ -107,7 +109,7 @@
     let deadline = cx.info.deadline.unwrap_or(DEFAULT_DEADLINE);
     let refusal = refusal.cap_retry_after(deadline.saturating_sub(cx.arrived.elapsed()));
     let response = refusal.into_response(&cx.gateway, &cx.info.id);
-    cx.log_end(refusal.reason, response.status().as_u16(), 0);
+    cx.log_end(refusal.reason, response.status().as_u16());
     response
 }
 
@@ -170,6 +172,7 @@
         body,
         arrived,
         deadline,
+        sends: Cell::new(0),
         _open_request: open_request,
     })
 }
--- a/components/gateway/src/table.rs
+++ b/components/gateway/src/table.rs
@@ -220,7 +220,7 @@
 impl RoutingTable {
     /// Returns the route of a host with the longest matching path prefix.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        let host = host.rsplit_once(':').map_or(host, |(name, _port)| name);
+        let host = without_port(host);
         let routes = match self.hosts.get(host) {
             Some(routes) => routes,
             None => self.hosts.get(host.to_ascii_lowercase().as_str())?,
@@ -259,6 +259,14 @@
     }
 }
 
+/// Returns the host name of a `Host` header, which may be an IPv6 address in brackets.
+fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
+
 impl Route {
     /// Picks a service by weight; `draw` is a uniform random number in `[0, 1)`.
     pub fn pick(&self, draw: f64) -> Option<&ServiceName> {
