cache_exchange, place, scale: A node that starts knows what its neighbours know

Change: a new process asks a node of its zone once for the prefixes that several requests used; the preference stays within the zone where its weight is below the penalty. Found on reading: a leader in a large cluster knows the demand of other zones only from its first seconds on, and would have ordered too few engines; it keeps running ones until it knows.

--- /dev/null
+++ b/components/gateway/src/cache_exchange.rs
@@ -0,0 +1,110 @@
+//! Lets a node that has just started learn which prompts the engines have cached.
+//!
+//! Nodes tell each other of prompts only when they send them, so a new process would know
+//! nothing of earlier ones and have them processed again.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use displaydoc::Display;
+use lycheelatch_prelude::UpstreamId;
+use rand::seq::IndexedRandom;
+use serde::{Deserialize, Serialize};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::{
+    Gateway,
+    connection::ExchangeError,
+    gossip::record_prompt,
+    peers::encode_links,
+    view_exchange::{FETCH_TIMEOUT, fetch_from_node},
+};
+
+#[cfg(test)]
+mod tests;
+
+/// Path of a node's picture of the engines' caches.
+pub(crate) const CACHES_PATH: &str = "/caches";
+
+/// Maximum number of prefixes of one engine.
+const MAX_PREFIXES: usize = 48;
+
+/// Time between two attempts.
+const RETRY_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Time after the start from which a node has seen enough requests itself.
+const GIVE_UP_AFTER: Duration = Duration::from_secs(6);
+
+/// Prefixes that an engine is assumed to have cached.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct EngineCache {
+    upstream: UpstreamId,
+    /// Hash and tokens of each prefix.
+    links: Vec<(u64, u32)>,
+}
+
+/// Why another node's picture could not be fetched.
+#[derive(Debug, Display)]
+enum CacheFetchError {
+    /// {0}
+    Exchange(ExchangeError),
+    /// it can't be decoded: {0}
+    Decode(postcard::Error),
+    /// no answer in time
+    Timeout,
+}
+
+impl std::error::Error for CacheFetchError {}
+
+/// Returns this node's picture of the engines' caches.
+pub(crate) fn engine_caches(gateway: &Gateway) -> Vec<EngineCache> {
+    let upstreams = gateway.directory.all();
+    let caches = upstreams.iter().map(|up| EngineCache {
+        upstream: up.id(),
+        links: encode_links(&up.load.borrow().shared_cache(MAX_PREFIXES)),
+    });
+    caches.filter(|cache| !cache.links.is_empty()).collect()
+}
+
+/// Fetches the picture of another node, preferably of the same availability zone, once.
+pub(crate) async fn learn_caches(gateway: Rc<Gateway>) {
+    let started = Instant::now();
+    while started.elapsed() < GIVE_UP_AFTER {
+        sleep(RETRY_INTERVAL).await;
+        let Some(address) = node_to_ask(&gateway) else { continue };
+        match fetch_caches(address).await {
+            Ok(caches) if caches.is_empty() => {}
+            Ok(caches) => {
+                apply_caches(&gateway, &caches);
+                return;
+            }
+            Err(err) => log::debug!("peers: failed to fetch the caches of {address}: {err}"),
+        }
+    }
+}
+
+fn node_to_ask(gateway: &Gateway) -> Option<SocketAddr> {
+    if !gateway.is_initialized() {
+        return None;
+    }
+    let now = Instant::now();
+    let near = gateway.peers.borrow().live_in_zone(&gateway.settings.zone, now);
+    if let Some((_, address)) = near.choose(&mut rand::rng()) {
+        return Some(*address);
+    }
+    gateway.peers.borrow().live_addresses(now).choose(&mut rand::rng()).copied()
+}
+
+async fn fetch_caches(address: SocketAddr) -> Result<Vec<EngineCache>, CacheFetchError> {
+    let fetched = timeout(FETCH_TIMEOUT, fetch_from_node(address, CACHES_PATH)).await;
+    let body = fetched.map_err(|_| CacheFetchError::Timeout)?.map_err(CacheFetchError::Exchange)?;
+    postcard::from_bytes(&body).map_err(CacheFetchError::Decode)
+}
+
+fn apply_caches(gateway: &Gateway, caches: &[EngineCache]) {
+    let now = Instant::now();
+    for cache in caches {
+        if let Some(upstream) = gateway.directory.get(&cache.upstream) {
+            record_prompt(gateway, &upstream, &cache.links, now);
+        }
+    }
+}
--- a/components/gateway/src/demand.rs
+++ b/components/gateway/src/demand.rs
@@ -16,7 +16,7 @@
 };
 
 /// Time over which the demand is averaged.
-const WINDOW: Duration = Duration::from_secs(4);
+pub(crate) const WINDOW: Duration = Duration::from_secs(4);
 
 /// Time for which capacity for the peak demand is kept.
 const PEAK_HOLD_TIME: Duration = Duration::from_secs(12);
--- a/components/gateway/src/engine_load.rs
+++ b/components/gateway/src/engine_load.rs
@@ -99,6 +99,7 @@
     tokens: u32,
     since: Instant,
     used: Instant,
+    uses: u32,
 }
 
 /// Estimated state of an engine.
@@ -262,14 +263,24 @@
         for &(hash, tokens) in links {
             if let Some(known) = self.cache.get_mut(&hash) {
                 known.used = now;
+                known.uses = known.uses.saturating_add(1);
                 continue;
             }
-            self.cache.insert(hash, Cached { tokens, since: now, used: now });
+            self.cache.insert(hash, Cached { tokens, since: now, used: now, uses: 1 });
             self.cached_tokens += u64::from(tokens);
         }
         self.evict(memory_tokens);
     }
 
+    /// Returns up to `max` prefixes that several requests used, most recently used last.
+    pub fn shared_cache(&self, max: usize) -> Vec<(PrefixHash, u32)> {
+        let shared = self.cache.iter().filter(|(_, cached)| cached.uses > 1);
+        let mut shared: Vec<_> = shared.collect();
+        shared.sort_by_key(|(_, cached)| cached.used);
+        let surplus = shared.len().saturating_sub(max);
+        shared[surplus..].iter().map(|(hash, cached)| (**hash, cached.tokens)).collect()
+    }
+
     /// Evicts the least recently used prefixes until the rest fits the available memory.
     fn evict(&mut self, memory_tokens: u64) {
         let in_flight = self.total().memory_tokens;
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -41,8 +41,15 @@
 /// The same for the leader, which many nodes have to know.
 const MAX_OTHER_ZONES_OF_LEADER: usize = 60;
 
+/// Rounds between two complete digests to a leader in another availability zone.
+const LEADER_ROUNDS: u64 = 5;
+
 /// Time between two complete digests to a leader in another availability zone.
-pub(crate) const LEADER_INTERVAL: Duration = Duration::from_secs(1);
+pub(crate) const LEADER_INTERVAL: Duration = INTERVAL.saturating_mul(LEADER_ROUNDS as u32);
+
+/// Number of nodes from which on digests to other availability zones are brief and the zones' usage
+/// is told as sums.
+const LARGE_CLUSTER: u32 = 16;
 
 /// Nodes of an availability zone that send its usage to other zones.
 const ZONE_REPORTERS: usize = 2;
@@ -57,39 +64,68 @@
 pub(crate) async fn run(gateway: Rc<Gateway>, socket: UdpSocket) {
     let socket = Rc::new(socket);
     let _already_set = gateway.datagrams.set(socket.clone());
-    let incarnation = rand::random();
     actix_rt::spawn(receive(gateway.clone(), socket.clone()));
     let mut ticker = interval(INTERVAL);
     ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut sequence = 0;
-    let leader_rounds = LEADER_INTERVAL.div_duration_f64(INTERVAL) as u64;
-    let mut recent: VecDeque<Vec<SentPrompt>> = VecDeque::new();
+    let mut sender = Sender {
+        gateway,
+        socket,
+        incarnation: rand::random(),
+        sequence: 0,
+        recent: VecDeque::new(),
+    };
     loop {
         ticker.tick().await;
-        sequence += 1;
         let now = Instant::now();
-        let targets = targets(&gateway, sequence);
-        recent.push_front(gateway.sent_prompts.take());
-        recent.truncate(targets.rounds);
-        let state = |prompts: &mut dyn Iterator<Item = &SentPrompt>| {
-            digest(&gateway, incarnation, sequence, prompts.map(PromptNotice::from).collect())
-        };
-        let full = state(&mut recent.iter().take(1).flatten());
-        send(&socket, &Datagram::State(full), &targets.same_zone).await;
-        let mut for_other_zones = state(&mut recent.iter().flatten());
-        if targets.rounds > 1 {
+        sender.send_round(now).await;
+        apply_in_flight(&sender.gateway, now);
+    }
+}
+
+/// Sends this node's state in rounds.
+struct Sender {
+    gateway: Rc<Gateway>,
+    socket: Rc<UdpSocket>,
+    incarnation: u64,
+    sequence: u64,
+    /// Prompts sent in the last rounds, newest round first.
+    recent: VecDeque<Vec<SentPrompt>>,
+}
+
+impl Sender {
+    async fn send_round(&mut self, now: Instant) {
+        self.sequence += 1;
+        let targets = targets(&self.gateway, self.sequence);
+        self.recent.push_front(self.gateway.sent_prompts.take());
+        self.recent.truncate(targets.rounds);
+        let is_large = self.gateway.nodes() >= LARGE_CLUSTER;
+        let full = self.digest(1);
+        send(&self.socket, &Datagram::State(full), &targets.same_zone).await;
+        let mut for_other_zones = self.digest(targets.rounds);
+        if is_large {
             for_other_zones.leave_out_details();
         }
-        send(&socket, &Datagram::State(for_other_zones), &targets.other_zones).await;
-        if targets.rounds > 1 {
-            if sequence.is_multiple_of(leader_rounds) {
-                let leader = gateway.peers.borrow().leader_outside(&gateway.settings.zone, now);
-                send(&socket, &Datagram::State(state(&mut std::iter::empty())), leader.as_slice())
-                    .await;
-            }
-            send_zone_usage(&gateway, &socket, &targets.same_zone, now).await;
+        send(&self.socket, &Datagram::State(for_other_zones), &targets.other_zones).await;
+        if is_large {
+            self.send_to_leader(now).await;
+            send_zone_usage(&self.gateway, &self.socket, &targets.same_zone, now).await;
+        }
+    }
+
+    /// Sends the complete digest to a leader in another availability zone, in some of the rounds.
+    async fn send_to_leader(&self, now: Instant) {
+        if !self.sequence.is_multiple_of(LEADER_ROUNDS) {
+            return;
         }
-        apply_in_flight(&gateway, now);
+        let leader = self.gateway.peers.borrow().leader_outside(&self.gateway.settings.zone, now);
+        send(&self.socket, &Datagram::State(self.digest(0)), leader.as_slice()).await;
+    }
+
+    /// Returns this node's digest with the prompts of a number of rounds.
+    fn digest(&self, rounds: usize) -> Digest {
+        let prompts = self.recent.iter().take(rounds).flatten();
+        let sent_prompts = prompts.map(PromptNotice::from).collect();
+        digest(&self.gateway, self.incarnation, self.sequence, sent_prompts)
     }
 }
 
@@ -291,7 +327,12 @@
 }
 
 /// Records in the engine's estimated prefix cache a prompt that another node sent to it.
-fn record_prompt(gateway: &Gateway, upstream: &Upstream, links: &[(u64, u32)], now: Instant) {
+pub(crate) fn record_prompt(
+    gateway: &Gateway,
+    upstream: &Upstream,
+    links: &[(u64, u32)],
+    now: Instant,
+) {
     let Some(table) = gateway.table() else { return };
     let service = upstream.entry.borrow().service.clone();
     let engine = table.service(&service).and_then(|service| service.engine.as_ref());
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! [`Store`] and [`PlatformApi`].
 
 mod attempts;
+mod cache_exchange;
 mod clock;
 mod connection;
 mod decision;
@@ -75,7 +76,7 @@
 pub use retry_budget::RetryBudget;
 pub use run::{PlatformParts, RunningGateway};
 pub use size::{
-    CapacityNeed, ServiceLoad, ZoneCapacity, ZoneTarget, keep_on_demand, plan, reclaimable_engines,
+    CapacityNeed, ServiceLoad, ZoneCapacity, ZoneTarget, keep_running, plan, reclaimable_engines,
     required_engines,
 };
 pub use store::{
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -128,7 +128,7 @@
     now: Instant,
 ) -> Result<Placement, PlacementError> {
     let Some(engine) = &req.service.engine else { return Err(PlacementError::NoUpstream) };
-    let preferred = preferred_upstream(chain.affinity(), usable);
+    let preferred = preferred_upstream(req, chain.affinity(), usable);
     let fetchable = fetchable_tokens(req, chain, engine, now);
     let mut best: Option<(f64, &Rc<Upstream>, Estimate)> = None;
     let mut runner_up: Option<(f64, &Rc<Upstream>, Estimate)> = None;
@@ -152,7 +152,7 @@
         if entry.zone != *req.zone {
             score += cross_zone_penalty(req);
         }
-        if entry.id != preferred {
+        if preferred.as_ref() != Some(&entry.id) {
             score += AFFINITY_PENALTY_MS;
         }
         let scored = (score, *up, estimate);
@@ -248,11 +248,20 @@
 
 /// Returns the upstream with the highest hash (rendezvous hashing), so that all nodes prefer
 /// the same one.
-fn preferred_upstream(affinity: u64, usable: &[&Rc<Upstream>]) -> UpstreamId {
+///
+/// If the penalty for other availability zones outweighs the preference, the nodes of each zone
+/// prefer one of their own zone.
+fn preferred_upstream(
+    req: &PlacementRequest<'_>,
+    affinity: u64,
+    usable: &[&Rc<Upstream>],
+) -> Option<UpstreamId> {
+    let is_zonal = cross_zone_penalty(req) > AFFINITY_PENALTY_MS;
+    let is_near = |up: &&&Rc<Upstream>| !is_zonal || up.entry.borrow().zone == *req.zone;
     let weight =
         |up: &&&Rc<Upstream>| xxh3_64_with_seed(up.entry.borrow().id.as_str().as_bytes(), affinity);
-    let best = usable.iter().max_by_key(weight).expect("not empty");
-    best.entry.borrow().id.clone()
+    let best = usable.iter().filter(is_near).max_by_key(weight)?;
+    Some(best.entry.borrow().id.clone())
 }
 
 /// Selects an upstream of a service that is not a model.
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     BootClock, CallerLimits, ClusterClock, Dialect, Gateway, GatewayMetrics, Leadership,
-    PlatformApi, Store, StoreLayout,
+    PlatformApi, Store, StoreLayout, cache_exchange,
     decision::{NodeEvent, log_event},
     gossip, leader, members, report, scale, serve,
     server::{self, ServerLimits, empty},
@@ -87,6 +87,7 @@
             actix_rt::spawn(view_exchange::fetch_during_outage(gateway.clone(), view)),
             actix_rt::spawn(members::keep_registered(gateway.clone(), parts.store.clone())),
             actix_rt::spawn(gossip::run(gateway.clone(), datagrams)),
+            actix_rt::spawn(cache_exchange::learn_caches(gateway.clone())),
             actix_rt::spawn(leader::run_election(
                 gateway.clone(),
                 parts.store.clone(),
--- a/components/gateway/src/scale.rs
+++ b/components/gateway/src/scale.rs
@@ -13,7 +13,7 @@
     CapacityOrder, Gateway, Leadership, PlatformApi, PlatformApiError, PurchaseOption, ServiceSpec,
     decision::{NodeEvent, log_event},
     demand::{DemandForecast, EngineState},
-    size::{ZoneCapacity, ZoneTarget, keep_on_demand, plan},
+    size::{ZoneCapacity, ZoneTarget, keep_running, plan},
     table::ScalingSpec,
 };
 
@@ -91,9 +91,9 @@
     let engines = engine_state(gateway, service);
     let Some(need) = state.forecast.need(service, spec, engines, now) else { return };
     let mut targets = plan(spec, need, &capacity);
-    let is_new = state.leader_since.is_none_or(|since| now - since < spec.startup_time);
-    if is_new && need.is_busy {
-        keep_on_demand(&capacity, &mut targets);
+    if need.is_busy {
+        let led_for = state.leader_since.map_or(Duration::ZERO, |since| now - since);
+        keep_running(spec, led_for, &capacity, &mut targets);
     }
     let mut calls_left = MAX_CALLS_PER_ROUND;
     for (target, zone) in targets.iter().zip(&capacity) {
--- a/components/gateway/src/view_exchange.rs
+++ b/components/gateway/src/view_exchange.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     Gateway, KeyValue, StoreRevision,
+    cache_exchange::{CACHES_PATH, engine_caches},
     connection::{Connection, ExchangeError, OutgoingRequest},
     decision::{NodeEvent, log_event},
     server::empty,
@@ -38,7 +39,7 @@
 const FETCH_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Time limit of one fetch.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+pub(crate) const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Maximum time that a response waits for a change.
 const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(700);
@@ -124,8 +125,6 @@
 enum FetchError {
     /// {0}
     Exchange(ExchangeError),
-    /// status {0}
-    Status(u16),
     /// it can't be decoded: {0}
     Decode(postcard::Error),
     /// no answer in time
@@ -203,6 +202,13 @@
                 }
             }
         }
+        CACHES_PATH => match postcard::to_stdvec(&engine_caches(&gateway)) {
+            Ok(body) => Response::ok().set_body(BoxBody::new(Bytes::from(body))),
+            Err(err) => {
+                log::error!("peers: failed to encode the caches: {err}");
+                empty(StatusCode::INTERNAL_SERVER_ERROR)
+            }
+        },
         METRICS_PATH => metrics(&gateway),
         _ => empty(StatusCode::NOT_FOUND),
     }
@@ -357,15 +363,29 @@
 
 async fn fetch(connection: &mut Connection, cursor: Cursor) -> Result<ViewWire, FetchError> {
     let uri = Uri::try_from(cursor.query()).unwrap_or(Uri::from_static(VIEW_PATH));
+    let body = get(connection, uri).await?;
+    postcard::from_bytes(&body).map_err(FetchError::Decode)
+}
+
+/// Fetches a resource of another node.
+pub(crate) async fn fetch_from_node(
+    address: SocketAddr,
+    path: &'static str,
+) -> Result<Bytes, ExchangeError> {
+    let mut connection = Connection::open(address, FETCH_TIMEOUT).await?;
+    get(&mut connection, Uri::from_static(path)).await
+}
+
+async fn get(connection: &mut Connection, uri: Uri) -> Result<Bytes, ExchangeError> {
     let mut headers = HeaderMap::new();
     headers.insert(HOST, HeaderValue::from_static("node"));
     let req = OutgoingRequest { method: Method::GET, uri, headers, body: Bytes::new() };
     let head = connection.exchange(req).await?;
     if head.status != StatusCode::OK {
-        return Err(FetchError::Status(head.status.as_u16()));
+        let reason = format!("status {}", head.status.as_u16());
+        return Err(ExchangeError::InvalidResponse(reason.into()));
     }
-    let body = connection.read_body(MAX_VIEW_BYTES).await?;
-    postcard::from_bytes(&body).map_err(FetchError::Decode)
+    connection.read_body(MAX_VIEW_BYTES).await
 }
 
 fn apply_view(view: &StoreView, wire: ViewWire) {
--- a/components/gateway/tests/place.rs
+++ b/components/gateway/tests/place.rs
@@ -192,6 +192,35 @@
     }
 }
 
+#[test]
+fn place_prefers_an_engine_of_the_own_zone_if_others_are_too_far() {
+    let now = Instant::now();
+    let choose_far = |shared: u64| {
+        let engines = engines(6);
+        for engine in &engines[3..] {
+            engine.entry.borrow_mut().zone = "zone-b".parse().unwrap();
+        }
+        let (service, zone, chain) = (service(), zone(), chain(shared, 5000, 1, 500));
+        let req = PlacementRequest {
+            service: &service,
+            speed: EngineSpeed::default(),
+            chain: Some(&chain),
+            zone: &zone,
+            cross_zone_lag: Duration::from_secs(4),
+            all_upstreams: &engines,
+            tried: &[],
+            time_to_target: TARGET,
+            priority: Priority(1),
+        };
+        place(&req, &engines, now, 0.5).ok().unwrap().upstream.id()
+    };
+    let mut chosen: HashMap<UpstreamId, u32> = HashMap::new();
+    (0..120).for_each(|shared| *chosen.entry(choose_far(shared)).or_default() += 1);
+    assert_eq!(chosen.len(), 3, "{chosen:?}");
+    assert!(chosen.values().all(|count| *count > 25), "spread over the zone: {chosen:?}");
+    assert!((0..10).all(|shared| choose_far(shared) == choose_far(shared)));
+}
+
 /// Placement policy of the simulation.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum Policy {
--- a/components/gateway/tests/size.rs
+++ b/components/gateway/tests/size.rs
@@ -4,7 +4,7 @@
 
 use lycheelatch_gateway::{
     CapacityNeed, EngineSpeed, PurchaseOption, ScalingSpec, ServiceLoad, ZoneCapacity, ZoneTarget,
-    keep_on_demand, plan, reclaimable_engines, required_engines,
+    keep_running, plan, reclaimable_engines, required_engines,
 };
 use lycheelatch_prelude::ZoneName;
 use proptest::prelude::*;
@@ -86,13 +86,29 @@
 }
 
 #[test]
-fn keep_on_demand_holds_what_a_predecessor_ordered() {
+fn keep_running_holds_what_a_predecessor_ordered() {
     // The predecessor knew that no reclaimable upstreams are to be had in two of the zones.
     let supply = supply([(2, 0, false), (2, 0, false), (0, 4, false), (0, 4, false)]);
-    let mut targets = plan(&spec(), NEED, &supply);
-    assert_eq!(total(&targets, PurchaseOption::OnDemand), 0, "the rest seems to be enough");
-    keep_on_demand(&supply, &mut targets);
-    assert_eq!(total(&targets, PurchaseOption::OnDemand), 4);
+    let planned = plan(&spec(), NEED, &supply);
+    assert_eq!(total(&planned, PurchaseOption::OnDemand), 0, "the rest seems to be enough");
+    let on_demand_after = |seconds| {
+        let mut targets = planned.clone();
+        keep_running(&spec(), Duration::from_secs(seconds), &supply, &mut targets);
+        total(&targets, PurchaseOption::OnDemand)
+    };
+    assert_eq!((on_demand_after(0), on_demand_after(3), on_demand_after(4)), (4, 4, 0));
+}
+
+#[test]
+fn keep_running_holds_reclaimable_until_the_demand_is_known() {
+    let supply = supply([(0, 6, false); 4]);
+    let planned = plan(&spec(), NEED, &supply);
+    let reclaimable_after = |seconds| {
+        let mut targets = planned.clone();
+        keep_running(&spec(), Duration::from_secs(seconds), &supply, &mut targets);
+        total(&targets, PurchaseOption::Reclaimable)
+    };
+    assert_eq!((reclaimable_after(0), reclaimable_after(5), reclaimable_after(6)), (24, 24, 12));
 }
 
 #[test]
