--- a/components/gateway/src/cache_exchange/tests.rs
+++ b/components/gateway/src/cache_exchange/tests.rs
@@ -3,7 +3,7 @@
 use super::*;
 use crate::{
     CallerLimits, ClusterClock, EngineSpec, PrefixHash, RoutingTable, ServiceSpec, StoreRevision,
-    SystemBootClock, TableSource, UpstreamEntry, engine_load::PrefixChain, test_support,
+    SystemBootClock, TableSource, engine_load::PrefixChain, test_support,
 };
 
 const ENGINE: EngineSpec =
@@ -24,17 +24,7 @@
         workspaces: Vec::new(),
         limits: CallerLimits::default(),
     }));
-    let entry = UpstreamEntry {
-        id: "engine-1".parse().unwrap(),
-        service: "svc".parse().unwrap(),
-        address: "127.0.0.1:80".parse().unwrap(),
-        zone: "zone-a".parse().unwrap(),
-        slots: 8,
-        is_ready: true,
-        is_reclaimable: true,
-        shutdown_in: None,
-        started_at_ms: None,
-    };
+    let entry = test_support::engine_entry("engine-1", "zone-a");
     gateway.directory.put(entry, StoreRevision(1));
     gateway
 }
--- a/components/gateway/src/gossip/tests.rs
+++ b/components/gateway/src/gossip/tests.rs
@@ -7,7 +7,7 @@
 
 use super::*;
 use crate::{
-    ClusterClock, StoreRevision, SystemBootClock, UpstreamEntry,
+    ClusterClock, StoreRevision, SystemBootClock,
     quota::{ReportedUsage, SubwindowUsage},
     test_support::{self, digest},
 };
@@ -32,17 +32,7 @@
         }
     }
     for zone in with_engines {
-        let entry = UpstreamEntry {
-            id: format!("engine-{zone}").parse().unwrap(),
-            service: "svc".parse().unwrap(),
-            address: "127.0.0.1:80".parse().unwrap(),
-            zone: zone.parse().unwrap(),
-            slots: 4,
-            is_ready: true,
-            is_reclaimable: true,
-            shutdown_in: None,
-            started_at_ms: None,
-        };
+        let entry = test_support::engine_entry(&format!("engine-{zone}"), zone);
         gateway.directory.put(entry, StoreRevision(1));
     }
     gateway
--- a/components/gateway/src/leader.rs
+++ b/components/gateway/src/leader.rs
@@ -58,7 +58,7 @@
 impl LeaderLease {
     /// Returns the lease of a node that became the leader at `now`, with no validity yet.
     ///
-    /// The node may not act within `ttl` after its own last action, since another node may have
+    /// The node may not act within `ttl` and a margin after its own last action, since another node may have
     /// acted in between. All times are since the machine's boot.
     pub fn acquired(
         fence: Fence,
@@ -67,7 +67,8 @@
         ttl: Duration,
     ) -> LeaderLease {
         let after_predecessor = now + ttl / TAKEOVER_DIVISOR;
-        let after_own = last_action.map_or(Duration::ZERO, |at| at + ttl);
+        // The margin covers calls that took longer to arrive than later ones.
+        let after_own = last_action.map_or(Duration::ZERO, |at| at + ttl + ttl / MARGIN_DIVISOR);
         let valid_from = after_predecessor.max(after_own);
         LeaderLease { fence, valid_from, valid_until: Duration::ZERO }
     }
