--- a/components/gateway/src/size.rs
+++ b/components/gateway/src/size.rs
@@ -131,7 +131,7 @@
     targets: &mut [ZoneTarget],
 ) {
     for (zone, target) in capacity.iter().zip(targets) {
-        if led_for < spec.startup_time {
+        if led_for < spec.startup_time.max(DEMAND_KNOWN_AFTER) {
             target.on_demand = target.on_demand.max(zone.on_demand);
         }
         if led_for < DEMAND_KNOWN_AFTER {
