peers: Usage of processes that ended reaches a leader in another zone

Change: the reporters of a zone send them with their complete digest to the leader; what is counted already is not added.

--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -23,7 +23,7 @@
     quota::{self, PeerUsage, ProcessAge, ReportedUsage, SlidingCounter},
     retry_budget::RetryBudget,
     server::Drain,
-    usage::Usage,
+    usage::{Usage, UsageWindow},
 };
 
 /// Time after the stop signal during which new requests are still accepted, since the load
@@ -325,6 +325,12 @@
         used
     }
 
+    /// Returns the oldest usage window that may still be reported.
+    pub(crate) fn oldest_usage_window(&self) -> UsageWindow {
+        let due = self.settings.usage_due + self.settings.usage_window;
+        self.usage.borrow().window_at(self.clock.now().saturating_sub(due))
+    }
+
     /// Returns how much older state from other availability zones is than state from this one.
     pub(crate) fn cross_zone_lag(&self) -> Duration {
         self.peers.borrow().cross_zone_interval().saturating_sub(gossip::INTERVAL)
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -117,8 +117,16 @@
         if !self.sequence.is_multiple_of(LEADER_ROUNDS) {
             return;
         }
-        let leader = self.gateway.peers.borrow().leader_outside(&self.gateway.settings.zone, now);
-        send(&self.socket, &Datagram::State(self.digest(0)), leader.as_slice()).await;
+        let zone = &self.gateway.settings.zone;
+        let leader = self.gateway.peers.borrow().leader_outside(zone, now);
+        let mut digest = self.digest(0);
+        if reports_zone(&self.gateway, now) {
+            let oldest = self.gateway.oldest_usage_window();
+            let mut peers = self.gateway.peers.borrow_mut();
+            peers.remove_usage_before(oldest);
+            digest.ended_usage = peers.ended_in_zone(zone);
+        }
+        send(&self.socket, &Datagram::State(digest), leader.as_slice()).await;
     }
 
     /// Returns this node's digest with the prompts of a number of rounds.
@@ -254,6 +262,7 @@
         upstreams: upstreams.collect(),
         sent_prompts,
         usage: windows.collect(),
+        ended_usage: Vec::new(),
         demand: gateway.demand.borrow().iter().map(service_demand).collect(),
         config_version: gateway.table().map_or(0, |table| table.version),
         departures: gateway.departures.borrow_mut().announcement(Instant::now()),
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -27,6 +27,9 @@
 /// Time without a digest after which a node is not live, in addition to two of its intervals.
 const LIVENESS_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// Maximum number of ended processes in one digest.
+const MAX_ENDED: usize = 40;
+
 /// Time without a digest after which a node that is not registered in the store is removed.
 const REMOVAL_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -63,6 +66,14 @@
     pub(crate) counts: Vec<(WorkspaceName, u64)>,
 }
 
+/// Request counts of a process that ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct EndedUsage {
+    pub(crate) node: NodeId,
+    pub(crate) incarnation: u64,
+    pub(crate) usage: Vec<WindowUsage>,
+}
+
 /// Demand for one service since the start of a process.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct ServiceDemand {
@@ -117,6 +128,8 @@
     pub(crate) upstreams: Vec<UpstreamLoad>,
     pub(crate) sent_prompts: Vec<PromptNotice>,
     pub(crate) usage: Vec<WindowUsage>,
+    /// Usage of processes of the sender's availability zone that ended, for a leader elsewhere.
+    pub(crate) ended_usage: Vec<EndedUsage>,
     pub(crate) demand: Vec<ServiceDemand>,
     /// Version of the configuration in force; 0 if there is none.
     pub(crate) config_version: u64,
@@ -129,6 +142,7 @@
     pub(crate) fn leave_out_details(&mut self) {
         self.is_brief = true;
         self.quota_use.clear();
+        self.ended_usage.clear();
         self.usage.clear();
         self.demand.clear();
         self.departures.clear();
@@ -259,11 +273,38 @@
         peer.zone = Some(digest.zone.clone());
         peer.last_seen = Some(now);
         peer.last_seen_since_boot = since_boot;
+        let ended_usage = std::mem::take(&mut digest.ended_usage);
         peer.digest = Some(digest);
         peer.sent.clear();
+        self.record_ended(ended_usage);
         true
     }
 
+    /// Records the usage of processes that ended, unless this node knows better.
+    fn record_ended(&mut self, ended_usage: Vec<EndedUsage>) {
+        for EndedUsage { node, incarnation, usage } in ended_usage {
+            let current = self.peers.get(&node).and_then(|peer| peer.digest.as_ref());
+            if current.is_some_and(|digest| digest.incarnation == incarnation) || node == self.own {
+                continue;
+            }
+            self.ended_usage.entry((node, incarnation)).or_insert(usage);
+        }
+    }
+
+    /// Returns the usage of processes that ended in an availability zone.
+    pub(crate) fn ended_in_zone(&self, zone: &ZoneName) -> Vec<EndedUsage> {
+        let is_in_zone = |node: &NodeId| {
+            self.peers.get(node).is_none_or(|peer| peer.zone.as_ref() == Some(zone))
+        };
+        let ended = self.ended_usage.iter().filter(|((node, _), _)| is_in_zone(node));
+        let ended = ended.map(|((node, incarnation), usage)| EndedUsage {
+            node: node.clone(),
+            incarnation: *incarnation,
+            usage: usage.clone(),
+        });
+        ended.take(MAX_ENDED).collect()
+    }
+
     /// Records the notice of a request; returns whether its sender is in the table.
     pub(crate) fn record_sent(&mut self, notice: SentNotice) -> bool {
         let Some(peer) = self.peers.get_mut(&notice.node) else { return false };
--- a/components/gateway/src/test_support.rs
+++ b/components/gateway/src/test_support.rs
@@ -71,6 +71,7 @@
         upstreams: Vec::new(),
         sent_prompts: Vec::new(),
         usage: Vec::new(),
+        ended_usage: Vec::new(),
         demand: Vec::new(),
         config_version: 0,
         departures: Vec::new(),
--- a/components/gateway/src/zone_usage/tests.rs
+++ b/components/gateway/src/zone_usage/tests.rs
@@ -90,3 +90,25 @@
     peers.record_digest(from, brief, now, Duration::ZERO);
     assert_eq!(peers.usage(window).values().sum::<u64>(), 5);
 }
+
+#[test]
+fn ended_processes_of_other_zones_are_in_the_usage_report() {
+    let window = crate::usage::UsageWindow(7);
+    let usage = || vec![crate::peers::WindowUsage { window, counts: vec![(workspace(), 5)] }];
+    let from = "10.0.0.1:1".parse().unwrap();
+    let now = Instant::now();
+    // A node of zone b saw a process of its zone end; the new leader in zone a never heard of it.
+    let mut reporter = PeerTable::new("n-2".parse().unwrap());
+    let old = Digest { usage: usage(), ..digest("n-3", "b", 0) };
+    reporter.record_digest(from, old, now, Duration::ZERO);
+    let restarted = Digest { incarnation: 2, ..digest("n-3", "b", 0) };
+    reporter.record_digest(from, restarted.clone(), now, Duration::ZERO);
+    let mut leader = PeerTable::new("n-1".parse().unwrap());
+    leader.record_digest(from, restarted, now, Duration::ZERO);
+    for sequence in 1..3 {
+        let ended_usage = reporter.ended_in_zone(&zone("b"));
+        let report = Digest { sequence, ended_usage, ..digest("n-2", "b", 0) };
+        leader.record_digest(from, report, now, Duration::ZERO);
+        assert_eq!(leader.usage(window).values().sum::<u64>(), 5, "counted once");
+    }
+}
