--- a/components/gateway/src/attempts.rs
+++ b/components/gateway/src/attempts.rs
@@ -59,11 +59,6 @@
         self.kind.may_repeat() && self.delivered + 1 < self.max_attempts
     }
 
-    /// Allows no further attempt.
-    pub fn exhaust(&mut self) {
-        self.max_attempts = self.delivered;
-    }
-
     /// Returns whether any attempt may have run the request.
     pub fn may_have_run(&self) -> bool {
         self.may_have_run
--- a/components/gateway/src/cache_exchange.rs
+++ b/components/gateway/src/cache_exchange.rs
@@ -5,7 +5,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use displaydoc::Display;
+use actix_http::Uri;
 use lycheelatch_prelude::UpstreamId;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
@@ -13,10 +13,9 @@
 
 use crate::{
     Gateway,
-    connection::ExchangeError,
     gossip::record_prompt,
+    peer_http::{FETCH_TIMEOUT, FetchError, connect, get},
     peers::encode_links,
-    view_exchange::{FETCH_TIMEOUT, fetch_from_node},
 };
 
 #[cfg(test)]
@@ -42,19 +41,6 @@
     links: Vec<(u64, u32)>,
 }
 
-/// Why another node's picture could not be fetched.
-#[derive(Debug, Display)]
-enum CacheFetchError {
-    /// {0}
-    Exchange(ExchangeError),
-    /// it can't be decoded: {0}
-    Decode(postcard::Error),
-    /// no answer in time
-    Timeout,
-}
-
-impl std::error::Error for CacheFetchError {}
-
 /// Returns this node's picture of the engines' caches.
 pub(crate) fn engine_caches(gateway: &Gateway) -> Vec<EngineCache> {
     let upstreams = gateway.directory.all();
@@ -66,7 +52,12 @@
 }
 
 /// Fetches the picture of another node, preferably of the same availability zone, once.
+///
+/// When the whole cluster starts for the first time, no node has one.
 pub(crate) async fn learn_caches(gateway: Rc<Gateway>) {
+    if gateway.settings.is_first_start {
+        return;
+    }
     let started = Instant::now();
     while started.elapsed() < GIVE_UP_AFTER {
         sleep(RETRY_INTERVAL).await;
@@ -94,10 +85,9 @@
     gateway.peers.borrow().live_addresses(now).choose(&mut rand::rng()).copied()
 }
 
-async fn fetch_caches(address: SocketAddr) -> Result<Vec<EngineCache>, CacheFetchError> {
-    let fetched = timeout(FETCH_TIMEOUT, fetch_from_node(address, CACHES_PATH)).await;
-    let body = fetched.map_err(|_| CacheFetchError::Timeout)?.map_err(CacheFetchError::Exchange)?;
-    postcard::from_bytes(&body).map_err(CacheFetchError::Decode)
+async fn fetch_caches(address: SocketAddr) -> Result<Vec<EngineCache>, FetchError> {
+    let fetching = async { get(&mut connect(address).await?, Uri::from_static(CACHES_PATH)).await };
+    timeout(FETCH_TIMEOUT, fetching).await.map_err(|_| FetchError::Timeout)?
 }
 
 fn apply_caches(gateway: &Gateway, caches: &[EngineCache]) {
--- a/components/gateway/src/demand.rs
+++ b/components/gateway/src/demand.rs
@@ -11,12 +11,18 @@
 use crate::{
     EngineSpeed, ServiceSpec,
     gateway::{Demand, Gateway},
-    size::{CapacityNeed, ServiceLoad, reclaimable_engines, required_engines},
+    schedule::LEADER_INTERVAL,
+    size::{
+        CapacityNeed, ServiceLoad, ZoneCapacity, ZoneTarget, reclaimable_engines, required_engines,
+    },
     table::ScalingSpec,
 };
 
 /// Time over which the demand is averaged.
-pub(crate) const WINDOW: Duration = Duration::from_secs(4);
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// Time after which a leader knows the recent demand of all nodes.
+const DEMAND_KNOWN_AFTER: Duration = WINDOW.saturating_add(LEADER_INTERVAL.saturating_mul(2));
 
 /// Time for which capacity for the peak demand is kept.
 const PEAK_HOLD_TIME: Duration = Duration::from_secs(12);
@@ -27,6 +33,26 @@
 /// Divisor of the number of initial engines; the quotient is ordered in addition to them.
 const INITIAL_EXTRA_DIVISOR: u32 = 3;
 
+/// Keeps running upstreams while a new leader, which has led for `led_for`, lacks information.
+///
+/// It does not know where reclaimable upstreams can be had; its predecessor may have ordered
+/// on-demand ones because there were none. And it learns the demand of all nodes only from then on.
+pub fn keep_running(
+    spec: &ScalingSpec,
+    led_for: Duration,
+    capacity: &[ZoneCapacity],
+    targets: &mut [ZoneTarget],
+) {
+    for (zone, target) in capacity.iter().zip(targets) {
+        if led_for < spec.startup_time.max(DEMAND_KNOWN_AFTER) {
+            target.on_demand = target.on_demand.max(zone.on_demand);
+        }
+        if led_for < DEMAND_KNOWN_AFTER {
+            target.reclaimable = target.reclaimable.max(zone.reclaimable);
+        }
+    }
+}
+
 /// Recent demand of each service over all nodes, and the need that follows from it.
 #[derive(Debug, Default)]
 pub(crate) struct DemandForecast {
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -57,10 +57,7 @@
 ) -> Result<UpstreamResponse, LocalResponse> {
     let mut reserved: Option<Placement> = None;
     loop {
-        let placement = match reserved.take() {
-            Some(placement) => placement,
-            None => choose_within_budget(cx, attempts)?,
-        };
+        let placement = next_placement(cx, attempts, &mut reserved)?;
         let id = placement.upstream.id();
         let failure = match send_or_abandon(cx, &placement, attempts).await {
             Ok(answered) => return Ok(answered),
@@ -78,6 +75,15 @@
     }
 }
 
+/// Returns the reserved placement, which is drawn from the retry budget already, or selects one.
+fn next_placement(
+    cx: &RequestContext,
+    attempts: &Attempts,
+    reserved: &mut Option<Placement>,
+) -> Result<Placement, LocalResponse> {
+    reserved.take().map_or_else(|| choose_within_budget(cx, attempts), Ok)
+}
+
 /// Selects an upstream and, for a retry, draws it from the retry budget.
 fn choose_within_budget(
     cx: &RequestContext,
@@ -245,10 +251,7 @@
     mut reserved: Option<Placement>,
 ) -> Option<StartedStream> {
     loop {
-        let placement = match reserved.take() {
-            Some(placement) => placement,
-            None => choose_within_budget(cx, attempts).ok()?,
-        };
+        let placement = next_placement(cx, attempts, &mut reserved).ok()?;
         let id = placement.upstream.id();
         match send(cx, &placement, after).await {
             Ok(UpstreamResponse::Events(started)) => return Some(started),
--- a/components/gateway/src/frames.rs
+++ b/components/gateway/src/frames.rs
@@ -38,13 +38,7 @@
     ///
     /// Fails if an incomplete event exceeds 1 MiB.
     pub fn next_frame(&mut self) -> Result<Option<Frame>, FrameTooLarge> {
-        let Some(end) = find_end(&self.buf, self.scanned) else {
-            self.scanned = self.buf.len().saturating_sub(3);
-            if self.buf.len() > MAX_EVENT_BYTES {
-                return Err(FrameTooLarge);
-            }
-            return Ok(None);
-        };
+        let Some(end) = self.scan()? else { return Ok(None) };
         self.scanned = 0;
         let bytes = self.buf.split_to(end).freeze();
         Ok(Some(Frame { id: id_of(&bytes), bytes }))
@@ -54,14 +48,19 @@
     ///
     /// Fails if an incomplete event exceeds 1 MiB.
     pub fn has_complete(&mut self) -> Result<bool, FrameTooLarge> {
-        if find_end(&self.buf, self.scanned).is_some() {
-            return Ok(true);
-        }
-        self.scanned = self.buf.len().saturating_sub(3);
-        if self.buf.len() > MAX_EVENT_BYTES {
-            return Err(FrameTooLarge);
+        Ok(self.scan()?.is_some())
+    }
+
+    /// Returns the end of the next complete event; searches only bytes not searched before.
+    fn scan(&mut self) -> Result<Option<usize>, FrameTooLarge> {
+        let end = find_end(&self.buf, self.scanned);
+        if end.is_none() {
+            self.scanned = self.buf.len().saturating_sub(3);
+            if self.buf.len() > MAX_EVENT_BYTES {
+                return Err(FrameTooLarge);
+            }
         }
-        Ok(false)
+        Ok(end)
     }
 
     /// Returns whether any bytes are buffered; after `next_frame` has returned `None`, these are
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -18,10 +18,11 @@
     departures::Departures,
     engine_load::PrefixHash,
     engine_speed::{EngineSpeed, SpeedSamples},
-    gossip,
+    open_count::{OpenCount, OpenGuard},
     peers::{Digest, PeerTable},
-    quota::{self, PeerUsage, ProcessAge, ReportedUsage, SlidingCounter},
+    quota::{self, ProcessAge, ReportedUsage, SlidingCounter},
     retry_budget::RetryBudget,
+    schedule,
     server::Drain,
     usage::{Usage, UsageWindow},
 };
@@ -65,8 +66,8 @@
     started: Instant,
     stopping: Cell<Option<Instant>>,
     closing: watch::Sender<bool>,
-    open: Cell<u32>,
-    connections: Rc<Cell<u32>>,
+    requests: OpenCount,
+    connections: OpenCount,
 }
 
 /// Work requested from a service since this process started.
@@ -109,15 +110,6 @@
     refused: SlidingCounter,
 }
 
-/// Guard that counts a request as open until dropped.
-pub(crate) struct OpenRequest(Rc<Gateway>);
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
-    }
-}
-
 impl Gateway {
     /// Creates a gateway without a configuration.
     pub fn new(
@@ -151,8 +143,8 @@
             started: Instant::now(),
             stopping: Cell::new(None),
             closing: watch::Sender::new(false),
-            open: Cell::new(0),
-            connections: Rc::default(),
+            requests: OpenCount::default(),
+            connections: OpenCount::default(),
         }
     }
 
@@ -224,7 +216,7 @@
 
     /// Returns the drain state of the callers' server.
     pub(crate) fn drain(&self) -> Drain {
-        Drain { closing: self.closing.subscribe(), open: self.connections.clone() }
+        Drain { closing: self.closing.subscribe(), connections: self.connections.clone() }
     }
 
     /// Returns the number of open connections of callers.
@@ -234,12 +226,11 @@
 
     /// Returns the number of open requests.
     pub fn open_requests(&self) -> u32 {
-        self.open.get()
+        self.requests.get()
     }
 
-    pub(crate) fn open_request(self: &Rc<Self>) -> OpenRequest {
-        self.open.set(self.open.get() + 1);
-        OpenRequest(self.clone())
+    pub(crate) fn open_request(&self) -> OpenGuard {
+        self.requests.open()
     }
 
     /// Charges a request's cost to its workspace's quota.
@@ -253,7 +244,9 @@
     ) -> Result<(), Duration> {
         let Some(limit) = &workspace.quota else { return Ok(()) };
         let window = self.reloaded.borrow().quota_window;
-        let mut others = self.quota_use_of_others(&workspace.name, window, now);
+        let zone = &self.settings.zone;
+        let mut others =
+            self.peers.borrow().quota_use_of_others(zone, &workspace.name, window, now);
         let nodes = self.nodes();
         others.unseen_nodes += nodes - others.nodes;
         others.nodes = nodes;
@@ -287,15 +280,6 @@
         Err(after)
     }
 
-    fn quota_use_of_others(
-        &self,
-        workspace: &WorkspaceName,
-        window: Duration,
-        now: Instant,
-    ) -> PeerUsage {
-        self.peers.borrow().quota_use_of_others(&self.settings.zone, workspace, window, now)
-    }
-
     fn age(&self, now: Instant) -> ProcessAge {
         if self.settings.is_first_start {
             return ProcessAge::FirstStart;
@@ -333,7 +317,7 @@
 
     /// Returns how much older state from other availability zones is than state from this one.
     pub(crate) fn cross_zone_lag(&self) -> Duration {
-        self.peers.borrow().cross_zone_interval().saturating_sub(gossip::INTERVAL)
+        self.peers.borrow().cross_zone_interval().saturating_sub(schedule::INTERVAL)
     }
 
     /// Returns the number of nodes in the cluster, but at least the number of seeds plus one,
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -4,7 +4,6 @@
     collections::{BTreeSet, VecDeque},
     net::SocketAddr,
     rc::Rc,
-    time::Duration,
 };
 
 use lycheelatch_prelude::{ServiceName, UpstreamId, ZoneName};
@@ -24,29 +23,19 @@
         Addresses, Datagram, Digest, PromptNotice, SentNotice, ServiceDemand, UpstreamLoad,
         WindowUsage, decode_links, encode_links,
     },
+    schedule::{INTERVAL, LEADER_ROUNDS, MAX_OTHER_ZONES_PER_ROUND},
+    zone_usage::UsageSum,
 };
 
 #[cfg(test)]
 mod tests;
 
-/// Time between two datagrams to each node of a small cluster.
-pub(crate) const INTERVAL: Duration = Duration::from_millis(200);
-
 /// Maximum number of nodes in the own availability zone that get a datagram in one round.
 const MAX_SAME_ZONE_PER_ROUND: usize = 24;
 
-/// Maximum number of nodes in other availability zones that get a datagram in one round.
-const MAX_OTHER_ZONES_PER_ROUND: usize = 12;
-
-/// The same for the leader, which many nodes have to know.
+/// `MAX_OTHER_ZONES_PER_ROUND` of the leader, which many nodes have to know.
 const MAX_OTHER_ZONES_OF_LEADER: usize = 60;
 
-/// Rounds between two complete digests to a leader in another availability zone.
-const LEADER_ROUNDS: u64 = 5;
-
-/// Time between two complete digests to a leader in another availability zone.
-pub(crate) const LEADER_INTERVAL: Duration = INTERVAL.saturating_mul(LEADER_ROUNDS as u32);
-
 /// Number of nodes from which on digests to other availability zones are brief and the zones' usage
 /// is told as sums.
 const LARGE_CLUSTER: u32 = 16;
@@ -98,42 +87,51 @@
         let targets = targets(&self.gateway, self.sequence);
         self.recent.push_front(self.gateway.sent_prompts.take());
         self.recent.truncate(targets.rounds);
-        let is_large = self.gateway.nodes() >= LARGE_CLUSTER;
-        let full = self.digest(1);
-        send(&self.socket, &Datagram::State(full), &targets.same_zone).await;
-        let mut for_other_zones = self.digest(targets.rounds);
-        if is_large {
-            for_other_zones.leave_out_details();
-        }
-        send(&self.socket, &Datagram::State(for_other_zones), &targets.other_zones).await;
-        if is_large {
-            self.send_to_leader(now).await;
-            send_zone_usage(&self.gateway, &self.socket, &targets.same_zone, now).await;
+        let digest = digest(&self.gateway, self.incarnation, self.sequence);
+        self.send(self.with_prompts(&digest, 1), &targets.same_zone).await;
+        let mut for_other_zones = self.with_prompts(&digest, targets.rounds);
+        if self.gateway.nodes() < LARGE_CLUSTER {
+            self.send(for_other_zones, &targets.other_zones).await;
+            return;
         }
+        for_other_zones.leave_out_details();
+        self.send(for_other_zones, &targets.other_zones).await;
+        let is_reporter = reports_zone(&self.gateway, now);
+        let zone_sum = is_reporter.then(|| self.zone_sum(&digest, now));
+        self.send_to_leader(digest, is_reporter, now).await;
+        send_zone_usage(&self.gateway, &self.socket, zone_sum, &targets.same_zone, now).await;
+    }
+
+    async fn send(&self, digest: Digest, targets: &[SocketAddr]) {
+        send(&self.socket, &Datagram::State(digest), targets).await;
+    }
+
+    /// Returns a digest with the prompts of the last rounds.
+    fn with_prompts(&self, digest: &Digest, rounds: usize) -> Digest {
+        let prompts = self.recent.iter().take(rounds).flatten();
+        Digest { sent_prompts: prompts.map(PromptNotice::from).collect(), ..digest.clone() }
+    }
+
+    /// Returns the usage of this availability zone.
+    fn zone_sum(&self, digest: &Digest, now: Instant) -> UsageSum {
+        let mut sum = self.gateway.peers.borrow().usage_in_zone(&digest.zone, now);
+        sum.add(1, digest.quota_use.iter().map(|(name, used)| (name, used)));
+        sum
     }
 
     /// Sends the complete digest to a leader in another availability zone, in some of the rounds.
-    async fn send_to_leader(&self, now: Instant) {
+    async fn send_to_leader(&self, mut digest: Digest, is_reporter: bool, now: Instant) {
         if !self.sequence.is_multiple_of(LEADER_ROUNDS) {
             return;
         }
-        let zone = &self.gateway.settings.zone;
-        let leader = self.gateway.peers.borrow().leader_outside(zone, now);
-        let mut digest = self.digest(0);
-        if reports_zone(&self.gateway, now) {
+        if is_reporter {
             let oldest = self.gateway.oldest_usage_window();
             let mut peers = self.gateway.peers.borrow_mut();
             peers.remove_usage_before(oldest);
-            digest.ended_usage = peers.ended_in_zone(zone);
+            digest.ended_usage = peers.ended_in_zone(&digest.zone);
         }
-        send(&self.socket, &Datagram::State(digest), leader.as_slice()).await;
-    }
-
-    /// Returns this node's digest with the prompts of a number of rounds.
-    fn digest(&self, rounds: usize) -> Digest {
-        let prompts = self.recent.iter().take(rounds).flatten();
-        let sent_prompts = prompts.map(PromptNotice::from).collect();
-        digest(&self.gateway, self.incarnation, self.sequence, sent_prompts)
+        let leader = self.gateway.peers.borrow().leader_outside(&digest.zone, now);
+        self.send(digest, leader.as_slice()).await;
     }
 }
 
@@ -156,19 +154,17 @@
     }
 }
 
-/// Sends the usage of this availability zone to the other zones, if this node is one of those
-/// that do so, and passes on theirs to `same_zone`, if it has received them.
+/// Sends the usage of this availability zone to the other zones, if `zone_sum` is given, and passes
+/// on theirs to `same_zone`, if it has received them.
 async fn send_zone_usage(
     gateway: &Gateway,
     socket: &UdpSocket,
+    zone_sum: Option<UsageSum>,
     same_zone: &[SocketAddr],
     now: Instant,
 ) {
     let zone = &gateway.settings.zone;
-    if reports_zone(gateway, now) {
-        let mut sum = gateway.peers.borrow().usage_in_zone(zone, now);
-        let own = gateway.quota_use(now);
-        sum.add(1, own.iter().map(|(name, used)| (name, used)));
+    if let Some(sum) = zone_sum {
         let targets = gateway.peers.borrow().first_of_other_zones(zone, ZONE_RECEIVERS);
         send(socket, &Datagram::ZoneUsage(zone.clone(), sum), &targets).await;
     }
@@ -182,9 +178,7 @@
 
 /// Returns whether this node is among the first live ones of its availability zone.
 fn reports_zone(gateway: &Gateway, now: Instant) -> bool {
-    let nodes = gateway.peers.borrow().live_in_zone(&gateway.settings.zone, now);
-    let own = &gateway.settings.node;
-    nodes.iter().filter(|(id, _)| id < own).count() < ZONE_REPORTERS
+    gateway.peers.borrow().rank_in_zone(&gateway.settings.zone, now) < ZONE_REPORTERS
 }
 
 /// Receivers of one round's datagrams.
@@ -223,18 +217,8 @@
     addresses.into_iter().skip(sequence % rounds).step_by(rounds).collect()
 }
 
-/// Returns the time between two datagrams from a node of another availability zone.
-pub(crate) fn cross_zone_interval(other_nodes: usize) -> Duration {
-    let rounds = other_nodes.div_ceil(MAX_OTHER_ZONES_PER_ROUND).max(1);
-    INTERVAL * u32::try_from(rounds).unwrap_or(u32::MAX)
-}
-
-fn digest(
-    gateway: &Gateway,
-    incarnation: u64,
-    sequence: u64,
-    sent_prompts: Vec<PromptNotice>,
-) -> Digest {
+/// Returns this node's complete digest, without prompts.
+fn digest(gateway: &Gateway, incarnation: u64, sequence: u64) -> Digest {
     let upstreams = gateway.directory.all();
     let upstreams = upstreams.iter().filter(|up| up.running.get() > 0).map(|up| {
         let own = up.load.borrow().own;
@@ -260,7 +244,7 @@
         is_brief: false,
         quota_use: gateway.quota_use(Instant::now()),
         upstreams: upstreams.collect(),
-        sent_prompts,
+        sent_prompts: Vec::new(),
         usage: windows.collect(),
         ended_usage: Vec::new(),
         demand: gateway.demand.borrow().iter().map(service_demand).collect(),
--- a/components/gateway/src/gossip/tests.rs
+++ b/components/gateway/src/gossip/tests.rs
@@ -1,6 +1,6 @@
 //! Receivers of the notice of a request.
 
-use std::net::IpAddr;
+use std::{net::IpAddr, time::Duration};
 
 use lycheelatch_prelude::NodeId;
 use rand::{Rng, SeedableRng, rngs::StdRng};
--- a/components/gateway/src/leader.rs
+++ b/components/gateway/src/leader.rs
@@ -58,8 +58,8 @@
 impl LeaderLease {
     /// Returns the lease of a node that became the leader at `now`, with no validity yet.
     ///
-    /// The node may not act within `ttl` and a margin after its own last action, since another node may have
-    /// acted in between. All times are since the machine's boot.
+    /// The node may not act within `ttl` and a margin after its own last action, since another node
+    /// may have acted in between. All times are since the machine's boot.
     pub fn acquired(
         fence: Fence,
         now: Duration,
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -29,6 +29,8 @@
 mod local_response;
 mod members;
 mod metrics;
+mod open_count;
+mod peer_http;
 mod peers;
 mod place;
 mod platform_api;
@@ -39,6 +41,7 @@
 mod retry_budget;
 mod run;
 mod scale;
+mod schedule;
 mod send;
 mod serve;
 mod server;
@@ -56,6 +59,7 @@
 pub use attempts::{Attempts, NextStep, SendOutcome};
 pub use clock::{BootClock, ClusterClock, SystemBootClock};
 pub use decision::{DECISION_LOG_TARGET, Reason};
+pub use demand::keep_running;
 pub use dialect::{
     Dialect, ForwardParams, Prompt, PromptPart, ReportedLoad, RequestInfo, ResponseInfo,
 };
@@ -76,7 +80,7 @@
 pub use retry_budget::RetryBudget;
 pub use run::{PlatformParts, RunningGateway};
 pub use size::{
-    CapacityNeed, ServiceLoad, ZoneCapacity, ZoneTarget, keep_running, plan, reclaimable_engines,
+    CapacityNeed, ServiceLoad, ZoneCapacity, ZoneTarget, plan, reclaimable_engines,
     required_engines,
 };
 pub use store::{
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -17,10 +17,10 @@
     departures::Departure,
     engine_load::{InFlight, PrefixHash},
     engine_speed::SpeedSamples,
-    gossip::cross_zone_interval,
     members::Member,
     quota::{PeerUsage, ReportedUsage, SubwindowUsage},
-    usage::UsageWindow,
+    schedule::cross_zone_interval,
+    usage::{UsageWindow, add_count},
     zone_usage::{UsageSum, ZoneUsageTable},
 };
 
@@ -164,10 +164,10 @@
 }
 
 impl Peer {
-    fn new(address: SocketAddr, zone: Option<ZoneName>) -> Peer {
+    fn new(address: SocketAddr) -> Peer {
         Peer {
             address,
-            zone,
+            zone: None,
             last_seen: None,
             last_seen_since_boot: Duration::ZERO,
             digest: None,
@@ -224,7 +224,7 @@
         self.retain(|id, peer| peer.age_below(limit, now).is_some() || members.contains(id));
         let own = &self.own;
         for Member { id, address, zone } in nodes.into_iter().filter(|member| member.id != *own) {
-            let peer = self.peers.entry(id).or_insert_with(|| Peer::new(address, None));
+            let peer = self.peers.entry(id).or_insert_with(|| Peer::new(address));
             peer.address = address;
             peer.zone = Some(zone);
         }
@@ -254,7 +254,7 @@
             return false;
         }
         let peer = self.peers.entry(digest.node.clone());
-        let peer = peer.or_insert_with(|| Peer::new(from, None));
+        let peer = peer.or_insert_with(|| Peer::new(from));
         if let Some(current) = &mut peer.digest {
             if current.incarnation == digest.incarnation && current.sequence >= digest.sequence {
                 return false;
@@ -379,6 +379,15 @@
         nodes
     }
 
+    /// Returns the number of live nodes of an availability zone whose identifiers are below this
+    /// node's.
+    pub(crate) fn rank_in_zone(&self, zone: &ZoneName, now: Instant) -> usize {
+        let is_in_zone =
+            |peer: &Peer| peer.digest.as_ref().is_some_and(|digest| digest.zone == *zone);
+        let live = self.live_peers(now).filter(|(_, peer)| is_in_zone(peer));
+        live.filter(|(id, _)| **id < self.own).count()
+    }
+
     /// Returns whether the leader is live.
     ///
     /// In the leader's availability zone its digests arrive more often, so that a shorter timeout
@@ -520,8 +529,7 @@
             .filter(|usage| usage.window == window)
             .flat_map(|usage| &usage.counts)
         {
-            let sum = sums.entry(name.clone()).or_insert(0);
-            *sum = u64::saturating_add(*sum, *count);
+            add_count(&mut sums, name, *count);
         }
         sums
     }
--- a/components/gateway/src/quota.rs
+++ b/components/gateway/src/quota.rs
@@ -199,11 +199,11 @@
 ) -> Result<(), u64> {
     let subwindows = subwindows(quota, window, own, others, age);
     let last = DIVISORS.len() - 1;
-    let applies = |at: usize| at == last || subwindows[at].used > 0;
-    let applying = (0..=last).filter(|at| applies(*at));
-    match applying.map(|at| subwindows[at].excess(cost)).max() {
-        None | Some(0) => Ok(()),
-        Some(excess) => Err(excess),
+    let applies = |at: &usize| *at == last || subwindows[*at].used > 0;
+    let excesses = (0..=last).filter(applies).map(|at| subwindows[at].excess(cost));
+    match excesses.max().unwrap_or(0) {
+        0 => Ok(()),
+        excess => Err(excess),
     }
 }
 
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -24,14 +24,39 @@
 /// multiple of the route's target for the gap between two events.
 const STALLED_AFTER_GAPS: u32 = 4;
 
+/// Logs the end of a relayed response; if it is dropped before, the caller has disconnected.
+struct EndLog {
+    cx: Rc<RequestContext>,
+    status: StatusCode,
+    is_written: bool,
+}
+
+impl EndLog {
+    fn new(cx: Rc<RequestContext>, status: StatusCode) -> EndLog {
+        EndLog { cx, status, is_written: false }
+    }
+
+    fn write(&mut self, reason: Reason) {
+        self.is_written = true;
+        self.cx.log_end(reason, self.status.as_u16());
+    }
+}
+
+impl Drop for EndLog {
+    fn drop(&mut self) {
+        if !self.is_written {
+            self.write(Reason::CallerDisconnected);
+        }
+    }
+}
+
 /// Relays a response body that is too large to be buffered.
 pub(crate) struct LargeBodyRelay {
     cx: Rc<RequestContext>,
-    status: StatusCode,
     start: Option<Bytes>,
     connection: Option<Connection>,
     guard: InFlightGuard,
-    is_over: bool,
+    end: EndLog,
 }
 
 impl LargeBodyRelay {
@@ -42,8 +67,8 @@
         guard: InFlightGuard,
     ) -> LargeBodyRelay {
         let BufferedResponse { status, body, .. } = start;
-        let (start, connection) = (Some(body), Some(connection));
-        LargeBodyRelay { cx, status, start, connection, guard, is_over: false }
+        let end = EndLog::new(cx.clone(), status);
+        LargeBodyRelay { cx, start: Some(body), connection: Some(connection), guard, end }
     }
 
     pub(crate) fn into_body(self) -> impl MessageBody + 'static {
@@ -64,7 +89,7 @@
                 if let Some(connection) = self.connection.take() {
                     self.guard.upstream.pool.put(connection);
                 }
-                self.end(Reason::Answered);
+                self.end.write(Reason::Answered);
                 None
             }
             Ok(Err(err)) => self.fail(&err.to_string()),
@@ -74,22 +99,9 @@
 
     fn fail(&mut self, reason: &str) -> Option<io::Result<Bytes>> {
         self.connection = None;
-        self.end(Reason::ResponseInterrupted);
+        self.end.write(Reason::ResponseInterrupted);
         Some(Err(io::Error::other(reason.to_owned())))
     }
-
-    fn end(&mut self, reason: Reason) {
-        self.is_over = true;
-        self.cx.log_end(reason, self.status.as_u16());
-    }
-}
-
-impl Drop for LargeBodyRelay {
-    fn drop(&mut self) {
-        if !self.is_over {
-            self.end(Reason::CallerDisconnected);
-        }
-    }
 }
 
 fn unfold<T, F, Fut>(state: T, step: F) -> impl Stream<Item = io::Result<Bytes>>
@@ -106,17 +118,18 @@
 /// that the stream can be resumed on another upstream after any event.
 pub(crate) struct EventRelay {
     cx: Rc<RequestContext>,
-    status: StatusCode,
     current: Option<StartedStream>,
     attempts: Attempts,
     last_id: Option<u64>,
-    is_over: bool,
+    end: EndLog,
 }
 
 /// Result of reading from the upstream.
 enum Step {
     Bytes(Bytes),
     Complete,
+    /// The deadline has passed, so the stream can't be resumed.
+    TimeUp,
     Interrupted {
         reason: String,
         /// Upstream for the rest of the stream.
@@ -137,8 +150,8 @@
         attempts: Attempts,
     ) -> EventRelay {
         let last_id = cx.info.resume_after;
-        let status = started.status;
-        EventRelay { cx, status, current: Some(started), attempts, last_id, is_over: false }
+        let end = EndLog::new(cx.clone(), started.status);
+        EventRelay { cx, current: Some(started), attempts, last_id, end }
     }
 
     pub(crate) fn into_body(self) -> impl MessageBody + 'static {
@@ -149,7 +162,7 @@
     }
 
     async fn next(&mut self) -> Option<io::Result<Bytes>> {
-        if self.is_over {
+        if self.end.is_written {
             return None;
         }
         loop {
@@ -159,6 +172,7 @@
                     self.finish();
                     return None;
                 }
+                Step::TimeUp => return self.fail("the time is up"),
                 Step::Interrupted { reason, reserved } => {
                     if !self.try_resume(&reason, reserved).await {
                         return self.fail(&reason);
@@ -182,14 +196,7 @@
                 return Step::Interrupted { reason, reserved: Some(Box::new(next)) };
             }
         }
-        match timeout_at(deadline, self.step()).await {
-            Ok(step) => step,
-            Err(_) => {
-                // No time is left to resume the stream.
-                self.attempts.exhaust();
-                Step::interrupted("the time is up")
-            }
-        }
+        timeout_at(deadline, self.step()).await.unwrap_or(Step::TimeUp)
     }
 
     /// Reserves another upstream for the rest of the stream.
@@ -251,29 +258,16 @@
         if let Some(StartedStream { connection, guard, .. }) = self.current.take() {
             guard.upstream.pool.put(connection);
         }
-        self.end(Reason::Answered);
-    }
-
-    fn end(&mut self, reason: Reason) {
-        self.is_over = true;
-        self.cx.log_end(reason, self.status.as_u16());
+        self.end.write(Reason::Answered);
     }
 
     fn fail(&mut self, reason: &str) -> Option<io::Result<Bytes>> {
         self.current = None;
-        self.end(Reason::ResponseInterrupted);
+        self.end.write(Reason::ResponseInterrupted);
         Some(Err(io::Error::other(reason.to_owned())))
     }
 }
 
-impl Drop for EventRelay {
-    fn drop(&mut self) {
-        if !self.is_over {
-            self.end(Reason::CallerDisconnected);
-        }
-    }
-}
-
 /// Returns the complete events received so far, without those that were relayed before.
 fn take_frames(current: &mut StartedStream, last_id: &mut Option<u64>) -> Result<Bytes, String> {
     let mut ready = BytesMut::new();
--- a/components/gateway/src/report.rs
+++ b/components/gateway/src/report.rs
@@ -12,9 +12,9 @@
 use crate::{
     Commit, CommitOutcome, Gateway, Leadership, PlatformApi, Store, StoreError, StoreRevision,
     decision::{NodeEvent, log_event},
-    gossip,
     layout::OWN_PREFIX,
-    usage::{UsageWindow, WindowCounts},
+    schedule::LEADER_INTERVAL,
+    usage::{UsageWindow, WindowCounts, add_count},
 };
 
 /// Minimum time after a window's end by which the counts of all nodes have arrived.
@@ -110,7 +110,7 @@
 }
 
 fn collection_delay(gateway: &Gateway) -> Duration {
-    let interval = gateway.peers.borrow().cross_zone_interval().min(gossip::LEADER_INTERVAL);
+    let interval = gateway.peers.borrow().cross_zone_interval().min(LEADER_INTERVAL);
     (interval * COLLECTION_INTERVALS).max(MIN_COLLECTION_DELAY)
 }
 
@@ -118,8 +118,7 @@
     let mut counts = gateway.peers.borrow().usage(window);
     if let Some(own) = gateway.usage.borrow().windows().get(&window) {
         for (name, count) in own {
-            let sum = counts.entry(name.clone()).or_insert(0);
-            *sum = u64::saturating_add(*sum, *count);
+            add_count(&mut counts, name, *count);
         }
     }
     gateway.peers.borrow_mut().remove_usage_before(window);
--- a/components/gateway/src/scale.rs
+++ b/components/gateway/src/scale.rs
@@ -12,8 +12,8 @@
 use crate::{
     CapacityOrder, Gateway, Leadership, PlatformApi, PlatformApiError, PurchaseOption, ServiceSpec,
     decision::{NodeEvent, log_event},
-    demand::{DemandForecast, EngineState},
-    size::{ZoneCapacity, ZoneTarget, keep_running, plan},
+    demand::{DemandForecast, EngineState, keep_running},
+    size::{ZoneCapacity, ZoneTarget, plan},
     table::ScalingSpec,
 };
 
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -17,8 +17,9 @@
     decision::{Decision, Reason, RequestEnded, RequestRefused, millis},
     dispatch::dispatch,
     engine_load::PrefixChain,
-    gateway::{Demand, Gateway, OpenRequest},
+    gateway::{Demand, Gateway},
     local_response::LocalResponse,
+    open_count::OpenGuard,
 };
 
 /// `Retry-After` of a node that has not received its configuration yet.
@@ -45,7 +46,7 @@
     pub(crate) deadline: Instant,
     /// Number of upstreams that the request was sent to.
     pub(crate) sends: Cell<usize>,
-    pub(crate) _open_request: OpenRequest,
+    pub(crate) _open_request: OpenGuard,
 }
 
 impl RequestContext {
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -1,8 +1,6 @@
 //! HTTP/1 servers that run on the current thread.
 
-use std::{
-    cell::Cell, convert::Infallible, future::Future, io, net::SocketAddr, rc::Rc, time::Duration,
-};
+use std::{convert::Infallible, future::Future, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::{HttpService, KeepAlive, Request, Response, StatusCode, body::BoxBody};
 use actix_rt::net::TcpStream;
@@ -10,6 +8,8 @@
 use futures_util::FutureExt;
 use tokio::{net::TcpListener, sync::watch};
 
+use crate::open_count::OpenCount;
+
 /// Time that a client gets to receive the rest of a response when its connection is closed.
 const DISCONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -31,24 +31,8 @@
 pub(crate) struct Drain {
     /// Turns true when no further connection is to be accepted and idle ones are to be closed.
     pub(crate) closing: watch::Receiver<bool>,
-    /// Number of open connections.
-    pub(crate) open: Rc<Cell<u32>>,
-}
-
-impl Drain {
-    fn open_connection(&self) -> OpenConnection {
-        self.open.set(self.open.get() + 1);
-        OpenConnection(self.open.clone())
-    }
-}
-
-/// Guard that counts a connection as open until dropped.
-struct OpenConnection(Rc<Cell<u32>>);
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
+    /// Open connections.
+    pub(crate) connections: OpenCount,
 }
 
 /// Binds a listening socket with `SO_REUSEADDR`.
@@ -123,7 +107,7 @@
     drain: Option<&Drain>,
 ) {
     let served = service.call((io, Some(peer)));
-    let guard = drain.map(Drain::open_connection);
+    let guard = drain.map(|drain| drain.connections.open());
     actix_rt::spawn(async move {
         if let Err(err) = served.await {
             log::debug!("server: connection from {peer} failed: {err}");
--- a/components/gateway/src/size.rs
+++ b/components/gateway/src/size.rs
@@ -4,11 +4,9 @@
 //! reclaimed at once. After the loss of one zone, the others must still carry
 //! the load; on-demand upstreams fill the gap that reclaimable ones leave.
 
-use std::time::Duration;
-
 use lycheelatch_prelude::ZoneName;
 
-use crate::{EngineSpeed, PurchaseOption, demand, gossip::LEADER_INTERVAL, table::ScalingSpec};
+use crate::{EngineSpeed, PurchaseOption, table::ScalingSpec};
 
 /// Share of an engine's time that may be spent on prompts; the rest is left for the requests that
 /// are being answered.
@@ -20,10 +18,6 @@
 /// Minimum number of engines while there is demand, so that one may fail.
 const MIN_ENGINES: f64 = 2.0;
 
-/// Time after which a leader knows the recent demand of all nodes.
-const DEMAND_KNOWN_AFTER: Duration =
-    demand::WINDOW.saturating_add(LEADER_INTERVAL.saturating_mul(2));
-
 /// Availability zones that may be reclaimed before replacements have started.
 const LOST_ZONES: usize = 2;
 
@@ -120,26 +114,6 @@
     targets
 }
 
-/// Keeps running upstreams while a new leader, which has led for `led_for`, lacks information.
-///
-/// It does not know where reclaimable upstreams can be had; its predecessor may have ordered
-/// on-demand ones because there were none. And it learns the demand of all nodes only from then on.
-pub fn keep_running(
-    spec: &ScalingSpec,
-    led_for: Duration,
-    capacity: &[ZoneCapacity],
-    targets: &mut [ZoneTarget],
-) {
-    for (zone, target) in capacity.iter().zip(targets) {
-        if led_for < spec.startup_time.max(DEMAND_KNOWN_AFTER) {
-            target.on_demand = target.on_demand.max(zone.on_demand);
-        }
-        if led_for < DEMAND_KNOWN_AFTER {
-            target.reclaimable = target.reclaimable.max(zone.reclaimable);
-        }
-    }
-}
-
 /// Returns the indexes of the zones, cheapest first.
 fn zones_by_price(spec: &ScalingSpec, capacity: &[ZoneCapacity]) -> Vec<usize> {
     let price = |at: &usize| spec.zone_prices.get(&capacity[*at].zone).copied().unwrap_or(1.0);
--- a/components/gateway/src/usage.rs
+++ b/components/gateway/src/usage.rs
@@ -17,6 +17,12 @@
 /// Requests of each workspace in one window.
 pub type WindowCounts = BTreeMap<WorkspaceName, u64>;
 
+/// Adds requests of a workspace to the counts of a window.
+pub(crate) fn add_count(counts: &mut WindowCounts, workspace: &WorkspaceName, more: u64) {
+    let sum = counts.entry(workspace.clone()).or_default();
+    *sum = sum.saturating_add(more);
+}
+
 /// Number of windows that are kept.
 const KEPT_WINDOWS: u64 = 6;
 
--- a/components/gateway/src/view_exchange.rs
+++ b/components/gateway/src/view_exchange.rs
@@ -5,13 +5,7 @@
 
 use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
-use actix_http::{
-    Method, Request, Response, StatusCode, Uri,
-    body::BoxBody,
-    header::{HOST, HeaderMap, HeaderValue},
-};
-use bytes::Bytes;
-use displaydoc::Display;
+use actix_http::{Request, Response, StatusCode, Uri, body::BoxBody};
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, sleep, timeout};
@@ -22,8 +16,9 @@
 use crate::{
     Gateway, KeyValue, StoreRevision,
     cache_exchange::{CACHES_PATH, engine_caches},
-    connection::{Connection, ExchangeError, OutgoingRequest},
+    connection::Connection,
     decision::{NodeEvent, log_event},
+    peer_http::{FETCH_TIMEOUT, FetchError, connect, encoded, get},
     server::empty,
     sync::{CachedEntry, LocalChange, StoreView},
     tombstones::Tombstone,
@@ -38,9 +33,6 @@
 /// Time between two fetches from other nodes.
 const FETCH_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Time limit of one fetch.
-pub(crate) const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
-
 /// Maximum time that a response waits for a change.
 const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -60,9 +52,6 @@
 /// configuration reads it from another node.
 const MAX_BEHIND_SHARE: f64 = 0.4;
 
-/// Maximum size of a fetched view, in bytes.
-const MAX_VIEW_BYTES: usize = 16 << 20;
-
 #[derive(Debug, Serialize, Deserialize)]
 struct ValueWire {
     key: String,
@@ -120,27 +109,6 @@
     }
 }
 
-/// Why another node's view could not be fetched.
-#[derive(Debug, Display)]
-enum FetchError {
-    /// {0}
-    Exchange(ExchangeError),
-    /// it can't be decoded: {0}
-    Decode(postcard::Error),
-    /// no answer in time
-    Timeout,
-    /// its node has not reached the store for {0} ms
-    Stale(u64),
-}
-
-impl std::error::Error for FetchError {}
-
-impl From<ExchangeError> for FetchError {
-    fn from(err: ExchangeError) -> FetchError {
-        FetchError::Exchange(err)
-    }
-}
-
 impl From<ValueWire> for KeyValue {
     fn from(wire: ValueWire) -> KeyValue {
         let revision = StoreRevision(wire.revision);
@@ -194,21 +162,9 @@
         VIEW_PATH => {
             let cursor = Cursor::from_query(req.uri().query().unwrap_or_default());
             wait_for_change(&view, cursor).await;
-            match postcard::to_stdvec(&view_wire(&view, cursor)) {
-                Ok(body) => Response::ok().set_body(BoxBody::new(Bytes::from(body))),
-                Err(err) => {
-                    log::error!("peers: failed to encode the view: {err}");
-                    empty(StatusCode::INTERNAL_SERVER_ERROR)
-                }
-            }
+            encoded("view", &view_wire(&view, cursor))
         }
-        CACHES_PATH => match postcard::to_stdvec(&engine_caches(&gateway)) {
-            Ok(body) => Response::ok().set_body(BoxBody::new(Bytes::from(body))),
-            Err(err) => {
-                log::error!("peers: failed to encode the caches: {err}");
-                empty(StatusCode::INTERNAL_SERVER_ERROR)
-            }
-        },
+        CACHES_PATH => encoded("caches", &engine_caches(&gateway)),
         METRICS_PATH => metrics(&gateway),
         _ => empty(StatusCode::NOT_FOUND),
     }
@@ -278,16 +234,17 @@
     if !gateway.is_initialized() {
         return None;
     }
-    let nodes = gateway.peers.borrow().live_in_zone(&gateway.settings.zone, Instant::now());
+    let now = Instant::now();
+    let zone = &gateway.settings.zone;
+    let nodes = gateway.peers.borrow().live_in_zone(zone, now);
     if nodes.len() < MIN_NODES_TO_FOLLOW {
         return None;
     }
-    let own = &gateway.settings.node;
-    let rank = nodes.iter().filter(|(id, _)| id < own).count();
     let readers = ((nodes.len() + 1) / NODES_PER_READER).min(MAX_READERS);
-    if rank < readers {
+    if gateway.peers.borrow().rank_in_zone(zone, now) < readers {
         return None;
     }
+    let own = &gateway.settings.node;
     let choice = usize::from(own.as_str().bytes().last().unwrap_or(0)) % readers;
     nodes.get(choice).map(|(_, address)| *address)
 }
@@ -300,7 +257,7 @@
     let mut current = match followed.take().filter(|previous| previous.address == address) {
         Some(previous) => previous,
         None => {
-            let connection = Connection::open(address, FETCH_TIMEOUT).await?;
+            let connection = connect(address).await?;
             FollowedNode { address, cursor: Cursor::default(), connection }
         }
     };
@@ -357,35 +314,13 @@
 }
 
 async fn fetch_complete_view(address: SocketAddr) -> Result<ViewWire, FetchError> {
-    let mut connection = Connection::open(address, FETCH_TIMEOUT).await?;
+    let mut connection = connect(address).await?;
     fetch(&mut connection, Cursor::default()).await
 }
 
 async fn fetch(connection: &mut Connection, cursor: Cursor) -> Result<ViewWire, FetchError> {
     let uri = Uri::try_from(cursor.query()).unwrap_or(Uri::from_static(VIEW_PATH));
-    let body = get(connection, uri).await?;
-    postcard::from_bytes(&body).map_err(FetchError::Decode)
-}
-
-/// Fetches a resource of another node.
-pub(crate) async fn fetch_from_node(
-    address: SocketAddr,
-    path: &'static str,
-) -> Result<Bytes, ExchangeError> {
-    let mut connection = Connection::open(address, FETCH_TIMEOUT).await?;
-    get(&mut connection, Uri::from_static(path)).await
-}
-
-async fn get(connection: &mut Connection, uri: Uri) -> Result<Bytes, ExchangeError> {
-    let mut headers = HeaderMap::new();
-    headers.insert(HOST, HeaderValue::from_static("node"));
-    let req = OutgoingRequest { method: Method::GET, uri, headers, body: Bytes::new() };
-    let head = connection.exchange(req).await?;
-    if head.status != StatusCode::OK {
-        let reason = format!("status {}", head.status.as_u16());
-        return Err(ExchangeError::InvalidResponse(reason.into()));
-    }
-    connection.read_body(MAX_VIEW_BYTES).await
+    get(connection, uri).await
 }
 
 fn apply_view(view: &StoreView, wire: ViewWire) {
--- a/components/gateway/src/zone_usage.rs
+++ b/components/gateway/src/zone_usage.rs
@@ -11,8 +11,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    gossip::INTERVAL,
     quota::{ReportedUsage, SubwindowUsage},
+    schedule::INTERVAL,
 };
 
 #[cfg(test)]
