--- a/components/gateway/src/cache_exchange.rs
+++ b/components/gateway/src/cache_exchange.rs
@@ -14,8 +14,8 @@
 use crate::{
     Gateway,
     gossip::record_prompt,
+    messages::encode_links,
     peer_http::{FETCH_TIMEOUT, FetchError, connect, get},
-    peers::encode_links,
 };
 
 #[cfg(test)]
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -19,10 +19,11 @@
     directory::Upstream,
     engine_load::InFlight,
     gateway::{Demand, Gateway, SentPrompt},
-    peers::{
-        Addresses, Datagram, Digest, PromptNotice, SentNotice, ServiceDemand, UpstreamLoad,
-        WindowUsage, decode_links, encode_links,
+    messages::{
+        Datagram, Digest, PromptNotice, SentNotice, ServiceDemand, UpstreamLoad, WindowUsage,
+        decode_links, encode_links,
     },
+    peers::Addresses,
     schedule::{INTERVAL, LEADER_ROUNDS, MAX_OTHER_ZONES_PER_ROUND},
     zone_usage::UsageSum,
 };
--- a/components/gateway/src/leader_tests.rs
+++ b/components/gateway/src/leader_tests.rs
@@ -22,7 +22,7 @@
     KeyValue, Leadership, LeaseId, Listing, PlatformApi, PlatformApiError, Store, StoreError,
     StoreRevision, UsageWindow, WindowCounts,
     leader::run_election,
-    peers::Digest,
+    messages::Digest,
     report::report_usage,
     test_support::{self, digest},
 };
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod leader_tests;
 mod local_response;
 mod members;
+mod messages;
 mod metrics;
 mod open_count;
 mod peer_http;
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -1,7 +1,4 @@
-//! Gossip messages between the nodes of a cluster, and each node's table of its peers.
-//!
-//! A digest holds the whole state that the other nodes need, so that after a
-//! lost datagram the next one restores it. Durable state is kept in the store.
+//! Table of the other nodes of a cluster and their latest digests.
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -9,21 +6,22 @@
     time::Duration,
 };
 
-use lycheelatch_prelude::{NodeId, ServiceName, UpstreamId, WorkspaceName, ZoneName};
-use serde::{Deserialize, Serialize};
+use lycheelatch_prelude::{NodeId, UpstreamId, WorkspaceName, ZoneName};
 use tokio::time::Instant;
 
 use crate::{
-    departures::Departure,
-    engine_load::{InFlight, PrefixHash},
-    engine_speed::SpeedSamples,
+    engine_load::InFlight,
     members::Member,
-    quota::{PeerUsage, ReportedUsage, SubwindowUsage},
+    messages::{Digest, EndedUsage, SentNotice, UpstreamLoad, WindowUsage},
+    quota::{PeerUsage, SubwindowUsage},
     schedule::cross_zone_interval,
     usage::{UsageWindow, add_count},
     zone_usage::{UsageSum, ZoneUsageTable},
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Time without a digest after which a node is not live, in addition to two of its intervals.
 const LIVENESS_TIMEOUT: Duration = Duration::from_millis(1000);
 
@@ -33,122 +31,6 @@
 /// Time without a digest after which a node that is not registered in the store is removed.
 const REMOVAL_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Load that one node puts on one upstream.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct UpstreamLoad {
-    pub(crate) upstream: UpstreamId,
-    pub(crate) requests: u32,
-    pub(crate) prefill_tokens: u64,
-    pub(crate) memory_tokens: u64,
-}
-
-impl From<&UpstreamLoad> for InFlight {
-    fn from(load: &UpstreamLoad) -> InFlight {
-        InFlight {
-            requests: load.requests,
-            prefill_tokens: load.prefill_tokens,
-            memory_tokens: load.memory_tokens,
-        }
-    }
-}
-
-/// A prompt that a node sent to an engine.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct PromptNotice {
-    pub(crate) upstream: UpstreamId,
-    pub(crate) links: Vec<(u64, u32)>,
-}
-
-/// Request counts of one usage window.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct WindowUsage {
-    pub(crate) window: UsageWindow,
-    pub(crate) counts: Vec<(WorkspaceName, u64)>,
-}
-
-/// Request counts of a process that ended.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct EndedUsage {
-    pub(crate) node: NodeId,
-    pub(crate) incarnation: u64,
-    pub(crate) usage: Vec<WindowUsage>,
-}
-
-/// Demand for one service since the start of a process.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub(crate) struct ServiceDemand {
-    pub(crate) service: ServiceName,
-    pub(crate) requests: u64,
-    pub(crate) prompt_tokens: u64,
-    pub(crate) prefill_tokens: u64,
-    pub(crate) refused: u64,
-    pub(crate) speed: SpeedSamples,
-}
-
-/// Notice of a request that a node has just sent to an engine.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct SentNotice {
-    pub(crate) node: NodeId,
-    pub(crate) load: UpstreamLoad,
-    /// Prefix hashes and tokens of the prompt.
-    pub(crate) links: Vec<(u64, u32)>,
-}
-
-/// A datagram between nodes.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub(crate) enum Datagram {
-    /// The whole state of a node, sent periodically.
-    State(Digest),
-    /// One request, sent at once.
-    Sent(SentNotice),
-    /// An upstream that was found not to be at its address any more.
-    Absent(UpstreamId),
-    /// Usage of workspaces in the sender's availability zone, for nodes of other zones.
-    ZoneUsage(ZoneName, UsageSum),
-    /// Usage of workspaces in all other availability zones, for nodes of the sender's zone.
-    OtherZonesUsage(UsageSum),
-}
-
-/// State of one node, for the others.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub(crate) struct Digest {
-    pub(crate) node: NodeId,
-    pub(crate) zone: ZoneName,
-    /// Random number that is drawn at the start of the process.
-    pub(crate) incarnation: u64,
-    pub(crate) sequence: u64,
-    /// The node's clock, in milliseconds since the Unix epoch.
-    pub(crate) time_ms: u64,
-    /// Whether the node is the leader.
-    pub(crate) is_leader: bool,
-    /// Whether `quota_use`, `usage`, `demand` and `departures` are left out.
-    pub(crate) is_brief: bool,
-    /// Admitted cost of each workspace in the window of its limit.
-    pub(crate) quota_use: Vec<(WorkspaceName, ReportedUsage)>,
-    pub(crate) upstreams: Vec<UpstreamLoad>,
-    pub(crate) sent_prompts: Vec<PromptNotice>,
-    pub(crate) usage: Vec<WindowUsage>,
-    /// Usage of processes of the sender's availability zone that ended, for a leader elsewhere.
-    pub(crate) ended_usage: Vec<EndedUsage>,
-    pub(crate) demand: Vec<ServiceDemand>,
-    /// Version of the configuration in force; 0 if there is none.
-    pub(crate) config_version: u64,
-    /// Upstreams that recently stopped accepting requests.
-    pub(crate) departures: Vec<Departure>,
-}
-
-impl Digest {
-    /// Leaves out what only nodes of the same availability zone and the leader need.
-    pub(crate) fn leave_out_details(&mut self) {
-        self.is_brief = true;
-        self.quota_use.clear();
-        self.ended_usage.clear();
-        self.usage.clear();
-        self.demand.clear();
-        self.departures.clear();
-    }
-}
-
 /// One other node.
 #[derive(Debug)]
 struct Peer {
@@ -539,81 +421,3 @@
         self.ended_usage.retain(|_, windows| windows.iter().any(|usage| usage.window >= before));
     }
 }
-
-impl From<&crate::gateway::SentPrompt> for PromptNotice {
-    fn from(prompt: &crate::gateway::SentPrompt) -> PromptNotice {
-        PromptNotice { upstream: prompt.upstream.clone(), links: encode_links(&prompt.links) }
-    }
-}
-
-/// Encodes prefix hashes for a message.
-pub(crate) fn encode_links(links: &[(PrefixHash, u32)]) -> Vec<(u64, u32)> {
-    links.iter().map(|(hash, tokens)| (hash.0, *tokens)).collect()
-}
-
-/// Decodes prefix hashes of a message.
-pub(crate) fn decode_links(links: &[(u64, u32)]) -> Vec<(PrefixHash, u32)> {
-    links.iter().map(|(hash, tokens)| (PrefixHash(*hash), *tokens)).collect()
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::test_support;
-
-    fn digest(node: &str, sequence: u64, time_ms: u64) -> Digest {
-        let counts = vec![("ws".parse().unwrap(), 5)];
-        let usage = vec![WindowUsage { window: UsageWindow(7), counts }];
-        Digest { sequence, time_ms, usage, ..test_support::digest(node, "zone-a") }
-    }
-
-    fn record(table: &mut PeerTable, digest: Digest, boot_ms: u64) -> bool {
-        let from = "127.0.0.1:1".parse().unwrap();
-        table.record_digest(from, digest, Instant::now(), Duration::from_millis(boot_ms))
-    }
-
-    #[test]
-    fn estimated_times_add_the_age_of_the_digest() {
-        let mut table = PeerTable::new("node-1".parse().unwrap());
-        record(&mut table, digest("node-2", 1, 50_000), 1000);
-        assert_eq!(
-            table.estimated_times(Duration::from_millis(1600)),
-            [Duration::from_millis(50_600)]
-        );
-    }
-
-    #[test]
-    fn estimated_times_after_a_suspension_are_empty() {
-        let mut table = PeerTable::new("node-1".parse().unwrap());
-        record(&mut table, digest("node-2", 1, 50_000), 1000);
-        assert!(table.estimated_times(Duration::from_millis(5500)).is_empty());
-    }
-
-    #[test]
-    fn record_digest_ignores_an_older_one() {
-        let mut table = PeerTable::new("node-1".parse().unwrap());
-        assert!(record(&mut table, digest("node-2", 2, 0), 0));
-        assert!(!record(&mut table, digest("node-2", 1, 0), 0));
-    }
-
-    #[test]
-    fn usage_of_a_process_that_ended_counts() {
-        let mut table = PeerTable::new("node-1".parse().unwrap());
-        record(&mut table, digest("node-2", 9, 0), 0);
-        let mut again = digest("node-2", 1, 0);
-        again.incarnation = 2;
-        record(&mut table, again, 0);
-        assert_eq!(table.usage(UsageWindow(7)).values().sum::<u64>(), 10);
-        table.update_members(Vec::new(), Instant::now() + Duration::from_secs(60));
-        assert_eq!(table.usage(UsageWindow(7)).values().sum::<u64>(), 10, "removed nodes too");
-    }
-
-    #[test]
-    fn usage_of_a_node_that_returns_counts_once() {
-        let mut table = PeerTable::new("node-1".parse().unwrap());
-        record(&mut table, digest("node-2", 1, 0), 0);
-        table.remove_silent(Instant::now() + Duration::from_secs(60));
-        record(&mut table, digest("node-2", 2, 0), 0);
-        assert_eq!(table.usage(UsageWindow(7)).values().sum::<u64>(), 5);
-    }
-}
--- a/components/gateway/src/test_support.rs
+++ b/components/gateway/src/test_support.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     ClusterClock, Dialect, ForwardParams, Gateway, GatewayMetrics, RequestInfo, ResponseInfo,
-    UpstreamEntry, peers::Digest,
+    UpstreamEntry, messages::Digest,
 };
 
 /// Dialect for tests that process no requests.
--- a/components/gateway/src/zone_usage/tests.rs
+++ b/components/gateway/src/zone_usage/tests.rs
@@ -1,8 +1,11 @@
 //! Sums of zones, and what a node knows of a limit's use in a large cluster.
 
+use std::net::SocketAddr;
+
 use super::*;
 use crate::{
-    peers::{Digest, PeerTable},
+    messages::{Digest, WindowUsage},
+    peers::PeerTable,
     test_support,
 };
 
@@ -30,6 +33,14 @@
     Digest { quota_use: vec![(workspace(), used(amount))], ..test_support::digest(node, zone) }
 }
 
+/// Returns the table of a node of zone a that has heard of one node there, and an address.
+fn peers_with_neighbour(now: Instant) -> (PeerTable, SocketAddr) {
+    let mut peers = PeerTable::new("n-0".parse().unwrap());
+    let from = "10.0.0.1:1".parse().unwrap();
+    peers.record_digest(from, digest("n-1", "a", 7), now, Duration::ZERO);
+    (peers, from)
+}
+
 #[test]
 fn sum_to_pass_on_covers_all_zones() {
     let mut table = ZoneUsageTable::default();
@@ -53,10 +64,8 @@
 
 #[test]
 fn quota_use_counts_nodes_of_other_zones_once() {
-    let mut peers = PeerTable::new("n-0".parse().unwrap());
     let now = Instant::now();
-    let from = "10.0.0.1:1".parse().unwrap();
-    peers.record_digest(from, digest("n-1", "a", 7), now, Duration::ZERO);
+    let (mut peers, from) = peers_with_neighbour(now);
     // The leader of another zone gets complete digests besides the sum that contains them.
     peers.record_digest(from, digest("n-2", "b", 100), now, Duration::ZERO);
     peers.zone_usage.record_other_zones(sum(1, 100), now);
@@ -66,10 +75,8 @@
 
 #[test]
 fn quota_use_without_sums_assumes_shares_of_brief_nodes() {
-    let mut peers = PeerTable::new("n-0".parse().unwrap());
     let now = Instant::now();
-    let from = "10.0.0.1:1".parse().unwrap();
-    peers.record_digest(from, digest("n-1", "a", 7), now, Duration::ZERO);
+    let (mut peers, from) = peers_with_neighbour(now);
     let mut brief = digest("n-2", "b", 100);
     brief.leave_out_details();
     peers.record_digest(from, brief, now, Duration::ZERO);
@@ -83,7 +90,7 @@
     let now = Instant::now();
     let from = "10.0.0.1:1".parse().unwrap();
     let window = crate::usage::UsageWindow(7);
-    let usage = vec![crate::peers::WindowUsage { window, counts: vec![(workspace(), 5)] }];
+    let usage = vec![WindowUsage { window, counts: vec![(workspace(), 5)] }];
     peers.record_digest(from, Digest { usage, ..digest("n-2", "b", 0) }, now, Duration::ZERO);
     let mut brief = Digest { sequence: 2, ..digest("n-2", "b", 0) };
     brief.leave_out_details();
@@ -94,7 +101,7 @@
 #[test]
 fn ended_processes_of_other_zones_are_in_the_usage_report() {
     let window = crate::usage::UsageWindow(7);
-    let usage = || vec![crate::peers::WindowUsage { window, counts: vec![(workspace(), 5)] }];
+    let usage = || vec![WindowUsage { window, counts: vec![(workspace(), 5)] }];
     let from = "10.0.0.1:1".parse().unwrap();
     let now = Instant::now();
     // A node of zone b saw a process of its zone end; the new leader in zone a never heard of it.
--- a/components/gateway/tests/size.rs
+++ b/components/gateway/tests/size.rs
@@ -85,29 +85,27 @@
     assert_eq!(total(&plan(&spec(), idle, &started), PurchaseOption::OnDemand), 0);
 }
 
+/// Returns the target over all zones of a leader that has led for a number of seconds.
+fn kept_after(seconds: u64, supply: &[ZoneCapacity], purchase: PurchaseOption) -> u32 {
+    let mut targets = plan(&spec(), NEED, supply);
+    keep_running(&spec(), Duration::from_secs(seconds), supply, &mut targets);
+    total(&targets, purchase)
+}
+
 #[test]
 fn keep_running_holds_what_a_predecessor_ordered() {
     // The predecessor knew that no reclaimable upstreams are to be had in two of the zones.
     let supply = supply([(2, 0, false), (2, 0, false), (0, 4, false), (0, 4, false)]);
     let planned = plan(&spec(), NEED, &supply);
     assert_eq!(total(&planned, PurchaseOption::OnDemand), 0, "the rest seems to be enough");
-    let on_demand_after = |seconds| {
-        let mut targets = planned.clone();
-        keep_running(&spec(), Duration::from_secs(seconds), &supply, &mut targets);
-        total(&targets, PurchaseOption::OnDemand)
-    };
+    let on_demand_after = |seconds| kept_after(seconds, &supply, PurchaseOption::OnDemand);
     assert_eq!((on_demand_after(0), on_demand_after(5), on_demand_after(6)), (4, 4, 0));
 }
 
 #[test]
 fn keep_running_holds_reclaimable_until_the_demand_is_known() {
     let supply = supply([(0, 6, false); 4]);
-    let planned = plan(&spec(), NEED, &supply);
-    let reclaimable_after = |seconds| {
-        let mut targets = planned.clone();
-        keep_running(&spec(), Duration::from_secs(seconds), &supply, &mut targets);
-        total(&targets, PurchaseOption::Reclaimable)
-    };
+    let reclaimable_after = |seconds| kept_after(seconds, &supply, PurchaseOption::Reclaimable);
     assert_eq!((reclaimable_after(0), reclaimable_after(5), reclaimable_after(6)), (24, 24, 12));
 }
 
