--- a/review/harness/src/node.rs
+++ b/review/harness/src/node.rs
@@ -3,12 +3,11 @@
 use std::{
     cell::RefCell,
     net::SocketAddr,
-    path::Path,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     time::Duration,
 };
 
-use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -28,9 +27,9 @@
     pub(crate) name: String,
     pub(crate) callers: SocketAddr,
     readiness: SocketAddr,
-    settings: std::path::PathBuf,
-    program: std::path::PathBuf,
-    log: std::path::PathBuf,
+    settings: PathBuf,
+    program: PathBuf,
+    log: PathBuf,
     child: RefCell<Option<Child>>,
 }
 
@@ -71,8 +70,7 @@
         node
     }
 
-    /// Starts the process.
-    pub(crate) fn spawn(&self) {
+    fn spawn(&self) {
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log);
         let log = log.expect("the folder is writable");
         let child = Command::new(&self.program)
@@ -86,15 +84,6 @@
         self.child.replace(Some(child));
     }
 
-    /// Sends a signal to the process.
-    #[expect(dead_code, reason = "for cases with signals")]
-    pub(crate) fn signal(&self, signal: Signal) {
-        let id = self.child.borrow().as_ref().map(Child::id);
-        if let Some(pid) = id.and_then(|id| Pid::from_raw(i32::try_from(id).ok()?)) {
-            let _exited = kill_process(pid, signal);
-        }
-    }
-
     /// Waits until the node says that it is ready.
     pub(crate) async fn wait_until_ready(&self, limit: Duration) -> bool {
         let end = Instant::now() + limit;
--- a/review/harness/src/record.rs
+++ b/review/harness/src/record.rs
@@ -6,9 +6,10 @@
     io::Write,
     path::Path,
     sync::{Arc, Mutex},
-    time::Instant,
 };
 
+use tokio::time::Instant;
+
 /// Writes lines to `record.txt`; clones share the file.
 #[derive(Clone)]
 pub(crate) struct Record {
