http, platform, gateway: A call that has ended is not delivered after a cut

Cause: closing a socket leaves sent bytes to the kernel, which retransmits them for minutes. Neither the time-out of the call nor the end of the process takes them back, and no wait of the successor is longer than every cut.

Change: sockets of control calls have a linger time of zero, so that any close (given up, dropped from the pool, process killed) resets and discards; those of the adapter also have TCP_USER_TIMEOUT, so that the kernel discards without the process's help if it is stopped. That bounds the delivery of a call by 1 s, and a new leader waits at least for that bound (it was a third of the lease, too short for leases below 3 s; test `acquired_acts_after_the_last_delivery`).

Ruled out: a check of the lease before the call (it was valid), a longer wait of the successor (any cut outlasts it).

--- a/components/fakes/src/lib.rs
+++ b/components/fakes/src/lib.rs
@@ -13,6 +13,7 @@
 mod instances;
 mod kv;
 mod link;
+mod tcp_link;
 mod weights;
 
 pub use cloud::MemoryCloud;
@@ -29,4 +30,5 @@
 pub use instances::MemoryInstances;
 pub use kv::{KvCalls, MemoryKv};
 pub use link::MemoryNet;
+pub use tcp_link::TcpLink;
 pub use weights::MemoryWeights;
--- a/components/gateway/src/leader.rs
+++ b/components/gateway/src/leader.rs
@@ -21,8 +21,8 @@
 /// Renewals in the lease's time to live.
 const RENEWALS_PER_TTL: u32 = 3;
 
-/// Divisor of the time to live; the quotient is the time before a new leader's first action, in
-/// which calls of its predecessor may still arrive.
+/// Divisor of the time to live; the quotient is the least time before a new leader's first action,
+/// in which calls of its predecessor may still arrive.
 const TAKEOVER_DIVISOR: u32 = 3;
 
 /// Divisor of the time to live; the quotient is the margin before the lease's end in which the
@@ -58,17 +58,20 @@
 impl LeaderLease {
     /// Returns the lease of a node that became the leader at `now`, with no validity yet.
     ///
-    /// The node may not act within `ttl` and a margin after its own last action, since another node
-    /// may have acted in between. All times are since the machine's boot.
+    /// Calls arrive at most `max_delivery` after they were sent. The node may not act within `ttl`
+    /// and a margin after its own last action, since another node may have acted in between. All
+    /// times are since the machine's boot.
     pub fn acquired(
         fence: Fence,
         now: Duration,
         last_action: Option<Duration>,
         ttl: Duration,
+        max_delivery: Duration,
     ) -> LeaderLease {
-        let after_predecessor = now + ttl / TAKEOVER_DIVISOR;
+        let after_predecessor = now + max_delivery.max(ttl / TAKEOVER_DIVISOR);
         // The margin covers calls that took longer to arrive than later ones.
-        let after_own = last_action.map_or(Duration::ZERO, |at| at + ttl + ttl / MARGIN_DIVISOR);
+        let margin = max_delivery.max(ttl / MARGIN_DIVISOR);
+        let after_own = last_action.map_or(Duration::ZERO, |at| at + ttl + margin);
         let valid_from = after_predecessor.max(after_own);
         LeaderLease { fence, valid_from, valid_until: Duration::ZERO }
     }
@@ -91,14 +94,17 @@
     lease: Cell<Option<LeaderLease>>,
     /// Time since the machine's boot at which this node last could have acted as the leader.
     last_action: Cell<Option<Duration>>,
+    /// Longest time from the sending of a leader's call to its arrival.
+    max_delivery: Duration,
 }
 
 impl Leadership {
-    /// Creates the state of a node that is not the leader.
-    pub fn new(boot: Rc<dyn BootClock>) -> Leadership {
+    /// Creates the state of a node that is not the leader, whose calls arrive at most
+    /// `max_delivery` after they were sent.
+    pub fn new(boot: Rc<dyn BootClock>, max_delivery: Duration) -> Leadership {
         // An earlier process on this machine may have acted until now.
         let last_action = Cell::new(Some(boot.elapsed()));
-        Leadership { boot, lease: Cell::new(None), last_action }
+        Leadership { boot, lease: Cell::new(None), last_action, max_delivery }
     }
 
     /// Returns the fencing number, if this node is the leader and may act now.
@@ -214,7 +220,9 @@
     };
     let CommitOutcome::Applied(revision) = store.commit(commit).await? else { return Ok(None) };
     let now = leader.boot.elapsed();
-    let mut lease = LeaderLease::acquired(Fence(revision.0), now, leader.last_action.get(), ttl);
+    let fence = Fence(revision.0);
+    let last_action = leader.last_action.get();
+    let mut lease = LeaderLease::acquired(fence, now, last_action, ttl, leader.max_delivery);
     if is_first_lease {
         lease.valid_from = now;
     }
--- a/components/gateway/src/leader_tests.rs
+++ b/components/gateway/src/leader_tests.rs
@@ -63,6 +63,9 @@
 
 const LEASE: Duration = Duration::from_secs(3);
 
+/// Longest time from the sending of a leader's call to its arrival.
+const MAX_DELIVERY: Duration = Duration::from_secs(1);
+
 /// Number of usage windows; more than a run covers.
 const WINDOWS: u32 = 6;
 
@@ -134,7 +137,7 @@
         let store: Rc<dyn Store> = Rc::new(ModelStore(platform.clone()));
         let calls: Rc<dyn PlatformApi> =
             Rc::new(ModelPlatformApi { platform: platform.clone(), node: number });
-        let leader = Rc::new(Leadership::new(boot));
+        let leader = Rc::new(Leadership::new(boot, MAX_DELIVERY));
         spawn_local(run_election(gateway.clone(), store.clone(), leader.clone()));
         spawn_local(report_usage(gateway.clone(), store, leader.clone(), calls));
         Node { number, gateway, leader }
--- a/components/gateway/src/leader_tests/model.rs
+++ b/components/gateway/src/leader_tests/model.rs
@@ -210,6 +210,10 @@
 
 #[async_trait(?Send)]
 impl PlatformApi for ModelPlatformApi {
+    fn max_delivery(&self) -> Duration {
+        MAX_DELIVERY
+    }
+
     async fn report_usage(
         &self,
         fence: Fence,
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -53,6 +53,7 @@
 mod serve;
 mod server;
 mod size;
+mod socket;
 mod store;
 mod sync;
 mod table;
@@ -91,6 +92,7 @@
     CapacityNeed, ServiceLoad, ZoneCapacity, ZoneTarget, plan, reclaimable_engines,
     required_engines,
 };
+pub use socket::{MAX_CONTROL_DELIVERY, discard_unacknowledged};
 pub use store::{
     Changes, Commit, CommitOutcome, Freshness, KeyValue, LeaseId, Listing, Store, StoreError,
     StoreEvent, StoreRevision,
--- a/components/gateway/src/platform_api.rs
+++ b/components/gateway/src/platform_api.rs
@@ -1,5 +1,7 @@
 //! Calls to the platform's API that only the leader makes.
 
+use std::time::Duration;
+
 use async_trait::async_trait;
 use displaydoc::Display;
 use lycheelatch_prelude::{Fence, ServiceName, ZoneName};
@@ -46,6 +48,10 @@
 /// Calls to the platform's API that only the leader makes, with its fencing number.
 #[async_trait(?Send)]
 pub trait PlatformApi {
+    /// Returns the longest time from the sending of a call to its arrival, also if the call is
+    /// given up or this process ends, and whatever happens to the path.
+    fn max_delivery(&self) -> Duration;
+
     /// Reports the requests per workspace of one usage window.
     async fn report_usage(
         &self,
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -75,7 +75,7 @@
         let time = Rc::new(ClusterClock::new(parts.boot.clone()));
         let gateway = Rc::new(Gateway::new(settings, parts.dialect, metrics, time));
         let view = Rc::new(StoreView::new(gateway.clone(), parts.store.clone(), parts.layout));
-        let leader = Rc::new(Leadership::new(parts.boot));
+        let leader = Rc::new(Leadership::new(parts.boot, parts.platform_api.max_delivery()));
         let tasks = vec![
             actix_rt::spawn(serve_callers(gateway.clone(), callers)),
             actix_rt::spawn(serve_readiness(gateway.clone(), readiness)),
--- a/components/gateway/tests/holding.rs
+++ b/components/gateway/tests/holding.rs
@@ -8,6 +8,9 @@
 
 const TTL: Duration = Duration::from_secs(3);
 
+/// Longest time from the sending of a call to its arrival.
+const MAX_DELIVERY: Duration = Duration::from_secs(1);
+
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -32,13 +35,27 @@
 
 #[test]
 fn acquired_acts_soon_unless_the_node_acted_itself() {
-    let acts_from =
-        |last_action| LeaderLease::acquired(Fence(1), ms(20_000), last_action, TTL).valid_from;
+    let acts_from = |last_action| {
+        LeaderLease::acquired(Fence(1), ms(20_000), last_action, TTL, ms(300)).valid_from
+    };
     assert_eq!(acts_from(None), ms(21_000));
     assert_eq!(acts_from(Some(ms(3000))), ms(21_000));
     assert_eq!(acts_from(Some(ms(19_500))), ms(22_875), "another node may have acted since");
 }
 
+/// With a short lease, an order of the former leader arrived after one of the new leader.
+#[test]
+fn acquired_acts_after_the_last_delivery_of_the_predecessor() {
+    for ttl in [ms(1000), ms(2000), TTL, ms(9000)] {
+        let mut predecessor =
+            LeaderLease { fence: Fence(1), valid_from: ms(0), valid_until: ms(0) };
+        predecessor.extend(ms(0), ttl);
+        let last_arrival = predecessor.valid_until + MAX_DELIVERY;
+        let successor = LeaderLease::acquired(Fence(2), ttl, None, ttl, MAX_DELIVERY);
+        assert!(last_arrival < successor.valid_from, "{ttl:?}: {successor:?}");
+    }
+}
+
 proptest! {
     /// Two nodes compete for a lease; the store grants it to the other only after it expired.
     #[test]
@@ -64,7 +81,8 @@
                 holder = 1 - holder;
                 lease_ends = arrives + TTL;
                 let last_action = last_actions[holder];
-                let mut lease = LeaderLease::acquired(Fence(1), arrives, last_action, TTL);
+                let mut lease =
+                    LeaderLease::acquired(Fence(1), arrives, last_action, TTL, MAX_DELIVERY);
                 lease.extend(now, TTL);
                 leases[holder] = Some(lease);
             }
--- a/components/http/src/client.rs
+++ b/components/http/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use actix_rt::net::TcpStream;
 use actix_web::body::MessageBody;
 use awc::{Client, ClientRequest, ClientResponse, Connector, body::BoxBody, error::PayloadError};
 use bytes::{Bytes, BytesMut};
@@ -9,7 +10,10 @@
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
 
-use crate::{SendFailure, transport};
+use crate::{
+    SendFailure,
+    transport::{self, SocketSetup},
+};
 
 /// Maximum number of connections to one host per thread.
 pub const MAX_CONNECTIONS_PER_HOST: usize = 4096;
@@ -21,25 +25,38 @@
 const KEEP_ALIVE: Duration = Duration::from_secs(4);
 
 thread_local! {
-    static CLIENT: Client = Client::builder()
-        .connector(
-            Connector::new()
-                .connector(transport::connector())
-                .timeout(CONNECT_TIMEOUT)
-                .conn_keep_alive(KEEP_ALIVE)
-                .limit(MAX_CONNECTIONS_PER_HOST),
-        )
+    static CLIENT: Client = build_client(|_| Ok(()));
+    static CONTROL_CLIENT: Client = build_client(TcpStream::set_zero_linger);
+}
+
+/// Creates a client with its own connections, whose sockets get the options of `setup`.
+pub fn build_client(setup: SocketSetup) -> Client {
+    let connector = Connector::new()
+        .connector(transport::connector(setup))
+        .timeout(CONNECT_TIMEOUT)
+        .conn_keep_alive(KEEP_ALIVE)
+        .limit(MAX_CONNECTIONS_PER_HOST);
+    Client::builder()
+        .connector(connector)
         .disable_timeout()
         .disable_redirects()
         .no_default_headers()
-        .finish();
+        .finish()
 }
 
-/// Returns the client of the current thread.
+/// Returns the client of the current thread for requests of callers.
 pub fn client() -> Client {
     CLIENT.with(Clone::clone)
 }
 
+/// Returns the client of the current thread for calls that change something at the other end.
+///
+/// Its connections are reset when they are closed, also by the end of the process, so that the
+/// kernel does not deliver the rest of a call that was given up.
+pub fn control_client() -> Client {
+    CONTROL_CLIENT.with(Clone::clone)
+}
+
 /// Sends a request and returns the response once its head has arrived.
 ///
 /// Fails with [`SendFailure::Silent`] if the head does not arrive within `limit`.
--- a/components/http/src/lib.rs
+++ b/components/http/src/lib.rs
@@ -8,5 +8,9 @@
 mod failure;
 mod transport;
 
-pub use client::{MAX_CONNECTIONS_PER_HOST, client, read_body, read_json, send, send_sized};
+pub use client::{
+    MAX_CONNECTIONS_PER_HOST, build_client, client, control_client, read_body, read_json, send,
+    send_sized,
+};
 pub use failure::SendFailure;
+pub use transport::SocketSetup;
--- a/components/http/src/transport.rs
+++ b/components/http/src/transport.rs
@@ -1,4 +1,4 @@
-//! Connections that report end of file as an error.
+//! Connections that report end of file as an error, with socket options of the caller's choice.
 //!
 //! The HTTP client accepts a response as complete if the connection is closed
 //! in the middle of the body. A complete response is delimited by its length or
@@ -14,20 +14,26 @@
 };
 
 use actix_rt::net::{ActixStream, Ready, TcpStream};
-use actix_service::{Service, ServiceExt};
+use actix_service::{Service, ServiceExt, fn_service};
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection, Connector, Resolver};
 use actix_web::http::Uri;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+/// Sets options of a new connection's socket; an error fails the connection.
+pub type SocketSetup = fn(&TcpStream) -> io::Result<()>;
+
 /// Returns a connector whose connections report end of file as an error.
-pub(crate) fn connector()
--> impl Service<ConnectInfo<Uri>, Response = Connection<Uri, EofErrorStream>, Error = ConnectError>
+pub(crate) fn connector(
+    setup: SocketSetup,
+) -> impl Service<ConnectInfo<Uri>, Response = Connection<Uri, EofErrorStream>, Error = ConnectError>
 + Clone {
     let tcp = Connector::new(Resolver::default()).service();
-    tcp.map(|connection: Connection<Uri, TcpStream>| {
+    let configure = move |connection: Connection<Uri, TcpStream>| async move {
         let (io, uri) = connection.into_parts();
-        Connection::new(uri, EofErrorStream(io))
-    })
+        setup(&io).map_err(ConnectError::Io)?;
+        Ok(Connection::new(uri, EofErrorStream(io)))
+    };
+    tcp.and_then(fn_service(configure))
 }
 
 /// TCP stream that returns `UnexpectedEof` at end of file.
