gateway, platform: A leader's call is checked when it is written, and ends with the lease

The lease was checked before a call only. A call that was still open went on after the lapse.

Callers of the platform's API now pass a permit.

--- a/components/gateway/src/leader.rs
+++ b/components/gateway/src/leader.rs
@@ -13,7 +13,8 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    BootClock, Commit, CommitOutcome, Gateway, LeaseId, Store, StoreError, StoreRevision,
+    BootClock, Commit, CommitOutcome, Gateway, LeaderPermit, LeaseId, Store, StoreError,
+    StoreRevision,
     decision::{NodeEvent, log_event, millis},
     layout::OWN_PREFIX,
 };
@@ -118,12 +119,34 @@
         Some(lease.fence)
     }
 
+    /// Returns the right to make the leader's calls, if this node is the leader and may act now.
+    pub fn permit(self: &Rc<Self>) -> Option<Rc<dyn LeaderPermit>> {
+        let fence = self.fence()?;
+        Some(Rc::new(CurrentTerm { leader: self.clone(), fence }))
+    }
+
     /// Returns whether this node holds the leader's lease, also while it may not act yet.
     pub fn holds_lease(&self) -> bool {
         self.lease.get().is_some_and(|lease| self.boot.elapsed() < lease.valid_until)
     }
 }
 
+/// One term of this node as the leader.
+struct CurrentTerm {
+    leader: Rc<Leadership>,
+    fence: Fence,
+}
+
+impl LeaderPermit for CurrentTerm {
+    fn fence(&self) -> Fence {
+        self.fence
+    }
+
+    fn is_valid(&self) -> bool {
+        self.leader.fence() == Some(self.fence)
+    }
+}
+
 fn leader_key() -> String {
     format!("{OWN_PREFIX}holder")
 }
--- a/components/gateway/src/leader_tests.rs
+++ b/components/gateway/src/leader_tests.rs
@@ -19,10 +19,11 @@
 
 use crate::{
     BootClock, CapacityOrder, Changes, ClusterClock, Commit, CommitOutcome, Freshness, Gateway,
-    KeyValue, Leadership, LeaseId, Listing, PlatformApi, PlatformApiError, Store, StoreError,
-    StoreRevision, UsageWindow, WindowCounts,
+    KeyValue, LeaderPermit, Leadership, LeaseId, Listing, PlatformApi, PlatformApiError, Store,
+    StoreError, StoreRevision, UsageWindow, WindowCounts,
     leader::run_election,
     messages::Digest,
+    platform_api::call_while_valid,
     report::report_usage,
     test_support::{self, digest},
 };
@@ -331,3 +332,31 @@
         }
     }
 }
+
+/// Permit that lapses at a time.
+struct LapsingPermit(Instant);
+
+impl LeaderPermit for LapsingPermit {
+    fn fence(&self) -> Fence {
+        Fence(1)
+    }
+
+    fn is_valid(&self) -> bool {
+        Instant::now() < self.0
+    }
+}
+
+/// A call that was still open when the lease had lapsed, as after a suspension, went on.
+#[test]
+fn call_while_valid_gives_up_a_call_when_the_permit_lapses() {
+    paused_runtime().block_on(async {
+        let started = Instant::now();
+        let permit = LapsingPermit(started + CHECK_INTERVAL);
+        let result = call_while_valid(&permit, std::future::pending()).await;
+        assert_eq!(result, Err(PlatformApiError::LeadershipLost));
+        assert!(started.elapsed() < 2 * CHECK_INTERVAL);
+        let ready = std::future::ready(Ok(()));
+        let late = call_while_valid(&permit, ready).await;
+        assert_eq!(late, Err(PlatformApiError::LeadershipLost), "nothing is sent");
+    });
+}
--- a/components/gateway/src/leader_tests/model.rs
+++ b/components/gateway/src/leader_tests/model.rs
@@ -216,7 +216,7 @@
 
     async fn report_usage(
         &self,
-        fence: Fence,
+        permit: Rc<dyn LeaderPermit>,
         window: UsageWindow,
         counts: &WindowCounts,
     ) -> Result<(), PlatformApiError> {
@@ -225,7 +225,7 @@
             let outcome = platform.next_outcome();
             if outcome != Outcome::RequestLost {
                 let at = platform.started.elapsed();
-                let action = Action { at, node: self.node, fence };
+                let action = Action { at, node: self.node, fence: permit.fence() };
                 platform.actions.push(action.clone());
                 platform.reports.push(Report { action, window, counts: counts.clone() });
             }
@@ -240,7 +240,11 @@
         }
     }
 
-    async fn order_capacity(&self, _: Fence, _: &CapacityOrder) -> Result<(), PlatformApiError> {
+    async fn order_capacity(
+        &self,
+        _: Rc<dyn LeaderPermit>,
+        _: &CapacityOrder,
+    ) -> Result<(), PlatformApiError> {
         Err(PlatformApiError::NoneAvailable)
     }
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -81,7 +81,9 @@
 pub use leader::{LeaderLease, Leadership};
 pub use metrics::GatewayMetrics;
 pub use place::{Placement, PlacementError, PlacementRequest, place};
-pub use platform_api::{CapacityOrder, PlatformApi, PlatformApiError, PurchaseOption};
+pub use platform_api::{
+    CapacityOrder, LeaderPermit, PlatformApi, PlatformApiError, PurchaseOption,
+};
 pub use quota::{
     PeerUsage, ProcessAge, ReportedUsage, SlidingCounter, SubwindowUsage, admits, assumed_usage,
     remaining, retry_after, window_limit,
--- a/components/gateway/src/report.rs
+++ b/components/gateway/src/report.rs
@@ -13,6 +13,7 @@
     Commit, CommitOutcome, Gateway, Leadership, PlatformApi, Store, StoreError, StoreRevision,
     decision::{NodeEvent, log_event},
     layout::OWN_PREFIX,
+    platform_api::call_while_valid,
     schedule::LEADER_INTERVAL,
     usage::{UsageWindow, WindowCounts, add_count},
 };
@@ -74,7 +75,7 @@
 async fn report_next_window(
     gateway: &Gateway,
     store: &dyn Store,
-    leader: &Leadership,
+    leader: &Rc<Leadership>,
     calls: &dyn PlatformApi,
     last: &mut Option<LastReport>,
 ) -> Result<(), StoreError> {
@@ -150,10 +151,11 @@
     }
 }
 
-async fn send_report(leader: &Leadership, calls: &dyn PlatformApi, report: &UsageReport) {
+async fn send_report(leader: &Rc<Leadership>, calls: &dyn PlatformApi, report: &UsageReport) {
     for _ in 0..MAX_ATTEMPTS {
-        let Some(fence) = leader.fence() else { return };
-        match calls.report_usage(fence, report.window, &report.counts).await {
+        let Some(permit) = leader.permit() else { return };
+        let call = calls.report_usage(permit.clone(), report.window, &report.counts);
+        match call_while_valid(&*permit, call).await {
             Ok(()) => {
                 let requests: u64 = report.counts.values().sum();
                 log_event(&NodeEvent::UsageReported { window: report.window.0, requests });
--- a/components/gateway/src/scale.rs
+++ b/components/gateway/src/scale.rs
@@ -13,6 +13,7 @@
     CapacityOrder, Gateway, Leadership, PlatformApi, PlatformApiError, PurchaseOption, ServiceSpec,
     decision::{NodeEvent, log_event},
     demand::{DemandForecast, EngineState, keep_running},
+    platform_api::call_while_valid,
     size::{ZoneCapacity, ZoneTarget, plan},
     table::ScalingSpec,
 };
@@ -80,7 +81,7 @@
 
 async fn scale_service(
     gateway: &Gateway,
-    leader: &Leadership,
+    leader: &Rc<Leadership>,
     api: &dyn PlatformApi,
     service: &ServiceSpec,
     spec: &ScalingSpec,
@@ -169,7 +170,7 @@
 
 /// Periodically orders one more reclaimable upstream in a zone where none was available.
 async fn probe_exhausted_zone(
-    leader: &Leadership,
+    leader: &Rc<Leadership>,
     api: &dyn PlatformApi,
     service: &ServiceSpec,
     target: &ZoneTarget,
@@ -188,18 +189,18 @@
 }
 
 async fn send_order(
-    leader: &Leadership,
+    leader: &Rc<Leadership>,
     api: &dyn PlatformApi,
     service: &ServiceSpec,
     target: &ZoneTarget,
     purchase: PurchaseOption,
     state: &mut OrderState,
 ) {
-    let Some(fence) = leader.fence() else { return };
+    let Some(permit) = leader.permit() else { return };
     let count = target.count(purchase);
     let order =
         CapacityOrder { service: service.name.clone(), zone: target.zone.clone(), purchase, count };
-    let result = api.order_capacity(fence, &order).await;
+    let result = call_while_valid(&*permit, api.order_capacity(permit.clone(), &order)).await;
     let now = Instant::now();
     let order_key = (service.name.clone(), target.zone.clone(), purchase);
     let log_refusal = |err: &PlatformApiError| {
