gateway, http: A request that was given up does not reach its upstream after a cut

After a cut of the path it reached the upstream and ran, seconds after anyone waited for it; a caller that was told 504 could not know.

Connections to upstreams and to other nodes, and those of the shared client (product's own interface: engines, plain services, clouds, key-value service, and the command line), now reset when they are closed. The options stand once, in gateway/src/socket.rs; failing to set them fails the connection.

--- a/components/gateway/src/connection.rs
+++ b/components/gateway/src/connection.rs
@@ -23,10 +23,12 @@
 };
 use tokio_util::codec::{Decoder, Encoder};
 
+use crate::socket::discard_unacknowledged_after;
+
 /// Maximum size of a response head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
-/// `TCP_USER_TIMEOUT`: time after which unacknowledged data closes the connection.
+/// Time after which unacknowledged data ends the connection.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(4);
 
 thread_local! {
@@ -100,10 +102,9 @@
                 _ => not_sent(err.to_string()),
             })?;
         io.set_nodelay(true).map_err(|err| not_sent(err.to_string()))?;
-        let socket = socket2::SockRef::from(&io);
-        if let Err(err) = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT)) {
-            log::debug!("connection: failed to set TCP_USER_TIMEOUT: {err}");
-        }
+        // A request that was given up must not arrive once its path is restored.
+        discard_unacknowledged_after(&io, UNACKNOWLEDGED_TIMEOUT)
+            .map_err(|err| not_sent(err.to_string()))?;
         Ok(Connection {
             io,
             buf: BytesMut::new(),
--- a/components/gateway/src/socket.rs
+++ b/components/gateway/src/socket.rs
@@ -19,14 +19,14 @@
 pub const MAX_CONTROL_DELIVERY: Duration = Duration::from_millis(1000);
 
 /// Makes the kernel discard what the peer has not acknowledged when the socket is closed, by the
-/// process or by its end.
-pub(crate) fn reset_on_close(io: &TcpStream) -> io::Result<()> {
-    SockRef::from(io).set_linger(Some(Duration::ZERO))
+/// process or by its end, and at the latest [`MAX_CONTROL_DELIVERY`] after it was written.
+pub fn discard_unacknowledged(io: &TcpStream) -> io::Result<()> {
+    discard_unacknowledged_after(io, UNACKNOWLEDGED_TIMEOUT)
 }
 
-/// Makes the kernel discard what the peer has not acknowledged when the socket is closed, and at
-/// the latest [`MAX_CONTROL_DELIVERY`] after it was written.
-pub fn discard_unacknowledged(io: &TcpStream) -> io::Result<()> {
-    reset_on_close(io)?;
-    SockRef::from(io).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+/// The same, once the peer has acknowledged nothing for `timeout`.
+pub(crate) fn discard_unacknowledged_after(io: &TcpStream, timeout: Duration) -> io::Result<()> {
+    let socket = SockRef::from(io);
+    socket.set_linger(Some(Duration::ZERO))?;
+    socket.set_tcp_user_timeout(Some(timeout))
 }
--- a/components/http/src/client.rs
+++ b/components/http/src/client.rs
@@ -25,8 +25,7 @@
 const KEEP_ALIVE: Duration = Duration::from_secs(4);
 
 thread_local! {
-    static CLIENT: Client = build_client(|_| Ok(()));
-    static CONTROL_CLIENT: Client = build_client(TcpStream::set_zero_linger);
+    static CLIENT: Client = build_client(TcpStream::set_zero_linger);
 }
 
 /// Creates a client with its own connections, whose sockets get the options of `setup`.
@@ -44,17 +43,12 @@
         .finish()
 }
 
-/// Returns the client of the current thread for requests of callers.
-pub fn client() -> Client {
-    CLIENT.with(Clone::clone)
-}
-
-/// Returns the client of the current thread for calls that change something at the other end.
+/// Returns the client of the current thread.
 ///
 /// Its connections are reset when they are closed, also by the end of the process, so that the
-/// kernel does not deliver the rest of a call that was given up.
-pub fn control_client() -> Client {
-    CONTROL_CLIENT.with(Clone::clone)
+/// kernel does not deliver the rest of a request that was given up.
+pub fn client() -> Client {
+    CLIENT.with(Clone::clone)
 }
 
 /// Sends a request and returns the response once its head has arrived.
--- a/components/http/src/lib.rs
+++ b/components/http/src/lib.rs
@@ -9,8 +9,7 @@
 mod transport;
 
 pub use client::{
-    MAX_CONNECTIONS_PER_HOST, build_client, client, control_client, read_body, read_json, send,
-    send_sized,
+    MAX_CONNECTIONS_PER_HOST, build_client, client, read_body, read_json, send, send_sized,
 };
 pub use failure::SendFailure;
 pub use transport::SocketSetup;
--- a/components/provider/src/http/endpoint.rs
+++ b/components/provider/src/http/endpoint.rs
@@ -5,7 +5,7 @@
 use actix_web::http::{Method, StatusCode};
 use awc::ClientResponse;
 use bytes::Bytes;
-use lycheelatch_http::{SendFailure, control_client, read_body, send};
+use lycheelatch_http::{SendFailure, client, read_body, send};
 use serde::{Serialize, de::DeserializeOwned};
 
 /// Maximum size of a response body, in bytes.
@@ -80,7 +80,7 @@
     ) -> Result<Response, SendFailure> {
         let url = format!("{}{path}", self.base_url);
         let timeout = self.timeout + wait;
-        let response = send(control_client().request(method, url), body, timeout).await?;
+        let response = send(client().request(method, url), body, timeout).await?;
         read_response(response, timeout).await
     }
 
@@ -93,7 +93,7 @@
         let body =
             serde_json::to_vec(body).map_err(|err| SendFailure::NotSent(err.to_string().into()))?;
         let url = format!("{}{path}", self.base_url);
-        let req = control_client().request(method, url).content_type("application/json");
+        let req = client().request(method, url).content_type("application/json");
         let response = send(req, body.into(), self.timeout).await?;
         read_response(response, self.timeout).await
     }
--- a/components/upstream/src/http/engine.rs
+++ b/components/upstream/src/http/engine.rs
@@ -7,7 +7,7 @@
 use awc::{ClientRequest, ClientResponse};
 use bytes::Bytes;
 use futures_util::stream;
-use lycheelatch_http::{client, control_client, read_body, read_json, send};
+use lycheelatch_http::{client, read_body, read_json, send};
 use lycheelatch_prelude::{Fence, RequestId, Sequence};
 use serde::de::DeserializeOwned;
 use serde_json::{Map, Value};
@@ -145,8 +145,7 @@
         let invalid =
             |err: serde_json::Error| UpstreamError::BadAnswer { reason: err.to_string().into() };
         let body = serde_json::to_vec(order).map_err(invalid)?;
-        let url = format!("{}/v1/orders", self.base);
-        let req = control_client().request(Method::POST, url).content_type("application/json");
+        let req = self.request(Method::POST, "/v1/orders").content_type("application/json");
         let response = send(req, body.into(), self.timeouts.call).await?;
         match response.status() {
             status if status.is_success() => Ok(()),
