soak, fakes: Links of nodes to the platform are cut; what the leader sends is checked

Each node of the soak reaches the store and the platform's API through a link that its seed cuts for 0.3 to 6.5 s, the store's, the API's or both, half of the time at the node that acts as the leader, beside all other faults (whose plan stays as it was for every seed). The stand-in of the platform's API checks what it receives: fencing numbers never fall, no leader returns within a lease, one count for a usage window; calls within 0.3 s of their sender's return from a pause or a cut are left out.

--- a/components/fakes/src/entry/store.rs
+++ b/components/fakes/src/entry/store.rs
@@ -46,6 +46,7 @@
     compacted_revision: u64,
     leases: HashMap<u64, (Instant, Duration)>,
     duty_calls: Vec<DutyCall>,
+    refuses_orders: bool,
 }
 
 /// A call that only the node holding the duty lease makes.
@@ -57,6 +58,10 @@
     pub body: Value,
     /// Fencing number of the sender.
     pub fence: u64,
+    /// Name of the sender.
+    pub holder: String,
+    /// When it arrived.
+    pub at: Instant,
 }
 
 /// Fake of the platform's store, which also records duty calls; clones share their state.
@@ -135,6 +140,11 @@
         state.history.clear();
     }
 
+    /// Refuses orders of upstreams from now on, as none are to be had.
+    pub fn refuse_orders(&self) {
+        self.state.lock().unwrap().refuses_orders = true;
+    }
+
     /// Returns the received duty calls.
     pub fn duty_calls(&self) -> Vec<DutyCall> {
         self.state.lock().unwrap().duty_calls.clone()
@@ -338,10 +348,13 @@
 }
 
 async fn record_duty_call(state: Shared, req: HttpRequest, body: web::Json<Value>) -> HttpResponse {
-    let fence = req.headers().get("lycheelatch-fencing-token").unwrap();
-    let fence = fence.to_str().unwrap().parse().unwrap();
+    let header = |name: &str| req.headers().get(name).unwrap().to_str().unwrap().to_owned();
+    let fence = header("lycheelatch-fencing-token").parse().unwrap();
+    let holder = header("lycheelatch-duty-holder");
     let mut state = state.lock().unwrap();
     let path = req.path().to_owned();
-    state.duty_calls.push(DutyCall { path, body: body.into_inner(), fence });
-    HttpResponse::Ok().finish()
+    let is_refused = state.refuses_orders && path == "/scale";
+    let call = DutyCall { path, body: body.into_inner(), fence, holder, at: Instant::now() };
+    state.duty_calls.push(call);
+    if is_refused { HttpResponse::Conflict().finish() } else { HttpResponse::Ok().finish() }
 }
--- a/components/soak/src/cluster.rs
+++ b/components/soak/src/cluster.rs
@@ -7,15 +7,17 @@
     upstream_entry,
 };
 use rustix::process::Signal;
+use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
 use crate::{
     check::{Drain, Report, check_drains, check_kinds, check_recovery, check_requests, is_served},
     crashing_part::{CRASH_RULE, HarmfulCalls, check_crashes, check_sound_requests, summary},
-    faults::{Fault, plan},
+    faults::{Fault, PlannedFault, plan, plan_cuts},
+    leaders::{check_leaders, leader_summary},
     load::{CallLog, call_forever},
     named_limits::{LimitLog, check_limits, limit_summary},
-    nodes::{Node, QUIET_TIME},
+    nodes::{Cut, Links, Node, QUIET_TIME},
 };
 
 /// What happens beside the faults.
@@ -62,16 +64,19 @@
     /// Starts the store, the upstreams and the nodes.
     pub(crate) async fn start(seed: u64, program: PathBuf, scenario: Scenario) -> Cluster {
         let store = FakeStore::start().await;
-        store.put("op/config", &config_document(1, WorkspaceLimit::default()));
+        store.put("op/config", &configuration(1));
+        store.refuse_orders();
         let mut upstreams = Vec::new();
         for at in 0..UPSTREAMS {
             upstreams.push(start_upstream(&store, at, scenario).await);
         }
         let dir = std::env::temp_dir().join(format!("lycheelatch-soak-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a directory for settings");
-        let nodes = (0..NODES)
-            .map(|at| Node::start(at, program.clone(), &dir, store.address(), true))
-            .collect();
+        let mut nodes = Vec::new();
+        for at in 0..NODES {
+            let links = Links::start(store.address()).await;
+            nodes.push(Node::start(at, program.clone(), &dir, links, true));
+        }
         Cluster {
             seed,
             scenario,
@@ -103,19 +108,16 @@
         if has_prompts {
             callers.push(actix_rt::spawn(send_harmful(cluster.clone())));
         }
-        let started = Instant::now();
-        for planned in plan(cluster.seed, NODES, UPSTREAMS, length) {
-            sleep(planned.after).await;
-            let line = format!("{:?}: {:?}", started.elapsed(), planned.fault);
-            cluster.faults.borrow_mut().push(line);
-            actix_rt::spawn(inject(cluster.clone(), planned.fault));
-        }
+        let faults = inject_all(&cluster, plan(cluster.seed, NODES, UPSTREAMS, length));
+        let cuts = inject_all(&cluster, plan_cuts(cluster.seed, NODES, length));
+        tokio::join!(faults, cuts);
         sleep(SETTLE_TIME).await;
         if let Some(task) = changing_limits {
             task.abort();
             cluster.limits.end(&cluster.upstreams.borrow());
         }
         cluster.store.set_mode(StoreMode::Up);
+        cluster.nodes.iter().for_each(|node| node.heal(Cut::Both));
         cluster.nodes.iter().for_each(|node| node.restart_if_exited());
         sleep(RECOVERY_TIME).await;
         let recovered = Instant::now();
@@ -134,6 +136,9 @@
         violations.extend(check_drains(&self.drains.borrow(), &executed));
         violations.extend(check_recovery(&calls, recovered));
         violations.extend(check_kinds(&calls));
+        let leader_calls = self.store.duty_calls();
+        violations.extend(check_leaders(&leader_calls, &self.nodes));
+        notes.push(leader_summary(&leader_calls));
         if self.scenario == Scenario::CrashingPart {
             let mut crashes: Vec<_> =
                 self.upstreams.borrow().iter().flat_map(ScriptedUpstream::crashes).collect();
@@ -191,6 +196,16 @@
     }
 }
 
+/// Returns a configuration with a service whose upstreams the leader orders.
+fn configuration(version: u64) -> Value {
+    let mut config = config_document(version, WorkspaceLimit::default());
+    config["services"][0]["scaling"] = json!({
+        "minimum": 1, "maximum": 6, "boot_s": 4.0, "spot_price": 0.25,
+        "zone_prices": {"zone-0": 1.0, "zone-1": 0.8, "zone-2": 1.2},
+    });
+    config
+}
+
 async fn start_upstream(store: &FakeStore, at: usize, scenario: Scenario) -> ScriptedUpstream {
     let upstream = ScriptedUpstream::start([]).await;
     upstream.set_default(Behavior::Echo);
@@ -201,6 +216,17 @@
     upstream
 }
 
+/// Injects the faults of a plan, each after its delay.
+async fn inject_all(cluster: &Rc<Cluster>, plan: Vec<PlannedFault>) {
+    let started = Instant::now();
+    for planned in plan {
+        sleep(planned.after).await;
+        let line = format!("{:?}: {:?}", started.elapsed(), planned.fault);
+        cluster.faults.borrow_mut().push(line);
+        actix_rt::spawn(inject(cluster.clone(), planned.fault));
+    }
+}
+
 /// Injects one fault, and ends it after its duration.
 async fn inject(cluster: Rc<Cluster>, fault: Fault) {
     match fault {
@@ -233,14 +259,31 @@
             let upstream = cluster.upstreams.borrow()[cluster.current_index(upstream)].clone();
             (0..count).for_each(|_| upstream.push(behavior.clone()));
         }
+        Fault::Cut { node, cut, time } => cut_off(&cluster.nodes[node], cut, time).await,
+        Fault::CutLeader { cut, time } => {
+            let last = cluster.store.duty_calls().pop();
+            let leader = cluster
+                .nodes
+                .iter()
+                .find(|node| last.as_ref().is_some_and(|call| call.holder == node.name));
+            if let Some(leader) = leader {
+                cut_off(leader, cut, time).await;
+            }
+        }
         Fault::UpdateConfig => {
             let version = *cluster.config_version.borrow() + 1;
             cluster.config_version.replace(version);
-            cluster.store.put("op/config", &config_document(version, WorkspaceLimit::default()));
+            cluster.store.put("op/config", &configuration(version));
         }
     }
 }
 
+async fn cut_off(node: &Node, cut: Cut, time: Duration) {
+    node.cut(cut);
+    sleep(time).await;
+    node.heal(cut);
+}
+
 /// Drains an upstream, removes its entry and starts another upstream.
 async fn replace_upstream(cluster: &Cluster, at: usize) {
     let is_quiet = cluster.is_quiet();
--- a/components/soak/src/faults.rs
+++ b/components/soak/src/faults.rs
@@ -1,10 +1,16 @@
-//! Seeded plan of faults: signals to nodes, store modes, upstream behavior and configuration.
+//! Seeded plan of faults: signals to nodes, cut links, store modes, upstream behavior and
+//! configuration.
 
 use std::time::Duration;
 
 use lycheelatch_fakes::entry::{Behavior, StoreMode};
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
 
+use crate::nodes::Cut;
+
+/// Separates the random numbers of cuts from those of the other faults, whose seeds predate them.
+const CUTS_SEED: u64 = 0xc075;
+
 /// One fault.
 #[derive(Debug, Clone)]
 pub(crate) enum Fault {
@@ -26,6 +32,10 @@
     UpstreamBehavior { upstream: usize, behavior: Behavior, count: usize },
     /// Publishes a new version of the configuration.
     UpdateConfig,
+    /// Cuts links of a node to the platform for `time`.
+    Cut { node: usize, cut: Cut, time: Duration },
+    /// The same for the node that last acted as the leader.
+    CutLeader { cut: Cut, time: Duration },
 }
 
 /// A fault and the delay before it.
@@ -53,6 +63,26 @@
     planned
 }
 
+/// Returns the cuts of a run, which happen beside the faults of [`plan`].
+pub(crate) fn plan_cuts(seed: u64, nodes: usize, length: Duration) -> Vec<PlannedFault> {
+    let mut rng = StdRng::seed_from_u64(seed ^ CUTS_SEED);
+    let mut planned = Vec::new();
+    let mut elapsed = Duration::ZERO;
+    while elapsed < length {
+        let after = Duration::from_millis(rng.random_range(1000..6000));
+        elapsed += after;
+        let node = rng.random_range(0..nodes);
+        let cut = *Cut::ALL.choose(&mut rng).expect("not empty");
+        let time = Duration::from_millis(rng.random_range(300..6500));
+        let fault = match rng.random_bool(0.5) {
+            true => Fault::CutLeader { cut, time },
+            false => Fault::Cut { node, cut, time },
+        };
+        planned.push(PlannedFault { after, fault });
+    }
+    planned
+}
+
 fn random_fault(rng: &mut StdRng, nodes: usize, upstreams: usize) -> Fault {
     let node = rng.random_range(0..nodes);
     let upstream = rng.random_range(0..upstreams);
--- a/components/soak/src/main.rs
+++ b/components/soak/src/main.rs
@@ -4,6 +4,7 @@
 mod cluster;
 mod crashing_part;
 mod faults;
+mod leaders;
 mod load;
 mod named_limits;
 mod nodes;
--- a/components/soak/src/nodes.rs
+++ b/components/soak/src/nodes.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use lycheelatch_fakes::TcpLink;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
 use tokio::time::Instant;
@@ -15,8 +16,13 @@
 /// Minimum time without a disturbance after which a guarantee with a time bound is checked.
 pub(crate) const QUIET_TIME: Duration = Duration::from_secs(4);
 
+/// Time to live of the leader's lease.
+pub(crate) const LEADER_LEASE: Duration = Duration::from_secs(2);
+
 /// A node and its process; dropping it kills the process.
 pub(crate) struct Node {
+    pub(crate) name: String,
+    pub(crate) links: Links,
     program: PathBuf,
     settings: PathBuf,
     pub(crate) callers: SocketAddr,
@@ -24,6 +30,43 @@
     /// Time of the last start of the process or signal to it.
     pub(crate) last_disturbance: Cell<Instant>,
     pub(crate) is_paused: Cell<bool>,
+    /// When the process went on after a pause.
+    resumed_at: RefCell<Vec<Instant>>,
+}
+
+/// Links from one node to the platform.
+pub(crate) struct Links {
+    pub(crate) store: TcpLink,
+    pub(crate) api: TcpLink,
+}
+
+impl Links {
+    /// Starts both links to the platform.
+    pub(crate) async fn start(platform: SocketAddr) -> Links {
+        Links { store: TcpLink::start(platform).await, api: TcpLink::start(platform).await }
+    }
+
+    fn is_any_cut(&self) -> bool {
+        self.store.is_cut() || self.api.is_cut()
+    }
+}
+
+/// Which links of a node to the platform are cut.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Cut {
+    Store,
+    Api,
+    Both,
+}
+
+impl Cut {
+    pub(crate) const ALL: [Cut; 3] = [Cut::Store, Cut::Api, Cut::Both];
+
+    fn links(self, links: &Links) -> impl Iterator<Item = &TcpLink> {
+        let store = (self != Cut::Api).then_some(&links.store);
+        let api = (self != Cut::Store).then_some(&links.api);
+        store.into_iter().chain(api)
+    }
 }
 
 /// Listen addresses of one node.
@@ -53,7 +96,7 @@
         at: usize,
         program: PathBuf,
         dir: &std::path::Path,
-        store: SocketAddr,
+        links: Links,
         is_first_start: bool,
     ) -> Node {
         let addresses = Addresses::unused();
@@ -62,19 +105,23 @@
         let text = json!({"gateway": {
             "node": name, "zone": format!("zone-{at}"), "callers": addresses.callers,
             "readiness": addresses.readiness, "peers": addresses.peers, "metrics": addresses.metrics,
-            "seeds": [], "first_start": is_first_start.to_string(), "store": store, "duties": store,
+            "seeds": [], "first_start": is_first_start.to_string(), "store": links.store.address(),
+            "duties": links.api.address(),
             "retry": {"ratio": "0.2", "extra": "50", "window": "10s"},
-            "usage_window": "1s", "usage_due": "6s", "duty_lease": "2s", "grace": "6s",
+            "usage_window": "1s", "usage_due": "6s", "duty_lease": format!("{}s", LEADER_LEASE.as_secs()), "grace": "6s",
             "log": {"level": "warn"},
         }});
         std::fs::write(&settings, text.to_string()).expect("the settings directory is writable");
         let node = Node {
+            name,
+            links,
             program,
             settings,
             callers: addresses.callers,
             child: RefCell::new(None),
             last_disturbance: Cell::new(Instant::now()),
             is_paused: Cell::new(false),
+            resumed_at: RefCell::default(),
         };
         node.spawn();
         node
@@ -105,7 +152,24 @@
 
     /// Returns whether the process was not disturbed within [`QUIET_TIME`].
     pub(crate) fn is_quiet(&self) -> bool {
-        self.last_disturbance.get().elapsed() > QUIET_TIME
+        !self.links.is_any_cut() && self.last_disturbance.get().elapsed() > QUIET_TIME
+    }
+
+    /// Cuts links to the platform.
+    pub(crate) fn cut(&self, cut: Cut) {
+        cut.links(&self.links).for_each(TcpLink::cut);
+    }
+
+    /// Ends a cut.
+    pub(crate) fn heal(&self, cut: Cut) {
+        self.last_disturbance.set(Instant::now());
+        cut.links(&self.links).for_each(TcpLink::heal);
+    }
+
+    /// Returns when the process went on after a pause, and when its link to the platform's API was
+    /// restored.
+    pub(crate) fn returned_at(&self) -> Vec<Instant> {
+        [self.resumed_at.borrow().clone(), self.links.api.healed_at()].concat()
     }
 
     /// Sends a signal to the process.
@@ -119,7 +183,10 @@
         }
         match signal {
             Signal::STOP => self.is_paused.set(true),
-            Signal::CONT => self.is_paused.set(false),
+            Signal::CONT => {
+                self.is_paused.set(false);
+                self.resumed_at.borrow_mut().push(Instant::now());
+            }
             _ => {}
         }
     }
