gateway: A node that stops answers what it has passed on, and refuses what comes too late

What callers saw: requests that a stopping node had taken in the first 2.8 s and passed on to a slow upstream ended with the process, without an answer, those that may not be repeated among them. A request whose body ended late in the grace period was passed on as late as that (its refusal was decided before its body was read). With a grace period of 3 s or less, requests were taken until the end.

Cause: the deadline of a request knew nothing of the stop; the tasks were aborted at its end.

Change: the times of a stop stand in one place (stop_schedule.rs) and follow from the grace period. What has no response 0.3 s before the process ends is answered by the node (504, which promises nothing). A request that is complete only after the node stopped accepting is refused with 503 and was not sent; the time in which requests are accepted is at most 0.35 of the grace period (2.8 s of 8 s, as before).

--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -4,7 +4,7 @@
 
 use actix_http::{Response, body::BoxBody};
 use lycheelatch_prelude::UpstreamId;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout};
 
 use crate::{
     attempts::{Attempts, NextStep},
@@ -38,17 +38,17 @@
 pub(crate) async fn dispatch(cx: &Rc<RequestContext>) -> Result<Response<BoxBody>, LocalResponse> {
     let mut attempts = Attempts::new(cx.route.kind, cx.route.max_attempts);
     let mut failed: Option<BufferedResponse> = None;
-    let result = timeout_at(cx.deadline, send_until_answered(cx, &mut attempts, &mut failed)).await;
+    let result = cx.run_until_due(send_until_answered(cx, &mut attempts, &mut failed)).await;
     match result {
-        Ok(Ok(answered)) => Ok(respond(cx, answered, attempts)),
-        Ok(Err(refusal)) => match failed {
+        Some(Ok(answered)) => Ok(respond(cx, answered, attempts)),
+        Some(Err(refusal)) => match failed {
             Some(response) => {
                 cx.log_end(Reason::Answered, response.status.as_u16());
                 Ok(buffered_response(response))
             }
             None => Err(refusal),
         },
-        Err(_) => Err(LocalResponse::new(Reason::TimedOut)),
+        None => Err(LocalResponse::new(Reason::TimedOut)),
     }
 }
 
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -11,7 +11,11 @@
 use lycheelatch_policy::CrashSuspects;
 use lycheelatch_prelude::{ServiceName, WorkspaceName};
 use lycheelatch_settings::{GatewaySettings, RetryLimit};
-use tokio::{net::UdpSocket, sync::watch, time::Instant};
+use tokio::{
+    net::UdpSocket,
+    sync::watch,
+    time::{Instant, sleep_until},
+};
 
 use crate::{
     ClusterClock, Dialect, Directory, GatewayMetrics, RoutingTable, Workspace,
@@ -27,13 +31,10 @@
     retry_budget::RetryBudget,
     schedule,
     server::Drain,
+    stop_schedule::StopSchedule,
     usage::{Usage, UsageWindow},
 };
 
-/// Time after the stop signal during which new requests are still accepted, since the load
-/// balancer continues to send new connections for a while.
-const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2800);
-
 /// A prompt sent to an engine, to be announced to the other nodes as cached there.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct SentPrompt {
@@ -76,7 +77,7 @@
     has_upstreams: Cell<bool>,
     reloaded: RefCell<ReloadableSettings>,
     started: Instant,
-    stopping: Cell<Option<Instant>>,
+    stopping: watch::Sender<Option<StopSchedule>>,
     closing: watch::Sender<bool>,
     requests: OpenCount,
     connections: OpenCount,
@@ -158,7 +159,7 @@
             has_upstreams: Cell::new(false),
             reloaded: RefCell::new(reloaded),
             started: Instant::now(),
-            stopping: Cell::new(None),
+            stopping: watch::Sender::new(None),
             closing: watch::Sender::new(false),
             requests: OpenCount::default(),
             connections: OpenCount::default(),
@@ -211,19 +212,51 @@
     }
 
     /// Starts a graceful shutdown: the node is no longer ready, and each response closes its
-    /// connection.
-    pub fn start_stopping(&self) {
-        self.stopping.set(Some(Instant::now()));
+    /// connection. Returns the times of the shutdown.
+    pub(crate) fn start_stopping(&self) -> StopSchedule {
+        let schedule = StopSchedule::start(self.settings.grace);
+        self.stopping.send_replace(Some(schedule));
+        schedule
     }
 
     /// Returns whether the node is shutting down.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.get().is_some()
+        self.stopping.borrow().is_some()
     }
 
     /// Returns whether the node is shutting down and no longer accepts new requests.
     pub(crate) fn rejects_requests(&self) -> bool {
-        self.stopping.get().is_some_and(|at| at.elapsed() > ACCEPT_AFTER_STOP)
+        self.stopping.borrow().is_some_and(|schedule| schedule.refuses_requests())
+    }
+
+    /// Runs `work` until `deadline`, or until a node that stops has to answer; returns `None` if it
+    /// has not ended by then.
+    pub(crate) async fn run_until<T>(
+        &self,
+        deadline: Instant,
+        work: impl Future<Output = T>,
+    ) -> Option<T> {
+        tokio::select! {
+            biased;
+            result = work => Some(result),
+            () = sleep_until(deadline) => None,
+            () = self.answer_due() => None,
+        }
+    }
+
+    /// Returns whether the node stops and has to answer what it has not answered yet.
+    pub(crate) fn is_answer_due(&self) -> bool {
+        self.stopping.borrow().is_some_and(|schedule| Instant::now() >= schedule.answer_by)
+    }
+
+    /// Waits until the node stops and has to answer what it has not answered yet.
+    async fn answer_due(&self) {
+        let mut stopping = self.stopping.subscribe();
+        let schedule = stopping.wait_for(Option::is_some).await.ok().and_then(|stop| *stop);
+        match schedule {
+            Some(schedule) => sleep_until(schedule.answer_by).await,
+            None => std::future::pending().await,
+        }
     }
 
     /// Accepts no further connections of callers and closes idle ones.
--- a/components/gateway/src/leader_tests.rs
+++ b/components/gateway/src/leader_tests.rs
@@ -184,8 +184,9 @@
             }
             let is_due = |time: Duration| time <= at && at < time + CHECK_INTERVAL;
             for restart in restarts.iter().filter(|restart| is_due(restart.at)) {
-                let restarted = nodes.iter().filter(|node| node.number == restart.number);
-                restarted.for_each(|node| node.gateway.start_stopping());
+                for node in nodes.iter().filter(|node| node.number == restart.number) {
+                    node.gateway.start_stopping();
+                }
             }
             for restart in restarts.iter().filter(|restart| is_due(restart.at + RESTART_DELAY)) {
                 nodes.push(Node::start(&platform, restart.number));
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -54,6 +54,7 @@
 mod server;
 mod size;
 mod socket;
+mod stop_schedule;
 mod store;
 mod sync;
 mod table;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -8,7 +8,7 @@
 };
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, stream};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use crate::{
     attempts::{Attempts, NextStep, SendOutcome},
@@ -85,17 +85,17 @@
             return Some(Ok(start));
         }
         let connection = self.connection.as_mut()?;
-        match timeout_at(self.cx.deadline, connection.next_chunk()).await {
-            Ok(Ok(Some(chunk))) => Some(Ok(chunk)),
-            Ok(Ok(None)) => {
+        match self.cx.run_until_due(connection.next_chunk()).await {
+            Some(Ok(Some(chunk))) => Some(Ok(chunk)),
+            Some(Ok(None)) => {
                 if let Some(connection) = self.connection.take() {
                     self.guard.upstream.pool.put(connection);
                 }
                 self.end.write(Reason::Answered);
                 None
             }
-            Ok(Err(err)) => self.fail(&err.to_string()),
-            Err(_) => self.fail("the time is up"),
+            Some(Err(err)) => self.fail(&err.to_string()),
+            None => self.fail("the time is up"),
         }
     }
 
@@ -187,18 +187,20 @@
     /// Reads the next events. A stream that can go on at another upstream leaves this one if no
     /// complete event arrives for too long; any other one is read until the deadline.
     async fn step_or_leave(&mut self) -> Step {
-        let deadline = self.cx.deadline;
-        let leave_at = Instant::now() + self.cx.route.event_gap_target * STALLED_AFTER_GAPS;
-        if self.attempts.may_abandon() && leave_at < deadline {
-            if let Ok(step) = timeout_at(leave_at, self.step()).await {
+        let cx = self.cx.clone();
+        let leave_at = Instant::now() + cx.route.event_gap_target * STALLED_AFTER_GAPS;
+        if self.attempts.may_abandon() && leave_at < cx.deadline {
+            if let Some(step) = cx.gateway.run_until(leave_at, self.step()).await {
                 return step;
             }
-            if let Some(next) = self.replacement() {
+            if !cx.gateway.is_answer_due()
+                && let Some(next) = self.replacement()
+            {
                 let reason = "no event for too long".to_owned();
                 return Step::Interrupted { reason, reserved: Some(Box::new(next)) };
             }
         }
-        timeout_at(deadline, self.step()).await.unwrap_or(Step::TimeUp)
+        cx.run_until_due(self.step()).await.unwrap_or(Step::TimeUp)
     }
 
     /// Reserves another upstream for the rest of the stream.
@@ -249,9 +251,9 @@
         }
         let reserved = reserved.map(|placement| *placement);
         let resuming = resume(&self.cx, &mut self.attempts, self.last_id, reserved);
-        let resumed = timeout_at(self.cx.deadline, resuming).await;
+        let resumed = self.cx.run_until_due(resuming).await;
         match resumed {
-            Ok(Some(started)) => {
+            Some(Some(started)) => {
                 self.current = Some(started);
                 true
             }
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -24,12 +24,6 @@
 const INTERNAL_LIMITS: ServerLimits =
     ServerLimits { head_timeout: Duration::from_secs(2), idle_timeout: Duration::from_secs(10) };
 
-/// Time after the stop signal during which the load balancer still opens new connections.
-const LINGER: Duration = Duration::from_millis(2600);
-
-/// How long before the end of the grace period the process stops unconditionally.
-const END_MARGIN: Duration = Duration::from_millis(400);
-
 /// Interval at which the number of open requests is checked during shutdown.
 const STOP_POLL: Duration = Duration::from_millis(50);
 
@@ -114,18 +108,19 @@
     }
 
     /// Waits for callers' connections to end within the grace period, then aborts all tasks.
+    ///
+    /// What has no response shortly before the end is answered by the node itself.
     pub async fn stop(&self) {
-        let started = Instant::now();
-        let deadline = started + self.gateway.settings.grace - END_MARGIN;
-        self.gateway.start_stopping();
+        let schedule = self.gateway.start_stopping();
         log_event(&NodeEvent::Stopping { open_requests: self.gateway.open_requests() });
-        while Instant::now() < deadline {
-            if started.elapsed() >= LINGER {
+        while Instant::now() < schedule.end {
+            if Instant::now() >= schedule.close_idle_at {
                 self.gateway.close_idle();
             }
             sleep(STOP_POLL).await;
             // A connection without a request may have one on its way, or an unsent response.
-            if started.elapsed() >= LINGER + STOP_POLL && self.gateway.open_connections() == 0 {
+            let has_closed = Instant::now() >= schedule.close_idle_at + STOP_POLL;
+            if has_closed && self.gateway.open_connections() == 0 {
                 break;
             }
         }
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -9,7 +9,7 @@
 };
 use bytes::Bytes;
 use lycheelatch_prelude::ServiceName;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use crate::{
     Priority, RequestInfo, Route, RoutingTable, ServiceSpec, Workspace,
@@ -57,6 +57,11 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Runs `work` until the request has to be answered; returns `None` if it has not ended by then.
+    pub(crate) async fn run_until_due<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        self.gateway.run_until(self.deadline, work).await
+    }
+
     /// Returns the workspace's priority, or the route's if the workspace has none.
     pub(crate) fn priority(&self) -> Priority {
         let of_workspace = self.workspace.as_ref().and_then(|workspace| workspace.priority);
@@ -139,9 +144,7 @@
     arrived: Instant,
 ) -> Result<RequestContext, LocalResponse> {
     let open_request = gateway.open_request();
-    if gateway.rejects_requests() {
-        return Err(LocalResponse::with_retry_after(Reason::Stopping, Duration::ZERO));
-    }
+    refuse_while_stopping(gateway)?;
     if !gateway.is_initialized() {
         return Err(LocalResponse::with_retry_after(Reason::NotInitialized, NOT_INITIALIZED_RETRY));
     }
@@ -151,8 +154,10 @@
     let timeout = info.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
     let deadline = arrived + timeout;
     let max_bytes = table.limits.body_bytes;
-    let reading = timeout_at(deadline, read_body(req, max_bytes)).await;
-    let body = reading.map_err(|_| LocalResponse::new(Reason::DeadlineExpired))??;
+    let reading = gateway.run_until(deadline, read_body(req, max_bytes)).await;
+    let body = reading.ok_or(LocalResponse::new(Reason::DeadlineExpired))??;
+    // The body may have taken long, and what is passed on now needs time for its response.
+    refuse_while_stopping(gateway)?;
     let service = pick_service(&table, &route)?;
     let trial = check_request(gateway, &service, info.prompt.as_ref())?;
     let chain = info.prompt.as_ref().map(PrefixChain::from);
@@ -182,6 +187,13 @@
     })
 }
 
+fn refuse_while_stopping(gateway: &Gateway) -> Result<(), LocalResponse> {
+    if gateway.rejects_requests() {
+        return Err(LocalResponse::with_retry_after(Reason::Stopping, Duration::ZERO));
+    }
+    Ok(())
+}
+
 fn route_of<'a>(table: &'a RoutingTable, req: &Request) -> Option<&'a Arc<Route>> {
     let host = req.headers().get(HOST).and_then(|host| host.to_str().ok());
     let host = host.or(req.uri().host())?;
