--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -364,9 +364,10 @@
             Err(StoreError::Compacted) => after = None,
             Err(err) => {
                 view.record_failure(&err, sent);
+                let is_unreadable = matches!(err, StoreError::BadAnswer(_));
                 backoff = sleep_with_jitter(backoff).await;
-                // The history may lack changes of a long outage.
-                if backoff == BACKOFF.1 {
+                // The history may lack changes of a long outage, or hold what can't be read.
+                if is_unreadable || backoff == BACKOFF.1 {
                     after = None;
                 }
             }
