platform, gateway: An odd entry of an upstream harms only itself

Here no process ended, but one value that was no base64 failed every listing and every watch, so that a node followed neither upstreams nor configuration and never became ready after a start. A key with characters that stand for something in a query broke the listing in the same way when a page ended with it.

Other gaps of the same place: an entry could be a JSON array (read by the order of fields), have port 0 or the address of no host, or four billion slots; an error named no field and could quote a megabyte in a log line; the line came again with every heartbeat of the upstream.

--- a/components/fakes/src/entry/store.rs
+++ b/components/fakes/src/entry/store.rs
@@ -13,6 +13,9 @@
 
 use super::any_port;
 
+/// Number of items on a page of a listing.
+const PAGE_ITEMS: usize = 50;
+
 /// How the store handles calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum StoreMode {
@@ -128,6 +131,11 @@
         self.state.lock().unwrap().write(key, text, 0);
     }
 
+    /// Writes a value whose encoded text is `text`, which need not be base64.
+    pub fn put_encoded(&self, key: &str, text: &str) {
+        self.state.lock().unwrap().write(key, text.to_owned(), 0);
+    }
+
     /// Deletes a key.
     pub fn delete(&self, key: &str) {
         self.state.lock().unwrap().delete(key);
@@ -246,10 +254,15 @@
     }
     let state = state.lock().unwrap();
     let prefix = &query["path_prefix"];
+    let after = query.get("after").map_or("", String::as_str);
     let items = state.items.iter().filter(|(key, _)| key.starts_with(prefix.as_str()));
-    let items: Vec<Value> = items.map(|(key, item)| item_json(key, item)).collect();
+    let mut rest = items.filter(|(key, _)| key.as_str() > after);
+    let page = rest.by_ref().take(PAGE_ITEMS).map(|(key, item)| item_json(key, item));
+    let items: Vec<Value> = page.collect();
+    let more_pages = rest.next().is_some();
+    let revision = state.revision;
     HttpResponse::Ok()
-        .json(json!({"items": items, "more_pages": false, "store_revision": state.revision}))
+        .json(json!({"items": items, "more_pages": more_pages, "store_revision": revision}))
 }
 
 async fn watch(state: Shared, query: Query) -> HttpResponse {
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -12,7 +12,7 @@
 };
 
 use bytes::Bytes;
-use lycheelatch_prelude::UpstreamId;
+use lycheelatch_prelude::{InvalidValue, UpstreamId};
 use tokio::{
     sync::watch,
     time::{Instant, sleep},
@@ -122,6 +122,8 @@
     last_failure: Cell<Option<Instant>>,
     calls: StoreCallStatus,
     pending_removals: RefCell<BTreeMap<Arc<str>, StoreRevision>>,
+    /// Entries that name no upstream, with the reasons.
+    rejected: RefCell<BTreeMap<Arc<str>, InvalidValue>>,
     /// End of the last outage of the store that was long enough for leases to end.
     recovered_at: Cell<Option<Instant>>,
     /// First revision that was read after the recovery; later deletions are not due to the outage.
@@ -149,6 +151,7 @@
             last_failure: Cell::default(),
             calls: StoreCallStatus::default(),
             pending_removals: RefCell::default(),
+            rejected: RefCell::default(),
             recovered_at: Cell::default(),
             revision_at_recovery: Cell::default(),
         }
@@ -259,9 +262,12 @@
         let Some(id) = self.upstream_id(key) else { return };
         let before = self.gateway.directory.get(&id).map(|up| up.entry.borrow().clone());
         match self.layout.parse_upstream(&id, &value) {
-            Ok(entry) => self.gateway.directory.put(entry, revision),
+            Ok(entry) => {
+                self.rejected.borrow_mut().remove(key);
+                self.gateway.directory.put(entry, revision);
+            }
             Err(err) => {
-                log_event(&NodeEvent::EntryRejected { key, reason: &err.to_string() });
+                self.log_rejected(key, &err);
                 self.gateway.directory.remove(&id, revision);
             }
         }
@@ -279,6 +285,14 @@
         }
     }
 
+    /// Logs why an entry is rejected, once for each reason, as upstreams write their entries often.
+    fn log_rejected(&self, key: &Arc<str>, err: &InvalidValue) {
+        let before = self.rejected.borrow_mut().insert(key.clone(), err.clone());
+        if before.as_ref() != Some(err) {
+            log_event(&NodeEvent::EntryRejected { key, reason: &err.to_string() });
+        }
+    }
+
     fn announce_departure(&self, id: UpstreamId, revision: StoreRevision) {
         self.gateway.departures.borrow_mut().record(id, revision, Instant::now());
     }
@@ -305,6 +319,7 @@
             return;
         }
         self.upstreams.borrow_mut().remove(key);
+        self.rejected.borrow_mut().remove(key);
         let changed = self.next_change();
         self.tombstones.borrow_mut().put(key.clone(), Tombstone { revision, changed });
         if let Some(id) = self.upstream_id(key) {
--- a/components/prelude/src/error.rs
+++ b/components/prelude/src/error.rs
@@ -5,6 +5,9 @@
 /// Maximum length of the value in an error, in characters.
 const MAX_SHOWN_CHARS: usize = 80;
 
+/// Maximum length of the reason in an error, in characters; it may quote the input.
+const MAX_REASON_CHARS: usize = 200;
+
 /// {field} "{value}": {reason}
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub struct InvalidValue {
@@ -12,14 +15,18 @@
     pub field: String,
     /// The value as given, truncated if it is long.
     pub value: String,
-    /// Why the value is invalid.
+    /// Why the value is invalid, truncated if it is long.
     pub reason: String,
 }
 
 impl InvalidValue {
     /// Creates an error about `value` in `field`.
     pub fn new(field: impl Into<String>, value: &str, reason: impl Into<String>) -> InvalidValue {
-        InvalidValue { field: field.into(), value: truncate(value), reason: reason.into() }
+        InvalidValue {
+            field: field.into(),
+            value: truncate(value, MAX_SHOWN_CHARS),
+            reason: truncate(&reason.into(), MAX_REASON_CHARS),
+        }
     }
 
     /// Returns the error with `parent` prepended to the path of the field.
@@ -31,10 +38,10 @@
 
 impl std::error::Error for InvalidValue {}
 
-fn truncate(value: &str) -> String {
-    match value.char_indices().nth(MAX_SHOWN_CHARS) {
-        Some((end, _)) => format!("{}…", &value[..end]),
-        None => value.to_owned(),
+fn truncate(text: &str, max_chars: usize) -> String {
+    match text.char_indices().nth(max_chars) {
+        Some((end, _)) => format!("{}…", &text[..end]),
+        None => text.to_owned(),
     }
 }
 
