gateway: An entry with the address of a node or of the platform is refused

A new address in an entry is compared with this node's, with those of the other nodes (their hosts at the ports that nodes use) and with the platform's. A node that registers later takes the upstreams at its address out of use.

--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -161,6 +161,18 @@
         }
     }
 
+    /// Removes the upstreams whose address is not theirs; returns them.
+    pub(crate) fn remove_at(&self, is_taken: impl Fn(SocketAddr) -> bool) -> Vec<UpstreamId> {
+        let mut upstreams = self.upstreams.borrow_mut();
+        let found = upstreams.extract_if(.., |_, up| is_taken(up.entry.borrow().address));
+        let removed: Vec<_> = found.collect();
+        for (_, upstream) in &removed {
+            upstream.is_removed.set(true);
+            upstream.pool.clear();
+        }
+        removed.into_iter().map(|(id, _)| id).collect()
+    }
+
     /// Returns the upstream with an identifier.
     pub fn get(&self, id: &UpstreamId) -> Option<Rc<Upstream>> {
         self.upstreams.borrow().get(id).cloned()
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod dispatch;
 mod engine_load;
 mod engine_speed;
+mod entry_check;
 mod frames;
 mod gateway;
 mod gossip;
--- a/components/gateway/src/members.rs
+++ b/components/gateway/src/members.rs
@@ -58,6 +58,7 @@
     let listing = store.list(&members_prefix(), Freshness::Stale).await?;
     let nodes = listing.items.iter().filter_map(parse_member).collect();
     gateway.peers.borrow_mut().update_members(nodes, Instant::now());
+    gateway.remove_at_taken_addresses();
     Ok(lease)
 }
 
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -314,6 +314,15 @@
         self.peers.values().map(|peer| peer.address).collect()
     }
 
+    /// Returns whether an address is that of another node; at a port that nodes use, whether its
+    /// host is another node's.
+    pub(crate) fn has_address(&self, address: SocketAddr, is_node_port: bool) -> bool {
+        let matches = |peer: &Peer| {
+            peer.address == address || is_node_port && peer.address.ip() == address.ip()
+        };
+        self.peers.values().any(matches)
+    }
+
     /// Returns the addresses of the live nodes.
     pub(crate) fn live_addresses(&self, now: Instant) -> Vec<SocketAddr> {
         self.live_peers(now).map(|(_, peer)| peer.address).collect()
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -261,7 +261,8 @@
         self.pending_removals.borrow_mut().remove(key);
         let Some(id) = self.upstream_id(key) else { return };
         let before = self.gateway.directory.get(&id).map(|up| up.entry.borrow().clone());
-        match self.layout.parse_upstream(&id, &value) {
+        let parsed = self.layout.parse_upstream(&id, &value);
+        match parsed.and_then(|entry| self.gateway.check_entry(entry)) {
             Ok(entry) => {
                 self.rejected.borrow_mut().remove(key);
                 self.gateway.directory.put(entry, revision);
