gateway: Split what follows the store and what stops a node from large files

sync.rs held the view and the loops that fill it, gateway.rs the state of a stop among everything else. store_watch.rs and stopping.rs hold them now; no change of behaviour.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -56,7 +56,9 @@
 mod size;
 mod socket;
 mod stop_schedule;
+mod stopping;
 mod store;
+mod store_watch;
 mod sync;
 mod table;
 #[cfg(test)]
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -16,7 +16,8 @@
     decision::{NodeEvent, log_event},
     gossip, leader, members, report, scale, serve,
     server::{self, ServerLimits, empty},
-    sync::{self, StoreView},
+    store_watch,
+    sync::StoreView,
     view_exchange,
 };
 
@@ -75,8 +76,8 @@
             actix_rt::spawn(serve_readiness(gateway.clone(), readiness)),
             actix_rt::spawn(serve_internal(gateway.clone(), view.clone(), internal)),
             actix_rt::spawn(serve_internal(gateway.clone(), view.clone(), metrics_port)),
-            actix_rt::spawn(sync::watch_store(view.clone())),
-            actix_rt::spawn(sync::run_pending_removals(view.clone())),
+            actix_rt::spawn(store_watch::watch_store(view.clone())),
+            actix_rt::spawn(store_watch::run_pending_removals(view.clone())),
             actix_rt::spawn(view_exchange::follow_reader(gateway.clone(), view.clone())),
             actix_rt::spawn(view_exchange::fetch_during_outage(gateway.clone(), view)),
             actix_rt::spawn(members::keep_registered(gateway.clone(), parts.store.clone())),
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -1,6 +1,6 @@
 //! Local view of the store: the configuration and the registered upstreams.
 //!
-//! A watch returns the changes of all keys. While the store is unreachable,
+//! `store_watch` reads the changes of all keys. While the store is unreachable,
 //! `view_exchange` reads the view of other nodes.
 
 use std::{
@@ -13,20 +13,16 @@
 
 use bytes::Bytes;
 use lycheelatch_prelude::{InvalidValue, UpstreamId};
-use tokio::{
-    sync::watch,
-    time::{Instant, sleep},
-};
+use tokio::{sync::watch, time::Instant};
 
 use crate::{
-    Freshness, Gateway, KeyValue, RoutingTable, Store, StoreError, StoreEvent, StoreLayout,
-    StoreRevision,
+    Gateway, KeyValue, RoutingTable, Store, StoreError, StoreLayout, StoreRevision,
     decision::{NodeEvent, log_event, millis},
     tombstones::{Tombstone, Tombstones},
 };
 
 /// Maximum wait of one watch; a stalled connection is detected only after it.
-const WATCH_WAIT: Duration = Duration::from_millis(1000);
+pub(crate) const WATCH_WAIT: Duration = Duration::from_millis(1000);
 
 /// Time from a call until its response is applied, at most, if it does not wait.
 const RESPONSE_TIME: Duration = Duration::from_millis(300);
@@ -38,15 +34,6 @@
 /// Name of the calls in the log.
 const WATCH_CALL: &str = "watch";
 
-/// Prefix of all keys.
-const ALL_KEYS: &str = "";
-
-/// Time between two checks whether another node's view is still followed.
-const FOLLOW_POLL_INTERVAL: Duration = Duration::from_millis(50);
-
-/// Initial and maximum backoff after a failed call.
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(400));
-
 /// Time after the store's recovery within which upstreams whose leases ended during the outage may
 /// register again.
 const RECOVERY_GRACE: Duration = Duration::from_millis(2000);
@@ -57,9 +44,6 @@
 /// Shortest outage of the store in which an upstream's lease can have ended.
 const MIN_OUTAGE: Duration = Duration::from_millis(300);
 
-/// Time between two checks for pending removals.
-const REMOVAL_INTERVAL: Duration = Duration::from_millis(200);
-
 /// Time without a response after which the store counts as unreachable.
 const UNREACHABLE_AFTER: Duration = Duration::from_millis(500);
 
@@ -107,8 +91,8 @@
 /// This node's view of the store.
 pub(crate) struct StoreView {
     gateway: Rc<Gateway>,
-    store: Rc<dyn Store>,
-    layout: Rc<dyn StoreLayout>,
+    pub(crate) store: Rc<dyn Store>,
+    pub(crate) layout: Rc<dyn StoreLayout>,
     pub(crate) config: RefCell<Option<CachedEntry>>,
     pub(crate) upstreams: RefCell<BTreeMap<Arc<str>, CachedEntry>>,
     pub(crate) revision: Cell<StoreRevision>,
@@ -188,7 +172,7 @@
     }
 
     /// Returns the pause between two watches.
-    fn read_interval(&self) -> Duration {
+    pub(crate) fn read_interval(&self) -> Duration {
         self.gateway.settings.change_bound / INTERVALS_PER_BOUND
     }
 
@@ -203,7 +187,7 @@
         failed.is_some_and(|at| at.elapsed() < 2 * WATCH_WAIT) && self.age() > UNREACHABLE_AFTER
     }
 
-    fn record_success(&self, sent: Instant) {
+    pub(crate) fn record_success(&self, sent: Instant) {
         let now = Instant::now();
         if self.calls.record_success(sent).is_some_and(|outage| outage > MIN_OUTAGE) {
             self.recovered_at.set(Some(now));
@@ -213,7 +197,7 @@
     }
 
     /// Records the failure of a call sent at `sent`.
-    fn record_failure(&self, err: &StoreError, sent: Instant) {
+    pub(crate) fn record_failure(&self, err: &StoreError, sent: Instant) {
         self.calls.record_failure(err, sent);
         self.last_failure.set(Some(Instant::now()));
     }
@@ -225,7 +209,7 @@
     }
 
     /// Raises the revision up to which the store was read; records the first one after a recovery.
-    fn advance_revision(&self, revision: StoreRevision) {
+    pub(crate) fn advance_revision(&self, revision: StoreRevision) {
         self.revision.set(self.revision.get().max(revision));
         if self.revision_at_recovery.get().is_none() {
             self.revision_at_recovery.set(Some(revision));
@@ -338,7 +322,7 @@
     }
 
     /// Removes the upstreams that did not register again within the grace period.
-    fn finish_removals(&self) {
+    pub(crate) fn finish_removals(&self) {
         if self.recovered_at.get().is_some_and(|at| at.elapsed() < RECOVERY_GRACE) {
             return;
         }
@@ -361,98 +345,3 @@
         self.gateway.set_upstreams_known();
     }
 }
-
-/// Reads the store and watches it for changes until the task is dropped.
-///
-/// One watch covers all keys, since each call to the store is billed.
-pub(crate) async fn watch_store(view: Rc<StoreView>) {
-    let mut after = None;
-    let mut backoff = BACKOFF.0;
-    loop {
-        wait_while_following(&view).await;
-        let sent = Instant::now();
-        match update(&view, after, sent).await {
-            Ok(revision) => {
-                after = Some(revision);
-                backoff = BACKOFF.0;
-                sleep(view.read_interval()).await;
-            }
-            Err(StoreError::Compacted) => after = None,
-            Err(err) => {
-                view.record_failure(&err, sent);
-                let is_unreadable = matches!(err, StoreError::BadAnswer(_));
-                backoff = sleep_with_jitter(backoff).await;
-                // The history may lack changes of a long outage, or hold what can't be read.
-                if is_unreadable || backoff == BACKOFF.1 {
-                    after = None;
-                }
-            }
-        }
-    }
-}
-
-/// Waits while another node's view is followed.
-async fn wait_while_following(view: &StoreView) {
-    while view.is_following.get() {
-        sleep(FOLLOW_POLL_INTERVAL).await;
-    }
-}
-
-/// Applies the changes after a revision, or everything if it is `None`; returns the revision
-/// up to which the store was read.
-async fn update(
-    view: &StoreView,
-    after: Option<StoreRevision>,
-    sent: Instant,
-) -> Result<StoreRevision, StoreError> {
-    let Some(after) = after else { return read_all(view, sent).await };
-    let changes = view.store.watch(ALL_KEYS, after, WATCH_WAIT).await?;
-    view.record_success(sent);
-    for event in changes.events {
-        apply_event(view, event);
-    }
-    view.advance_revision(changes.revision);
-    Ok(changes.revision.max(after))
-}
-
-async fn read_all(view: &StoreView, sent: Instant) -> Result<StoreRevision, StoreError> {
-    let operators = view.store.list(view.layout.operator_prefix(), Freshness::Linearizable).await?;
-    for item in operators.items {
-        if &*item.key == view.layout.config_key() {
-            view.apply_config(item.value, item.revision);
-        }
-    }
-    let upstreams = view.store.list(view.layout.upstream_prefix(), Freshness::Linearizable).await?;
-    view.record_success(sent);
-    view.apply_listing(upstreams.items, upstreams.revision);
-    Ok(operators.revision.min(upstreams.revision))
-}
-
-fn apply_event(view: &StoreView, event: StoreEvent) {
-    let is_upstream = |key: &str| key.starts_with(view.layout.upstream_prefix());
-    match event {
-        StoreEvent::Written(item) if &*item.key == view.layout.config_key() => {
-            view.apply_config(item.value, item.revision);
-        }
-        StoreEvent::Written(item) if is_upstream(&item.key) => {
-            view.apply_upstream(&item.key, item.value, item.revision);
-        }
-        StoreEvent::Deleted { key, revision } if is_upstream(&key) => {
-            view.handle_deletion(&key, revision);
-        }
-        StoreEvent::Written(_) | StoreEvent::Deleted { .. } => {}
-    }
-}
-
-/// Finishes pending removals after the grace period, until the task is dropped.
-pub(crate) async fn run_pending_removals(view: Rc<StoreView>) {
-    loop {
-        sleep(REMOVAL_INTERVAL).await;
-        view.finish_removals();
-    }
-}
-
-async fn sleep_with_jitter(backoff: Duration) -> Duration {
-    sleep(backoff.mul_f64(0.5 + rand::random::<f64>())).await;
-    (backoff * 2).min(BACKOFF.1)
-}
