--- a/components/fakes/src/entry/upstream.rs
+++ b/components/fakes/src/entry/upstream.rs
@@ -45,10 +45,6 @@
     /// Sends the first event of [`Behavior::Echo`] and a part of a second one, then resets the
     /// connection.
     TruncatedEcho,
-    /// Sends a response head without end.
-    EndlessHead,
-    /// Sends a stream whose first event has no end.
-    EndlessEvent,
     /// Sends this text, in which `{id}` stands for the request's ID, then the other one without end.
     Endless {
         /// Sent once.
@@ -354,17 +350,6 @@
                 reset(io);
                 false
             }
-            Behavior::EndlessHead => {
-                write(io, "HTTP/1.1 200 OK\r\nX-Padding: ").await;
-                self.write_endlessly(io, "x").await;
-                false
-            }
-            Behavior::EndlessEvent => {
-                let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
-                write(io, &format!("{head}Lycheelatch-Request-Id: {id}\r\n{SIGNATURE}\r\n")).await;
-                self.write_endlessly(io, "x").await;
-                false
-            }
             Behavior::Endless { start, repeated } => {
                 write(io, &start.replace("{id}", id)).await;
                 self.write_endlessly(io, &repeated).await;
--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -81,6 +81,12 @@
         }
     }
 
+    /// Takes the upstream out of use, after it left the directory.
+    fn retire(&self) {
+        self.is_removed.set(true);
+        self.pool.clear();
+    }
+
     /// Returns the upstream's identifier.
     pub fn id(&self) -> UpstreamId {
         self.entry.borrow().id.clone()
@@ -130,8 +136,7 @@
         });
         let upstream = Rc::new(Upstream::new(entry, revision));
         if let Some(replaced) = upstreams.insert(upstream.id(), upstream) {
-            replaced.is_removed.set(true);
-            replaced.pool.clear();
+            replaced.retire();
         }
     }
 
@@ -156,8 +161,7 @@
         let is_older = upstreams.get(id).is_some_and(|current| current.revision.get() < revision);
         if is_older && let Some(removed) = upstreams.remove(id) {
             log_event(&NodeEvent::UpstreamRemoved { upstream: id, revision: revision.0 });
-            removed.is_removed.set(true);
-            removed.pool.clear();
+            removed.retire();
         }
     }
 
@@ -166,10 +170,7 @@
         let mut upstreams = self.upstreams.borrow_mut();
         let found = upstreams.extract_if(.., |_, up| is_taken(up.entry.borrow().address));
         let removed: Vec<_> = found.collect();
-        for (_, upstream) in &removed {
-            upstream.is_removed.set(true);
-            upstream.pool.clear();
-        }
+        removed.iter().for_each(|(_, upstream)| upstream.retire());
         removed.into_iter().map(|(id, _)| id).collect()
     }
 
