gateway: Leader takes a node's complete digest after a brief one of the same round

Cause: a node sends its brief digest to some nodes of other zones in each round and once a second a complete one to the leader, both with the round's sequence number. A receiver drops a digest whose number it has, so the complete one was dropped whenever the brief one came first.

Change: a complete digest counts as newer than a brief one of the same number.

Test: record_digest_completes_a_brief_one_of_the_same_round failed before.

--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -31,6 +31,15 @@
 /// Time without a digest after which a node that is not registered in the store is removed.
 const REMOVAL_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Returns whether a digest of the same process says more than the current one.
+///
+/// In one round the leader may get both a brief and a complete digest, with the same sequence
+/// number and in any order.
+fn is_newer(digest: &Digest, current: &Digest) -> bool {
+    let completes = digest.sequence == current.sequence && current.is_brief && !digest.is_brief;
+    digest.sequence > current.sequence || completes
+}
+
 /// One other node.
 #[derive(Debug)]
 struct Peer {
@@ -138,7 +147,7 @@
         let peer = self.peers.entry(digest.node.clone());
         let peer = peer.or_insert_with(|| Peer::new(from));
         if let Some(current) = &mut peer.digest {
-            if current.incarnation == digest.incarnation && current.sequence >= digest.sequence {
+            if current.incarnation == digest.incarnation && !is_newer(&digest, current) {
                 return false;
             }
             if current.incarnation != digest.incarnation {
--- a/components/gateway/src/peers/tests.rs
+++ b/components/gateway/src/peers/tests.rs
@@ -35,6 +35,18 @@
     assert!(!record(&mut table, digest("node-2", 1, 0), 0));
 }
 
+#[test]
+fn record_digest_completes_a_brief_one_of_the_same_round() {
+    let mut table = PeerTable::new("node-1".parse().unwrap());
+    let mut brief = digest("node-2", 5, 0);
+    brief.leave_out_details();
+    assert!(record(&mut table, brief.clone(), 0));
+    assert!(record(&mut table, digest("node-2", 5, 0), 0));
+    assert_eq!(table.usage(UsageWindow(7)).values().sum::<u64>(), 5);
+    assert!(!record(&mut table, brief, 0), "it has nothing new");
+    assert_eq!(table.usage(UsageWindow(7)).values().sum::<u64>(), 5);
+}
+
 #[test]
 fn usage_of_a_process_that_ended_counts() {
     let mut table = PeerTable::new("node-1".parse().unwrap());
