--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -18,6 +18,7 @@
 mod retry;
 mod retry_budget;
 mod retry_detector;
+mod rollout;
 mod upstream_limit;
 
 pub use admission::{
@@ -43,4 +44,8 @@
 pub use retry::{FailedAttempt, NoRetryReason, RetryContext, RetryDecision, RetryPolicy};
 pub use retry_budget::RetryBudget;
 pub use retry_detector::{Fingerprint, RetryDetector, fingerprint_home};
+pub use rollout::{
+    CanaryOutcome, LATENCY_CLASSES, LatencyClass, RollbackReason, RolloutCounts, RolloutEvidence,
+    RolloutLimits, RolloutPhase, RolloutStep, RouteCounts, Track, TrackCounts,
+};
 pub use upstream_limit::{HeardLimit, LimitSharers, UpstreamLimit};
