--- a/components/config/src/document.rs
+++ b/components/config/src/document.rs
@@ -6,8 +6,8 @@
 use serde_json::Value;
 
 use crate::{
-    FleetSpec, ModelSpec, Object, PlacementRule, Service, Snapshot, TokenHash, TokenId, Workspace,
-    WorkspaceLimits, fields::Fields,
+    FleetSpec, ModelSpec, Object, PlacementRule, Service, Snapshot, TokenHash, TokenId, Warning,
+    Workspace, WorkspaceLimits, fields::Fields,
 };
 
 /// Minimum length of a bearer token, in bytes.
@@ -87,6 +87,12 @@
         objects.into_iter().collect::<Snapshot>().validate()
     }
 
+    /// Returns warnings about the document as if it were a complete configuration.
+    pub fn warnings(&self) -> Vec<Warning> {
+        let objects = self.resolve(&Snapshot::default(), &mut Vec::new());
+        objects.into_iter().collect::<Snapshot>().warnings()
+    }
+
     /// Converts the document to objects, taking existing tokens from `base`.
     pub(crate) fn resolve(&self, base: &Snapshot, errors: &mut Vec<InvalidValue>) -> Vec<Object> {
         let services = self.services.iter().cloned().map(Object::Service);
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -10,9 +10,11 @@
 mod delta;
 mod document;
 mod fields;
+mod lint;
 mod model;
 mod object;
 mod record;
+mod satisfiable;
 mod selector;
 mod snapshot;
 mod store;
@@ -25,6 +27,7 @@
 pub use current::CurrentConfig;
 pub use delta::{Delta, DeltaError};
 pub use document::Document;
+pub use lint::{Warning, WarningReason};
 pub use model::{
     ClassCapacity, Effect, FleetSpec, LatencyTarget, ModelSpec, PlacementRule, Service,
     ServiceKind, ServiceLimits, Workspace, WorkspaceLimits,
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -223,7 +223,7 @@
 
 fn check() -> Command {
     Command::new("check")
-        .about("Checks a configuration file or a node's settings file, without a node")
+        .about("Checks a configuration file or a node's settings file before it is used")
         .arg(
             Arg::new("file")
                 .value_name("FILE")
@@ -237,6 +237,18 @@
                 .value_parser(["configuration", "settings"])
                 .help("What the file is; without it, its fields decide"),
         )
+        .arg(
+            Arg::new("in-force")
+                .long("in-force")
+                .action(ArgAction::SetTrue)
+                .help("Also ask the node what the configuration would change there"),
+        )
+        .arg(
+            Arg::new("strict")
+                .long("strict")
+                .action(ArgAction::SetTrue)
+                .help("Exit with 6 on warnings too"),
+        )
 }
 
 fn explain() -> Command {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -41,7 +41,7 @@
         Some(("status", args)) => status::run(args).await,
         Some(("route", args)) => route::run(args).await,
         Some(("drain", args)) => drain::run(args).await,
-        Some(("check", args)) => check::run(args, stdin),
+        Some(("check", args)) => check::run(args, stdin).await,
         Some(("explain", args)) => explain::run(args, stdin),
         Some(("hash-token", args)) => hash_token::run(args, stdin),
         Some(("version", args)) => version::run(args).await,
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -341,6 +341,35 @@
     assert!(output.stderr.contains("no-such-file.json"));
 }
 
+#[actix_rt::test]
+async fn check_warnings_fail_only_if_strict() {
+    let document = json!({ "rules": [
+        { "name": "r", "requests": "tier,!tier", "effect": "prefer" }
+    ] });
+    let output = call(&["lycheelatch", "check", "-"], &document.to_string()).await;
+    assert_eq!(output.code, Code::Done);
+    let warning = "warning: rules[r].requests matches nothing: its requirements exclude each other";
+    assert_eq!(output.stdout, format!("a configuration of 1 objects, no errors\n{warning}\n"));
+    let output = call(&["lycheelatch", "check", "--strict", "-"], &document.to_string()).await;
+    assert_eq!(output.code, Code::Invalid);
+    let args = ["lycheelatch", "-o", "json", "check", "-"];
+    let report: Value =
+        serde_json::from_str(&call(&args, &document.to_string()).await.stdout).unwrap();
+    assert_eq!(report["warnings"][0]["field"], "rules[r].requests");
+}
+
+#[actix_rt::test]
+async fn check_in_force_shows_differences() {
+    let server = OperatorServer::start();
+    let output = server.change(&["check", "--in-force", "-"], &service(1)).await;
+    assert_eq!(output.code, Code::Done, "{}", output.stderr);
+    assert!(output.stdout.ends_with("+ services[archeb-app]\n"), "{}", output.stdout);
+    server.change(&["apply", "-f", "-"], &service(1)).await;
+    let output = server.change(&["check", "--in-force", "-"], &service(1)).await;
+    assert!(output.stdout.ends_with("nothing differs from the configuration in force\n"));
+    server.handle.stop(false).await;
+}
+
 #[actix_rt::test]
 async fn check_settings_and_token_hashes() {
     let settings = |hash: &str| {
