policy: Decision and exposure gate of a roll-out

A new version is compared with the old one by e-values over the same window, by route and over all routes: failures, and responses more than twice as slow. The promotion waits until the bound of exposure holds even if all requests until the deadline go to the canary.

--- a/components/policy/src/rollout.rs
+++ b/components/policy/src/rollout.rs
@@ -4,10 +4,21 @@
 //! version, the canary the new one. Each node counts the responses of both by route; the counts
 //! of all nodes are added up.
 
+mod decision;
+mod fault;
+mod gate;
+mod sequential;
+
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
+pub use self::{
+    decision::{comparison_share, decide},
+    fault::FALSE_ALARM_RATE,
+    gate::{ExposureGate, loaded_canaries},
+};
+
 /// Upstreams of one version during a roll-out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Track {
--- /dev/null
+++ b/components/policy/src/rollout/decision.rs
@@ -0,0 +1,110 @@
+//! Decides the next step of a roll-out.
+
+use std::time::Duration;
+
+use super::{
+    RollbackReason, RolloutCounts, RolloutEvidence, RolloutLimits, RolloutPhase, RolloutStep,
+    fault::find_fault,
+};
+
+/// Part of the permitted exposure that is used for the comparison; the rest is left for the
+/// promotion, which sends all requests to the canary before the deadline.
+const COMPARISON_PART: f64 = 0.55;
+
+/// Part of the extra requests that is planned for; the rest is left for requests that a restarted
+/// node forgot, for retries, and for messages on their way.
+const PLANNED_EXTRA_PART: f64 = 0.5;
+
+/// Earliest time of the promotion before the deadline, as a divisor of the duration.
+const EARLIEST_PROMOTION: u32 = 10;
+
+/// Latest time of the promotion before the deadline, as a divisor of the duration.
+const LATEST_PROMOTION: u32 = 20;
+
+/// Time of the completion before the deadline, as a divisor of the duration.
+const COMPLETION_LEAD: u32 = 40;
+
+/// Attempts at the canary that must have ended before it is promoted, if the traffic allows.
+const MIN_ENDED: u32 = 5;
+
+/// Multiple of [`MIN_ENDED`] that the canary's share must amount to before their absence counts.
+const MIN_ENDED_MARGIN: f64 = 4.0;
+
+/// Returns the next step of a roll-out.
+///
+/// The phase only moves forward. With evidence of one node only, the result says what that node
+/// may do alone: it can take the version out, but must not promote it.
+pub fn decide(evidence: &RolloutEvidence, limits: &RolloutLimits) -> RolloutStep {
+    match evidence.phase {
+        RolloutPhase::Canary => decide_canary(evidence, limits),
+        RolloutPhase::Promoting => decide_promoting(evidence),
+        RolloutPhase::Completed => RolloutStep::Continue { canary_share: 1.0 },
+        RolloutPhase::RolledBack => RolloutStep::Continue { canary_share: 0.0 },
+    }
+}
+
+fn decide_canary(evidence: &RolloutEvidence, limits: &RolloutLimits) -> RolloutStep {
+    if let Some(reason) = find_fault(&evidence.counts, evidence.phase) {
+        return RolloutStep::RollBack(reason);
+    }
+    if !is_promotion_due(evidence, limits) {
+        return RolloutStep::Continue { canary_share: next_share(&evidence.counts, limits) };
+    }
+    if evidence.duration.is_zero() || lacks_evidence(&evidence.counts, limits) {
+        return RolloutStep::RollBack(RollbackReason::NotEnoughEvidence);
+    }
+    RolloutStep::Promote
+}
+
+fn decide_promoting(evidence: &RolloutEvidence) -> RolloutStep {
+    if let Some(reason) = find_fault(&evidence.counts, evidence.phase) {
+        return RolloutStep::RollBack(reason);
+    }
+    let left = evidence.duration.saturating_sub(evidence.since_order);
+    if left <= evidence.duration / COMPLETION_LEAD {
+        return RolloutStep::Complete;
+    }
+    RolloutStep::Continue { canary_share: 1.0 }
+}
+
+/// Returns the share of requests that the canary gets while it is compared.
+pub fn comparison_share(limits: &RolloutLimits) -> f64 {
+    let share = limits.max_exposure * COMPARISON_PART;
+    if share.is_finite() { share.clamp(0.0, 1.0) } else { 0.0 }
+}
+
+/// Returns the canary's share, which is 0 while it has got more than it may.
+fn next_share(counts: &RolloutCounts, limits: &RolloutLimits) -> f64 {
+    let permitted = limits.max_exposure * counts.sent as f64 + planned_extra(limits);
+    if counts.sent_to_canary as f64 > permitted { 0.0 } else { comparison_share(limits) }
+}
+
+/// Returns whether the bound is kept if all requests until the deadline go to the canary, or
+/// whether the promotion can't wait any longer.
+fn is_promotion_due(evidence: &RolloutEvidence, limits: &RolloutLimits) -> bool {
+    let left = evidence.duration.saturating_sub(evidence.since_order);
+    if left <= evidence.duration / LATEST_PROMOTION {
+        return true;
+    }
+    left <= evidence.duration / EARLIEST_PROMOTION && keeps_bound(evidence, limits, left)
+}
+
+fn keeps_bound(evidence: &RolloutEvidence, limits: &RolloutLimits, left: Duration) -> bool {
+    let sent = evidence.counts.sent as f64;
+    let rate = sent / evidence.since_order.as_secs_f64().max(f64::MIN_POSITIVE);
+    let to_come = rate * left.as_secs_f64();
+    let moved = f64::from(evidence.in_flight_at_stable);
+    let exposed = evidence.counts.sent_to_canary as f64 + to_come + moved;
+    exposed <= limits.max_exposure * (sent + to_come) + planned_extra(limits)
+}
+
+fn planned_extra(limits: &RolloutLimits) -> f64 {
+    f64::from(limits.extra_requests) * PLANNED_EXTRA_PART
+}
+
+/// Returns whether almost no attempt at the canary has ended although many should have.
+fn lacks_evidence(counts: &RolloutCounts, limits: &RolloutLimits) -> bool {
+    let ended: u32 = counts.routes.values().map(|route| route.canary.ended()).sum();
+    let expected = counts.sent as f64 * comparison_share(limits);
+    ended < MIN_ENDED && expected >= MIN_ENDED_MARGIN * f64::from(MIN_ENDED)
+}
--- /dev/null
+++ b/components/policy/src/rollout/fault.rs
@@ -0,0 +1,121 @@
+//! Finds out whether the canary is worse than the stable track.
+
+use super::{
+    LATENCY_CLASSES, RollbackReason, RolloutCounts, RolloutPhase, RouteCounts, TrackCounts,
+    sequential::{Comparison, Occurrences, log_excess, log_mean_exp, log_over_rate},
+};
+
+/// Probability with which a version that is as good as the old one is taken for a bad one during
+/// a whole roll-out, over all routes and tests.
+pub const FALSE_ALARM_RATE: f64 = 0.001;
+
+/// Rate of failures at the canary that is tolerated even if the stable track never fails.
+const TOLERATED_FAILURE_RATE: f64 = 0.02;
+
+/// Failure rates that are tested against the tolerated one.
+const FAILURE_RATES: [f64; 3] = [0.06, 0.2, 0.6];
+
+/// Share of slow responses at the canary that is tolerated even if the stable track has none.
+const TOLERATED_SLOW_SHARE: f64 = 0.05;
+
+/// Shares of slow responses that are tested against the tolerated one.
+const SLOW_SHARES: [f64; 3] = [0.15, 0.4, 0.9];
+
+/// Latency classes by which the canary may be slower: a factor of two.
+const TOLERATED_CLASSES: usize = 2;
+
+/// Factors by which events may be more frequent at a bad canary.
+const CANARY_RATIOS: [f64; 4] = [2.0, 4.0, 8.0, 16.0];
+
+/// The same while the stable track gets no new requests: what strikes both tracks then shows at
+/// the canary only, so that only a great difference counts.
+const PROMOTING_RATIOS: [f64; 2] = [8.0, 16.0];
+
+/// Returns why the canary is worse than the stable track, if it is.
+pub(super) fn find_fault(counts: &RolloutCounts, phase: RolloutPhase) -> Option<RollbackReason> {
+    let ratios: &[f64] =
+        if phase == RolloutPhase::Promoting { &PROMOTING_RATIOS } else { &CANARY_RATIOS };
+    let tests = 2.0 * (counts.routes.len() + 1) as f64;
+    let threshold = (tests / FALSE_ALARM_RATE).ln();
+    for (route, of_route) in &counts.routes {
+        let route = Some(route.clone());
+        if log_failures(&[of_route], ratios) >= threshold {
+            return Some(RollbackReason::Failures { route });
+        }
+        if log_slowness(&[of_route], ratios) >= threshold {
+            return Some(RollbackReason::Latency { route });
+        }
+    }
+    let routes: Vec<_> = counts.routes.values().collect();
+    if log_failures(&routes, ratios) >= threshold {
+        return Some(RollbackReason::Failures { route: None });
+    }
+    let is_slow = log_slowness(&routes, ratios) >= threshold;
+    is_slow.then_some(RollbackReason::Latency { route: None })
+}
+
+/// Returns the log e-value against "the canary doesn't fail more often than the stable track, or
+/// not more often than is tolerated".
+fn log_failures(routes: &[&RouteCounts], ratios: &[f64]) -> f64 {
+    let strata: Vec<_> = routes
+        .iter()
+        .map(|route| Comparison {
+            stable: route.stable.failures(),
+            canary: route.canary.failures(),
+        })
+        .collect();
+    log_evidence(&strata, ratios, TOLERATED_FAILURE_RATE, &FAILURE_RATES)
+}
+
+/// Returns the log e-value against "the canary is at most twice as slow as the stable track, or
+/// doesn't have more slow responses than are tolerated".
+///
+/// Each class is taken as the bound of slow responses in turn; the mean of the e-values is one.
+fn log_slowness(routes: &[&RouteCounts], ratios: &[f64]) -> f64 {
+    let of_class = |class: usize| {
+        let strata: Vec<_> = routes
+            .iter()
+            .map(|route| Comparison {
+                stable: route.stable.slower_than(class),
+                canary: route.canary.slower_than(class + TOLERATED_CLASSES),
+            })
+            .collect();
+        log_evidence(&strata, ratios, TOLERATED_SLOW_SHARE, &SLOW_SHARES)
+    };
+    log_mean_exp((0..LATENCY_CLASSES - 1 - TOLERATED_CLASSES).map(of_class))
+}
+
+/// Returns the log e-value against "events aren't more frequent at the canary, or not more
+/// frequent than `tolerated`".
+fn log_evidence(strata: &[Comparison], ratios: &[f64], tolerated: f64, rates: &[f64]) -> f64 {
+    let mut canary = Occurrences::default();
+    for stratum in strata {
+        canary.events += stratum.canary.events;
+        canary.requests += stratum.canary.requests;
+    }
+    if canary.events == 0 {
+        return f64::NEG_INFINITY;
+    }
+    log_excess(strata, ratios).min(log_over_rate(canary, tolerated, rates))
+}
+
+impl TrackCounts {
+    fn answers(&self) -> u32 {
+        self.answered.iter().sum()
+    }
+
+    /// Returns the number of attempts that ended.
+    pub fn ended(&self) -> u32 {
+        self.failed + self.answers()
+    }
+
+    fn failures(&self) -> Occurrences {
+        Occurrences { events: self.failed, requests: self.ended() }
+    }
+
+    /// Returns the responses above a class of latency.
+    fn slower_than(&self, class: usize) -> Occurrences {
+        let slow = self.answered.iter().skip(class + 1).sum();
+        Occurrences { events: slow, requests: self.answers() }
+    }
+}
