policy: Roll-outs judged by recent counts too, with measured error rates

Cause: responses from before a version turned bad hid that it is bad, and slow responses were counted only beyond one class more. Change: RolloutJudge tests the last quarter of the duration besides, the moment of the promotion has an error rate of its own (it can't be undone), and the comparison uses a part of the extra requests where traffic is thin.

--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -45,8 +45,9 @@
 pub use retry_budget::RetryBudget;
 pub use retry_detector::{Fingerprint, RetryDetector, fingerprint_home};
 pub use rollout::{
-    CanaryOutcome, ExposureGate, FALSE_ALARM_RATE, LATENCY_CLASSES, LatencyClass, RollbackReason,
-    RolloutCounts, RolloutEvidence, RolloutLimits, RolloutPhase, RolloutStep, RouteCounts, Track,
-    TrackCounts, comparison_share, decide as decide_rollout, loaded_canaries,
+    CanaryOutcome, ExposureGate, FALSE_ALARM_RATE, LATENCY_CLASSES, LatencyClass,
+    PROMOTION_FALSE_ALARM_RATE, RollbackReason, RolloutCounts, RolloutEvidence, RolloutJudge,
+    RolloutLimits, RolloutPhase, RolloutStep, RouteCounts, Track, TrackCounts,
+    decide as decide_rollout, loaded_canaries,
 };
 pub use upstream_limit::{HeardLimit, LimitSharers, UpstreamLimit};
--- a/components/policy/src/rollout.rs
+++ b/components/policy/src/rollout.rs
@@ -7,6 +7,7 @@
 mod decision;
 mod fault;
 mod gate;
+mod judge;
 mod sequential;
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
@@ -14,9 +15,10 @@
 use serde::{Deserialize, Serialize};
 
 pub use self::{
-    decision::{comparison_share, decide},
-    fault::FALSE_ALARM_RATE,
+    decision::decide,
+    fault::{FALSE_ALARM_RATE, PROMOTION_FALSE_ALARM_RATE},
     gate::{ExposureGate, loaded_canaries},
+    judge::RolloutJudge,
 };
 
 /// Upstreams of one version during a roll-out.
--- a/components/policy/src/rollout/decision.rs
+++ b/components/policy/src/rollout/decision.rs
@@ -4,14 +4,20 @@
 
 use super::{
     RollbackReason, RolloutCounts, RolloutEvidence, RolloutLimits, RolloutPhase, RolloutStep,
-    fault::find_fault,
+    fault::{FALSE_ALARM_RATE, PROMOTION_FALSE_ALARM_RATE, find_fault},
 };
 
 /// Part of the permitted exposure that is used for the comparison; the rest is left for the
 /// promotion, which sends all requests to the canary before the deadline.
-const COMPARISON_PART: f64 = 0.55;
+const COMPARISON_PART: f64 = 0.5;
 
-/// Part of the extra requests that is planned for; the rest is left for requests that a restarted
+/// Part of the extra requests that is used for the comparison, where few requests are expected.
+const COMPARISON_EXTRA_PART: f64 = 0.3;
+
+/// Maximum part of the permitted exposure that these extra requests add to the comparison.
+const MAX_COMPARISON_EXTRA: f64 = 0.3;
+
+/// Part of the extra requests that is planned for altogether; the rest is left for requests that a restarted
 /// node forgot, for retries, and for messages on their way.
 const PLANNED_EXTRA_PART: f64 = 0.5;
 
@@ -22,7 +28,7 @@
 const LATEST_PROMOTION: u32 = 20;
 
 /// Time of the completion before the deadline, as a divisor of the duration.
-const COMPLETION_LEAD: u32 = 40;
+const COMPLETION_LEAD: u32 = 30;
 
 /// Attempts at the canary that must have ended before it is promoted, if the traffic allows.
 const MIN_ENDED: u32 = 5;
@@ -35,48 +41,83 @@
 /// The phase only moves forward. With evidence of one node only, the result says what that node
 /// may do alone: it can take the version out, but must not promote it.
 pub fn decide(evidence: &RolloutEvidence, limits: &RolloutLimits) -> RolloutStep {
+    decide_with_recent(evidence, None, limits)
+}
+
+/// Returns the next step of a roll-out; `recent` are the latest of its counts.
+pub(super) fn decide_with_recent(
+    evidence: &RolloutEvidence,
+    recent: Option<&RolloutCounts>,
+    limits: &RolloutLimits,
+) -> RolloutStep {
+    let find = |error_rate| {
+        let find = |counts| find_fault(counts, evidence.phase, error_rate);
+        find(&evidence.counts).or_else(|| recent.and_then(find))
+    };
     match evidence.phase {
-        RolloutPhase::Canary => decide_canary(evidence, limits),
-        RolloutPhase::Promoting => decide_promoting(evidence),
+        RolloutPhase::Canary => decide_canary(evidence, limits, find),
+        RolloutPhase::Promoting => decide_promoting(evidence, limits, find),
         RolloutPhase::Completed => RolloutStep::Continue { canary_share: 1.0 },
         RolloutPhase::RolledBack => RolloutStep::Continue { canary_share: 0.0 },
     }
 }
 
-fn decide_canary(evidence: &RolloutEvidence, limits: &RolloutLimits) -> RolloutStep {
-    if let Some(reason) = find_fault(&evidence.counts, evidence.phase) {
+fn decide_canary(
+    evidence: &RolloutEvidence,
+    limits: &RolloutLimits,
+    find_fault: impl Fn(f64) -> Option<RollbackReason>,
+) -> RolloutStep {
+    if let Some(reason) = find_fault(FALSE_ALARM_RATE) {
         return RolloutStep::RollBack(reason);
     }
     if !is_promotion_due(evidence, limits) {
-        return RolloutStep::Continue { canary_share: next_share(&evidence.counts, limits) };
+        return RolloutStep::Continue { canary_share: next_share(evidence, limits) };
     }
-    if evidence.duration.is_zero() || lacks_evidence(&evidence.counts, limits) {
+    if evidence.duration.is_zero() || lacks_evidence(evidence, limits) {
         return RolloutStep::RollBack(RollbackReason::NotEnoughEvidence);
     }
-    RolloutStep::Promote
+    match find_fault(PROMOTION_FALSE_ALARM_RATE) {
+        Some(reason) => RolloutStep::RollBack(reason),
+        None => RolloutStep::Promote,
+    }
 }
 
-fn decide_promoting(evidence: &RolloutEvidence) -> RolloutStep {
-    if let Some(reason) = find_fault(&evidence.counts, evidence.phase) {
+fn decide_promoting(
+    evidence: &RolloutEvidence,
+    limits: &RolloutLimits,
+    find_fault: impl Fn(f64) -> Option<RollbackReason>,
+) -> RolloutStep {
+    if let Some(reason) = find_fault(FALSE_ALARM_RATE) {
         return RolloutStep::RollBack(reason);
     }
     let left = evidence.duration.saturating_sub(evidence.since_order);
     if left <= evidence.duration / COMPLETION_LEAD {
         return RolloutStep::Complete;
     }
-    RolloutStep::Continue { canary_share: 1.0 }
+    // The stable track still runs: it takes over again if more requests came than were expected.
+    let counts = &evidence.counts;
+    let permitted = limits.max_exposure * counts.sent as f64 + f64::from(limits.extra_requests);
+    let is_within = counts.sent_to_canary as f64 <= permitted;
+    let canary_share = if is_within { 1.0 } else { comparison_share(evidence, limits) };
+    RolloutStep::Continue { canary_share }
 }
 
 /// Returns the share of requests that the canary gets while it is compared.
-pub fn comparison_share(limits: &RolloutLimits) -> f64 {
-    let share = limits.max_exposure * COMPARISON_PART;
+fn comparison_share(evidence: &RolloutEvidence, limits: &RolloutLimits) -> f64 {
+    let elapsed = evidence.since_order.as_secs_f64().max(f64::MIN_POSITIVE);
+    let expected = evidence.counts.sent as f64 * evidence.duration.as_secs_f64() / elapsed;
+    let extra = f64::from(limits.extra_requests) * COMPARISON_EXTRA_PART / expected.max(1.0);
+    let extra = extra.min(limits.max_exposure * MAX_COMPARISON_EXTRA);
+    let share = limits.max_exposure * COMPARISON_PART + extra;
     if share.is_finite() { share.clamp(0.0, 1.0) } else { 0.0 }
 }
 
 /// Returns the canary's share, which is 0 while it has got more than it may.
-fn next_share(counts: &RolloutCounts, limits: &RolloutLimits) -> f64 {
+fn next_share(evidence: &RolloutEvidence, limits: &RolloutLimits) -> f64 {
+    let counts = &evidence.counts;
     let permitted = limits.max_exposure * counts.sent as f64 + planned_extra(limits);
-    if counts.sent_to_canary as f64 > permitted { 0.0 } else { comparison_share(limits) }
+    let is_over = counts.sent_to_canary as f64 > permitted;
+    if is_over { 0.0 } else { comparison_share(evidence, limits) }
 }
 
 /// Returns whether the bound is kept if all requests until the deadline go to the canary, or
@@ -103,8 +144,9 @@
 }
 
 /// Returns whether almost no attempt at the canary has ended although many should have.
-fn lacks_evidence(counts: &RolloutCounts, limits: &RolloutLimits) -> bool {
+fn lacks_evidence(evidence: &RolloutEvidence, limits: &RolloutLimits) -> bool {
+    let counts = &evidence.counts;
     let ended: u32 = counts.routes.values().map(|route| route.canary.ended()).sum();
-    let expected = counts.sent as f64 * comparison_share(limits);
+    let expected = counts.sent as f64 * comparison_share(evidence, limits);
     ended < MIN_ENDED && expected >= MIN_ENDED_MARGIN * f64::from(MIN_ENDED)
 }
--- a/components/policy/src/rollout/fault.rs
+++ b/components/policy/src/rollout/fault.rs
@@ -5,9 +5,12 @@
     sequential::{Comparison, Occurrences, log_excess, log_mean_exp, log_over_rate},
 };
 
-/// Probability with which a version that is as good as the old one is taken for a bad one during
-/// a whole roll-out, over all routes and tests.
-pub const FALSE_ALARM_RATE: f64 = 0.001;
+/// Probability with which a version that is as good as the old one is taken for a bad one at any
+/// time during a roll-out, over all routes and tests.
+pub const FALSE_ALARM_RATE: f64 = 0.005;
+
+/// The same for the moment before the promotion, which can't be undone.
+pub const PROMOTION_FALSE_ALARM_RATE: f64 = 0.05;
 
 /// Rate of failures at the canary that is tolerated even if the stable track never fails.
 const TOLERATED_FAILURE_RATE: f64 = 0.02;
@@ -21,36 +24,47 @@
 /// Shares of slow responses that are tested against the tolerated one.
 const SLOW_SHARES: [f64; 3] = [0.15, 0.4, 0.9];
 
-/// Latency classes by which the canary may be slower: a factor of two.
-const TOLERATED_CLASSES: usize = 2;
+/// Latency classes by which the canary may be slower: a factor of the square root of 2.
+const TOLERATED_CLASSES: usize = 0;
+
+/// Factors by which failures may be more frequent at a bad canary.
+const FAILURE_RATIOS: [f64; 4] = [2.0, 4.0, 8.0, 16.0];
 
-/// Factors by which events may be more frequent at a bad canary.
-const CANARY_RATIOS: [f64; 4] = [2.0, 4.0, 8.0, 16.0];
+/// Factors by which slow responses may be more frequent at a bad canary.
+const SLOW_RATIOS: [f64; 3] = [3.0, 6.0, 12.0];
 
-/// The same while the stable track gets no new requests: what strikes both tracks then shows at
+/// Both factors while the stable track gets no new requests: what strikes both tracks then shows at
 /// the canary only, so that only a great difference counts.
 const PROMOTING_RATIOS: [f64; 2] = [8.0, 16.0];
 
 /// Returns why the canary is worse than the stable track, if it is.
-pub(super) fn find_fault(counts: &RolloutCounts, phase: RolloutPhase) -> Option<RollbackReason> {
-    let ratios: &[f64] =
-        if phase == RolloutPhase::Promoting { &PROMOTING_RATIOS } else { &CANARY_RATIOS };
+///
+/// `error_rate` is the probability of a reason where it is as good.
+pub(super) fn find_fault(
+    counts: &RolloutCounts,
+    phase: RolloutPhase,
+    error_rate: f64,
+) -> Option<RollbackReason> {
+    let (of_failures, of_slow): (&[f64], &[f64]) = match phase {
+        RolloutPhase::Promoting => (&PROMOTING_RATIOS, &PROMOTING_RATIOS),
+        _ => (&FAILURE_RATIOS, &SLOW_RATIOS),
+    };
     let tests = 2.0 * (counts.routes.len() + 1) as f64;
-    let threshold = (tests / FALSE_ALARM_RATE).ln();
+    let threshold = (tests / error_rate).ln();
     for (route, of_route) in &counts.routes {
         let route = Some(route.clone());
-        if log_failures(&[of_route], ratios) >= threshold {
+        if log_failures(&[of_route], of_failures) >= threshold {
             return Some(RollbackReason::Failures { route });
         }
-        if log_slowness(&[of_route], ratios) >= threshold {
+        if log_slowness(&[of_route], of_slow) >= threshold {
             return Some(RollbackReason::Latency { route });
         }
     }
     let routes: Vec<_> = counts.routes.values().collect();
-    if log_failures(&routes, ratios) >= threshold {
+    if log_failures(&routes, of_failures) >= threshold {
         return Some(RollbackReason::Failures { route: None });
     }
-    let is_slow = log_slowness(&routes, ratios) >= threshold;
+    let is_slow = log_slowness(&routes, of_slow) >= threshold;
     is_slow.then_some(RollbackReason::Latency { route: None })
 }
 
@@ -67,7 +81,7 @@
     log_evidence(&strata, ratios, TOLERATED_FAILURE_RATE, &FAILURE_RATES)
 }
 
-/// Returns the log e-value against "the canary is at most twice as slow as the stable track, or
+/// Returns the log e-value against "the canary is at most slower than the stable track by a class, or
 /// doesn't have more slow responses than are tolerated".
 ///
 /// Each class is taken as the bound of slow responses in turn; the mean of the e-values is one.
--- a/components/policy/tests/support/mod.rs
+++ b/components/policy/tests/support/mod.rs
@@ -5,3 +5,4 @@
 pub mod fleet;
 pub mod overload;
 pub mod recompute;
+pub mod rollout;
