cli: lycheelatch rollout list, show and explain; policy: A node's own verdict

The subcommands read nodes' logs as explain does. A node that judges by its own counts has an error rate of its own, since hundreds of nodes may ask (find_fault_alone).

--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -45,9 +45,9 @@
 pub use retry_budget::RetryBudget;
 pub use retry_detector::{Fingerprint, RetryDetector, fingerprint_home};
 pub use rollout::{
-    CanaryOutcome, ExposureGate, FALSE_ALARM_RATE, LATENCY_CLASSES, LatencyClass,
-    PROMOTION_FALSE_ALARM_RATE, RollbackReason, RolloutCounts, RolloutEvidence, RolloutJudge,
-    RolloutLimits, RolloutPhase, RolloutStep, RouteCounts, Track, TrackCounts,
-    decide as decide_rollout, loaded_canaries,
+    ALONE_FALSE_ALARM_RATE, CanaryOutcome, ExposureGate, FALSE_ALARM_RATE, LATENCY_CLASSES,
+    LatencyClass, PROMOTION_FALSE_ALARM_RATE, RollbackReason, RolloutCounts, RolloutEvidence,
+    RolloutJudge, RolloutLimits, RolloutPhase, RolloutStep, RouteCounts, Track, TrackCounts,
+    decide as decide_rollout, find_fault_alone, loaded_canaries,
 };
 pub use upstream_limit::{HeardLimit, LimitSharers, UpstreamLimit};
--- a/components/policy/src/rollout.rs
+++ b/components/policy/src/rollout.rs
@@ -15,8 +15,8 @@
 use serde::{Deserialize, Serialize};
 
 pub use self::{
-    decision::decide,
-    fault::{FALSE_ALARM_RATE, PROMOTION_FALSE_ALARM_RATE},
+    decision::{decide, find_fault_alone},
+    fault::{ALONE_FALSE_ALARM_RATE, FALSE_ALARM_RATE, PROMOTION_FALSE_ALARM_RATE},
     gate::{ExposureGate, loaded_canaries},
     judge::RolloutJudge,
 };
@@ -91,6 +91,7 @@
 
 /// Progress of a roll-out; only forward steps are possible.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum RolloutPhase {
     /// The canary gets a share of the requests.
     Canary,
@@ -135,6 +136,7 @@
 
 /// Why a roll-out is rolled back.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum RollbackReason {
     /// The canary fails more often than the stable track.
     Failures {
--- a/components/policy/src/rollout/decision.rs
+++ b/components/policy/src/rollout/decision.rs
@@ -4,7 +4,7 @@
 
 use super::{
     RollbackReason, RolloutCounts, RolloutEvidence, RolloutLimits, RolloutPhase, RolloutStep,
-    fault::{FALSE_ALARM_RATE, PROMOTION_FALSE_ALARM_RATE, find_fault},
+    fault::{ALONE_FALSE_ALARM_RATE, FALSE_ALARM_RATE, PROMOTION_FALSE_ALARM_RATE, find_fault},
 };
 
 /// Part of the permitted exposure that is used for the comparison; the rest is left for the
@@ -38,12 +38,24 @@
 
 /// Returns the next step of a roll-out.
 ///
-/// The phase only moves forward. With evidence of one node only, the result says what that node
-/// may do alone: it can take the version out, but must not promote it.
+/// The phase only moves forward. The evidence must be that of all nodes; a node that has only its
+/// own asks [`find_fault_alone`].
 pub fn decide(evidence: &RolloutEvidence, limits: &RolloutLimits) -> RolloutStep {
     decide_with_recent(evidence, None, limits)
 }
 
+/// Returns why a node must send nothing more to the canary by its own counts alone.
+///
+/// All nodes may ask this, so that the error rate of each one is smaller than that of [`decide`].
+pub fn find_fault_alone(counts: &RolloutCounts, phase: RolloutPhase) -> Option<RollbackReason> {
+    match phase {
+        RolloutPhase::Canary | RolloutPhase::Promoting => {
+            find_fault(counts, phase, ALONE_FALSE_ALARM_RATE)
+        }
+        RolloutPhase::Completed | RolloutPhase::RolledBack => None,
+    }
+}
+
 /// Returns the next step of a roll-out; `recent` are the latest of its counts.
 pub(super) fn decide_with_recent(
     evidence: &RolloutEvidence,
--- a/components/policy/src/rollout/fault.rs
+++ b/components/policy/src/rollout/fault.rs
@@ -12,6 +12,9 @@
 /// The same for the moment before the promotion, which can't be undone.
 pub const PROMOTION_FALSE_ALARM_RATE: f64 = 0.05;
 
+/// The same for a node that judges by its own counts, as each of hundreds may.
+pub const ALONE_FALSE_ALARM_RATE: f64 = 0.00001;
+
 /// Rate of failures at the canary that is tolerated even if the stable track never fails.
 const TOLERATED_FAILURE_RATE: f64 = 0.02;
 
--- a/components/policy/tests/rollout.rs
+++ b/components/policy/tests/rollout.rs
@@ -6,7 +6,7 @@
 
 use lycheelatch_policy::{
     ExposureGate, RollbackReason, RolloutCounts, RolloutEvidence, RolloutPhase, RolloutStep,
-    decide_rollout, loaded_canaries,
+    decide_rollout, find_fault_alone, loaded_canaries,
 };
 use proptest::prelude::*;
 use support::rollout::{Fault, Setup, counts, limits, play, route_name};
@@ -149,6 +149,17 @@
     }
 }
 
+#[test]
+fn find_fault_alone_only_clear_faults() {
+    let phase = RolloutPhase::Canary;
+    assert_eq!(find_fault_alone(&counts((40, 1), (4, 2)), phase), None);
+    assert_eq!(find_fault_alone(&counts((40, 40), (4, 4)), phase), None);
+    let clear = counts((300, 1), (30, 12));
+    let failures = RollbackReason::Failures { route: Some(route_name(0)) };
+    assert_eq!(find_fault_alone(&clear, phase), Some(failures));
+    assert_eq!(find_fault_alone(&clear, RolloutPhase::Completed), None);
+}
+
 #[test]
 fn admit_few_requests_a_node_keep_the_share() {
     let mut to_canary = 0;
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -32,6 +32,7 @@
                 .about("Reads a token from the standard input and shows its salted hash"),
             Command::new("version").about("Shows the version of this program and of the node"),
             explain(),
+            rollout(),
             completions(),
         ])
 }
@@ -243,13 +244,7 @@
     Command::new("explain")
         .about("Shows the life of one request out of nodes' logs")
         .arg(Arg::new("request").value_name("REQUEST").required(true).help("Id of the request"))
-        .arg(
-            Arg::new("file")
-                .value_name("FILE")
-                .value_hint(ValueHint::FilePath)
-                .num_args(0..)
-                .help("Logs of any number of nodes; without one, the standard input"),
-        )
+        .arg(logs_arg())
         .arg(
             Arg::new("why")
                 .long("why")
@@ -258,6 +253,31 @@
         )
 }
 
+fn logs_arg() -> Arg {
+    Arg::new("file")
+        .value_name("FILE")
+        .value_hint(ValueHint::FilePath)
+        .num_args(0..)
+        .help("Logs of any number of nodes; without one, the standard input")
+}
+
+fn rollout() -> Command {
+    let service = || Arg::new("service").value_name("SERVICE").required(true);
+    Command::new("rollout")
+        .about("Shows the latest roll-outs out of nodes' logs")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommands([
+            Command::new("list").about("Lists the services and their roll-outs").arg(logs_arg()),
+            Command::new("show")
+                .about("Shows the state of a service's roll-out, with counts by version")
+                .args([service().help("Name of the service"), logs_arg()]),
+            Command::new("explain")
+                .about("Shows the course of a service's roll-out and why it ended so")
+                .args([service().help("Name of the service"), logs_arg()]),
+        ])
+}
+
 fn completions() -> Command {
     Command::new("completions")
         .about("Writes completions for a shell")
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -11,6 +11,7 @@
 mod get;
 mod hash_token;
 mod history;
+mod rollout;
 mod route;
 mod status;
 mod version;
@@ -43,6 +44,7 @@
         Some(("drain", args)) => drain::run(args).await,
         Some(("check", args)) => check::run(args, stdin),
         Some(("explain", args)) => explain::run(args, stdin),
+        Some(("rollout", args)) => rollout::run(args, stdin),
         Some(("hash-token", args)) => hash_token::run(args, stdin),
         Some(("version", args)) => version::run(args).await,
         Some(("completions", args)) => Ok(completions::run(args)),
--- a/src/error.rs
+++ b/src/error.rs
@@ -67,6 +67,11 @@
         /// Id of the request.
         request: String,
     },
+    /// no line about a roll-out of service {service} in the logs
+    NoRollout {
+        /// Name of the service.
+        service: String,
+    },
     /// no server is given: use --server, LYCHEELATCH_SERVER or a settings file
     NoServer,
     /// no token is given: use LYCHEELATCH_TOKEN, --token-file or a settings file
@@ -113,7 +118,7 @@
             CliError::Send { .. } => Code::Unavailable,
             CliError::Problem(problem) => exit_code_for(problem.kind),
             CliError::OutcomeUnknown { .. } => Code::OutcomeUnknown,
-            CliError::NotInLogs { .. } => Code::NotFound,
+            CliError::NotInLogs { .. } | CliError::NoRollout { .. } => Code::NotFound,
         }
     }
 
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -446,3 +446,70 @@
 fn explain_unknown_request_is_not_found() {
     assert_eq!(explain(&["id-9"]).code, Code::NotFound);
 }
+
+/// Log lines on two roll-outs: one by two leaders and a node alone, and a rejected one.
+const ROLLOUT_LOG: &str = r#"x {"time_ms":1000,"event":"rollout_ordered","service":"looms","to":"v2","duration_ms":12000,"order":41}
+x {"time_ms":1010,"event":"rollout_ordered","service":"looms","to":"v2","duration_ms":12000,"order":41}
+x {"time_ms":500,"event":"rollout_step","service":"looms","to":"v1","phase":"completed","canary_share":1.0,"sent":9000,"sent_to_canary":700,"failed_stable":1,"failed_canary":1,"answered_stable":8299,"answered_canary":699,"reason":null,"since_order_ms":11600}
+x {"time_ms":1200,"event":"rollout_step","service":"looms","to":"v2","phase":"canary","canary_share":0.08,"sent":60,"sent_to_canary":3,"failed_stable":0,"failed_canary":0,"answered_stable":57,"answered_canary":3,"reason":null,"since_order_ms":200}
+x {"time_ms":4000,"event":"rollout_step","service":"looms","to":"v2","phase":"rolled_back","canary_share":0.0,"sent":900,"sent_to_canary":48,"failed_stable":3,"failed_canary":14,"answered_stable":849,"answered_canary":34,"reason":{"failures":{"route":"orders"}},"since_order_ms":3000}
+x {"time_ms":4050,"event":"rollout_step","service":"looms","to":"v2","phase":"canary","canary_share":0.05,"sent":40,"sent_to_canary":9,"failed_stable":0,"failed_canary":7,"answered_stable":31,"answered_canary":2,"reason":{"failures":{"route":null}},"since_order_ms":3050}
+x {"time_ms":2000,"event":"rollout_rejected","service":"sheds","reason":"service: is not in the configuration"}
+x {"time_ms":2000,"event":"rollout_step","service":"broken"}
+"#;
+
+fn rollout(args: &[&str]) -> Output {
+    let matches = command().get_matches_from([&["lycheelatch"], args].concat());
+    actix_web::rt::System::new().block_on(run(&matches, &mut Cursor::new(ROLLOUT_LOG)))
+}
+
+#[test]
+fn rollout_list_latest_of_each_service() {
+    let output = rollout(&["rollout", "list"]);
+    assert_eq!(output.code, Code::Done, "{}", output.stderr);
+    let lines: Vec<Vec<_>> =
+        output.stdout.lines().map(|line| line.split_whitespace().collect()).collect();
+    assert_eq!(lines.len(), 3, "{}", output.stdout);
+    assert_eq!(lines[1], ["looms", "v2", "rolled", "back", "0.0%", "900", "48", "3000", "ms"]);
+    assert_eq!(lines[2], ["sheds", "-", "rejected", "-", "-", "-", "-"]);
+}
+
+#[test]
+fn rollout_show_counts_by_version() {
+    let output = rollout(&["rollout", "show", "looms"]);
+    assert!(output.stdout.starts_with("looms to v2: rolled back\n"), "{}", output.stdout);
+    assert!(output.stdout.contains("more often than the old one on route orders"));
+    let last: Vec<_> = output.stdout.lines().last().unwrap().split_whitespace().collect();
+    assert_eq!(last, ["v2", "48", "34", "14"]);
+}
+
+#[test]
+fn rollout_show_json() {
+    let output = rollout(&["--output", "json", "rollout", "show", "looms"]);
+    let state: Value = serde_json::from_str(&output.stdout).unwrap();
+    assert_eq!(state["state"], "rolled back");
+    assert_eq!(state["step"]["sent_to_canary"], 48);
+    assert_eq!(state["step"]["reason"], json!({"failures": {"route": "orders"}}));
+}
+
+#[test]
+fn rollout_explain_course_and_cause() {
+    let output = rollout(&["rollout", "explain", "looms"]);
+    let lines: Vec<_> = output.stdout.lines().collect();
+    assert_eq!(lines.len(), 5, "{}", output.stdout);
+    assert!(lines[0].starts_with("+0 ms: version v2 ordered within 12000 ms"), "{}", lines[0]);
+    assert!(lines[2].starts_with("+3000 ms: rolled back"), "{}", lines[2]);
+    assert_eq!(lines[4], "cause: it fails more often than the old one on route orders");
+    let rejected = rollout(&["rollout", "explain", "sheds"]);
+    assert!(rejected.stdout.ends_with("cause: service: is not in the configuration\n"));
+}
+
+#[test]
+fn rollout_unknown_service_is_not_found() {
+    let output = rollout(&["rollout", "show", "nets"]);
+    assert_eq!(output.code, Code::NotFound);
+    assert_eq!(
+        output.stderr,
+        "lycheelatch: no line about a roll-out of service nets in the logs\n"
+    );
+}
