--- a/src/cmd/rollout.rs
+++ b/src/cmd/rollout.rs
@@ -165,7 +165,7 @@
         })
     };
     let most = steps().map(|step| step.sent).max().unwrap_or(0);
-    let step = steps().filter(|step| step.sent >= most / 2).next_back().cloned();
+    let step = steps().rfind(|step| step.sent >= most / 2).cloned();
     let rejected = lines.iter().rev().find_map(|line| match &line.event {
         Event::Rejected { reason } => Some(reason.clone()),
         Event::Ordered { .. } | Event::Step(_) => None,
