--- a/components/policy/src/rollout.rs
+++ b/components/policy/src/rollout.rs
@@ -4,10 +4,23 @@
 //! version, the canary the new one. Each node counts the responses of both by route; the counts
 //! of all nodes are added up.
 
+mod decision;
+mod fault;
+mod gate;
+mod judge;
+mod sequential;
+
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
+pub use self::{
+    decision::{decide, find_fault_alone},
+    fault::{ALONE_FALSE_ALARM_RATE, FALSE_ALARM_RATE, PROMOTION_FALSE_ALARM_RATE},
+    gate::{ExposureGate, loaded_canaries},
+    judge::RolloutJudge,
+};
+
 /// Upstreams of one version during a roll-out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Track {
@@ -78,6 +91,7 @@
 
 /// Progress of a roll-out; only forward steps are possible.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum RolloutPhase {
     /// The canary gets a share of the requests.
     Canary,
@@ -122,6 +136,7 @@
 
 /// Why a roll-out is rolled back.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum RollbackReason {
     /// The canary fails more often than the stable track.
     Failures {
