gateway, platform: Roll-outs in the running nodes

Change: orders and statuses come with the watch of the store and the exchanged views; upstreams name their version. Nodes count attempts by route and track and tell them in the digests; the leader decides by the policy, tells the phase and the canary's share, and writes the status by conditional commits. Placement, retries, resumed streams and replacements keep to the permitted track; scaling leaves a service alone while an order runs.

--- a/components/gateway/src/decision.rs
+++ b/components/gateway/src/decision.rs
@@ -7,6 +7,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use lycheelatch_policy::{RollbackReason, RolloutCounts, RolloutPhase, RouteCounts};
 use lycheelatch_prelude::{ServiceName, UpstreamId, WorkspaceName, ZoneName};
 use prometheus::{IntCounterVec, Opts};
 use serde::Serialize;
@@ -299,6 +300,48 @@
     #[serde(rename = "clock_set")]
     #[strum(serialize = "clock_set")]
     ClockAdjusted { from_ms: u64, to_ms: u64 },
+    /// An operator ordered a roll-out.
+    RolloutOrdered { service: &'a ServiceName, to: &'a str, duration_ms: u64, order: u64 },
+    /// A roll-out goes on with another phase or share.
+    RolloutStep {
+        service: &'a ServiceName,
+        to: &'a str,
+        phase: RolloutPhase,
+        canary_share: f64,
+        #[serde(flatten)]
+        counts: RolloutCountsLine,
+        reason: Option<&'a RollbackReason>,
+        since_order_ms: u64,
+    },
+    /// The order of a roll-out can't be carried out.
+    RolloutRejected { service: &'a ServiceName, reason: &'a str },
+}
+
+/// Counts of a roll-out over all routes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub(crate) struct RolloutCountsLine {
+    pub(crate) sent: u64,
+    pub(crate) sent_to_canary: u64,
+    pub(crate) failed_stable: u64,
+    pub(crate) failed_canary: u64,
+    pub(crate) answered_stable: u64,
+    pub(crate) answered_canary: u64,
+}
+
+impl From<&RolloutCounts> for RolloutCountsLine {
+    fn from(counts: &RolloutCounts) -> RolloutCountsLine {
+        let sum = |count: fn(&RouteCounts) -> u32| {
+            counts.routes.values().map(|route| u64::from(count(route))).sum()
+        };
+        RolloutCountsLine {
+            sent: counts.sent,
+            sent_to_canary: counts.sent_to_canary,
+            failed_stable: sum(|route| route.stable.failed),
+            failed_canary: sum(|route| route.canary.failed),
+            answered_stable: sum(|route| route.stable.answered.iter().sum()),
+            answered_canary: sum(|route| route.canary.answered.iter().sum()),
+        }
+    }
 }
 
 /// Counts all events by kind, including those that exceeded the rate limit and were not logged.
--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -5,6 +5,7 @@
     collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 
@@ -42,6 +43,8 @@
     pub shutdown_in: Option<Duration>,
     /// Start of this incarnation, in milliseconds since the Unix epoch.
     pub started_at_ms: Option<u64>,
+    /// Version of the service that it runs, if it names one.
+    pub version: Option<Arc<str>>,
 }
 
 /// One upstream.
@@ -200,4 +203,5 @@
     current.address == entry.address
         && current.service == entry.service
         && current.started_at_ms == entry.started_at_ms
+        && current.version == entry.version
 }
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -11,8 +11,9 @@
     crash_evidence::{Trial, check_request},
     decision::Reason,
     local_response::LocalResponse,
-    place::{Placement, PlacementError, PlacementRequest, place},
+    place::{Placement, PlacementError, PlacementRequest},
     relay::{EventRelay, LargeBodyRelay},
+    rollout_placement::place_permitted,
     send::{BufferedResponse, Failure, StartedStream, UpstreamResponse, send},
     serve::RequestContext,
     upstream_limits::{WithinLimits, within_limits},
@@ -201,7 +202,7 @@
         time_to_target: late.saturating_duration_since(now),
         priority: cx.priority(),
     };
-    place(&req, &candidates, now, rand::random()).map_err(|none| {
+    place_permitted(&cx.gateway, &req, candidates, now, rand::random()).map_err(|none| {
         cx.gateway.count_rejected(&cx.service.name);
         let after = match none {
             PlacementError::NoUpstream => next,
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -25,6 +25,7 @@
     quota::{self, ProcessAge, ReportedUsage, SlidingCounter},
     resend::ResendTimes,
     retry_budget::RetryBudget,
+    rollouts::Rollouts,
     schedule,
     stop_schedule::StopSchedule,
     usage::{Usage, UsageWindow},
@@ -64,6 +65,7 @@
     /// Whether this node holds the leader lease.
     pub(crate) is_leader: Cell<bool>,
     pub(crate) datagrams: OnceCell<Rc<UdpSocket>>,
+    pub(crate) rollouts: RefCell<Rollouts>,
     pub(crate) demand: RefCell<BTreeMap<ServiceName, Demand>>,
     speeds: RefCell<HashMap<ServiceName, EngineSpeed>>,
     table: RefCell<Option<Rc<RoutingTable>>>,
@@ -128,6 +130,7 @@
     ) -> Gateway {
         let node = settings.node.as_str().into();
         let reloaded = ReloadableSettings::from(&settings);
+        let rollouts = Rollouts::new(settings.rollout);
         Gateway {
             usage: RefCell::new(Usage::new(settings.usage_window)),
             peers: RefCell::new(PeerTable::new(settings.node.clone())),
@@ -146,6 +149,7 @@
             refused_parts: RefCell::default(),
             is_leader: Cell::new(false),
             datagrams: OnceCell::new(),
+            rollouts: RefCell::new(rollouts),
             demand: RefCell::default(),
             speeds: RefCell::default(),
             table: RefCell::default(),
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -95,7 +95,7 @@
     }
 
     async fn send(&self, digest: Digest, targets: &[SocketAddr]) {
-        send(&self.socket, &Datagram::State(digest), targets).await;
+        send(&self.socket, &Datagram::State(Box::new(digest)), targets).await;
     }
 
     /// Returns a digest with the prompts of the last rounds.
@@ -244,6 +244,11 @@
         departures: gateway.departures.borrow_mut().announcement(Instant::now()),
         crash_evidence: gateway.crash_suspects.borrow().fingerprint(),
         limits: gateway.limits_fingerprint.get(),
+        rollouts: gateway.rollout_reports(Instant::now()),
+        rollout_notices: match gateway.is_leader.get() {
+            true => gateway.rollouts.borrow().notices(Instant::now()),
+            false => Vec::new(),
+        },
     }
 }
 
@@ -275,7 +280,7 @@
 
 fn handle_datagram(gateway: &Gateway, from: SocketAddr, bytes: &[u8]) {
     match postcard::from_bytes::<Datagram>(bytes) {
-        Ok(Datagram::State(digest)) => handle_state(gateway, from, digest),
+        Ok(Datagram::State(digest)) => handle_state(gateway, from, *digest),
         Ok(Datagram::Sent(notice)) => handle_sent(gateway, notice),
         Ok(Datagram::Absent(upstream)) => handle_absent(gateway, &upstream),
         Ok(Datagram::Limits(notices)) => handle_limits(gateway, &notices),
@@ -297,6 +302,7 @@
     apply_departures(gateway, &digest.departures, now);
     repair_evidence(gateway, from, digest.crash_evidence, now);
     repair_limits(gateway, from, digest.limits, now);
+    gateway.apply_rollouts(&digest, now);
     if !gateway.peers.borrow_mut().record_digest(from, digest, now, gateway.clock.since_boot()) {
         return;
     }
--- a/components/gateway/src/gossip/tests.rs
+++ b/components/gateway/src/gossip/tests.rs
@@ -73,7 +73,7 @@
     let load =
         UpstreamLoad { upstream, requests: u32::MAX, prefill_tokens: u64::MAX, memory_tokens: 9 };
     hostile.upstreams = vec![load.clone(); 3];
-    let valid = postcard::to_stdvec(&Datagram::State(hostile)).unwrap();
+    let valid = postcard::to_stdvec(&Datagram::State(Box::new(hostile))).unwrap();
     let mut rng = StdRng::seed_from_u64(5);
     for round in 0..2000 {
         let mut bytes = valid.clone();
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -46,6 +46,15 @@
 mod resend;
 mod response_cut;
 mod retry_budget;
+mod rollout;
+mod rollout_counting;
+mod rollout_entries;
+mod rollout_leader;
+mod rollout_placement;
+mod rollout_report;
+mod rollout_status;
+mod rollout_view;
+mod rollouts;
 mod run;
 mod scale;
 mod schedule;
@@ -93,6 +102,7 @@
     remaining, retry_after, window_limit,
 };
 pub use retry_budget::RetryBudget;
+pub use rollout_entries::{RolloutOrder, RolloutState, RolloutStatus};
 pub use run::{PlatformParts, RunningGateway};
 pub use size::{
     CapacityNeed, ServiceLoad, ZoneCapacity, ZoneTarget, plan, reclaimable_engines,
--- a/components/gateway/src/messages.rs
+++ b/components/gateway/src/messages.rs
@@ -12,6 +12,7 @@
     engine_load::{InFlight, PrefixHash},
     engine_speed::SpeedSamples,
     quota::ReportedUsage,
+    rollout_report::{RolloutNotice, RolloutReport},
     upstream_limits::LimitNotice,
     usage::UsageWindow,
     zone_usage::UsageSum,
@@ -82,7 +83,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Datagram {
     /// The whole state of a node, sent periodically.
-    State(Digest),
+    State(Box<Digest>),
     /// One request, sent at once.
     Sent(SentNotice),
     /// An upstream that was found not to be at its address any more.
@@ -109,7 +110,7 @@
     pub(crate) time_ms: u64,
     /// Whether the node is the leader.
     pub(crate) is_leader: bool,
-    /// Whether `quota_use`, `usage`, `demand` and `departures` are left out.
+    /// Whether `quota_use`, `usage`, `demand`, `departures` and `rollouts` are left out.
     pub(crate) is_brief: bool,
     /// Admitted cost of each workspace in the window of its limit.
     pub(crate) quota_use: Vec<(WorkspaceName, ReportedUsage)>,
@@ -127,6 +128,10 @@
     pub(crate) crash_evidence: u64,
     /// Hash of the limits that upstreams name; 0 if they name none.
     pub(crate) limits: u64,
+    /// What the node counted of the roll-outs that are under way.
+    pub(crate) rollouts: Vec<RolloutReport>,
+    /// Steps of roll-outs, from the leader only.
+    pub(crate) rollout_notices: Vec<RolloutNotice>,
 }
 
 impl Digest {
@@ -138,6 +143,7 @@
         self.usage.clear();
         self.demand.clear();
         self.departures.clear();
+        self.rollouts.clear();
     }
 }
 
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Prometheus metrics of a gateway.
 
 use prometheus::{
-    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    exponential_buckets,
+    GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, exponential_buckets,
 };
 
 use crate::decision::EVENTS;
@@ -26,6 +26,12 @@
     pub first_byte: Histogram,
     /// Version of the current configuration.
     pub config_version: IntGauge,
+    /// Phase of roll-outs by service: 0 canary, 1 promoting, 2 completed, 3 rolled back.
+    pub rollout_phase: IntGaugeVec,
+    /// Share of this node's requests for the canary, by service.
+    pub rollout_share: GaugeVec,
+    /// Share of this node's requests that the canary got since the order, by service.
+    pub rollout_exposure: GaugeVec,
 }
 
 impl GatewayMetrics {
@@ -36,6 +42,19 @@
             registry.register(Box::new(counter.clone()))?;
             Ok::<_, prometheus::Error>(counter)
         };
+        let gauge = |name: &str, help: &str| {
+            let gauge = GaugeVec::new(Opts::new(name, help), &["service"])?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
+        let rollout_phase = IntGaugeVec::new(
+            Opts::new(
+                "lycheelatch_gateway_rollout_phase",
+                "Phase of the service's roll-out: 0 canary, 1 promoting, 2 completed, 3 rolled back",
+            ),
+            &["service"],
+        )?;
+        registry.register(Box::new(rollout_phase.clone()))?;
         let buckets = exponential_buckets(0.005, 2.0, 12)?;
         let opts = HistogramOpts::new(
             "lycheelatch_gateway_first_byte_seconds",
@@ -79,6 +98,15 @@
             unwritten_lines,
             first_byte,
             config_version,
+            rollout_phase,
+            rollout_share: gauge(
+                "lycheelatch_gateway_rollout_canary_share",
+                "Share of this node's requests to the service that the canary gets",
+            )?,
+            rollout_exposure: gauge(
+                "lycheelatch_gateway_rollout_exposure",
+                "Share of this node's requests to the service that the canary got since the order",
+            )?,
         })
     }
 }
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -156,6 +156,7 @@
             } else if digest.is_brief {
                 digest.usage = std::mem::take(&mut current.usage);
                 digest.demand = std::mem::take(&mut current.demand);
+                digest.rollouts = std::mem::take(&mut current.rollouts);
             }
         }
         // A process that was considered ended still runs, and its digest includes these counts.
@@ -246,6 +247,11 @@
         self.live_peers(now).filter_map(|(_, peer)| peer.digest.as_ref())
     }
 
+    /// Returns the latest digests of all nodes.
+    pub(crate) fn digests(&self) -> impl Iterator<Item = &Digest> {
+        self.peers.values().filter_map(|peer| peer.digest.as_ref())
+    }
+
     /// Returns the current time by each live node's clock.
     ///
     /// Ages are measured with the clock that advances while the machine is suspended, so that
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -18,6 +18,7 @@
     in_flight::InFlightGuard,
     place::Placement,
     response_cut::{ResponseStage, record_cut},
+    rollout_counting::{must_leave, record_broken},
     send::{BufferedResponse, StartedStream},
     serve::RequestContext,
 };
@@ -136,12 +137,14 @@
         reason: String,
         /// Upstream for the rest of the stream.
         reserved: Option<Box<Placement>>,
+        /// Whether the upstream is at fault.
+        is_fault: bool,
     },
 }
 
 impl Step {
     fn interrupted(reason: impl Into<String>) -> Step {
-        Step::Interrupted { reason: reason.into(), reserved: None }
+        Step::Interrupted { reason: reason.into(), reserved: None, is_fault: true }
     }
 }
 
@@ -174,9 +177,14 @@
                     self.finish();
                     return None;
                 }
-                Step::TimeUp => return self.fail("the time is up"),
-                Step::Interrupted { reason, reserved } => {
-                    if !self.try_resume(&reason, reserved).await {
+                Step::TimeUp => {
+                    if let Some(current) = &self.current {
+                        record_broken(&self.cx, &current.guard.upstream);
+                    }
+                    return self.fail("the time is up");
+                }
+                Step::Interrupted { reason, reserved, is_fault } => {
+                    if !self.try_resume(&reason, reserved, is_fault).await {
                         return self.fail(&reason);
                     }
                 }
@@ -188,6 +196,10 @@
     /// complete event arrives for too long; any other one is read until the deadline.
     async fn step_or_leave(&mut self) -> Step {
         let cx = self.cx.clone();
+        if let Some(next) = self.place_of_next_version() {
+            let reason = "its version is being replaced".to_owned();
+            return Step::Interrupted { reason, reserved: Some(Box::new(next)), is_fault: false };
+        }
         let leave_at = Instant::now() + cx.route.event_gap_target * STALLED_AFTER_GAPS;
         if self.attempts.may_abandon() && leave_at < cx.deadline {
             if let Some(step) = cx.gateway.run_until(leave_at, self.step()).await {
@@ -197,7 +209,11 @@
                 && let Some(next) = self.replacement()
             {
                 let reason = "no event for too long".to_owned();
-                return Step::Interrupted { reason, reserved: Some(Box::new(next)) };
+                return Step::Interrupted {
+                    reason,
+                    reserved: Some(Box::new(next)),
+                    is_fault: true,
+                };
             }
         }
         cx.run_until_due(self.step()).await.unwrap_or(Step::TimeUp)
@@ -209,6 +225,15 @@
         choose_replacement(&self.cx, &self.attempts, &current)
     }
 
+    /// Reserves an upstream of the new version, if a roll-out is about to stop this one.
+    fn place_of_next_version(&self) -> Option<Placement> {
+        let current = self.current.as_ref()?;
+        if !self.attempts.may_abandon() || !must_leave(&self.cx, &current.guard.upstream) {
+            return None;
+        }
+        self.replacement()
+    }
+
     async fn step(&mut self) -> Step {
         let Some(current) = &mut self.current else {
             return Step::interrupted("no upstream");
@@ -233,11 +258,19 @@
     }
 
     /// Resumes the stream on another upstream, if the route allows it; returns whether it did.
-    async fn try_resume(&mut self, reason: &str, reserved: Option<Box<Placement>>) -> bool {
+    async fn try_resume(
+        &mut self,
+        reason: &str,
+        reserved: Option<Box<Placement>>,
+        is_fault: bool,
+    ) -> bool {
         let Some(broken) = self.current.take() else { return false };
         if reserved.is_none() {
             record_cut(&self.cx, &broken.guard.upstream, ResponseStage::Streaming);
         }
+        if is_fault {
+            record_broken(&self.cx, &broken.guard.upstream);
+        }
         let upstream = broken.guard.upstream.id();
         drop(broken);
         self.cx.gateway.decisions.write(&Decision::StreamInterrupted(StreamInterrupted {
--- /dev/null
+++ b/components/gateway/src/rollout.rs
@@ -0,0 +1,336 @@
+//! This node's state of one service's roll-out.
+
+use std::{sync::Arc, time::Duration};
+
+use lycheelatch_policy::{
+    CanaryOutcome, ExposureGate, LATENCY_CLASSES, LatencyClass, RollbackReason, RolloutCounts,
+    RolloutEvidence, RolloutLimits, RolloutPhase, RolloutStep, Track, decide_rollout,
+};
+use lycheelatch_prelude::ServiceName;
+use tokio::time::Instant;
+
+use crate::{
+    RolloutOrder, RolloutState, RolloutStatus, StoreRevision,
+    decision::millis,
+    rollout_report::{RolloutNotice, RolloutReport},
+    rollouts::state_of,
+};
+
+/// Upper bound of the lowest latency class of an engine, relative to its estimate.
+const LOWEST_RATIO: f64 = 0.25;
+
+/// Upper bound of the lowest latency class of any other upstream, in milliseconds.
+const LOWEST_MS: f64 = 4.0;
+
+/// Shortest estimate that latencies are compared with.
+const MIN_ESTIMATE: Duration = Duration::from_millis(10);
+
+/// Latency classes per doubling.
+const CLASSES_PER_DOUBLING: f64 = 2.0;
+
+/// Part of the time from the promotion to the deadline after which streams leave the stable track.
+const MOVE_AFTER_PART: u32 = 3;
+
+/// One service's roll-out, as this node knows it.
+pub(crate) struct Rollout {
+    /// Version that the service moves to.
+    pub(crate) to: Arc<str>,
+    /// Revision of the order in the store.
+    pub(crate) order: StoreRevision,
+    /// Whether the order is no longer in the store.
+    pub(crate) is_withdrawn: bool,
+    /// Time from the order until its deadline.
+    pub(crate) duration: Duration,
+    ordered_at: Instant,
+    phase: RolloutPhase,
+    /// Whether the store says that the phase is the last one.
+    is_end_stored: bool,
+    promoted_at: Option<Instant>,
+    canary_share: f64,
+    /// Whether this node sends nothing to the canary because of what it counted itself.
+    is_stopped_here: bool,
+    /// Whether the leader decided to report the roll-out as completed.
+    is_completion_due: bool,
+    counts: RolloutCounts,
+    gate: ExposureGate,
+}
+
+impl Rollout {
+    /// Creates the state of a roll-out that was just ordered; the canary gets nothing yet.
+    pub(crate) fn new(order: RolloutOrder, revision: StoreRevision) -> Rollout {
+        Rollout {
+            to: order.to,
+            order: revision,
+            is_withdrawn: false,
+            duration: order.duration,
+            ordered_at: Instant::now(),
+            phase: RolloutPhase::Canary,
+            is_end_stored: false,
+            promoted_at: None,
+            canary_share: 0.0,
+            is_stopped_here: false,
+            is_completion_due: false,
+            counts: RolloutCounts::default(),
+            gate: ExposureGate::new(rand::random()),
+        }
+    }
+
+    /// Creates the state of a roll-out of which only the status is in the store.
+    pub(crate) fn from_status(
+        service: ServiceName,
+        status: &RolloutStatus,
+        revision: StoreRevision,
+    ) -> Rollout {
+        let order = RolloutOrder { service, to: status.to.clone(), duration: Duration::ZERO };
+        let mut rollout = Rollout::new(order, status.order.map_or(revision, StoreRevision));
+        rollout.apply_status(status, revision);
+        rollout.withdraw();
+        rollout
+    }
+
+    /// Takes note that the order is in the store, after its status was read.
+    pub(crate) fn restore(&mut self, order: &RolloutOrder) {
+        if !self.is_withdrawn {
+            return;
+        }
+        self.is_withdrawn = false;
+        self.duration = order.duration;
+        if !self.is_end_stored {
+            self.phase = RolloutPhase::Canary;
+        }
+    }
+
+    /// Ends the roll-out, as its order was withdrawn.
+    pub(crate) fn withdraw(&mut self) {
+        self.is_withdrawn = true;
+        self.advance(RolloutPhase::RolledBack);
+    }
+
+    /// Returns whether a status in the store is that of this roll-out.
+    pub(crate) fn owns(&self, status: &RolloutStatus, written: StoreRevision) -> bool {
+        match status.order {
+            Some(order) => StoreRevision(order) == self.order,
+            None => status.to == self.to && written >= self.order,
+        }
+    }
+
+    /// Applies the status that the store holds.
+    pub(crate) fn apply_status(&mut self, status: &RolloutStatus, written: StoreRevision) {
+        if !self.owns(status, written) || self.is_end_stored {
+            return;
+        }
+        let phase = match status.state {
+            RolloutState::Running => return,
+            RolloutState::Completed => RolloutPhase::Completed,
+            RolloutState::RolledBack => RolloutPhase::RolledBack,
+        };
+        self.is_end_stored = true;
+        self.phase = phase;
+    }
+
+    /// Moves to a later phase; the last ones are kept.
+    fn advance(&mut self, phase: RolloutPhase) {
+        if !self.is_final() && phase > self.phase {
+            self.phase = phase;
+        }
+    }
+
+    /// Moves all new requests to the canary.
+    pub(crate) fn promote(&mut self, now: Instant) {
+        self.advance(RolloutPhase::Promoting);
+        self.promoted_at.get_or_insert(now);
+    }
+
+    /// Stops sending to the canary.
+    pub(crate) fn roll_back(&mut self) {
+        self.advance(RolloutPhase::RolledBack);
+    }
+
+    /// Lets the roll-out be reported as completed.
+    ///
+    /// Returns whether it could not be until now.
+    pub(crate) fn set_completion_due(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_completion_due, true)
+    }
+
+    /// Sets the canary's share of the requests.
+    pub(crate) fn set_share(&mut self, canary_share: f64) {
+        self.canary_share = canary_share;
+    }
+
+    /// Follows a step of the leader. The end of a promoted roll-out is read from the store.
+    pub(crate) fn follow(&mut self, phase: RolloutPhase, canary_share: f64, now: Instant) {
+        match phase {
+            RolloutPhase::Canary => self.set_share(canary_share),
+            RolloutPhase::Promoting | RolloutPhase::Completed => self.promote(now),
+            RolloutPhase::RolledBack => self.roll_back(),
+        }
+    }
+
+    /// Takes note that the order is at least as old as another node says.
+    pub(crate) fn hear_age(&mut self, age: Duration, now: Instant) {
+        if let Some(at) = now.checked_sub(age) {
+            self.ordered_at = self.ordered_at.min(at);
+        }
+    }
+
+    /// Returns the time since the order.
+    pub(crate) fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.ordered_at)
+    }
+
+    pub(crate) fn phase(&self) -> RolloutPhase {
+        self.phase
+    }
+
+    /// Returns whether the roll-out has ended.
+    pub(crate) fn is_final(&self) -> bool {
+        matches!(self.phase, RolloutPhase::Completed | RolloutPhase::RolledBack)
+    }
+
+    /// Returns the canary's share of this node's requests.
+    pub(crate) fn canary_share(&self) -> f64 {
+        match self.phase {
+            RolloutPhase::Completed => 1.0,
+            RolloutPhase::RolledBack => 0.0,
+            _ if self.is_stopped_here => 0.0,
+            RolloutPhase::Promoting => 1.0,
+            RolloutPhase::Canary => self.canary_share,
+        }
+    }
+
+    /// Counts an attempt and returns whether it may go to the canary.
+    pub(crate) fn admit_to_canary(&mut self) -> bool {
+        let share = self.canary_share();
+        self.gate.admit(share)
+    }
+
+    /// Notes that an admitted attempt did not go to the canary.
+    pub(crate) fn refund(&mut self) {
+        self.gate.refund();
+    }
+
+    /// Returns the track of a version.
+    pub(crate) fn track(&self, version: Option<&Arc<str>>) -> Track {
+        if version == Some(&self.to) { Track::Canary } else { Track::Stable }
+    }
+
+    pub(crate) fn record_sent(&mut self, version: Option<&Arc<str>>, is_first: bool) {
+        if self.is_final() {
+            return;
+        }
+        self.counts.sent += u64::from(is_first);
+        self.counts.sent_to_canary += u64::from(self.track(version) == Track::Canary);
+    }
+
+    pub(crate) fn record_outcome(
+        &mut self,
+        version: Option<&Arc<str>>,
+        route: &Arc<str>,
+        outcome: CanaryOutcome,
+    ) {
+        if self.is_final() {
+            return;
+        }
+        let track = self.track(version);
+        let of_route = self.counts.routes.entry(route.clone()).or_default();
+        let counts = match track {
+            Track::Stable => &mut of_route.stable,
+            Track::Canary => &mut of_route.canary,
+        };
+        match outcome {
+            CanaryOutcome::Failed => counts.failed += 1,
+            CanaryOutcome::Answered(class) => {
+                counts.answered[usize::from(class.0).min(LATENCY_CLASSES - 1)] += 1;
+            }
+        }
+    }
+
+    /// Returns what this node counted.
+    pub(crate) fn counts(&self) -> &RolloutCounts {
+        &self.counts
+    }
+
+    /// Returns what is known of the roll-out, with the counts of some nodes.
+    pub(crate) fn evidence(
+        &self,
+        counts: RolloutCounts,
+        in_flight_at_stable: u32,
+        now: Instant,
+    ) -> RolloutEvidence {
+        RolloutEvidence {
+            counts,
+            since_order: self.age(now),
+            duration: self.duration,
+            phase: self.phase,
+            in_flight_at_stable,
+        }
+    }
+
+    /// Stops sending to the canary if what this node counted itself shows that it is bad; returns
+    /// why, when it does.
+    pub(crate) fn check_alone(
+        &mut self,
+        limits: &RolloutLimits,
+        now: Instant,
+    ) -> Option<RollbackReason> {
+        if self.is_final() || self.is_stopped_here {
+            return None;
+        }
+        let step = decide_rollout(&self.evidence(self.counts.clone(), 0, now), limits);
+        let RolloutStep::RollBack(reason) = step else { return None };
+        if reason == RollbackReason::NotEnoughEvidence {
+            return None;
+        }
+        self.is_stopped_here = true;
+        Some(reason)
+    }
+
+    /// Returns whether a stream that can go on at another upstream should leave one of a version.
+    pub(crate) fn should_leave(&self, version: Option<&Arc<str>>, now: Instant) -> bool {
+        let Some(promoted_at) = self.promoted_at else { return false };
+        if self.phase != RolloutPhase::Promoting || self.is_stopped_here {
+            return false;
+        }
+        let deadline = self.ordered_at + self.duration;
+        let stay = deadline.saturating_duration_since(promoted_at) / MOVE_AFTER_PART;
+        self.track(version) == Track::Stable && now >= promoted_at + stay
+    }
+
+    /// Returns the status that the store should hold.
+    pub(crate) fn wanted_status(&self) -> RolloutStatus {
+        let state = match state_of(self.phase) {
+            RolloutState::Running if self.is_completion_due => RolloutState::Completed,
+            state => state,
+        };
+        RolloutStatus { state, to: self.to.clone(), order: Some(self.order.0) }
+    }
+
+    pub(crate) fn report(&self, service: &ServiceName, now: Instant) -> RolloutReport {
+        let age_ms = millis(self.age(now));
+        RolloutReport::new(service.clone(), self.order.0, age_ms, self.phase, &self.counts)
+    }
+
+    pub(crate) fn notice(&self, service: &ServiceName, now: Instant) -> RolloutNotice {
+        RolloutNotice {
+            service: service.clone(),
+            order: self.order.0,
+            age_ms: millis(self.age(now)),
+            phase: self.phase,
+            canary_share: self.canary_share,
+        }
+    }
+}
+
+/// Returns the class of a latency: relative to the estimate of an engine, in milliseconds for any
+/// other upstream.
+pub(crate) fn latency_class(latency: Duration, estimate: Option<Duration>) -> LatencyClass {
+    let in_units = match estimate {
+        Some(estimate) => latency.as_secs_f64() / estimate.max(MIN_ESTIMATE).as_secs_f64(),
+        None => latency.as_secs_f64() * 1000.0,
+    };
+    let lowest = if estimate.is_some() { LOWEST_RATIO } else { LOWEST_MS };
+    let class = (in_units / lowest).log2() * CLASSES_PER_DOUBLING;
+    // Below the lowest class the logarithm is negative, or infinite for 0.
+    LatencyClass(class.ceil().clamp(0.0, (LATENCY_CLASSES - 1) as f64) as u8)
+}
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -14,7 +14,7 @@
     BootClock, CallerLimits, ClusterClock, Dialect, Gateway, GatewayMetrics, Leadership,
     PlatformApi, Store, StoreLayout, cache_exchange,
     decision::{NodeEvent, log_event},
-    gossip, leader, members, report, scale, serve,
+    gossip, leader, members, report, rollout_leader, rollout_status, scale, serve,
     server::{self, ServerLimits, empty},
     store_watch,
     sync::StoreView,
@@ -69,7 +69,8 @@
         let datagrams = UdpSocket::bind(settings.peers).await?;
         let time = Rc::new(ClusterClock::new(parts.boot.clone()));
         let gateway = Rc::new(Gateway::new(settings, parts.dialect, metrics, time));
-        let view = Rc::new(StoreView::new(gateway.clone(), parts.store.clone(), parts.layout));
+        let view =
+            Rc::new(StoreView::new(gateway.clone(), parts.store.clone(), parts.layout.clone()));
         let leader = Rc::new(Leadership::new(parts.boot, parts.platform_api.max_delivery()));
         let tasks = vec![
             actix_rt::spawn(serve_callers(gateway.clone(), callers)),
@@ -88,6 +89,13 @@
                 parts.store.clone(),
                 leader.clone(),
             )),
+            actix_rt::spawn(rollout_leader::run(gateway.clone(), leader.clone())),
+            actix_rt::spawn(rollout_status::run(
+                gateway.clone(),
+                parts.store.clone(),
+                parts.layout,
+                leader.clone(),
+            )),
             actix_rt::spawn(report::report_usage(
                 gateway.clone(),
                 parts.store,
--- a/components/gateway/src/scale.rs
+++ b/components/gateway/src/scale.rs
@@ -72,6 +72,10 @@
         }
         state.leader_since.get_or_insert(Instant::now());
         for service in table.services() {
+            // The platform starts the upstreams of the new version by itself.
+            if gateway.rollouts.borrow().is_running(&service.name) {
+                continue;
+            }
             if let Some(spec) = &service.scaling {
                 scale_service(&gateway, &leader, &*api, service, spec, &mut state).await;
             }
@@ -122,7 +126,9 @@
     spec: &ScalingSpec,
     state: &OrderState,
 ) -> Vec<ZoneCapacity> {
-    let upstreams = gateway.directory.available(&service.name);
+    let rollouts = gateway.rollouts.borrow();
+    let mut upstreams = gateway.directory.available(&service.name);
+    upstreams.retain(|up| !rollouts.bars(&service.name, up.entry.borrow().version.as_ref()));
     let count = |zone: &ZoneName, is_reclaimable: bool| {
         let matches = |up: &&Rc<crate::Upstream>| {
             let entry = up.entry.borrow();
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -18,6 +18,7 @@
     in_flight::InFlightGuard,
     place::Placement,
     response_cut::ResponseStage,
+    rollout_counting::record_sent,
     send_trace::SendTrace,
     serve::RequestContext,
     upstream_limits::record_named_limit,
@@ -94,6 +95,7 @@
 ) -> Result<UpstreamResponse, Failure> {
     cx.sends.set(cx.sends.get() + 1);
     placement.upstream.limit.borrow_mut().record_sent(cx.gateway.clock.now());
+    record_sent(cx, &placement.upstream);
     let guard = InFlightGuard::start(cx, placement);
     let mut trace = SendTrace::start(cx, placement);
     let result = exchange(cx, guard, placement.fetch_from, resume_after).await;
--- a/components/gateway/src/send_trace.rs
+++ b/components/gateway/src/send_trace.rs
@@ -10,6 +10,7 @@
     notices::announce_absence,
     place::Placement,
     response_cut::record_cut,
+    rollout_counting::{record_broken, record_result},
     send::{Failure, UpstreamResponse},
     serve::RequestContext,
 };
@@ -38,6 +39,7 @@
 
     pub(crate) fn finish(&mut self, result: &Result<UpstreamResponse, Failure>) {
         self.is_finished = true;
+        record_result(self.cx, self.placement, result, self.started.elapsed());
         match result {
             Ok(_) => {
                 self.placement.upstream.health.borrow_mut().record_success(Instant::now());
@@ -100,6 +102,7 @@
         }
         // No response within the route's latency target counts as a failure of the upstream.
         if self.started.elapsed() >= self.cx.route.target {
+            record_broken(self.cx, &self.placement.upstream);
             self.record_failure(SendOutcome::Unknown, false);
         }
         self.write("given_up", "given up without an answer");
--- a/components/gateway/src/store_watch.rs
+++ b/components/gateway/src/store_watch.rs
@@ -76,17 +76,32 @@
 
 async fn read_all(view: &StoreView, sent: Instant) -> Result<StoreRevision, StoreError> {
     let operators = view.store.list(view.layout.operator_prefix(), Freshness::Linearizable).await?;
+    let mut orders = Vec::new();
     for item in operators.items {
         if &*item.key == view.layout.config_key() {
             view.apply_config(item.value, item.revision);
+        } else if view.is_rollout_key(&item.key) {
+            orders.push(item);
         }
     }
+    view.apply_rollout_listing(view.layout.rollout_prefix(), orders, operators.revision);
+    read_statuses(view).await?;
     let upstreams = view.store.list(view.layout.upstream_prefix(), Freshness::Linearizable).await?;
     view.record_success(sent);
     view.apply_listing(upstreams.items, upstreams.revision);
     Ok(operators.revision.min(upstreams.revision))
 }
 
+/// Reads the statuses of roll-outs, if these are acted upon.
+async fn read_statuses(view: &StoreView) -> Result<(), StoreError> {
+    if view.has_rollouts() {
+        let prefix = view.layout.rollout_status_prefix();
+        let statuses = view.store.list(prefix, Freshness::Linearizable).await?;
+        view.apply_rollout_listing(prefix, statuses.items, statuses.revision);
+    }
+    Ok(())
+}
+
 fn apply_event(view: &StoreView, event: StoreEvent) {
     let is_upstream = |key: &str| key.starts_with(view.layout.upstream_prefix());
     match event {
@@ -99,6 +114,12 @@
         StoreEvent::Deleted { key, revision } if is_upstream(&key) => {
             view.handle_deletion(&key, revision);
         }
+        StoreEvent::Written(item) if view.is_rollout_key(&item.key) => {
+            view.apply_rollout(&item.key, item.value, item.revision);
+        }
+        StoreEvent::Deleted { key, revision } if view.is_rollout_key(&key) => {
+            view.remove_rollout(&key, revision);
+        }
         StoreEvent::Written(_) | StoreEvent::Deleted { .. } => {}
     }
 }
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -90,11 +90,13 @@
 
 /// This node's view of the store.
 pub(crate) struct StoreView {
-    gateway: Rc<Gateway>,
+    pub(crate) gateway: Rc<Gateway>,
     pub(crate) store: Rc<dyn Store>,
     pub(crate) layout: Rc<dyn StoreLayout>,
     pub(crate) config: RefCell<Option<CachedEntry>>,
     pub(crate) upstreams: RefCell<BTreeMap<Arc<str>, CachedEntry>>,
+    /// Orders and statuses of roll-outs.
+    pub(crate) rollouts: RefCell<BTreeMap<Arc<str>, CachedEntry>>,
     pub(crate) revision: Cell<StoreRevision>,
     /// Random number that is drawn at the start of the process; scope of the change numbers.
     pub(crate) incarnation: u64,
@@ -126,6 +128,7 @@
             layout,
             config: RefCell::default(),
             upstreams: RefCell::default(),
+            rollouts: RefCell::default(),
             revision: Cell::default(),
             incarnation: rand::random(),
             tombstones: RefCell::default(),
@@ -141,12 +144,6 @@
         }
     }
 
-    /// Returns the gateway that the view updates.
-    #[cfg(test)]
-    pub(crate) fn gateway(&self) -> &Gateway {
-        &self.gateway
-    }
-
     /// Returns the last change of this view.
     pub(crate) fn last_change(&self) -> LocalChange {
         *self.changes.borrow()
@@ -157,7 +154,22 @@
         self.changes.subscribe()
     }
 
-    fn next_change(&self) -> LocalChange {
+    /// Returns whether a key was removed at a revision or later.
+    pub(crate) fn is_buried(&self, key: &str, revision: StoreRevision) -> bool {
+        self.tombstones.borrow().covers(key, revision)
+    }
+
+    /// Tells the receivers of changes that the view was changed.
+    pub(crate) fn announce_change(&self, change: LocalChange) {
+        self.changes.send_replace(change);
+    }
+
+    /// Forgets why an entry was rejected.
+    pub(crate) fn forget_rejected(&self, key: &str) {
+        self.rejected.borrow_mut().remove(key);
+    }
+
+    pub(crate) fn next_change(&self) -> LocalChange {
         LocalChange(self.last_change().0 + 1)
     }
 
@@ -271,7 +283,7 @@
     }
 
     /// Logs why an entry is rejected, once for each reason, as upstreams write their entries often.
-    fn log_rejected(&self, key: &Arc<str>, err: &InvalidValue) {
+    pub(crate) fn log_rejected(&self, key: &Arc<str>, err: &InvalidValue) {
         let before = self.rejected.borrow_mut().insert(key.clone(), err.clone());
         if before.as_ref() != Some(err) {
             log_event(&NodeEvent::EntryRejected { key, reason: &err.to_string() });
--- a/components/gateway/src/test_support.rs
+++ b/components/gateway/src/test_support.rs
@@ -1,14 +1,15 @@
 //! Helpers of this crate's unit tests.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use actix_http::{ResponseHead, header::HeaderMap};
-use lycheelatch_prelude::InvalidValue;
+use bytes::Bytes;
+use lycheelatch_prelude::{InvalidValue, ServiceName};
 use lycheelatch_settings::{GatewaySettings, NodeSettings};
 
 use crate::{
     ClusterClock, Dialect, ForwardParams, Gateway, GatewayMetrics, RequestInfo, ResponseInfo,
-    UpstreamEntry, messages::Digest,
+    RolloutOrder, RolloutState, RolloutStatus, UpstreamEntry, messages::Digest,
 };
 
 /// Dialect for tests that process no requests.
@@ -54,9 +55,41 @@
         is_reclaimable: true,
         shutdown_in: None,
         started_at_ms: None,
+        version: None,
     }
 }
 
+/// Parses an order whose value is the version and the seconds until the deadline.
+pub(crate) fn parse_rollout(
+    service: &ServiceName,
+    value: &[u8],
+) -> Result<RolloutOrder, InvalidValue> {
+    let text = String::from_utf8_lossy(value);
+    let invalid = || InvalidValue::new("order", &text, "must be a version and seconds");
+    let (to, seconds) = text.split_once(' ').ok_or_else(invalid)?;
+    let duration = Duration::from_secs(seconds.parse().map_err(|_| invalid())?);
+    Ok(RolloutOrder { service: service.clone(), to: to.into(), duration })
+}
+
+/// Parses a status whose value is the state, the version and the revision of the order.
+pub(crate) fn parse_rollout_status(value: &[u8]) -> Result<RolloutStatus, InvalidValue> {
+    let text = String::from_utf8_lossy(value);
+    let parts: Vec<_> = text.split(' ').collect();
+    let state = match parts[0] {
+        "Running" => RolloutState::Running,
+        "Completed" => RolloutState::Completed,
+        "RolledBack" => RolloutState::RolledBack,
+        other => return Err(InvalidValue::new("state", other, "is unknown")),
+    };
+    Ok(RolloutStatus { state, to: parts[1].into(), order: parts[2].parse().ok() })
+}
+
+/// Encodes a status for [`parse_rollout_status`].
+pub(crate) fn encode_rollout_status(status: &RolloutStatus) -> Bytes {
+    let order = status.order.map_or_else(String::new, |order| order.to_string());
+    format!("{:?} {} {order}", status.state, status.to).into()
+}
+
 /// Returns the first digest of a node without load.
 pub(crate) fn digest(node: &str, zone: &str) -> Digest {
     Digest {
@@ -77,6 +110,8 @@
         departures: Vec::new(),
         crash_evidence: 0,
         limits: 0,
+        rollouts: Vec::new(),
+        rollout_notices: Vec::new(),
     }
 }
 
--- a/components/gateway/src/view_exchange.rs
+++ b/components/gateway/src/view_exchange.rs
@@ -27,6 +27,9 @@
 /// Path of a node's view; the query holds the requesting node's cursor.
 const VIEW_PATH: &str = "/view";
 
+/// Prefix of all keys.
+const ALL_KEYS: &str = "";
+
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
@@ -79,6 +82,8 @@
     config: Option<ValueWire>,
     upstreams: Vec<ValueWire>,
     tombstones: Vec<TombstoneWire>,
+    /// Orders and statuses of roll-outs.
+    rollouts: Vec<ValueWire>,
 }
 
 /// Position up to which another node has this node's view.
@@ -149,6 +154,13 @@
             .map(|(key, cached)| value_wire(key, cached))
             .collect(),
         tombstones: tombstones.after(after).map(tombstone_wire).collect(),
+        rollouts: view
+            .rollouts
+            .borrow()
+            .iter()
+            .filter(|(_, cached)| is_new(cached))
+            .map(|(key, cached)| value_wire(key, cached))
+            .collect(),
     }
 }
 
@@ -329,16 +341,25 @@
     }
     let is_fresh = Duration::from_millis(wire.age_ms) <= view.max_age();
     let revision = StoreRevision(wire.revision);
+    let rollouts = wire.rollouts.into_iter().map(KeyValue::from);
     if wire.is_complete && is_fresh && revision >= view.revision.get() {
+        view.apply_rollout_listing(ALL_KEYS, rollouts.collect(), revision);
         view.apply_listing(wire.upstreams.into_iter().map(KeyValue::from).collect(), revision);
         return;
     }
+    for item in rollouts.filter(|item| view.is_current_rollout(&item.key, item.revision)) {
+        view.apply_rollout(&item.key, item.value, item.revision);
+    }
     let items = wire.upstreams.into_iter().map(KeyValue::from);
     for item in items.filter(|item| view.is_current(&item.key, item.revision)) {
         view.apply_upstream(&item.key, item.value, item.revision);
     }
     for tombstone in wire.tombstones {
         let key: Arc<str> = tombstone.key.into();
-        view.remove_upstream(&key, StoreRevision(tombstone.revision));
+        let revision = StoreRevision(tombstone.revision);
+        match view.is_rollout_key(&key) {
+            true => view.remove_rollout(&key, revision),
+            false => view.remove_upstream(&key, revision),
+        }
     }
 }
--- a/components/gateway/src/view_exchange/tests.rs
+++ b/components/gateway/src/view_exchange/tests.rs
@@ -1,12 +1,14 @@
 //! Which entries of another node's view are applied.
 
 use async_trait::async_trait;
-use lycheelatch_prelude::{InvalidValue, UpstreamId};
+use bytes::Bytes;
+use lycheelatch_prelude::{InvalidValue, ServiceName, UpstreamId};
 
 use super::*;
 use crate::{
-    Changes, ClusterClock, Commit, CommitOutcome, Freshness, LeaseId, Listing, Store, StoreError,
-    StoreLayout, SystemBootClock, TableSource, UpstreamEntry, test_support,
+    Changes, ClusterClock, Commit, CommitOutcome, Freshness, LeaseId, Listing, RolloutOrder,
+    RolloutStatus, Store, StoreError, StoreLayout, SystemBootClock, TableSource, UpstreamEntry,
+    test_support,
 };
 
 /// A store that can't be reached.
@@ -63,6 +65,14 @@
         "up/"
     }
 
+    fn rollout_prefix(&self) -> &'static str {
+        "op/rollout/"
+    }
+
+    fn rollout_status_prefix(&self) -> &'static str {
+        "status/rollout/"
+    }
+
     fn parse_config(&self, _: &[u8]) -> Result<TableSource, InvalidValue> {
         unreachable!("the tests have no configuration")
     }
@@ -79,8 +89,25 @@
             is_reclaimable: false,
             shutdown_in: None,
             started_at_ms: None,
+            version: None,
         })
     }
+
+    fn parse_rollout(
+        &self,
+        service: &ServiceName,
+        value: &[u8],
+    ) -> Result<RolloutOrder, InvalidValue> {
+        test_support::parse_rollout(service, value)
+    }
+
+    fn parse_rollout_status(&self, value: &[u8]) -> Result<RolloutStatus, InvalidValue> {
+        test_support::parse_rollout_status(value)
+    }
+
+    fn encode_rollout_status(&self, status: &RolloutStatus) -> Bytes {
+        test_support::encode_rollout_status(status)
+    }
 }
 
 fn view() -> StoreView {
@@ -104,11 +131,12 @@
         config: None,
         upstreams: upstreams.iter().map(value).collect(),
         tombstones: Vec::new(),
+        rollouts: Vec::new(),
     }
 }
 
 fn upstream_ids(view: &StoreView) -> Vec<String> {
-    view.gateway().directory.all().iter().map(|up| up.id().to_string()).collect()
+    view.gateway.directory.all().iter().map(|up| up.id().to_string()).collect()
 }
 
 #[test]
--- a/components/gateway/tests/place.rs
+++ b/components/gateway/tests/place.rs
@@ -45,6 +45,7 @@
             is_reclaimable: true,
             shutdown_in: None,
             started_at_ms: None,
+            version: None,
         };
         directory.put(entry, StoreRevision(1));
     }
--- a/components/settings/src/gateway.rs
+++ b/components/settings/src/gateway.rs
@@ -21,6 +21,17 @@
     pub window: Duration,
 }
 
+/// Bounds on what a bad version may do to callers during a roll-out.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RolloutBounds {
+    /// Largest share of a service's requests that a bad version may get, above 0 and at most 1.
+    pub exposure: f64,
+    /// Requests that it may get besides, over all nodes.
+    pub extra: u32,
+    /// Time within which a version that is known to be bad gets no more requests.
+    pub rollback: Duration,
+}
+
 /// Settings of a gateway.
 #[derive(Debug, Clone, PartialEq)]
 pub struct GatewaySettings {
@@ -60,6 +71,8 @@
     pub usage_window: Duration,
     /// Time after the end of a usage window within which its report is due.
     pub usage_due: Duration,
+    /// Bounds of roll-outs; without them orders of roll-outs are not acted upon.
+    pub rollout: Option<RolloutBounds>,
     /// Log settings.
     pub log: LogSettings,
 }
@@ -83,6 +96,7 @@
     let min_lease = r.duration("shortest_lease", Duration::from_secs(1));
     let usage_window = r.duration("usage_window", Duration::from_secs(5));
     let usage_due = r.duration("usage_due", Duration::from_secs(10));
+    let rollout = r.optional_object("rollout").map(read_rollout);
     let log = read_log(r.object("log"));
     r.finish();
     let peers: SocketAddr = peers?;
@@ -107,6 +121,7 @@
         min_lease,
         usage_window,
         usage_due,
+        rollout: rollout.flatten(),
         log,
     })
 }
@@ -119,6 +134,28 @@
     RetryLimit { ratio, extra, window }
 }
 
+/// Time to roll back where the settings name none.
+const DEFAULT_ROLLBACK: Duration = Duration::from_secs(5);
+
+fn read_rollout(mut r: Reader<'_>) -> Option<RolloutBounds> {
+    let exposure = r.required("exposure", share);
+    let extra = r.optional("extra", whole).unwrap_or(0);
+    let rollback = r.duration("rollback", DEFAULT_ROLLBACK);
+    r.finish();
+    Some(RolloutBounds { exposure: exposure?, extra, rollback })
+}
+
+fn share(text: &str) -> Result<f64, String> {
+    match text.parse::<f64>() {
+        Ok(number) if number > 0.0 && number <= 1.0 => Ok(number),
+        _ => Err("must be a number above 0 and at most 1".to_owned()),
+    }
+}
+
+fn whole(text: &str) -> Result<u32, String> {
+    text.parse().map_err(|_| "must be a whole number of at least 0".to_owned())
+}
+
 fn boolean(text: &str) -> Result<bool, String> {
     text.parse().map_err(|_| "must be true or false".to_owned())
 }
