--- a/components/fakes/src/entry/store.rs
+++ b/components/fakes/src/entry/store.rs
@@ -136,6 +136,14 @@
         self.state.lock().unwrap().write(key, text.to_owned(), 0);
     }
 
+    /// Returns the JSON value of a key, if there is one.
+    pub fn value(&self, key: &str) -> Option<Value> {
+        use base64::Engine;
+        let text = self.state.lock().unwrap().items.get(key)?.value.clone();
+        let bytes = base64::engine::general_purpose::STANDARD.decode(text).unwrap();
+        Some(serde_json::from_slice(&bytes).unwrap())
+    }
+
     /// Deletes a key.
     pub fn delete(&self, key: &str) {
         self.state.lock().unwrap().delete(key);
--- a/components/fakes/src/entry/upstream.rs
+++ b/components/fakes/src/entry/upstream.rs
@@ -112,6 +112,8 @@
     crash_rule: Option<CrashRule>,
     crashes: Vec<Crash>,
     limit: Option<String>,
+    /// Name of the instance; requests that name another one are not executed.
+    instance: Option<String>,
 }
 
 /// A request that an upstream started to execute.
@@ -168,6 +170,18 @@
         self.state.borrow_mut().limit = limit.map(str::to_owned);
     }
 
+    /// Sets the instance's name; requests that expect another one are answered with status 421.
+    pub fn set_instance(&self, name: &str) {
+        self.state.borrow_mut().instance = Some(name.to_owned());
+    }
+
+    /// Returns whether a request expects an instance with another name.
+    fn is_misdirected(&self, req: &ReceivedRequest) -> bool {
+        let state = self.state.borrow();
+        let expected = req.header("lycheelatch-expect-instance");
+        state.instance.as_deref().is_some_and(|name| expected != Some(name))
+    }
+
     /// Returns the headers of responses to requests that ran.
     fn response_headers(&self) -> String {
         let limit = self.state.borrow().limit.clone();
@@ -254,11 +268,13 @@
     async fn serve(&self, mut io: TcpStream) {
         while let Some(req) = read_request(&mut io).await {
             let id = req.header("lycheelatch-request-id").unwrap_or("none").to_owned();
+            let is_misdirected = self.is_misdirected(&req);
             let behavior = {
                 let mut state = self.state.borrow_mut();
                 let default =
                     state.default.clone().unwrap_or(Behavior::Respond(200, "ok".to_owned()));
-                let behavior = state.script.pop_front().unwrap_or(default);
+                let scripted = state.script.pop_front().unwrap_or(default);
+                let behavior = if is_misdirected { Behavior::NotExecuted(421) } else { scripted };
                 if !matches!(behavior, Behavior::NotExecuted(_)) {
                     state.executed.push(ExecutedRequest { id: id.clone(), at: Instant::now() });
                 }
--- a/components/gateway/src/rollout_status.rs
+++ b/components/gateway/src/rollout_status.rs
@@ -11,6 +11,9 @@
     StoreLayout, StoreRevision,
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Time between two checks whether a status has to be written.
 const INTERVAL: Duration = Duration::from_millis(100);
 
--- a/components/gateway/src/rollouts.rs
+++ b/components/gateway/src/rollouts.rs
@@ -17,6 +17,9 @@
     rollout_report::{MAX_REPORTS, RolloutNotice, RolloutReport},
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Roll-outs of all services that were ordered.
 pub(crate) struct Rollouts {
     limits: Option<RolloutLimits>,
