--- a/components/gateway/src/rollout.rs
+++ b/components/gateway/src/rollout.rs
@@ -28,6 +28,9 @@
 /// Latency classes per doubling.
 const CLASSES_PER_DOUBLING: f64 = 2.0;
 
+/// Time that a decision needs until the store holds it.
+const REPORT_TIME: Duration = Duration::from_millis(300);
+
 /// Part of the time from the promotion to the deadline after which streams leave the stable track.
 const MOVE_AFTER_PART: u32 = 3;
 
@@ -57,13 +60,17 @@
 
 impl Rollout {
     /// Creates the state of a roll-out that was just ordered; the canary gets nothing yet.
-    pub(crate) fn new(order: RolloutOrder, revision: StoreRevision) -> Rollout {
+    pub(crate) fn new(
+        order: RolloutOrder,
+        revision: StoreRevision,
+        ordered_at: Instant,
+    ) -> Rollout {
         Rollout {
             to: order.to,
             order: revision,
             is_withdrawn: false,
             duration: order.duration,
-            ordered_at: Instant::now(),
+            ordered_at,
             phase: RolloutPhase::Canary,
             is_end_stored: false,
             promoted_at: None,
@@ -82,7 +89,8 @@
         revision: StoreRevision,
     ) -> Rollout {
         let order = RolloutOrder { service, to: status.to.clone(), duration: Duration::ZERO };
-        let mut rollout = Rollout::new(order, status.order.map_or(revision, StoreRevision));
+        let order_revision = status.order.map_or(revision, StoreRevision);
+        let mut rollout = Rollout::new(order, order_revision, Instant::now());
         rollout.apply_status(status, revision);
         rollout.withdraw();
         rollout
@@ -199,6 +207,11 @@
         }
     }
 
+    /// Returns the canary's share that the leader named last.
+    pub(crate) fn followed_share(&self) -> f64 {
+        self.canary_share
+    }
+
     /// Counts an attempt and returns whether it may go to the canary.
     pub(crate) fn admit_to_canary(&mut self) -> bool {
         let share = self.canary_share();
@@ -260,7 +273,7 @@
     ) -> RolloutEvidence {
         RolloutEvidence {
             counts,
-            since_order: self.age(now),
+            since_order: self.age(now) + REPORT_TIME,
             duration: self.duration,
             phase: self.phase,
             in_flight_at_stable,
--- a/components/gateway/src/rollout_leader.rs
+++ b/components/gateway/src/rollout_leader.rs
@@ -145,7 +145,7 @@
         let in_flight = in_flight_at_stable(gateway, service, rollout, now);
         let evidence = rollout.evidence(counts, in_flight, now);
         let step = decide_rollout(&evidence, limits);
-        let step = possible_step(step, &upstreams, has_settled, &evidence.phase);
+        let step = possible_step(step, &upstreams, has_settled, rollout);
         apply_step(service, rollout, &evidence.counts, step, now);
     }
 }
@@ -177,9 +177,9 @@
     step: RolloutStep,
     upstreams: &TracksInUse,
     has_settled: bool,
-    phase: &RolloutPhase,
+    rollout: &Rollout,
 ) -> RolloutStep {
-    let hold = RolloutStep::Continue { canary_share: 0.0 };
+    let hold = RolloutStep::Continue { canary_share: rollout.followed_share() };
     match step {
         // Without an upstream of the new version nothing is known of it.
         RolloutStep::Promote if !upstreams.has_canary => {
@@ -191,7 +191,7 @@
         RolloutStep::Complete if !upstreams.has_canary && upstreams.has_stable => {
             RolloutStep::RollBack(RollbackReason::NotEnoughEvidence)
         }
-        RolloutStep::Continue { .. } if *phase == RolloutPhase::Canary && !has_settled => hold,
+        RolloutStep::Continue { .. } if !has_settled => hold,
         step => step,
     }
 }
--- a/components/gateway/src/rollout_view.rs
+++ b/components/gateway/src/rollout_view.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use lycheelatch_prelude::{InvalidValue, ServiceName};
+use tokio::time::Instant;
 
 use crate::{
     KeyValue, StoreRevision,
@@ -64,7 +65,10 @@
         match self.rollout_key(key)? {
             EntryKey::Order(service) => {
                 let order = self.layout.parse_rollout(&service, value)?;
-                rollouts.borrow_mut().apply_order(order, revision);
+                let now = Instant::now();
+                // The order may have been written right after the last read.
+                let ordered_at = now.checked_sub(self.max_read_delay()).unwrap_or(now);
+                rollouts.borrow_mut().apply_order(order, revision, ordered_at);
             }
             EntryKey::Status(service) => {
                 let status = self.layout.parse_rollout_status(value)?;
--- a/components/gateway/src/rollouts.rs
+++ b/components/gateway/src/rollouts.rs
@@ -69,8 +69,13 @@
         self.services.iter_mut()
     }
 
-    /// Applies an order, unless a later one is known.
-    pub(crate) fn apply_order(&mut self, order: RolloutOrder, revision: StoreRevision) {
+    /// Applies an order that was written at `ordered_at` or later, unless a later one is known.
+    pub(crate) fn apply_order(
+        &mut self,
+        order: RolloutOrder,
+        revision: StoreRevision,
+        ordered_at: Instant,
+    ) {
         if self.limits.is_none() {
             return;
         }
@@ -89,7 +94,7 @@
             order: revision.0,
         });
         let service = order.service.clone();
-        let mut rollout = Rollout::new(order, revision);
+        let mut rollout = Rollout::new(order, revision, ordered_at);
         if let Some((status, written)) = self.statuses.get(&service) {
             rollout.apply_status(status, *written);
         }
--- a/components/gateway/src/rollouts/tests.rs
+++ b/components/gateway/src/rollouts/tests.rs
@@ -42,7 +42,7 @@
 #[tokio::test]
 async fn apply_order_gives_canary_nothing_until_leader_is_heard() {
     let mut rollouts = rollouts();
-    rollouts.apply_order(order("v2"), StoreRevision(5));
+    rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
     assert_eq!((phase(&rollouts), share(&rollouts)), (RolloutPhase::Canary, 0.0));
     rollouts.apply_notice(&notice(5, RolloutPhase::Canary, 0.05), Instant::now());
     assert_eq!(share(&rollouts), 0.05);
@@ -53,7 +53,7 @@
 #[tokio::test]
 async fn apply_order_without_bounds_does_nothing() {
     let mut rollouts = Rollouts::new(None);
-    rollouts.apply_order(order("v2"), StoreRevision(5));
+    rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
     rollouts.apply_status(&service(), status(RolloutState::Running, "v2", 5), StoreRevision(6));
     assert!(rollouts.is_empty());
 }
@@ -61,20 +61,20 @@
 #[tokio::test]
 async fn apply_order_older_one_never_replaces_newer() {
     let mut rollouts = rollouts();
-    rollouts.apply_order(order("v3"), StoreRevision(9));
-    rollouts.apply_order(order("v2"), StoreRevision(5));
+    rollouts.apply_order(order("v3"), StoreRevision(9), Instant::now());
+    rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
     assert_eq!(&*rollouts.get(&service()).unwrap().to, "v3");
 }
 
 #[tokio::test]
 async fn apply_order_second_one_starts_anew() {
     let mut rollouts = rollouts();
-    rollouts.apply_order(order("v2"), StoreRevision(5));
+    rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
     let rolled_back = status(RolloutState::RolledBack, "v2", 5);
     rollouts.apply_status(&service(), rolled_back, StoreRevision(7));
     assert_eq!(phase(&rollouts), RolloutPhase::RolledBack);
     // The same version again: the status of the first order does not end the second one.
-    rollouts.apply_order(order("v2"), StoreRevision(9));
+    rollouts.apply_order(order("v2"), StoreRevision(9), Instant::now());
     assert_eq!(phase(&rollouts), RolloutPhase::Canary);
     let wanted = rollouts.status_to_write(&service()).unwrap();
     assert_eq!((wanted.state, wanted.order), (RolloutState::Running, Some(9)));
@@ -87,7 +87,7 @@
         (RolloutState::RolledBack, RolloutPhase::RolledBack),
     ] {
         let mut rollouts = rollouts();
-        rollouts.apply_order(order("v2"), StoreRevision(5));
+        rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
         rollouts.apply_status(&service(), status(state, "v2", 5), StoreRevision(6));
         for step in [RolloutPhase::Canary, RolloutPhase::Promoting, RolloutPhase::RolledBack] {
             rollouts.apply_notice(&notice(5, step, 1.0), Instant::now());
@@ -102,7 +102,7 @@
 #[tokio::test]
 async fn end_in_store_overrides_step_of_replaced_leader() {
     let mut rollouts = rollouts();
-    rollouts.apply_order(order("v2"), StoreRevision(5));
+    rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
     rollouts.apply_notice(&notice(5, RolloutPhase::RolledBack, 0.0), Instant::now());
     rollouts.apply_status(&service(), status(RolloutState::Completed, "v2", 5), StoreRevision(6));
     assert_eq!(phase(&rollouts), RolloutPhase::Completed);
@@ -122,7 +122,7 @@
 async fn running_status_before_its_order_does_not_end_it() {
     let mut rollouts = rollouts();
     rollouts.apply_status(&service(), status(RolloutState::Running, "v2", 5), StoreRevision(6));
-    rollouts.apply_order(order("v2"), StoreRevision(5));
+    rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
     assert_eq!(phase(&rollouts), RolloutPhase::Canary);
     assert_eq!(rollouts.get(&service()).unwrap().duration, DURATION);
     assert_eq!(rollouts.status_to_write(&service()), None);
@@ -131,7 +131,7 @@
 #[tokio::test]
 async fn withdraw_order_rolls_back() {
     let mut rollouts = rollouts();
-    rollouts.apply_order(order("v2"), StoreRevision(5));
+    rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
     rollouts.apply_status(&service(), status(RolloutState::Running, "v2", 5), StoreRevision(6));
     rollouts.withdraw_order(&service(), StoreRevision(4));
     assert_eq!(phase(&rollouts), RolloutPhase::Canary, "by an older revision");
@@ -146,7 +146,7 @@
     tokio::time::pause();
     tokio::time::advance(DURATION).await;
     let mut rollouts = rollouts();
-    rollouts.apply_order(order("v2"), StoreRevision(5));
+    rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
     let old = RolloutNotice { age_ms: 20_000, ..notice(5, RolloutPhase::Canary, 0.05) };
     rollouts.apply_notice(&old, Instant::now());
     let age = rollouts.get(&service()).unwrap().age(Instant::now());
@@ -157,7 +157,7 @@
 async fn frozen_leader_leaves_share_as_it_is() {
     tokio::time::pause();
     let mut rollouts = rollouts();
-    rollouts.apply_order(order("v2"), StoreRevision(5));
+    rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
     rollouts.apply_notice(&notice(5, RolloutPhase::Canary, 0.05), Instant::now());
     tokio::time::advance(2 * DURATION).await;
     assert_eq!((phase(&rollouts), share(&rollouts)), (RolloutPhase::Canary, 0.05));
@@ -181,7 +181,7 @@
 async fn node_without_leader_stops_sending_to_bad_canary() {
     let mut rollouts = rollouts();
     let limits = rollouts.limits().unwrap();
-    rollouts.apply_order(order("v2"), StoreRevision(5));
+    rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
     rollouts.apply_notice(&notice(5, RolloutPhase::Canary, 0.05), Instant::now());
     count(&mut rollouts, "v1", 1000, 0);
     count(&mut rollouts, "v2", 50, 4);
@@ -196,7 +196,7 @@
 async fn reports_of_halves_add_up() {
     let (mut one, mut other) = (rollouts(), rollouts());
     for half in [&mut one, &mut other] {
-        half.apply_order(order("v2"), StoreRevision(5));
+        half.apply_order(order("v2"), StoreRevision(5), Instant::now());
         count(half, "v1", 100, 0);
         count(half, "v2", 10, 4);
     }
@@ -216,7 +216,7 @@
 async fn reports_hold_only_roll_outs_under_way() {
     let mut rollouts = rollouts();
     assert!(rollouts.reports(Instant::now()).is_empty());
-    rollouts.apply_order(order("v2"), StoreRevision(5));
+    rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
     assert_eq!(rollouts.reports(Instant::now()).len(), 1);
     rollouts.apply_status(&service(), status(RolloutState::Completed, "v2", 5), StoreRevision(6));
     assert!(rollouts.reports(Instant::now()).is_empty());
@@ -226,7 +226,7 @@
 async fn streams_leave_old_version_late_in_promotion() {
     tokio::time::pause();
     let mut rollouts = rollouts();
-    rollouts.apply_order(order("v2"), StoreRevision(5));
+    rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
     tokio::time::advance(Duration::from_secs(54)).await;
     let rollout = rollouts.get_mut(&service()).unwrap();
     rollout.promote(Instant::now());
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -188,6 +188,11 @@
         self.gateway.settings.change_bound / INTERVALS_PER_BOUND
     }
 
+    /// Returns the time from a write until it is read, if the store answers.
+    pub(crate) fn max_read_delay(&self) -> Duration {
+        self.read_interval() + RESPONSE_TIME
+    }
+
     /// Returns the age that the view of a node whose calls succeed does not exceed.
     pub(crate) fn max_age(&self) -> Duration {
         self.read_interval() + WATCH_WAIT + RESPONSE_TIME
--- a/components/soak/src/cluster.rs
+++ b/components/soak/src/cluster.rs
@@ -18,6 +18,7 @@
     load::{CallLog, call_forever},
     named_limits::{LimitLog, check_limits, limit_summary},
     nodes::{Cut, Links, Node, QUIET_TIME},
+    rollouts::RolloutLog,
 };
 
 /// What happens beside the faults.
@@ -29,6 +30,8 @@
     CrashingPart,
     /// Upstreams name limits of requests a second.
     NamedLimits,
+    /// A bad and a good version are rolled out.
+    Rollout,
 }
 
 const NODES: usize = 3;
@@ -58,6 +61,7 @@
     faults: RefCell<Vec<String>>,
     harmful_calls: HarmfulCalls,
     limits: LimitLog,
+    rollouts: RolloutLog,
 }
 
 impl Cluster {
@@ -90,6 +94,7 @@
             faults: RefCell::default(),
             harmful_calls: HarmfulCalls::default(),
             limits: LimitLog::new(seed),
+            rollouts: RolloutLog::default(),
         }
     }
 
@@ -108,6 +113,12 @@
         if has_prompts {
             callers.push(actix_rt::spawn(send_harmful(cluster.clone())));
         }
+        if cluster.scenario == Scenario::Rollout {
+            let cluster = cluster.clone();
+            callers.push(actix_rt::spawn(async move {
+                cluster.rollouts.play(&cluster.store).await;
+            }));
+        }
         let faults = inject_all(&cluster, plan(cluster.seed, NODES, UPSTREAMS, length));
         let cuts = inject_all(&cluster, plan_cuts(cluster.seed, NODES, length));
         tokio::join!(faults, cuts);
@@ -130,7 +141,8 @@
         let calls = self.log.borrow();
         let executed: Vec<_> =
             self.upstreams.borrow().iter().map(ScriptedUpstream::executed).collect();
-        let all: Vec<_> = executed.iter().flatten().cloned().collect();
+        let mut all: Vec<_> = executed.iter().flatten().cloned().collect();
+        all.extend(self.rollouts.executed());
         let mut violations = check_requests(&calls, &all);
         let mut notes = Vec::new();
         violations.extend(check_drains(&self.drains.borrow(), &executed));
@@ -151,6 +163,10 @@
             violations.extend(check_limits(&self.limits, &calls, &executed));
             notes.push(limit_summary(&self.limits, &calls));
         }
+        if self.scenario == Scenario::Rollout {
+            violations.extend(self.rollouts.check(&all));
+            notes.push(self.rollouts.summary());
+        }
         Report {
             seed: self.seed,
             requests: calls.len(),
--- a/components/soak/src/main.rs
+++ b/components/soak/src/main.rs
@@ -8,6 +8,7 @@
 mod load;
 mod named_limits;
 mod nodes;
+mod rollouts;
 
 use std::{path::PathBuf, process::ExitCode, time::Duration};
 
@@ -35,12 +36,13 @@
         .arg(
             Arg::new("scenario")
                 .long("scenario")
-                .value_parser(["faults", "crashing-part", "named-limits"])
+                .value_parser(["faults", "crashing-part", "named-limits", "rollout"])
                 .default_value("faults")
                 .help("What happens beside the faults")
                 .long_help(
                     "What happens beside the faults: nothing; upstreams crash on requests whose prompt \
-                     holds one part; or upstreams name limits of requests a second",
+                     holds one part; upstreams name limits of requests a second; or a bad and a \
+                     good version are rolled out",
                 ),
         )
         .arg(
@@ -59,6 +61,7 @@
     let scenario = match matches.get_one::<String>("scenario").map(String::as_str) {
         Some("crashing-part") => Scenario::CrashingPart,
         Some("named-limits") => Scenario::NamedLimits,
+        Some("rollout") => Scenario::Rollout,
         _ => Scenario::Faults,
     };
     let node = matches.get_one::<PathBuf>("node").cloned().unwrap_or_else(default_node_program);
--- a/components/soak/src/nodes.rs
+++ b/components/soak/src/nodes.rs
@@ -13,6 +13,8 @@
 use serde_json::json;
 use tokio::time::Instant;
 
+use crate::rollouts::{EXPOSURE, EXTRA};
+
 /// Minimum time without a disturbance after which a guarantee with a time bound is checked.
 pub(crate) const QUIET_TIME: Duration = Duration::from_secs(4);
 
@@ -109,6 +111,7 @@
             "duties": links.api.address(),
             "retry": {"ratio": "0.2", "extra": "50", "window": "10s"},
             "usage_window": "1s", "usage_due": "6s", "duty_lease": format!("{}s", LEADER_LEASE.as_secs()), "grace": "6s",
+            "rollout": {"exposure": EXPOSURE.to_string(), "extra": EXTRA.to_string()},
             "log": {"level": "warn"},
         }});
         std::fs::write(&settings, text.to_string()).expect("the settings directory is writable");
