quota: Single large requests pass below the limit; at the limit important and small ones go first

The limits of the parts of a window spread usage; only the whole window is the operator's. A workspace whose limit of a second is near the cost of one prompt was refused by them far below its limit. They now use the slack that the operator grants, from the settings. What is refused at the limit is large and of low priority first. A refusal names the request, the part of the window and the excess, and explain shows it.

--- a/components/gateway/src/decision.rs
+++ b/components/gateway/src/decision.rs
@@ -141,10 +141,15 @@
 /// A request that was rejected because its workspace has exceeded its quota.
 #[derive(Debug, Serialize)]
 pub(crate) struct QuotaExceeded<'a> {
+    pub(crate) request: &'a str,
     pub(crate) workspace: &'a WorkspaceName,
     /// Cost of the request, in tokens or requests.
     pub(crate) cost: u64,
     pub(crate) limit: u64,
+    /// Cost beyond the limit that is exceeded most.
+    pub(crate) excess: u64,
+    /// Length of the subwindow whose limit it is.
+    pub(crate) subwindow_ms: u64,
     /// Usage counted by this node in each subwindow, shortest first.
     pub(crate) own: [u64; 4],
     /// Usage reported by the other nodes in each subwindow.
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 
 use lycheelatch_policy::CrashSuspects;
 use lycheelatch_prelude::{ServiceName, WorkspaceName};
-use lycheelatch_settings::{GatewaySettings, RetryLimit};
+use lycheelatch_settings::{GatewaySettings, QuotaTolerance, RetryLimit};
 use tokio::{net::UdpSocket, sync::watch, time::Instant};
 
 use crate::{
@@ -22,7 +22,7 @@
     messages::Digest,
     open_count::{OpenCount, OpenGuard},
     peers::PeerTable,
-    quota::{self, ProcessAge, ReportedUsage, SlidingCounter},
+    quota::{self, Charge, ProcessAge, QuotaTerms, ReportedUsage, SlidingCounter},
     resend::ResendTimes,
     retry_budget::RetryBudget,
     schedule,
@@ -99,6 +99,7 @@
     seeds: Vec<SocketAddr>,
     retry: RetryLimit,
     quota_window: Duration,
+    quota_tolerance: QuotaTolerance,
 }
 
 impl From<&GatewaySettings> for ReloadableSettings {
@@ -107,6 +108,7 @@
             seeds: settings.seeds.clone(),
             retry: settings.retry,
             quota_window: settings.quota_window,
+            quota_tolerance: settings.quota_tolerance,
         }
     }
 }
@@ -226,11 +228,15 @@
     pub(crate) fn try_quota(
         &self,
         workspace: &Workspace,
-        cost: u64,
+        request: &str,
+        charge: Charge,
         now: Instant,
     ) -> Result<(), Duration> {
         let Some(limit) = &workspace.quota else { return Ok(()) };
-        let window = self.reloaded.borrow().quota_window;
+        let (window, tolerance) = {
+            let reloaded = self.reloaded.borrow();
+            (reloaded.quota_window, reloaded.quota_tolerance)
+        };
         let zone = &self.settings.zone;
         let mut others =
             self.peers.borrow().quota_use_of_others(zone, &workspace.name, window, now);
@@ -240,9 +246,10 @@
         let mut quotas = self.quotas.borrow_mut();
         let count = quotas.entry(workspace.name.clone()).or_default();
         let own = count.admitted.subwindow_sums(window, now);
-        let excess = match quota::admits(limit, window, own, others, self.age(now), cost) {
+        let terms = QuotaTerms { quota: limit, window, tolerance };
+        let excess = match quota::admits(terms, own, others, self.age(now), charge) {
             Ok(()) => {
-                count.admitted.add(cost, now);
+                count.admitted.add(charge.cost, now);
                 return Ok(());
             }
             Err(excess) => excess,
@@ -251,11 +258,15 @@
         used += others.reported;
         let refused_here = count.refused.subwindow_sums(window, now).shortest();
         let waiting = others.refused.saturating_add(refused_here);
-        count.refused.add(cost, now);
-        let after = quota::retry_after(limit, window, used, excess, waiting, rand::random::<f64>());
+        count.refused.add(charge.cost, now);
+        let position = rand::random::<f64>();
+        let after = quota::retry_after(limit, window, used, excess.cost, waiting, position);
         self.decisions.write(&Decision::QuotaExceeded(QuotaExceeded {
+            request,
             workspace: &workspace.name,
-            cost,
+            cost: charge.cost,
+            excess: excess.cost,
+            subwindow_ms: millis(excess.subwindow),
             limit: quota::window_limit(limit, window),
             own: own.0,
             reported: others.reported.0,
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -89,8 +89,8 @@
     CapacityOrder, LeaderPermit, PlatformApi, PlatformApiError, PurchaseOption,
 };
 pub use quota::{
-    PeerUsage, ProcessAge, ReportedUsage, SlidingCounter, SubwindowUsage, admits, assumed_usage,
-    remaining, retry_after, window_limit,
+    Charge, PeerUsage, ProcessAge, QuotaExcess, QuotaTerms, ReportedUsage, SlidingCounter,
+    SubwindowUsage, admits, assumed_usage, remaining, retry_after, window_limit,
 };
 pub use retry_budget::RetryBudget;
 pub use run::{PlatformParts, RunningGateway};
--- a/components/gateway/src/quota.rs
+++ b/components/gateway/src/quota.rs
@@ -7,10 +7,11 @@
 
 use std::{collections::VecDeque, time::Duration};
 
+use lycheelatch_settings::QuotaTolerance;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use crate::table::Quota;
+use crate::table::{Priority, Quota};
 
 /// Duration of a bucket.
 const BUCKET: Duration = Duration::from_millis(250);
@@ -126,6 +127,26 @@
 /// Share of a node's part of the limit that is assumed to be used already after a restart.
 const ASSUMED_SHARE: f64 = 0.97;
 
+/// Share of the tolerated slack that the subwindows shorter than the window may use.
+///
+/// Only the whole window is limited by the operator. The shorter ones spread usage over it, and
+/// a small limit must not refuse single large requests for that.
+const SUBWINDOW_SLACK_SHARE: f64 = 0.5;
+
+/// Share of the tolerated slack that the whole window may use. The rest is left for usage that
+/// other nodes have not reported yet.
+const WINDOW_SLACK_SHARE: f64 = 0.25;
+
+/// Room that a request leaves to more important ones, as a share of the limit. Indexed by
+/// priority; the last value applies to all lower priorities.
+const RESERVED_SHARES: [f64; 3] = [0.0, 0.02, 0.04];
+
+/// Share of the tolerated overage that a request of negligible cost may use.
+const SMALL_REQUEST_OVERAGE: f64 = 0.25;
+
+/// Maximum cost of such a request, as a share of the limit.
+const SMALL_REQUEST_SHARE: f64 = 0.001;
+
 /// Minimum `Retry-After` for a workspace that has exceeded its quota.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -169,6 +190,51 @@
     Duration::from_secs_f64(ahead / rate).clamp(MIN_RETRY_AFTER, window)
 }
 
+/// A request to be charged to its workspace's quota.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Charge {
+    /// Cost in the unit of the limit.
+    pub cost: u64,
+    /// Priority of the request.
+    pub priority: Priority,
+}
+
+impl Charge {
+    /// Returns up to which usage, its own cost included, the request is admitted.
+    ///
+    /// At the limit, large and less important requests are refused first. A request leaves no more
+    /// room than it takes itself.
+    fn limit(self, limit: u64, tolerance: QuotaTolerance) -> u64 {
+        if self.cost as f64 <= limit as f64 * SMALL_REQUEST_SHARE {
+            let extra = limit as f64 * tolerance.overage * SMALL_REQUEST_OVERAGE;
+            return limit.saturating_add(extra as u64);
+        }
+        let at = usize::from(self.priority.0).min(RESERVED_SHARES.len() - 1);
+        let reserved = (limit as f64 * RESERVED_SHARES[at]) as u64;
+        limit - reserved.min(self.cost).min(limit)
+    }
+}
+
+/// A workspace's limit, the window over which it applies and how far it may be exceeded.
+#[derive(Debug, Clone, Copy)]
+pub struct QuotaTerms<'a> {
+    /// The limit.
+    pub quota: &'a Quota,
+    /// Window over which it applies.
+    pub window: Duration,
+    /// How far usage may exceed it.
+    pub tolerance: QuotaTolerance,
+}
+
+/// The limit that a request exceeds most.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QuotaExcess {
+    /// Cost beyond the limit.
+    pub cost: u64,
+    /// Length of the subwindow whose limit it is.
+    pub subwindow: Duration,
+}
+
 /// Returns how much this node may still admit.
 ///
 /// A node that stopped reporting is assumed to use its equal share. A node that never
@@ -184,26 +250,35 @@
     subwindows(quota, window, own, others, age).iter().map(Subwindow::remaining).min().unwrap_or(0)
 }
 
-/// Checks whether a request of this cost may be admitted; if not, returns by how much it exceeds
-/// the limit that it exceeds most.
+/// Checks whether a request may be admitted; if not, returns the limit that it exceeds most.
 ///
 /// The limit of a subwindow shorter than the window does not apply if nothing was used in it.
 /// Otherwise a request that costs more than such a limit could never be admitted.
 pub fn admits(
-    quota: &Quota,
-    window: Duration,
+    terms: QuotaTerms<'_>,
     own: SubwindowUsage,
     others: PeerUsage,
     age: ProcessAge,
-    cost: u64,
-) -> Result<(), u64> {
-    let subwindows = subwindows(quota, window, own, others, age);
+    charge: Charge,
+) -> Result<(), QuotaExcess> {
+    let subwindows = subwindows(terms.quota, terms.window, own, others, age);
     let last = DIVISORS.len() - 1;
-    let applies = |at: &usize| *at == last || subwindows[*at].used > 0;
-    let excesses = (0..=last).filter(applies).map(|at| subwindows[at].excess(cost));
-    match excesses.max().unwrap_or(0) {
-        0 => Ok(()),
-        excess => Err(excess),
+    let excess_of = |at: usize| {
+        let Subwindow { limit, used } = subwindows[at];
+        let is_whole = at == last;
+        if used == 0 && !is_whole {
+            return 0;
+        }
+        let share = if is_whole { WINDOW_SLACK_SHARE } else { SUBWINDOW_SLACK_SHARE };
+        let slack = (terms.tolerance.slack as f64 * share) as u64;
+        let limit = if used == 0 { limit } else { charge.limit(limit, terms.tolerance) };
+        used.saturating_add(charge.cost).saturating_sub(limit.saturating_add(slack))
+    };
+    let excesses = (0..=last)
+        .map(|at| QuotaExcess { cost: excess_of(at), subwindow: terms.window / DIVISORS[at] });
+    match excesses.max_by_key(|excess| excess.cost) {
+        Some(excess) if excess.cost > 0 => Err(excess),
+        _ => Ok(()),
     }
 }
 
@@ -215,11 +290,6 @@
 }
 
 impl Subwindow {
-    /// Returns by how much a request of this cost would exceed the limit.
-    fn excess(&self, cost: u64) -> u64 {
-        self.used.saturating_add(cost).saturating_sub(self.limit)
-    }
-
     fn remaining(&self) -> u64 {
         self.limit.saturating_sub(self.used)
     }
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -21,6 +21,7 @@
     gateway::{Demand, Gateway},
     local_response::LocalResponse,
     open_count::OpenGuard,
+    quota::Charge,
 };
 
 /// `Retry-After` of a node that has not received its configuration yet.
@@ -162,7 +163,7 @@
     let trial = check_request(gateway, &service, info.prompt.as_ref())?;
     let chain = info.prompt.as_ref().map(PrefixChain::from);
     let now = Instant::now();
-    check_quota(gateway, workspace.as_deref(), &info, now)?;
+    check_quota(gateway, workspace.as_deref(), &route, &info, now)?;
     gateway.count_request(&service.name, demand_of(&info), now);
     let headers = std::mem::take(&mut req.head_mut().headers);
     let (method, uri) = (req.method().clone(), req.uri().clone());
@@ -240,6 +241,7 @@
 fn check_quota(
     gateway: &Gateway,
     workspace: Option<&Workspace>,
+    route: &Route,
     info: &RequestInfo,
     now: Instant,
 ) -> Result<(), LocalResponse> {
@@ -252,7 +254,8 @@
         }
         (Some(plain), None) => plain,
     };
-    let charged = gateway.try_quota(workspace, cost, now);
+    let charge = Charge { cost, priority: workspace.priority.unwrap_or(route.priority) };
+    let charged = gateway.try_quota(workspace, &info.id, charge, now);
     charged.map_err(|after| LocalResponse::with_retry_after(Reason::OverQuota, after))
 }
 
--- a/components/settings/src/gateway.rs
+++ b/components/settings/src/gateway.rs
@@ -21,6 +21,17 @@
     pub window: Duration,
 }
 
+/// How far the usage of a workspace may exceed its limit, over all nodes.
+///
+/// Nodes learn of each other's usage with delay, so no limit is kept exactly.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct QuotaTolerance {
+    /// Share of the limit.
+    pub overage: f64,
+    /// Amount beyond that share, in the unit of the limit.
+    pub slack: u64,
+}
+
 /// Settings of a gateway.
 #[derive(Debug, Clone, PartialEq)]
 pub struct GatewaySettings {
@@ -48,6 +59,8 @@
     pub retry: RetryLimit,
     /// Window over which the limits of workspaces apply.
     pub quota_window: Duration,
+    /// How far workspaces may exceed their limits.
+    pub quota_tolerance: QuotaTolerance,
     /// Time from the termination signal to the end of the process.
     pub grace: Duration,
     /// Time within which a change of the configuration or of an upstream must be in force.
@@ -77,6 +90,7 @@
     let platform_api = r.required("duties", address);
     let retry = read_retry(r.object("retry"));
     let quota_window = r.duration("quota_window", Duration::from_secs(8));
+    let quota_tolerance = read_quota_tolerance(r.object("quota"));
     let grace = r.duration("grace", Duration::from_secs(8));
     let change_bound = r.duration("change_bound", Duration::from_secs(2));
     let leader_lease = r.duration("duty_lease", Duration::from_secs(3));
@@ -101,6 +115,7 @@
         platform_api: platform_api?,
         retry,
         quota_window,
+        quota_tolerance,
         grace,
         change_bound,
         leader_lease,
@@ -119,6 +134,13 @@
     RetryLimit { ratio, extra, window }
 }
 
+fn read_quota_tolerance(mut r: Reader<'_>) -> QuotaTolerance {
+    let overage = r.optional("overage", non_negative).unwrap_or(0.0);
+    let slack = r.optional("slack", non_negative).unwrap_or(0.0);
+    r.finish();
+    QuotaTolerance { overage, slack: slack as u64 }
+}
+
 fn boolean(text: &str) -> Result<bool, String> {
     text.parse().map_err(|_| "must be true or false".to_owned())
 }
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -33,6 +33,16 @@
         retry_after_ms: Option<u64>,
         config_version: Option<u64>,
     },
+    QuotaRefused {
+        workspace: String,
+        cost: u64,
+        limit: u64,
+        excess: u64,
+        subwindow_ms: u64,
+        unheard_nodes: u32,
+        unmet_nodes: u32,
+        nodes: u32,
+    },
     SendEnded {
         upstream: String,
         candidates: usize,
@@ -114,6 +124,19 @@
             let version = or_dash(config_version.as_ref());
             format!("refused with {status}: {reason}{retry}; configuration {version}")
         }
+        Event::QuotaRefused {
+            workspace,
+            cost,
+            limit,
+            excess,
+            subwindow_ms,
+            unheard_nodes,
+            unmet_nodes,
+            nodes,
+        } => format!(
+            "limit {limit} of {workspace} exceeded by {excess} within {subwindow_ms} ms, cost \
+             {cost}; of {nodes} nodes {unheard_nodes} unheard and {unmet_nodes} unmet"
+        ),
         Event::SendEnded {
             upstream,
             candidates,
@@ -188,12 +211,19 @@
         Event::RequestEnded { reason, .. } | Event::RequestRefused { reason, .. } => {
             Some(reason.as_str())
         }
-        Event::SendEnded { .. } | Event::StreamBroke { .. } | Event::ResponseCut { .. } => None,
+        _ => None,
+    });
+    let assumed = lines.iter().any(|line| match line.event {
+        Event::QuotaRefused { unheard_nodes, unmet_nodes, .. } => unheard_nodes + unmet_nodes > 0,
+        _ => false,
     });
     let cause = match reason {
         Some("busy") => "no upstream could answer in time, so none got it".to_owned(),
         Some("no_upstream") => "the service had no upstream that takes work".to_owned(),
         Some("crashes_upstreams") => "its prompt holds a part that crashes upstreams".to_owned(),
+        Some("over_quota") if assumed => {
+            "the workspace was over its limit, use of nodes not heard from assumed".to_owned()
+        }
         Some("over_quota") => "the workspace was over its limit on all nodes together".to_owned(),
         Some("not_informed") => "the node held no configuration or no upstreams yet".to_owned(),
         Some("stopping") => "the node was stopping".to_owned(),
