--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -412,6 +412,7 @@
 /// Log lines of two nodes, with the prefix that a log collector adds.
 const LOG: &str = r#"12:00 node-2 {"time_ms":1040,"node":"node-2","event":"send_ended","request":"id-1","upstream":"r-2","candidates":3,"expected_ms":90,"runner_up":"r-1","runner_up_ms":120,"uncached_tokens":800,"fetched_tokens":0,"running_here":1,"running_elsewhere":4,"elapsed_ms":400,"end":"answered"}
 12:00 node-2 {"time_ms":1900,"node":"node-2","event":"request_ended","request":"id-1","route":"letters","workspace":"ws","reason":"answered","status":200,"sends":1,"elapsed_ms":1300,"config_version":7}
+12:00 node-1 {"time_ms":1000,"node":"node-1","event":"quota_refused","request":"id-2","workspace":"ws","cost":13000,"limit":400000,"excess":800,"subwindow_ms":8000,"own":[1,2,3,4],"heard":[5,6,7,8],"unheard_nodes":2,"unmet_nodes":0,"nodes":75,"retry_after_ms":300}
 12:00 node-1 {"time_ms":1000,"node":"node-1","event":"request_refused","request":"id-2","reason":"over_quota","status":429,"retry_after_ms":300,"config_version":7}
 not a line of ours
 "#;
@@ -442,6 +443,13 @@
     assert!(output.stdout.starts_with("the workspace was over its limit"), "{}", output.stdout);
 }
 
+#[test]
+fn explain_shows_limit_that_refused() {
+    let output = explain(&["id-2"]);
+    assert!(output.stdout.contains("limit 400000 of ws exceeded by 800 within 8000 ms"));
+    assert!(output.stdout.contains("use of nodes not heard from assumed"), "{}", output.stdout);
+}
+
 #[test]
 fn explain_unknown_request_is_not_found() {
     assert_eq!(explain(&["id-9"]).code, Code::NotFound);
