--- a/components/gateway/src/quota.rs
+++ b/components/gateway/src/quota.rs
@@ -35,10 +35,23 @@
 impl SubwindowUsage {
     /// Extrapolates a node's reported usage to the present, `age` after the report, at the rate
     /// of the shortest subwindow.
+    ///
+    /// From the longer subwindows, the usage that has left them since is subtracted. The shortest
+    /// one is not reduced: its usage may have been rising when it was reported.
     pub fn extrapolate(self, age: Duration, window: Duration) -> SubwindowUsage {
-        let shortest = window / DIVISORS[0];
-        let since = self.0[0] as f64 * age.as_secs_f64() / shortest.as_secs_f64();
-        SubwindowUsage(self.0.map(|used| used.saturating_add(since as u64)))
+        let age = age.as_secs_f64();
+        let length = |at: usize| (window / DIVISORS[at]).as_secs_f64();
+        let added = self.0[0] as f64 * age / length(0);
+        SubwindowUsage(std::array::from_fn(|at| {
+            let expired = match at {
+                0 => 0.0,
+                _ => {
+                    let oldest = self.0[at].saturating_sub(self.0[at - 1]) as f64;
+                    oldest * (age / (length(at) - length(at - 1))).min(1.0)
+                }
+            };
+            self.0[at].saturating_add(added as u64).saturating_sub(expired as u64)
+        }))
     }
 
     /// Returns the usage in the shortest subwindow.
@@ -141,8 +154,9 @@
 /// priority; the last value applies to all lower priorities.
 const RESERVED_SHARES: [f64; 3] = [0.0, 0.02, 0.04];
 
-/// Share of the tolerated overage that a request of negligible cost may use.
-const SMALL_REQUEST_OVERAGE: f64 = 0.25;
+/// Share of the tolerance that requests of negligible cost may use. They take hardly any room, so
+/// refusing them at the limit helps no other request.
+const SMALL_REQUEST_TOLERANCE_SHARE: f64 = 0.5;
 
 /// Maximum cost of such a request, as a share of the limit.
 const SMALL_REQUEST_SHARE: f64 = 0.001;
@@ -200,18 +214,19 @@
 }
 
 impl Charge {
-    /// Returns up to which usage, its own cost included, the request is admitted.
+    /// Returns up to which usage of a subwindow, its own cost included, the request is admitted.
     ///
     /// At the limit, large and less important requests are refused first. A request leaves no more
     /// room than it takes itself.
-    fn limit(self, limit: u64, tolerance: QuotaTolerance) -> u64 {
-        if self.cost as f64 <= limit as f64 * SMALL_REQUEST_SHARE {
-            let extra = limit as f64 * tolerance.overage * SMALL_REQUEST_OVERAGE;
-            return limit.saturating_add(extra as u64);
-        }
+    fn limit(self, limit: u64, slack: u64) -> u64 {
         let at = usize::from(self.priority.0).min(RESERVED_SHARES.len() - 1);
         let reserved = (limit as f64 * RESERVED_SHARES[at]) as u64;
-        limit - reserved.min(self.cost).min(limit)
+        limit - reserved.min(self.cost).min(limit) + slack
+    }
+
+    /// Returns whether the cost is negligible for the limit of a whole window.
+    fn is_small(self, limit: u64) -> bool {
+        self.cost as f64 <= limit as f64 * SMALL_REQUEST_SHARE
     }
 }
 
@@ -253,7 +268,8 @@
 /// Checks whether a request may be admitted; if not, returns the limit that it exceeds most.
 ///
 /// The limit of a subwindow shorter than the window does not apply if nothing was used in it.
-/// Otherwise a request that costs more than such a limit could never be admitted.
+/// Otherwise a request that costs more than such a limit could never be admitted. Nor does it
+/// apply to requests of negligible cost.
 pub fn admits(
     terms: QuotaTerms<'_>,
     own: SubwindowUsage,
@@ -263,16 +279,13 @@
 ) -> Result<(), QuotaExcess> {
     let subwindows = subwindows(terms.quota, terms.window, own, others, age);
     let last = DIVISORS.len() - 1;
-    let excess_of = |at: usize| {
-        let Subwindow { limit, used } = subwindows[at];
-        let is_whole = at == last;
-        if used == 0 && !is_whole {
-            return 0;
-        }
-        let share = if is_whole { WINDOW_SLACK_SHARE } else { SUBWINDOW_SLACK_SHARE };
-        let slack = (terms.tolerance.slack as f64 * share) as u64;
-        let limit = if used == 0 { limit } else { charge.limit(limit, terms.tolerance) };
-        used.saturating_add(charge.cost).saturating_sub(limit.saturating_add(slack))
+    let is_small = charge.is_small(subwindows[last].limit);
+    let excess_of = |at: usize| match (at == last, subwindows[at].used) {
+        (true, _) if is_small => subwindows[at].excess_of_small(charge, terms.tolerance),
+        (false, _) if is_small => 0,
+        (true, 0) => charge.cost.saturating_sub(subwindows[at].limit),
+        (false, 0) => 0,
+        (is_whole, _) => subwindows[at].excess(charge, is_whole, terms.tolerance),
     };
     let excesses = (0..=last)
         .map(|at| QuotaExcess { cost: excess_of(at), subwindow: terms.window / DIVISORS[at] });
@@ -290,6 +303,21 @@
 }
 
 impl Subwindow {
+    /// Returns by how much a request would exceed what it may use of the limit.
+    fn excess(self, charge: Charge, is_whole: bool, tolerance: QuotaTolerance) -> u64 {
+        let share = if is_whole { WINDOW_SLACK_SHARE } else { SUBWINDOW_SLACK_SHARE };
+        let slack = (tolerance.slack as f64 * share) as u64;
+        let limit = charge.limit(self.limit, slack);
+        self.used.saturating_add(charge.cost).saturating_sub(limit)
+    }
+
+    /// The same for a request of negligible cost in the whole window.
+    fn excess_of_small(self, charge: Charge, tolerance: QuotaTolerance) -> u64 {
+        let tolerated = self.limit as f64 * tolerance.overage + tolerance.slack as f64;
+        let limit = self.limit.saturating_add((tolerated * SMALL_REQUEST_TOLERANCE_SHARE) as u64);
+        self.used.saturating_add(charge.cost).saturating_sub(limit)
+    }
+
     fn remaining(&self) -> u64 {
         self.limit.saturating_sub(self.used)
     }
