--- a/components/gateway/src/quota.rs
+++ b/components/gateway/src/quota.rs
@@ -7,10 +7,11 @@
 
 use std::{collections::VecDeque, time::Duration};
 
+use lycheelatch_settings::QuotaTolerance;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use crate::table::Quota;
+use crate::table::{Priority, Quota};
 
 /// Duration of a bucket.
 const BUCKET: Duration = Duration::from_millis(250);
@@ -34,10 +35,23 @@
 impl SubwindowUsage {
     /// Extrapolates a node's reported usage to the present, `age` after the report, at the rate
     /// of the shortest subwindow.
+    ///
+    /// From the longer subwindows, the usage that has left them since is subtracted. The shortest
+    /// one is not reduced: its usage may have been rising when it was reported.
     pub fn extrapolate(self, age: Duration, window: Duration) -> SubwindowUsage {
-        let shortest = window / DIVISORS[0];
-        let since = self.0[0] as f64 * age.as_secs_f64() / shortest.as_secs_f64();
-        SubwindowUsage(self.0.map(|used| used.saturating_add(since as u64)))
+        let age = age.as_secs_f64();
+        let length = |at: usize| (window / DIVISORS[at]).as_secs_f64();
+        let added = self.0[0] as f64 * age / length(0);
+        SubwindowUsage(std::array::from_fn(|at| {
+            let expired = match at {
+                0 => 0.0,
+                _ => {
+                    let oldest = self.0[at].saturating_sub(self.0[at - 1]) as f64;
+                    oldest * (age / (length(at) - length(at - 1))).min(1.0)
+                }
+            };
+            self.0[at].saturating_add(added as u64).saturating_sub(expired as u64)
+        }))
     }
 
     /// Returns the usage in the shortest subwindow.
@@ -126,6 +140,27 @@
 /// Share of a node's part of the limit that is assumed to be used already after a restart.
 const ASSUMED_SHARE: f64 = 0.97;
 
+/// Share of the tolerated slack that the subwindows shorter than the window may use.
+///
+/// Only the whole window is limited by the operator. The shorter ones spread usage over it, and
+/// a small limit must not refuse single large requests for that.
+const SUBWINDOW_SLACK_SHARE: f64 = 0.5;
+
+/// Share of the tolerated slack that the whole window may use. The rest is left for usage that
+/// other nodes have not reported yet.
+const WINDOW_SLACK_SHARE: f64 = 0.25;
+
+/// Room that a request leaves to more important ones, as a share of the limit. Indexed by
+/// priority; the last value applies to all lower priorities.
+const RESERVED_SHARES: [f64; 3] = [0.0, 0.02, 0.04];
+
+/// Share of the tolerance that requests of negligible cost may use. They take hardly any room, so
+/// refusing them at the limit helps no other request.
+const SMALL_REQUEST_TOLERANCE_SHARE: f64 = 0.5;
+
+/// Maximum cost of such a request, as a share of the limit.
+const SMALL_REQUEST_SHARE: f64 = 0.001;
+
 /// Minimum `Retry-After` for a workspace that has exceeded its quota.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -169,6 +204,52 @@
     Duration::from_secs_f64(ahead / rate).clamp(MIN_RETRY_AFTER, window)
 }
 
+/// A request to be charged to its workspace's quota.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Charge {
+    /// Cost in the unit of the limit.
+    pub cost: u64,
+    /// Priority of the request.
+    pub priority: Priority,
+}
+
+impl Charge {
+    /// Returns up to which usage of a subwindow, its own cost included, the request is admitted.
+    ///
+    /// At the limit, large and less important requests are refused first. A request leaves no more
+    /// room than it takes itself.
+    fn limit(self, limit: u64, slack: u64) -> u64 {
+        let at = usize::from(self.priority.0).min(RESERVED_SHARES.len() - 1);
+        let reserved = (limit as f64 * RESERVED_SHARES[at]) as u64;
+        limit - reserved.min(self.cost).min(limit) + slack
+    }
+
+    /// Returns whether the cost is negligible for the limit of a whole window.
+    fn is_small(self, limit: u64) -> bool {
+        self.cost as f64 <= limit as f64 * SMALL_REQUEST_SHARE
+    }
+}
+
+/// A workspace's limit, the window over which it applies and how far it may be exceeded.
+#[derive(Debug, Clone, Copy)]
+pub struct QuotaTerms<'a> {
+    /// The limit.
+    pub quota: &'a Quota,
+    /// Window over which it applies.
+    pub window: Duration,
+    /// How far usage may exceed it.
+    pub tolerance: QuotaTolerance,
+}
+
+/// The limit that a request exceeds most.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QuotaExcess {
+    /// Cost beyond the limit.
+    pub cost: u64,
+    /// Length of the subwindow whose limit it is.
+    pub subwindow: Duration,
+}
+
 /// Returns how much this node may still admit.
 ///
 /// A node that stopped reporting is assumed to use its equal share. A node that never
@@ -184,26 +265,33 @@
     subwindows(quota, window, own, others, age).iter().map(Subwindow::remaining).min().unwrap_or(0)
 }
 
-/// Checks whether a request of this cost may be admitted; if not, returns by how much it exceeds
-/// the limit that it exceeds most.
+/// Checks whether a request may be admitted; if not, returns the limit that it exceeds most.
 ///
 /// The limit of a subwindow shorter than the window does not apply if nothing was used in it.
-/// Otherwise a request that costs more than such a limit could never be admitted.
+/// Otherwise a request that costs more than such a limit could never be admitted. Nor does it
+/// apply to requests of negligible cost.
 pub fn admits(
-    quota: &Quota,
-    window: Duration,
+    terms: QuotaTerms<'_>,
     own: SubwindowUsage,
     others: PeerUsage,
     age: ProcessAge,
-    cost: u64,
-) -> Result<(), u64> {
-    let subwindows = subwindows(quota, window, own, others, age);
+    charge: Charge,
+) -> Result<(), QuotaExcess> {
+    let subwindows = subwindows(terms.quota, terms.window, own, others, age);
     let last = DIVISORS.len() - 1;
-    let applies = |at: &usize| *at == last || subwindows[*at].used > 0;
-    let excesses = (0..=last).filter(applies).map(|at| subwindows[at].excess(cost));
-    match excesses.max().unwrap_or(0) {
-        0 => Ok(()),
-        excess => Err(excess),
+    let is_small = charge.is_small(subwindows[last].limit);
+    let excess_of = |at: usize| match (at == last, subwindows[at].used) {
+        (true, _) if is_small => subwindows[at].excess_of_small(charge, terms.tolerance),
+        (false, _) if is_small => 0,
+        (true, 0) => charge.cost.saturating_sub(subwindows[at].limit),
+        (false, 0) => 0,
+        (is_whole, _) => subwindows[at].excess(charge, is_whole, terms.tolerance),
+    };
+    let excesses = (0..=last)
+        .map(|at| QuotaExcess { cost: excess_of(at), subwindow: terms.window / DIVISORS[at] });
+    match excesses.max_by_key(|excess| excess.cost) {
+        Some(excess) if excess.cost > 0 => Err(excess),
+        _ => Ok(()),
     }
 }
 
@@ -215,9 +303,19 @@
 }
 
 impl Subwindow {
-    /// Returns by how much a request of this cost would exceed the limit.
-    fn excess(&self, cost: u64) -> u64 {
-        self.used.saturating_add(cost).saturating_sub(self.limit)
+    /// Returns by how much a request would exceed what it may use of the limit.
+    fn excess(self, charge: Charge, is_whole: bool, tolerance: QuotaTolerance) -> u64 {
+        let share = if is_whole { WINDOW_SLACK_SHARE } else { SUBWINDOW_SLACK_SHARE };
+        let slack = (tolerance.slack as f64 * share) as u64;
+        let limit = charge.limit(self.limit, slack);
+        self.used.saturating_add(charge.cost).saturating_sub(limit)
+    }
+
+    /// The same for a request of negligible cost in the whole window.
+    fn excess_of_small(self, charge: Charge, tolerance: QuotaTolerance) -> u64 {
+        let tolerated = self.limit as f64 * tolerance.overage + tolerance.slack as f64;
+        let limit = self.limit.saturating_add((tolerated * SMALL_REQUEST_TOLERANCE_SHARE) as u64);
+        self.used.saturating_add(charge.cost).saturating_sub(limit)
     }
 
     fn remaining(&self) -> u64 {
