gateway, policy: Each upstream's speed is learnt and shared between nodes

One speed stood for all upstreams of a service, and each node corrected it alone from the few answers that it saw. The new module policy::upstream_speed learns a factor for each upstream from answers, overdue requests and the stated figure (as far as earlier ones predicted what was measured), and nodes send samples to each other in their datagrams. Plain services are placed by the learnt time of a request instead of a constant.

--- a/components/gateway/src/dialect.rs
+++ b/components/gateway/src/dialect.rs
@@ -73,6 +73,8 @@
     pub waiting: u32,
     /// Maximum number of concurrent requests.
     pub slots: u32,
+    /// How long work takes there at the moment, in percent of its usual time.
+    pub work_time_percent: Option<u32>,
 }
 
 /// Contents of an upstream's response headers.
--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -2,13 +2,13 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
 
-use lycheelatch_policy::UpstreamLimit;
+use lycheelatch_policy::{UpstreamLimit, UpstreamSpeed};
 use lycheelatch_prelude::{ServiceName, UpstreamId, ZoneName};
 use tokio::time::Instant;
 
@@ -19,6 +19,7 @@
     engine_load::EngineLoad,
     health::Health,
     pool::Pool,
+    upstream_speeds::UpstreamKey,
 };
 
 /// Entry that an upstream registers in the store.
@@ -58,6 +59,8 @@
     pub(crate) limit: RefCell<UpstreamLimit>,
     /// Estimated load and cache contents of its engine.
     pub load: RefCell<EngineLoad>,
+    /// How long work takes there, relative to the usual of its service.
+    pub speed: RefCell<UpstreamSpeed>,
     /// Response statistics for outlier ejection.
     pub(crate) health: RefCell<Health>,
     pub(crate) pool: Pool,
@@ -74,6 +77,7 @@
             reported_load: Cell::new(None),
             limit: RefCell::default(),
             load: RefCell::default(),
+            speed: RefCell::default(),
             health: RefCell::default(),
             pool: Pool::default(),
             revision: Cell::new(revision),
@@ -92,6 +96,11 @@
         self.entry.borrow().id.clone()
     }
 
+    /// Returns its short identifier in messages between nodes.
+    pub(crate) fn key(&self) -> UpstreamKey {
+        UpstreamKey::from(&self.entry.borrow().id)
+    }
+
     /// Returns whether outlier ejection excludes it from new requests at the moment.
     pub fn is_ejected(&self, now: Instant) -> bool {
         self.health.borrow().is_ejected(now)
@@ -107,6 +116,7 @@
 #[derive(Default)]
 pub struct Directory {
     upstreams: RefCell<BTreeMap<UpstreamId, Rc<Upstream>>>,
+    by_key: RefCell<HashMap<UpstreamKey, Rc<Upstream>>>,
 }
 
 impl Directory {
@@ -135,6 +145,7 @@
             address: entry.address,
         });
         let upstream = Rc::new(Upstream::new(entry, revision));
+        self.by_key.borrow_mut().insert(upstream.key(), upstream.clone());
         if let Some(replaced) = upstreams.insert(upstream.id(), upstream) {
             replaced.retire();
         }
@@ -162,6 +173,7 @@
         if is_older && let Some(removed) = upstreams.remove(id) {
             log_event(&NodeEvent::UpstreamRemoved { upstream: id, revision: revision.0 });
             removed.retire();
+            self.by_key.borrow_mut().remove(&removed.key());
         }
     }
 
@@ -170,7 +182,10 @@
         let mut upstreams = self.upstreams.borrow_mut();
         let found = upstreams.extract_if(.., |_, up| is_taken(up.entry.borrow().address));
         let removed: Vec<_> = found.collect();
-        removed.iter().for_each(|(_, upstream)| upstream.retire());
+        for (_, upstream) in &removed {
+            upstream.retire();
+            self.by_key.borrow_mut().remove(&upstream.key());
+        }
         removed.into_iter().map(|(id, _)| id).collect()
     }
 
@@ -179,6 +194,11 @@
         self.upstreams.borrow().get(id).cloned()
     }
 
+    /// Returns the upstream with a short identifier.
+    pub(crate) fn get_by_key(&self, key: UpstreamKey) -> Option<Rc<Upstream>> {
+        self.by_key.borrow().get(&key).cloned()
+    }
+
     /// Returns all upstreams.
     pub fn all(&self) -> Vec<Rc<Upstream>> {
         self.upstreams.borrow().values().cloned().collect()
--- a/components/gateway/src/engine_load.rs
+++ b/components/gateway/src/engine_load.rs
@@ -16,15 +16,6 @@
 /// Share by which the fixed part of the time to the first token grows until all slots are used.
 const BUSY_SHARE: f64 = 0.2;
 
-/// Weight of a new measurement in the moving average of the slowdown.
-const SLOWDOWN_WEIGHT: f64 = 0.15;
-
-/// Minimum and maximum slowdown that a measurement may yield.
-const SLOWDOWN_RANGE: (f64, f64) = (0.6, 12.0);
-
-/// Half-life of the excess slowdown of an engine without new measurements.
-const SLOWDOWN_HALF_LIFE: Duration = Duration::from_secs(4);
-
 /// Time after which a prompt sent to an engine is assumed to be cached, so that other engines
 /// can fetch it.
 const FETCHABLE_AFTER: Duration = Duration::from_millis(600);
@@ -103,31 +94,16 @@
 }
 
 /// Estimated state of an engine.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct EngineLoad {
     cache: HashMap<PrefixHash, Cached>,
     cached_tokens: u64,
-    slowdown: f64,
-    measured_at: Option<Instant>,
     /// Work in flight from this node.
     pub own: InFlight,
     /// Work in flight from the other nodes, as last reported.
     pub others: InFlight,
 }
 
-impl Default for EngineLoad {
-    fn default() -> EngineLoad {
-        EngineLoad {
-            cache: HashMap::new(),
-            cached_tokens: 0,
-            slowdown: 1.0,
-            measured_at: None,
-            own: InFlight::default(),
-            others: InFlight::default(),
-        }
-    }
-}
-
 /// Estimate for a request on an engine.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Estimate {
@@ -155,18 +131,6 @@
         total
     }
 
-    /// Returns the engine's response time relative to normal; 1 is normal speed.
-    pub fn slowdown(&self, now: Instant) -> f64 {
-        let Some(measured_at) = self.measured_at else { return self.slowdown };
-        let idle = now.saturating_duration_since(measured_at).as_secs_f64();
-        let halves = idle / SLOWDOWN_HALF_LIFE.as_secs_f64();
-        if self.slowdown > 1.0 {
-            1.0 + (self.slowdown - 1.0) * 0.5_f64.powf(halves)
-        } else {
-            self.slowdown
-        }
-    }
-
     /// Returns the length of the longest cached prefix of a prompt, in tokens.
     pub fn cached_tokens(&self, chain: &PrefixChain) -> u32 {
         let is_cached = |link: &&(PrefixHash, u32)| self.cache.contains_key(&link.0);
@@ -191,7 +155,6 @@
         engine: &EngineSpec,
         speed: EngineSpeed,
         fetchable: u32,
-        now: Instant,
     ) -> Estimate {
         let own = self.cached_tokens(chain);
         let fetched_tokens = fetchable.saturating_sub(own);
@@ -199,13 +162,12 @@
         let shared: u32 = chain.shared_prefixes().iter().map(|(_, tokens)| tokens).sum();
         let uncached_tokens = chain.input_tokens.saturating_sub(cached);
         let total = self.total();
-        let slowdown = self.slowdown(now);
         let prefill_tokens = total.prefill_tokens.saturating_add(u64::from(uncached_tokens));
         let busy = f64::from(total.requests) / f64::from(engine.slots.max(1)) * BUSY_SHARE;
         let fixed = speed.first_token_ms * (1.0 + busy);
-        let ms = (speed.prefill_ms(prefill_tokens as f64) + fixed) * slowdown;
+        let ms = speed.prefill_ms(prefill_tokens as f64) + fixed;
         let own_prefill = speed.prefill_ms(f64::from(uncached_tokens));
-        let ms_without_queue = (own_prefill + speed.first_token_ms) * slowdown;
+        let ms_without_queue = own_prefill + speed.first_token_ms;
         let has_capacity = total.requests < engine.slots
             && total.memory_tokens.saturating_add(chain.memory_tokens) <= engine.memory_tokens;
         let fetch = f64::from(fetched_tokens) / engine.transfer_tokens_per_ms.unwrap_or(f64::MAX);
@@ -244,15 +206,6 @@
         self.own.memory_tokens = self.own.memory_tokens.saturating_sub(work.memory_tokens);
     }
 
-    /// Updates the slowdown from the estimated and the measured time to the first token.
-    pub fn record_first_token(&mut self, expected: Duration, measured: Duration, now: Instant) {
-        let current = self.slowdown(now);
-        let ratio = measured.as_secs_f64() / expected.as_secs_f64().max(0.001);
-        let implied = (ratio * current).clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
-        self.slowdown = current + SLOWDOWN_WEIGHT * (implied - current);
-        self.measured_at = Some(now);
-    }
-
     /// Records prompt prefixes sent to the engine by any node as cached.
     pub fn record_prefixes(
         &mut self,
--- a/components/gateway/src/engine_speed.rs
+++ b/components/gateway/src/engine_speed.rs
@@ -51,6 +51,14 @@
         tokens / self.prefill_tokens_per_ms
     }
 
+    /// Returns the speed of an engine where work takes `factor` times as long.
+    pub fn slowed(&self, factor: f64) -> EngineSpeed {
+        EngineSpeed {
+            first_token_ms: self.first_token_ms * factor,
+            prefill_tokens_per_ms: self.prefill_tokens_per_ms / factor,
+        }
+    }
+
     fn first_token_after_ms(&self, tokens: f64) -> f64 {
         self.first_token_ms + self.prefill_ms(tokens)
     }
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -27,6 +27,7 @@
     retry_budget::RetryBudget,
     schedule,
     stop_schedule::StopSchedule,
+    upstream_speeds::SpeedNotice,
     usage::{Usage, UsageWindow},
 };
 
@@ -51,6 +52,8 @@
     pub(crate) usage: RefCell<Usage>,
     pub(crate) peers: RefCell<PeerTable>,
     pub(crate) sent_prompts: RefCell<Vec<SentPrompt>>,
+    /// Samples of upstreams' speed that the other nodes have not been sent yet.
+    pub(crate) speed_notices: RefCell<Vec<SpeedNotice>>,
     pub(crate) departures: RefCell<Departures>,
     pub(crate) crash_suspects: RefCell<CrashSuspects>,
     /// When all evidence of crashes was last sent to each node.
@@ -138,6 +141,7 @@
             dialect,
             clock,
             sent_prompts: RefCell::default(),
+            speed_notices: RefCell::default(),
             departures: RefCell::default(),
             crash_suspects: RefCell::default(),
             evidence_sent: RefCell::default(),
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -19,6 +19,7 @@
     peers::Addresses,
     schedule::{INTERVAL, LEADER_ROUNDS, MAX_OTHER_ZONES_PER_ROUND, MAX_SAME_ZONE_PER_ROUND},
     upstream_limits::{handle_limits, repair_limits, update_fingerprint},
+    upstream_speeds::{SpeedNotice, handle_speed_notices},
     zone_usage::UsageSum,
 };
 
@@ -38,6 +39,9 @@
 /// Nodes of each other availability zone that receive it. Some of the first ones may be down.
 const ZONE_RECEIVERS: usize = 3;
 
+/// Maximum number of samples of speed in one datagram, those of the last rounds included.
+const MAX_SPEED_NOTICES: usize = 24;
+
 /// Maximum size of a received datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
 
@@ -54,6 +58,7 @@
         incarnation: rand::random(),
         sequence: 0,
         recent: VecDeque::new(),
+        recent_speeds: VecDeque::new(),
     };
     loop {
         ticker.tick().await;
@@ -71,6 +76,8 @@
     sequence: u64,
     /// Prompts sent in the last rounds, newest round first.
     recent: VecDeque<Vec<SentPrompt>>,
+    /// Samples of upstreams' speed of the last rounds, newest round first.
+    recent_speeds: VecDeque<Vec<SpeedNotice>>,
 }
 
 impl Sender {
@@ -79,6 +86,8 @@
         let targets = targets(&self.gateway, self.sequence);
         self.recent.push_front(self.gateway.sent_prompts.take());
         self.recent.truncate(targets.rounds);
+        self.recent_speeds.push_front(self.gateway.speed_notices.take());
+        self.recent_speeds.truncate(targets.rounds);
         let digest = digest(&self.gateway, self.incarnation, self.sequence);
         self.send(self.with_prompts(&digest, 1), &targets.same_zone).await;
         let mut for_other_zones = self.with_prompts(&digest, targets.rounds);
@@ -98,10 +107,15 @@
         send(&self.socket, &Datagram::State(digest), targets).await;
     }
 
-    /// Returns a digest with the prompts of the last rounds.
+    /// Returns a digest with the prompts and the samples of speed of the last rounds.
     fn with_prompts(&self, digest: &Digest, rounds: usize) -> Digest {
         let prompts = self.recent.iter().take(rounds).flatten();
-        Digest { sent_prompts: prompts.map(PromptNotice::from).collect(), ..digest.clone() }
+        let speeds = self.recent_speeds.iter().take(rounds).flatten().take(MAX_SPEED_NOTICES);
+        Digest {
+            sent_prompts: prompts.map(PromptNotice::from).collect(),
+            speed_notices: speeds.copied().collect(),
+            ..digest.clone()
+        }
     }
 
     /// Returns the usage of this availability zone.
@@ -244,6 +258,7 @@
         departures: gateway.departures.borrow_mut().announcement(Instant::now()),
         crash_evidence: gateway.crash_suspects.borrow().fingerprint(),
         limits: gateway.limits_fingerprint.get(),
+        speed_notices: Vec::new(),
     }
 }
 
@@ -294,12 +309,14 @@
 fn handle_state(gateway: &Gateway, from: SocketAddr, digest: Digest) {
     let now = Instant::now();
     let sent_prompts = digest.sent_prompts.clone();
+    let speed_notices = digest.speed_notices.clone();
     apply_departures(gateway, &digest.departures, now);
     repair_evidence(gateway, from, digest.crash_evidence, now);
     repair_limits(gateway, from, digest.limits, now);
     if !gateway.peers.borrow_mut().record_digest(from, digest, now, gateway.clock.since_boot()) {
         return;
     }
+    handle_speed_notices(gateway, &speed_notices, now);
     for prompt in sent_prompts {
         if let Some(upstream) = gateway.directory.get(&prompt.upstream) {
             record_prompt(gateway, &upstream, &prompt.links, now);
--- a/components/gateway/src/in_flight.rs
+++ b/components/gateway/src/in_flight.rs
@@ -7,10 +7,11 @@
 use crate::{
     directory::Upstream,
     engine_load::{Estimate, InFlight},
-    gateway::SentPrompt,
+    gateway::{Gateway, SentPrompt},
     notices::announce_request,
-    place::Placement,
+    place::{ExpectedSpeed, Placement},
     serve::RequestContext,
+    upstream_speeds::{record_answer_time, record_missing_answer},
 };
 
 /// Accounts for an attempt in the upstream's load until dropped.
@@ -19,6 +20,9 @@
     pub(crate) started: Instant,
     work: Option<InFlight>,
     estimate: Option<Estimate>,
+    speed: ExpectedSpeed,
+    gateway: Rc<Gateway>,
+    is_answered: bool,
 }
 
 impl InFlightGuard {
@@ -40,22 +44,40 @@
             cx.gateway.sent_prompts.borrow_mut().push(prompt);
             work = Some(sent);
         }
-        InFlightGuard { upstream, work, estimate: placement.estimate, started: Instant::now() }
+        InFlightGuard {
+            upstream,
+            work,
+            estimate: placement.estimate,
+            speed: placement.speed,
+            gateway: cx.gateway.clone(),
+            is_answered: false,
+            started: Instant::now(),
+        }
     }
 
-    /// Records that the first event, or the start of the response, has arrived.
-    pub(crate) fn record_first_event(&mut self, cx: &RequestContext) {
+    /// Records that the first event, or the complete response, has arrived; `is_success` tells
+    /// whether the request did its work, so that its time says how long work takes.
+    pub(crate) fn record_first_event(&mut self, cx: &RequestContext, is_success: bool) {
         let now = Instant::now();
         let measured = now - self.started;
-        if let (Some(work), Some(estimate)) = (&mut self.work, &self.estimate) {
-            let mut load = self.upstream.load.borrow_mut();
-            load.prefill_done(work);
-            load.record_first_token(estimate.time_to_first_token, measured, now);
+        self.is_answered = true;
+        if let Some(work) = &mut self.work {
+            self.upstream.load.borrow_mut().prefill_done(work);
+        }
+        if !is_success {
+            return;
+        }
+        record_answer_time(&cx.gateway, &self.upstream, self.speed, measured, now);
+        match &self.estimate {
             // A fetch takes time that is not spent on prompt tokens.
-            if estimate.fetched_tokens == 0 {
+            Some(estimate) if estimate.fetched_tokens > 0 => {}
+            Some(estimate) => {
                 let tokens = estimate.prefill_tokens;
                 cx.gateway.record_first_token(&cx.service.name, tokens, measured);
             }
+            // Time in a queue is not work.
+            None if self.speed.crowding >= 1.0 => {}
+            None => cx.gateway.record_first_token(&cx.service.name, 0, measured),
         }
     }
 }
@@ -66,5 +88,10 @@
         if let Some(work) = self.work.take() {
             self.upstream.load.borrow_mut().remove_request(work);
         }
+        if !self.is_answered {
+            let now = Instant::now();
+            let waited = now - self.started;
+            record_missing_answer(&self.gateway, &self.upstream, self.speed, waited, now);
+        }
     }
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -65,6 +65,7 @@
 mod test_support;
 mod tombstones;
 mod upstream_limits;
+mod upstream_speeds;
 mod usage;
 mod view_exchange;
 mod zone_usage;
@@ -84,7 +85,7 @@
 pub use layout::StoreLayout;
 pub use leader::{LeaderLease, Leadership};
 pub use metrics::GatewayMetrics;
-pub use place::{Placement, PlacementError, PlacementRequest, place};
+pub use place::{ExpectedSpeed, Placement, PlacementError, PlacementRequest, place};
 pub use platform_api::{
     CapacityOrder, LeaderPermit, PlatformApi, PlatformApiError, PurchaseOption,
 };
--- a/components/gateway/src/messages.rs
+++ b/components/gateway/src/messages.rs
@@ -13,6 +13,7 @@
     engine_speed::SpeedSamples,
     quota::ReportedUsage,
     upstream_limits::LimitNotice,
+    upstream_speeds::SpeedNotice,
     usage::UsageWindow,
     zone_usage::UsageSum,
 };
@@ -127,6 +128,8 @@
     pub(crate) crash_evidence: u64,
     /// Hash of the limits that upstreams name; 0 if they name none.
     pub(crate) limits: u64,
+    /// How long recent requests took, each sent once to every node.
+    pub(crate) speed_notices: Vec<SpeedNotice>,
 }
 
 impl Digest {
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use lycheelatch_policy::{crowded_time, pick_lowest};
 use lycheelatch_prelude::{UpstreamId, ZoneName};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -35,9 +36,6 @@
 /// Penalty for a failure share of 1; lower shares count proportionally.
 const FAILURE_PENALTY_MS: f64 = 2000.0;
 
-/// Typical duration of a request to a service that is not a model.
-const PLAIN_REQUEST_MS: f64 = 40.0;
-
 /// Admission limit for the estimated time to the first token, as a multiple of the time
 /// left until the latency target. Indexed by priority; the last value applies to all lower
 /// priorities.
@@ -54,7 +52,8 @@
 pub struct PlacementRequest<'a> {
     /// Service to which the request is routed.
     pub service: &'a ServiceSpec,
-    /// Speed of the service's engines.
+    /// Usual speed of the service's engines; its fixed part is the usual time of a request to a
+    /// service that is not a model.
     pub speed: EngineSpeed,
     /// Prefix hashes of the prompt, for a request to a model.
     pub chain: Option<&'a PrefixChain>,
@@ -73,10 +72,46 @@
     pub priority: Priority,
 }
 
+/// What the speed of an upstream was assumed to be for a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ExpectedSpeed {
+    /// Time that work takes there, as a multiple of the service's usual.
+    pub factor: f64,
+    /// Share of its slots in use.
+    pub crowding: f64,
+    /// Deviation of the figure that the upstream states, as a logarithm.
+    pub stated: f64,
+    /// Part of that deviation that was believed.
+    pub believed: f64,
+    /// Time until the first event, or the response, if the upstream had the usual speed.
+    pub usual_time: Duration,
+}
+
+impl ExpectedSpeed {
+    fn of(up: &Upstream, crowding: f64, now: Instant) -> ExpectedSpeed {
+        let speed = up.speed.borrow();
+        ExpectedSpeed {
+            factor: speed.factor(crowding, now),
+            crowding,
+            stated: speed.stated_deviation(now),
+            believed: speed.stated_part(now),
+            usual_time: Duration::ZERO,
+        }
+    }
+
+    /// Sets the time at the usual speed from the one that is expected.
+    fn with_expected(mut self, time: Duration) -> ExpectedSpeed {
+        self.usual_time = time.div_f64(self.factor);
+        self
+    }
+}
+
 /// The result of placement.
 pub struct Placement {
     /// Selected upstream.
     pub upstream: Rc<Upstream>,
+    /// Speed that the selected upstream was assumed to have.
+    pub speed: ExpectedSpeed,
     /// Estimate for the selected engine, for a request to a model.
     pub estimate: Option<Estimate>,
     /// Engine from which cached parts of the prompt are to be fetched.
@@ -98,8 +133,8 @@
 
 /// Selects the upstream with the lowest estimated latency plus penalties.
 ///
-/// `random`, from 0 to 1, determines where the search starts, to break ties among upstreams
-/// of services that are not models.
+/// `random`, from 0 to 1, chooses among upstreams of a service that is not a model whose costs
+/// hardly differ.
 pub fn place(
     req: &PlacementRequest<'_>,
     candidates: &[Rc<Upstream>],
@@ -130,8 +165,8 @@
     let Some(engine) = &req.service.engine else { return Err(PlacementError::NoUpstream) };
     let preferred = preferred_upstream(req, chain.affinity(), usable);
     let fetchable = fetchable_tokens(req, chain, engine, now);
-    let mut best: Option<(f64, &Rc<Upstream>, Estimate)> = None;
-    let mut runner_up: Option<(f64, &Rc<Upstream>, Estimate)> = None;
+    let mut best: Option<(f64, &Rc<Upstream>, Estimate, ExpectedSpeed)> = None;
+    let mut runner_up: Option<(f64, &Rc<Upstream>, Estimate, ExpectedSpeed)> = None;
     let mut soonest = Duration::MAX;
     for up in usable {
         let entry = up.entry.borrow();
@@ -139,7 +174,10 @@
         let missing = fetchable.saturating_sub(load.cached_tokens(chain));
         let is_worthwhile = req.speed.prefill_ms(f64::from(missing)) >= MIN_FETCH_GAIN_MS;
         let fetchable_here = if is_worthwhile { fetchable } else { 0 };
-        let estimate = load.estimate(chain, engine, req.speed, fetchable_here, now);
+        let crowding = f64::from(load.total().requests) / f64::from(engine.slots.max(1));
+        let speed = ExpectedSpeed::of(up, crowding, now);
+        let at_speed = req.speed.slowed(speed.factor);
+        let estimate = load.estimate(chain, engine, at_speed, fetchable_here);
         soonest = soonest.min(estimate.time_to_first_token);
         if !estimate.has_capacity {
             continue;
@@ -148,14 +186,11 @@
         let read_again = req.speed.prefill_ms(f64::from(estimate.uncached_shared));
         let fetched = req.speed.prefill_ms(f64::from(estimate.fetched_tokens));
         score += read_again * PREFILL_PENALTY_SHARE + fetched * FETCH_PENALTY_SHARE;
-        score += up.health.borrow().failure_share() * FAILURE_PENALTY_MS;
-        if entry.zone != *req.zone {
-            score += cross_zone_penalty(req);
-        }
+        score += penalty_ms(req, up);
         if preferred.as_ref() != Some(&entry.id) {
             score += AFFINITY_PENALTY_MS;
         }
-        let scored = (score, *up, estimate);
+        let scored = (score, *up, estimate, speed);
         if best.as_ref().is_none_or(|(required, ..)| score < *required) {
             runner_up = best.replace(scored);
         } else if runner_up.as_ref().is_none_or(|(required, ..)| score < *required) {
@@ -164,22 +199,23 @@
     }
     let max_time = req.time_to_target.mul_f64(admission_factor(req.priority));
     match best {
-        Some((_, upstream, estimate)) if is_admissible(&estimate, max_time) => {
+        Some((_, upstream, estimate, speed)) if is_admissible(&estimate, max_time) => {
             let fetch_from = match estimate.fetched_tokens {
                 0 => None,
                 _ => fetch_source(req, chain, fetchable, upstream, now),
             };
             let runner_up =
-                runner_up.map(|(_, up, estimate)| (up.id(), estimate.time_to_first_token));
+                runner_up.map(|(_, up, estimate, _)| (up.id(), estimate.time_to_first_token));
             Ok(Placement {
                 upstream: upstream.clone(),
+                speed: speed.with_expected(estimate.time_to_first_token),
                 estimate: Some(estimate),
                 fetch_from,
                 candidates: usable.len(),
                 runner_up,
             })
         }
-        Some((_, _, estimate)) => {
+        Some((_, _, estimate, _)) => {
             Err(PlacementError::Busy(estimate.time_to_first_token - max_time))
         }
         None => Err(PlacementError::Busy(soonest)),
@@ -271,16 +307,17 @@
     now: Instant,
     random: f64,
 ) -> Result<Placement, PlacementError> {
-    let cost = |up: &Rc<Upstream>| plain_cost(req, up, now);
-    let start = (random * usable.len() as f64) as usize;
-    let rotated = usable.iter().cycle().skip(start).take(usable.len());
-    let best = rotated.min_by(|a, b| cost(a).total_cmp(&cost(b))).expect("not empty");
-    let wait = plain_wait(best, now);
-    if wait > req.time_to_target {
-        return Err(PlacementError::Busy(wait - req.time_to_target));
+    let loads: Vec<_> = usable.iter().map(|up| PlainLoad::of(req, up, now)).collect();
+    let costs: Vec<_> =
+        usable.iter().zip(&loads).map(|(up, load)| load.time_ms + penalty_ms(req, up)).collect();
+    let best = pick_lowest(&costs, random).ok_or(PlacementError::NoUpstream)?;
+    let (upstream, load) = (usable[best], &loads[best]);
+    if load.wait > req.time_to_target {
+        return Err(PlacementError::Busy(load.wait - req.time_to_target));
     }
     Ok(Placement {
-        upstream: (*best).clone(),
+        upstream: upstream.clone(),
+        speed: load.speed.with_expected(load.time_at_slot + load.wait),
         estimate: None,
         fetch_from: None,
         candidates: usable.len(),
@@ -288,15 +325,40 @@
     })
 }
 
-fn plain_cost(req: &PlacementRequest<'_>, up: &Rc<Upstream>, now: Instant) -> f64 {
-    let entry = up.entry.borrow();
-    let mut cost =
-        f64::from(requests_at(up, now)) / f64::from(entry.slots.max(1)) * PLAIN_REQUEST_MS;
-    cost += up.health.borrow().failure_share() * FAILURE_PENALTY_MS;
-    if entry.zone != *req.zone {
-        cost += cross_zone_penalty(req);
+/// What a request to an upstream that is not a model has to expect.
+struct PlainLoad {
+    speed: ExpectedSpeed,
+    /// Time that the request takes once it has a slot.
+    time_at_slot: Duration,
+    /// Time until it has a slot.
+    wait: Duration,
+    /// Time that it is charged in the choice, in milliseconds.
+    time_ms: f64,
+}
+
+impl PlainLoad {
+    fn of(req: &PlacementRequest<'_>, up: &Upstream, now: Instant) -> PlainLoad {
+        let slots = up.entry.borrow().slots.max(1);
+        let requests = requests_at(up, now);
+        let crowding = f64::from(requests) / f64::from(slots);
+        let speed = ExpectedSpeed::of(up, crowding, now);
+        let alone_ms = req.speed.first_token_ms * speed.factor;
+        let ahead = (requests + 1).saturating_sub(slots);
+        let wait_ms = f64::from(ahead) / f64::from(slots) * alone_ms;
+        PlainLoad {
+            speed,
+            time_at_slot: Duration::from_secs_f64(alone_ms / 1000.0),
+            wait: Duration::from_secs_f64(wait_ms / 1000.0),
+            time_ms: crowded_time(alone_ms, requests, slots),
+        }
     }
-    cost
+}
+
+/// Returns what is added to an upstream's time in the choice.
+fn penalty_ms(req: &PlacementRequest<'_>, up: &Upstream) -> f64 {
+    let failures = up.health.borrow().failure_share() * FAILURE_PENALTY_MS;
+    let is_near = up.entry.borrow().zone == *req.zone;
+    failures + if is_near { 0.0 } else { cross_zone_penalty(req) }
 }
 
 /// Returns the number of requests at an upstream: the count of all nodes, or the load that
@@ -307,9 +369,3 @@
         up.reported_load.get().filter(|(_, at)| now.duration_since(*at) < MAX_REPORT_AGE);
     reported.map_or(counted, |(load, _)| counted.max(load.waiting + load.running.min(load.slots)))
 }
-
-fn plain_wait(up: &Upstream, now: Instant) -> Duration {
-    let slots = up.entry.borrow().slots.max(1);
-    let ahead = (requests_at(up, now) + 1).saturating_sub(slots);
-    Duration::from_secs_f64(f64::from(ahead) / f64::from(slots) * PLAIN_REQUEST_MS / 1000.0)
-}
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -21,6 +21,7 @@
     send_trace::SendTrace,
     serve::RequestContext,
     upstream_limits::record_named_limit,
+    upstream_speeds::record_reported_load,
 };
 
 /// Maximum size of a response that is buffered completely before it is relayed, in bytes.
@@ -115,7 +116,7 @@
     let head = connection.exchange(out).await.map_err(failure_of)?;
     let (head, info) = matching_head(cx, &mut connection, head).await?;
     if let Some(load) = info.load {
-        upstream.reported_load.set(Some((load, Instant::now())));
+        record_reported_load(&upstream, load, Instant::now());
     }
     if head.status != StatusCode::MISDIRECTED_REQUEST {
         record_named_limit(&cx.gateway, &upstream, &info);
@@ -142,7 +143,7 @@
     }
     let start = read_start(&mut connection).await;
     let (body, is_whole) = start.map_err(|failure| failure.at(ResponseStage::Begun))?;
-    guard.record_first_event(cx);
+    guard.record_first_event(cx, head.status.is_success());
     record_answer(cx);
     count_usage(cx, guard.started);
     let response = BufferedResponse { status: head.status, headers, body };
@@ -268,7 +269,7 @@
         }
     }
     count_usage(cx, Instant::now());
-    started.guard.record_first_event(cx);
+    started.guard.record_first_event(cx, true);
     record_answer(cx);
     Ok(started)
 }
--- a/components/gateway/src/test_support.rs
+++ b/components/gateway/src/test_support.rs
@@ -77,6 +77,7 @@
         departures: Vec::new(),
         crash_evidence: 0,
         limits: 0,
+        speed_notices: Vec::new(),
     }
 }
 
--- a/components/gateway/tests/place.rs
+++ b/components/gateway/tests/place.rs
@@ -272,7 +272,7 @@
         *free_at = free_at.max(at) + f64::from(prefill) / 44_000.0;
         in_time += u32::from(*free_at + 0.03 - at <= TARGET.as_secs_f64());
         let mut load = engine.load.borrow_mut();
-        let estimate = load.estimate(&prompt, &ENGINE, EngineSpeed::default(), 0, now);
+        let estimate = load.estimate(&prompt, &ENGINE, EngineSpeed::default(), 0);
         let work = load.add_request(&prompt, &estimate);
         load.record_prefixes(&prompt.links, ENGINE.memory_tokens, now);
         drop(load);
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -19,7 +19,9 @@
 mod retry_budget;
 mod retry_detector;
 mod rollout;
+mod upstream_choice;
 mod upstream_limit;
+mod upstream_speed;
 
 pub use admission::{
     Admission, AdmissionDecision, AdmissionRequest, Dequeued, Permit, Refusal, RefusalReason,
@@ -48,4 +50,6 @@
     CanaryOutcome, LATENCY_CLASSES, LatencyClass, RollbackReason, RolloutCounts, RolloutEvidence,
     RolloutLimits, RolloutPhase, RolloutStep, RouteCounts, Track, TrackCounts,
 };
+pub use upstream_choice::{crowded_time, pick_lowest};
 pub use upstream_limit::{HeardLimit, LimitSharers, UpstreamLimit};
+pub use upstream_speed::{SpeedSample, UpstreamSpeed};
