policy, gateway: Upstreams are compared in draws, by learnt speed and smoothed counts

Now each draws two by capacity and prefers the cheaper one; the counts of others are smoothed where a request takes less time than they are old.

--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use lycheelatch_policy::{UpstreamLimit, UpstreamSpeed};
+use lycheelatch_policy::{SmoothedCount, UpstreamLimit, UpstreamSpeed};
 use lycheelatch_prelude::{ServiceName, UpstreamId, ZoneName};
 use tokio::time::Instant;
 
@@ -53,6 +53,8 @@
     pub running: Cell<u32>,
     /// Requests of the other nodes that are in flight at it, by their latest reports.
     pub running_elsewhere: Cell<u32>,
+    /// The same, smoothed over the latest reports.
+    pub(crate) smoothed_elsewhere: Cell<SmoothedCount>,
     /// Its latest reported load, and the time of the report.
     pub reported_load: Cell<Option<(ReportedLoad, Instant)>>,
     /// Limit that it names.
@@ -74,6 +76,7 @@
             entry: RefCell::new(entry),
             running: Cell::new(0),
             running_elsewhere: Cell::new(0),
+            smoothed_elsewhere: Cell::default(),
             reported_load: Cell::new(None),
             limit: RefCell::default(),
             load: RefCell::default(),
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -342,6 +342,9 @@
     for upstream in gateway.directory.all() {
         let others = sums.get(&upstream.id()).copied().unwrap_or_default();
         upstream.running_elsewhere.set(others.requests);
+        let mut smoothed = upstream.smoothed_elsewhere.get();
+        smoothed.record(others.requests);
+        upstream.smoothed_elsewhere.set(smoothed);
         upstream.load.borrow_mut().others = others;
     }
     update_fingerprint(gateway);
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use lycheelatch_policy::{crowded_time, pick_lowest};
+use lycheelatch_policy::{UpstreamCost, choose_upstream};
 use lycheelatch_prelude::{UpstreamId, ZoneName};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -12,6 +12,7 @@
     directory::Upstream,
     engine_load::{Estimate, PrefixChain},
     engine_speed::EngineSpeed,
+    schedule,
 };
 
 /// Penalty for an upstream in another availability zone.
@@ -133,8 +134,8 @@
 
 /// Selects the upstream with the lowest estimated latency plus penalties.
 ///
-/// `random`, from 0 to 1, chooses among upstreams of a service that is not a model whose costs
-/// hardly differ.
+/// `random`, from 0 to 1, determines which upstreams of a service that is not a model are
+/// compared.
 pub fn place(
     req: &PlacementRequest<'_>,
     candidates: &[Rc<Upstream>],
@@ -308,9 +309,8 @@
     random: f64,
 ) -> Result<Placement, PlacementError> {
     let loads: Vec<_> = usable.iter().map(|up| PlainLoad::of(req, up, now)).collect();
-    let costs: Vec<_> =
-        usable.iter().zip(&loads).map(|(up, load)| load.time_ms + penalty_ms(req, up)).collect();
-    let best = pick_lowest(&costs, random).ok_or(PlacementError::NoUpstream)?;
+    let costs: Vec<_> = loads.iter().map(|load| load.cost).collect();
+    let best = choose_upstream(&costs, random).ok_or(PlacementError::NoUpstream)?;
     let (upstream, load) = (usable[best], &loads[best]);
     if load.wait > req.time_to_target {
         return Err(PlacementError::Busy(load.wait - req.time_to_target));
@@ -332,24 +332,30 @@
     time_at_slot: Duration,
     /// Time until it has a slot.
     wait: Duration,
-    /// Time that it is charged in the choice, in milliseconds.
-    time_ms: f64,
+    cost: UpstreamCost,
 }
 
 impl PlainLoad {
     fn of(req: &PlacementRequest<'_>, up: &Upstream, now: Instant) -> PlainLoad {
         let slots = up.entry.borrow().slots.max(1);
-        let requests = requests_at(up, now);
+        let requests = requests_at(up, req.speed.first_token_ms, now);
         let crowding = f64::from(requests) / f64::from(slots);
         let speed = ExpectedSpeed::of(up, crowding, now);
         let alone_ms = req.speed.first_token_ms * speed.factor;
+        let delay = up.speed.borrow().delay_to_others(requests, slots, now);
         let ahead = (requests + 1).saturating_sub(slots);
         let wait_ms = f64::from(ahead) / f64::from(slots) * alone_ms;
         PlainLoad {
             speed,
             time_at_slot: Duration::from_secs_f64(alone_ms / 1000.0),
             wait: Duration::from_secs_f64(wait_ms / 1000.0),
-            time_ms: crowded_time(alone_ms, requests, slots),
+            cost: UpstreamCost {
+                alone_ms,
+                requests,
+                slots,
+                delay_to_others_ms: delay * req.speed.first_token_ms,
+                penalty_ms: penalty_ms(req, up),
+            },
         }
     }
 }
@@ -363,8 +369,14 @@
 
 /// Returns the number of requests at an upstream: the count of all nodes, or the load that
 /// the upstream reported recently if that is higher.
-fn requests_at(up: &Upstream, now: Instant) -> u32 {
-    let counted = up.running.get() + up.running_elsewhere.get();
+///
+/// If a request takes less time than the counts are old, those of other nodes are smoothed.
+fn requests_at(up: &Upstream, alone_ms: f64, now: Instant) -> u32 {
+    let elsewhere = match Duration::from_secs_f64(alone_ms / 1000.0) < schedule::INTERVAL {
+        true => up.smoothed_elsewhere.get().get(),
+        false => up.running_elsewhere.get(),
+    };
+    let counted = up.running.get() + elsewhere;
     let reported =
         up.reported_load.get().filter(|(_, at)| now.duration_since(*at) < MAX_REPORT_AGE);
     reported.map_or(counted, |(load, _)| counted.max(load.waiting + load.running.min(load.slots)))
--- a/components/gateway/tests/place.rs
+++ b/components/gateway/tests/place.rs
@@ -7,6 +7,7 @@
     PrefixChain, Priority, Prompt, PromptPart, ServiceSpec, StoreRevision, Upstream, UpstreamEntry,
     place,
 };
+use lycheelatch_policy::SpeedSample;
 use lycheelatch_prelude::{UpstreamId, ZoneName};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::time::Instant;
@@ -221,6 +222,75 @@
     assert!((0..10).all(|shared| choose_far(shared) == choose_far(shared)));
 }
 
+/// Records that requests took `ratio` times as long as usual at an upstream.
+fn observe_speed(upstream: &Upstream, ratio: f64, now: Instant) {
+    let sample = SpeedSample { log_ratio: f64::ln(ratio), crowding: 0.0 };
+    (0..12).for_each(|_| upstream.speed.borrow_mut().record(sample, 0.0, now));
+}
+
+#[test]
+fn place_prefers_engines_that_were_learnt_to_be_fast() {
+    let (engines, now) = (engines(8), Instant::now());
+    engines.iter().for_each(|engine| observe_speed(engine, 1.2, now));
+    observe_speed(&engines[5], 0.4, now);
+    for shared in 0..20 {
+        let placement = choose(&chain(shared, 9000, 1, 500), &engines, now).ok().unwrap();
+        assert_eq!(placement.upstream.id(), engines[5].id());
+        assert!(placement.speed.factor < 0.7, "{:?}", placement.speed);
+    }
+}
+
+#[test]
+fn place_rejects_by_the_learnt_speed() {
+    let (engines, now) = (engines(2), Instant::now());
+    engines.iter().for_each(|engine| add_load(engine, 35_000));
+    let prompt = chain(1, 1000, 2, 500);
+    assert!(choose(&prompt, &engines, now).is_ok());
+    engines.iter().for_each(|engine| observe_speed(engine, 3.0, now));
+    assert!(choose(&prompt, &engines, now).is_err());
+}
+
+/// Returns how often each of some upstreams is chosen for requests that are not prompts.
+fn choose_plain(upstreams: &[Rc<Upstream>], now: Instant) -> Vec<u32> {
+    let (service, zone) = (service(), zone());
+    let req = PlacementRequest {
+        service: &service,
+        speed: EngineSpeed { first_token_ms: 60.0, prefill_tokens_per_ms: 50.0 },
+        chain: None,
+        zone: &zone,
+        cross_zone_lag: Duration::ZERO,
+        all_upstreams: upstreams,
+        tried: &[],
+        time_to_target: TARGET,
+        priority: Priority(1),
+    };
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut counts = vec![0; upstreams.len()];
+    for _ in 0..400 {
+        let placement = place(&req, upstreams, now, rng.random()).ok().unwrap();
+        let id = placement.upstream.id();
+        counts[upstreams.iter().position(|up| up.id() == id).unwrap()] += 1;
+    }
+    counts
+}
+
+#[test]
+fn place_plain_spreads_equal_upstreams() {
+    let counts = choose_plain(&engines(4), Instant::now());
+    assert!(counts.iter().all(|count| (70..130).contains(count)), "{counts:?}");
+}
+
+#[test]
+fn place_plain_sends_less_to_slow_upstreams_but_tries_them() {
+    let (upstreams, now) = (engines(4), Instant::now());
+    observe_speed(&upstreams[2], 3.0, now);
+    let counts = choose_plain(&upstreams, now);
+    assert!(counts[2] < 40, "{counts:?}");
+    let later = now + Duration::from_secs(120);
+    let counts = choose_plain(&upstreams, later);
+    assert!(counts[2] > 60, "what was learnt fades: {counts:?}");
+}
+
 /// Placement policy of the simulation.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum Policy {
--- a/components/policy/src/upstream_speed.rs
+++ b/components/policy/src/upstream_speed.rs
@@ -35,6 +35,9 @@
 /// step that is learnt separately.
 const CROWDING_STEPS: [f64; 2] = [0.5, 0.8];
 
+/// Share of the slots up to which the load of an upstream makes no difference.
+const UNCROWDED: f64 = 0.3;
+
 /// Time constant with which a stated figure loses its meaning.
 const STATED: Duration = Duration::from_millis(600);
 
@@ -138,6 +141,14 @@
         log.clamp(LOG_RANGE.0, LOG_RANGE.1).exp()
     }
 
+    /// Returns by how much one more request makes the `requests` others later, as a multiple of the
+    /// service's usual time.
+    pub fn delay_to_others(&self, requests: u32, slots: u32, now: Instant) -> f64 {
+        let share = |requests: u32| f64::from(requests) / f64::from(slots.max(1));
+        let factor = |requests: u32| self.factor(share(requests), now);
+        f64::from(requests) * (factor(requests + 1) - factor(requests)).max(0.0)
+    }
+
     /// Returns the factor of the upstream itself, without what holds for the moment only.
     pub fn lasting_factor(&self, now: Instant) -> f64 {
         self.lasting_level(now).exp()
@@ -146,11 +157,10 @@
     /// Returns the share of its slots up to which the upstream takes on work well: beyond it,
     /// all work gets later by more than there is more of it.
     pub fn useful_share(&self, now: Instant) -> f64 {
-        let [half, most] = CROWDING_STEPS;
-        let throughput = |share: f64, at: f64| share / self.excess(at, now).exp();
-        let choices = [(half, 0.0), (most, half), (1.0, most)];
-        let rates = choices.map(|(share, at)| (share, throughput(share, at)));
-        let best = rates.into_iter().max_by(|(_, a), (_, b)| a.total_cmp(b));
+        let ends = CROWDING_STEPS.into_iter().chain([1.0]);
+        let starts = [0.0].into_iter().chain(CROWDING_STEPS);
+        let rates = ends.zip(starts).map(|(end, start)| (end, end / self.excess(start, now).exp()));
+        let best = rates.max_by(|(_, a), (_, b)| a.total_cmp(b));
         best.map_or(1.0, |(share, _)| share)
     }
 
@@ -229,11 +239,20 @@
     }
 
     /// Returns by how much work takes longer at a load, as a logarithm that never falls with it.
+    ///
+    /// Between two steps it rises evenly: a count is a moment old, and the load goes up and down.
     fn excess(&self, crowding: f64, now: Instant) -> f64 {
         let by = remaining(self.age(now), LASTING);
-        let reached = step(crowding).map_or(0, |at| at + 1);
-        let excess = |sum: &LogSum| sum.decayed(by).mean(0.0, CROWDING_WEIGHT);
-        self.crowded[..reached].iter().map(excess).fold(0.0, f64::max)
+        let (mut from, mut reached) = (UNCROWDED, 0.0);
+        for (step, sum) in CROWDING_STEPS.into_iter().zip(&self.crowded) {
+            let at_step = sum.decayed(by).mean(0.0, CROWDING_WEIGHT).max(reached);
+            if crowding < step {
+                let part = ((crowding - from) / (step - from)).max(0.0);
+                return reached + (at_step - reached) * part;
+            }
+            (from, reached) = (step, at_step);
+        }
+        reached
     }
 
     fn decay(&mut self, now: Instant) {
