--- a/components/gateway/src/messages.rs
+++ b/components/gateway/src/messages.rs
@@ -14,6 +14,7 @@
     quota::ReportedUsage,
     rollout_report::{RolloutNotice, RolloutReport},
     upstream_limits::LimitNotice,
+    upstream_speeds::SpeedNotice,
     usage::UsageWindow,
     zone_usage::UsageSum,
 };
@@ -132,6 +133,8 @@
     pub(crate) rollouts: Vec<RolloutReport>,
     /// Steps of roll-outs, from the leader only.
     pub(crate) rollout_notices: Vec<RolloutNotice>,
+    /// How long recent requests took, each sent once to every node.
+    pub(crate) speed_notices: Vec<SpeedNotice>,
 }
 
 impl Digest {
--- a/components/gateway/src/test_support.rs
+++ b/components/gateway/src/test_support.rs
@@ -112,6 +112,7 @@
         limits: 0,
         rollouts: Vec::new(),
         rollout_notices: Vec::new(),
+        speed_notices: Vec::new(),
     }
 }
 
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -19,7 +19,9 @@
 mod retry_budget;
 mod retry_detector;
 mod rollout;
+mod upstream_choice;
 mod upstream_limit;
+mod upstream_speed;
 
 pub use admission::{
     Admission, AdmissionDecision, AdmissionRequest, Dequeued, Permit, Refusal, RefusalReason,
@@ -50,4 +52,6 @@
     RolloutJudge, RolloutLimits, RolloutPhase, RolloutStep, RouteCounts, Track, TrackCounts,
     decide as decide_rollout, find_fault_alone, loaded_canaries,
 };
+pub use upstream_choice::{SmoothedCount, UpstreamCost, choose_upstream};
 pub use upstream_limit::{HeardLimit, LimitSharers, UpstreamLimit};
+pub use upstream_speed::{SpeedSample, UpstreamSpeed};
