--- a/components/settings/src/gateway.rs
+++ b/components/settings/src/gateway.rs
@@ -62,6 +62,23 @@
     pub usage_due: Duration,
     /// Log settings.
     pub log: LogSettings,
+    /// Limits of the machine.
+    pub machine: MachineLimits,
+}
+
+/// What the machine allows the process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MachineLimits {
+    /// Memory, in bytes; a process that exceeds it is ended.
+    pub memory_bytes: u64,
+    /// Number of file descriptors that may be open.
+    pub file_descriptors: u64,
+}
+
+impl Default for MachineLimits {
+    fn default() -> MachineLimits {
+        MachineLimits { memory_bytes: 128 << 20, file_descriptors: 1024 }
+    }
 }
 
 pub(crate) fn read_gateway(mut r: Reader<'_>) -> Option<GatewaySettings> {
@@ -84,6 +101,7 @@
     let usage_window = r.duration("usage_window", Duration::from_secs(5));
     let usage_due = r.duration("usage_due", Duration::from_secs(10));
     let log = read_log(r.object("log"));
+    let machine = read_machine(&mut r);
     r.finish();
     let peers: SocketAddr = peers?;
     // All nodes use the same ports, so only the IP address of a seed is used.
@@ -108,9 +126,27 @@
         usage_window,
         usage_due,
         log,
+        machine,
     })
 }
 
+fn read_machine(r: &mut Reader<'_>) -> MachineLimits {
+    let default = MachineLimits::default();
+    MachineLimits {
+        memory_bytes: r.size("memory", default.memory_bytes),
+        file_descriptors: r
+            .optional("file_descriptors", positive)
+            .unwrap_or(default.file_descriptors),
+    }
+}
+
+fn positive(text: &str) -> Result<u64, String> {
+    match text.parse::<u64>() {
+        Ok(number) if number > 0 => Ok(number),
+        _ => Err("must be an integer of at least 1".to_owned()),
+    }
+}
+
 fn read_retry(mut r: Reader<'_>) -> RetryLimit {
     let ratio = r.optional("ratio", non_negative).unwrap_or(0.2);
     let extra = r.optional("extra", non_negative).unwrap_or(0.0);
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -8,7 +8,7 @@
 mod settings;
 mod units;
 
-pub use gateway::{GatewaySettings, RetryLimit};
+pub use gateway::{GatewaySettings, MachineLimits, RetryLimit};
 pub use settings::{
     CallerSettings, EndpointSettings, KeyValueSettings, LogFormat, LogSettings, NodeSettings,
     OperatorRole, OperatorSettings, OperatorTokenSettings, PeerSettings, PlatformSettings,
