gateway, policy: One budget of memory for clients, and connections that keep a pace

Cause: bodies were bounded one by one and not in sum; the HTTP dispatcher parsed all that a client sent ahead and queued it, wrote responses into a buffer that nobody read, and a caller that read nothing held its upstream until it left; connections had no cap. Change: HeldMemory takes a body's or response's bytes from a budget (a quarter of the machine's memory) before they are kept and returns them on drop; large amounts leave a quarter to small ones, one address leaves a tenth to others. PacedStream passes on one request head at a time, and the next one when the response before it is written; chunks and lengths are followed to the body's end. ConnectionTable caps connections by descriptors, displaces the one without progress for longest, and closes heads, bodies and responses that make none within the configuration's timeouts or the request's deadline. Large bodies are sent without a copy. No memory: 503, not run, Retry-After.

--- a/components/daemon/tests/crowds/main.rs
+++ b/components/daemon/tests/crowds/main.rs
@@ -42,19 +42,16 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt, issue 41"]
 fn crowd_of_unfinished_bodies_at_a_route() {
     withstands(&[&[Kind::BodyShort]], &[Target::Route]);
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt, issue 41"]
 fn crowd_of_unfinished_bodies_in_pieces_at_a_route() {
     withstands(&[&[Kind::BodyInPieces]], &[Target::Route]);
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt, issue 41"]
 fn crowd_of_unfinished_chunked_bodies_at_a_route() {
     withstands(&[&[Kind::BodyInChunks]], &[Target::Route]);
 }
@@ -71,25 +68,21 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt, issue 41"]
 fn crowd_of_bodies_that_stop_halfway() {
     withstands(&[&[Kind::BodyHalf]], Target::ALL);
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt, issue 41"]
 fn crowd_of_many_fields() {
     withstands(&[&[Kind::ManyFields], &[Kind::ManyFieldsAllowed]], Target::ALL);
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt, issue 41"]
 fn crowd_of_requests_ahead_at_a_route() {
     withstands(&[&[Kind::RequestsAhead]], &[Target::Route]);
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt, issue 41"]
 fn crowd_of_requests_ahead_elsewhere() {
     withstands(&[&[Kind::RequestsAhead]], Target::WITHOUT_UPSTREAM);
 }
@@ -110,19 +103,16 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt, issue 41"]
 fn crowd_of_idle_connections() {
     withstands(&[&[Kind::Idle]], Target::ALL);
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt, issue 41"]
 fn crowd_of_connections_idle_after_a_request() {
     withstands(&[&[Kind::IdleAfterRequest]], Target::ALL);
 }
 
 #[test]
-#[ignore = "KNOWN-RED.txt, issue 41"]
 fn crowd_of_bodies_and_requests_ahead() {
     withstands(&[&[Kind::BodyInChunks, Kind::RequestsAhead]], &[Target::Route]);
 }
--- a/components/daemon/tests/crowds/node.rs
+++ b/components/daemon/tests/crowds/node.rs
@@ -72,7 +72,8 @@
         fs::read_dir(self.path("fd")).unwrap().count()
     }
 
-    /// Checks what must hold at all times.
+    /// Checks what must hold at all times, and shows it to who runs the test with its output.
+    #[expect(clippy::print_stdout, reason = "the figures are read from the output of the test")]
     pub(crate) fn check(&self, crowd: &str) {
         assert!(self.is_alive(), "{crowd}: the process ended");
         let (memory, descriptors) = (self.peak_memory(), self.descriptors());
--- a/components/gateway/src/connection.rs
+++ b/components/gateway/src/connection.rs
@@ -8,13 +8,12 @@
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use actix_http::{
-    BoxedPayloadStream, Method, Payload, RequestHead, RequestHeadType, ResponseHead, ServiceConfig,
-    StatusCode, Uri,
+    Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode, Uri,
     body::BodySize,
     h1::{ClientCodec, ClientPayloadCodec, Message, MessageType},
     header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING},
 };
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut, buf::Chain};
 use displaydoc::Display;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -31,6 +30,9 @@
 /// Maximum number of bytes between two parts of a body, such as chunk sizes and trailers.
 const MAX_FRAMING_BYTES: usize = 16 * 1024;
 
+/// Maximum size of a request body that is sent in one piece with its head, in bytes.
+const MAX_COPIED_BYTES: usize = 16 * 1024;
+
 /// Time after which unacknowledged data ends the connection.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -152,15 +154,13 @@
         let State::Idle(mut codec) = std::mem::replace(&mut self.state, State::Done) else {
             return Err(ExchangeError::NotSent("the connection is busy".into()));
         };
-        let out = encode(&mut codec, req)
+        let mut unsent = encode(&mut codec, req)
             .map_err(|err| ExchangeError::NotSent(err.to_string().into()))?;
         let (mut rd, mut wr) = self.io.split();
-        let mut unsent = &out[..];
         let head = loop {
             tokio::select! {
-                written = wr.write(unsent), if !unsent.is_empty() => {
-                    let n = written?;
-                    unsent = &unsent[n..];
+                written = wr.write_buf(&mut unsent), if unsent.has_remaining() => {
+                    written?;
                 }
                 read = rd.read_buf(&mut self.buf) => {
                     if read? == 0 {
@@ -172,7 +172,7 @@
                 }
             }
         };
-        self.is_clean = unsent.is_empty();
+        self.is_clean = !unsent.has_remaining();
         self.begin_body(codec, &head);
         Ok(head)
     }
@@ -274,7 +274,8 @@
     }
 }
 
-fn encode(codec: &mut ClientCodec, req: OutgoingRequest) -> io::Result<BytesMut> {
+/// Encodes a request; a large body is sent from where it is, without a copy.
+fn encode(codec: &mut ClientCodec, req: OutgoingRequest) -> io::Result<Chain<Bytes, Bytes>> {
     let mut head = RequestHead::default();
     head.method = req.method;
     head.uri = req.uri;
@@ -282,10 +283,11 @@
     let has_body =
         !req.body.is_empty() || head.method == Method::POST || head.method == Method::PUT;
     let size = if has_body { BodySize::Sized(req.body.len() as u64) } else { BodySize::None };
-    let mut out = BytesMut::with_capacity(1024 + req.body.len());
+    let copied = if req.body.len() <= MAX_COPIED_BYTES { req.body.len() } else { 0 };
+    let mut out = BytesMut::with_capacity(1024 + copied);
     codec.encode(Message::Item((RequestHeadType::from(head), size)), &mut out)?;
-    out.extend_from_slice(&req.body);
-    Ok(out)
+    out.extend_from_slice(&req.body[..copied]);
+    Ok(out.freeze().chain(req.body.slice(copied..)))
 }
 
 fn decode_head(
@@ -317,24 +319,3 @@
     let seconds = params.find_map(|param| param.strip_prefix("timeout=")?.parse().ok())?;
     Some(Duration::from_secs(seconds))
 }
-
-/// Reads the body of a caller's request, or returns `None` if it exceeds `max_bytes`.
-pub(crate) async fn read_payload(
-    payload: &mut Payload<BoxedPayloadStream>,
-    max_bytes: usize,
-) -> Result<Option<Bytes>, actix_http::error::PayloadError> {
-    use futures_util::StreamExt;
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk?;
-        if body.len() + chunk.len() > max_bytes {
-            return Ok(None);
-        }
-        if body.is_empty() {
-            body = BytesMut::from(chunk);
-        } else {
-            body.extend_from_slice(&chunk);
-        }
-    }
-    Ok(Some(body.freeze()))
-}
--- a/components/gateway/src/decision.rs
+++ b/components/gateway/src/decision.rs
@@ -65,6 +65,8 @@
     UpstreamFailed,
     /// The deadline expired after the request was sent.
     TimedOut,
+    /// The node has no memory for the request.
+    NoMemory,
     /// A response was interrupted after its first byte was relayed.
     #[serde(rename = "answer_broke")]
     #[strum(serialize = "answer_broke")]
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -19,7 +19,9 @@
     departures::Departures,
     engine_load::PrefixHash,
     engine_speed::{EngineSpeed, SpeedSamples},
+    held_memory::ClientMemory,
     messages::Digest,
+    node_limits::NodeLimits,
     open_count::{OpenCount, OpenGuard},
     peers::PeerTable,
     quota::{self, ProcessAge, ReportedUsage, SlidingCounter},
@@ -76,6 +78,8 @@
     pub(crate) closing: watch::Sender<bool>,
     requests: OpenCount,
     pub(crate) connections: OpenCount,
+    pub(crate) limits: NodeLimits,
+    pub(crate) client_memory: ClientMemory,
 }
 
 /// Work requested from a service since this process started.
@@ -128,6 +132,8 @@
     ) -> Gateway {
         let node = settings.node.as_str().into();
         let reloaded = ReloadableSettings::from(&settings);
+        let limits = NodeLimits::from(settings.machine);
+        let client_memory = ClientMemory::new(limits.client_memory, metrics.client_memory.clone());
         Gateway {
             usage: RefCell::new(Usage::new(settings.usage_window)),
             peers: RefCell::new(PeerTable::new(settings.node.clone())),
@@ -158,6 +164,8 @@
             closing: watch::Sender::new(false),
             requests: OpenCount::default(),
             connections: OpenCount::default(),
+            limits,
+            client_memory,
         }
     }
 
--- a/components/gateway/src/local_response.rs
+++ b/components/gateway/src/local_response.rs
@@ -69,6 +69,7 @@
         | Reason::NoUpstream
         | Reason::CrashesUpstreams
         | Reason::Busy
+        | Reason::NoMemory
         | Reason::NotRun
         | Reason::DeadlineExpired => StatusCode::SERVICE_UNAVAILABLE,
         Reason::UpstreamFailed => StatusCode::BAD_GATEWAY,
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -26,6 +26,10 @@
     pub first_byte: Histogram,
     /// Version of the current configuration.
     pub config_version: IntGauge,
+    /// Memory kept for clients' requests and responses, in bytes.
+    pub client_memory: IntGauge,
+    /// Connections that the node closed because of their client, by listener and reason.
+    pub closed_connections: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -48,6 +52,11 @@
             "Version of the configuration in force",
         )?;
         registry.register(Box::new(config_version.clone()))?;
+        let client_memory = IntGauge::new(
+            "lycheelatch_gateway_client_memory_bytes",
+            "Memory kept for clients' requests and responses",
+        )?;
+        registry.register(Box::new(client_memory.clone()))?;
         let unwritten_lines = IntCounter::new(
             "lycheelatch_gateway_unwritten_log_lines_total",
             "Lines of the log that were dropped because its reader was too slow",
@@ -79,6 +88,12 @@
             unwritten_lines,
             first_byte,
             config_version,
+            client_memory,
+            closed_connections: counter(
+                "lycheelatch_gateway_closed_connections_total",
+                "Connections that the node closed because of their client, by listener and reason",
+                &["listener", "reason"],
+            )?,
         })
     }
 }
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -13,6 +13,8 @@
 use crate::{
     BootClock, CallerLimits, ClusterClock, Dialect, Gateway, GatewayMetrics, Leadership,
     PlatformApi, Store, StoreLayout, cache_exchange,
+    client_connection::ReadLimits,
+    connection_table::ConnectionTable,
     decision::{NodeEvent, log_event},
     gossip, leader, members, report, scale, serve,
     server::{self, ServerLimits, empty},
@@ -22,8 +24,14 @@
 };
 
 /// Timeouts of connections to the readiness, peer and metrics servers.
-const INTERNAL_LIMITS: ServerLimits =
-    ServerLimits { head_timeout: Duration::from_secs(2), idle_timeout: Duration::from_secs(10) };
+const INTERNAL_LIMITS: ServerLimits = ServerLimits {
+    head_timeout: Duration::from_secs(2),
+    idle_timeout: Duration::from_secs(10),
+    read: ReadLimits { head: 16 * 1024, unread_body: 64 * 1024 },
+};
+
+/// Bytes by which a head may exceed its limit: blank lines before it, which the limit leaves out.
+const HEAD_SLACK_BYTES: usize = 1024;
 
 /// Interval at which the number of open requests is checked during shutdown.
 const STOP_POLL: Duration = Duration::from_millis(50);
@@ -74,8 +82,18 @@
         let tasks = vec![
             actix_rt::spawn(serve_callers(gateway.clone(), callers)),
             actix_rt::spawn(serve_readiness(gateway.clone(), readiness)),
-            actix_rt::spawn(serve_internal(gateway.clone(), view.clone(), internal)),
-            actix_rt::spawn(serve_internal(gateway.clone(), view.clone(), metrics_port)),
+            actix_rt::spawn(serve_internal(
+                gateway.clone(),
+                view.clone(),
+                internal,
+                connection_table(&gateway, "peers", gateway.limits.peers),
+            )),
+            actix_rt::spawn(serve_internal(
+                gateway.clone(),
+                view.clone(),
+                metrics_port,
+                connection_table(&gateway, "metrics", gateway.limits.probes),
+            )),
             actix_rt::spawn(store_watch::watch_store(view.clone())),
             actix_rt::spawn(store_watch::run_pending_removals(view.clone())),
             actix_rt::spawn(view_exchange::follow_reader(gateway.clone(), view.clone())),
@@ -133,32 +151,47 @@
     }
 }
 
+fn connection_table(gateway: &Gateway, name: &'static str, max: usize) -> Rc<ConnectionTable> {
+    let closed = gateway.metrics.closed_connections.clone();
+    Rc::new(ConnectionTable::new(name, max, gateway.client_memory.clone(), closed))
+}
+
 async fn serve_callers(gateway: Rc<Gateway>, listener: tokio::net::TcpListener) {
     let limits_of = gateway.clone();
     let limits = move || {
         let limits = limits_of.table().map_or_else(CallerLimits::default, |table| table.limits);
-        ServerLimits { head_timeout: limits.head_timeout, idle_timeout: limits.idle_timeout }
+        ServerLimits {
+            head_timeout: limits.head_timeout,
+            idle_timeout: limits.idle_timeout,
+            read: ReadLimits {
+                head: limits.head_bytes + HEAD_SLACK_BYTES,
+                unread_body: limits.body_bytes,
+            },
+        }
     };
+    let table = connection_table(&gateway, "callers", gateway.limits.callers);
     let drain = gateway.drain();
     let handler = move |req| serve::handle(gateway.clone(), req);
-    server::serve(listener, limits, Some(drain), handler).await;
+    server::serve(listener, table, limits, Some(drain), handler).await;
 }
 
 async fn serve_readiness(gateway: Rc<Gateway>, listener: tokio::net::TcpListener) {
+    let table = connection_table(&gateway, "readiness", gateway.limits.probes);
     let handler = move |_req| {
         let status =
             if gateway.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         let response: Response<actix_http::body::BoxBody> = empty(status);
         std::future::ready(response)
     };
-    server::serve(listener, || INTERNAL_LIMITS, None, handler).await;
+    server::serve(listener, table, || INTERNAL_LIMITS, None, handler).await;
 }
 
 async fn serve_internal(
     gateway: Rc<Gateway>,
     view: Rc<StoreView>,
     listener: tokio::net::TcpListener,
+    table: Rc<ConnectionTable>,
 ) {
     let handler = move |req| view_exchange::handle_request(gateway.clone(), view.clone(), req);
-    server::serve(listener, || INTERNAL_LIMITS, None, handler).await;
+    server::serve(listener, table, || INTERNAL_LIMITS, None, handler).await;
 }
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -26,6 +26,9 @@
 /// Maximum size of a response that is buffered completely before it is relayed, in bytes.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
+/// Maximum size of such a response while the memory for clients is short, in bytes.
+const MAX_BUFFERED_WHEN_SHORT: usize = 16 * 1024;
+
 /// Time within which the body of a refusal must arrive for its connection to be reused.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -140,7 +143,7 @@
             .map(UpstreamResponse::Events)
             .map_err(|failure| failure.at(ResponseStage::Begun));
     }
-    let start = read_start(&mut connection).await;
+    let start = read_start(&mut connection, max_buffered_bytes(cx)).await;
     let (body, is_whole) = start.map_err(|failure| failure.at(ResponseStage::Begun))?;
     guard.record_first_event(cx);
     record_answer(cx);
@@ -273,10 +276,18 @@
     Ok(started)
 }
 
-/// Reads a body up to the buffer limit; also returns whether it is complete.
-async fn read_start(connection: &mut Connection) -> Result<(Bytes, bool), Failure> {
+/// Returns how much of a response is buffered before it is relayed.
+fn max_buffered_bytes(cx: &RequestContext) -> usize {
+    if cx.gateway.client_memory.is_short() { MAX_BUFFERED_WHEN_SHORT } else { MAX_BUFFERED_BYTES }
+}
+
+/// Reads a body up to a limit; also returns whether it is complete.
+async fn read_start(
+    connection: &mut Connection,
+    max_bytes: usize,
+) -> Result<(Bytes, bool), Failure> {
     let mut body = BytesMut::new();
-    while body.len() < MAX_BUFFERED_BYTES {
+    while body.len() < max_bytes {
         match connection.next_chunk().await.map_err(failure_of)? {
             Some(chunk) => body.extend_from_slice(&chunk),
             None => return Ok((body.freeze(), true)),
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -13,19 +13,24 @@
 
 use crate::{
     Priority, RequestInfo, Route, RoutingTable, ServiceSpec, Workspace,
-    connection::read_payload,
+    client_connection::ClientConnection,
     crash_evidence::{Trial, check_request},
     decision::{Decision, Reason, RequestEnded, RequestRefused, millis},
     dispatch::dispatch,
     engine_load::PrefixChain,
     gateway::{Demand, Gateway},
+    held_memory::HeldMemory,
     local_response::LocalResponse,
     open_count::OpenGuard,
+    request_body::{BodyError, read_request_body},
 };
 
 /// `Retry-After` of a node that has not received its configuration yet.
 const NOT_INITIALIZED_RETRY: Duration = Duration::from_millis(300);
 
+/// `Retry-After` of a node that has no memory for a request's body.
+const NO_MEMORY_RETRY: Duration = Duration::from_millis(500);
+
 /// Deadline of requests that specify none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
 
@@ -49,6 +54,8 @@
     /// Number of upstreams that the request was sent to.
     pub(crate) sends: Cell<usize>,
     pub(crate) _open_request: OpenGuard,
+    /// Memory of the body.
+    pub(crate) _memory: HeldMemory,
 }
 
 impl RequestContext {
@@ -153,9 +160,12 @@
     let workspace = workspace_of(&table, &route, req)?;
     let timeout = info.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
     let deadline = arrived + timeout;
-    let max_bytes = table.limits.body_bytes;
-    let reading = gateway.run_until(deadline, read_body(req, max_bytes)).await;
-    let body = reading.ok_or(LocalResponse::new(Reason::DeadlineExpired))??;
+    let connection = ClientConnection::of(req).ok_or(LocalResponse::new(Reason::BadRequest))?;
+    connection.set_deadline(deadline);
+    let mut memory = gateway.client_memory.hold(connection.client);
+    let reading = read_body(req, table.limits.body_bytes, &mut memory);
+    let read = gateway.run_until(deadline, reading).await;
+    let body = read.ok_or(LocalResponse::new(Reason::DeadlineExpired))??;
     // The body may have taken long, and what is passed on now needs time for its response.
     refuse_while_stopping(gateway)?;
     let service = pick_service(&table, &route)?;
@@ -184,6 +194,7 @@
         deadline,
         sends: Cell::new(0),
         _open_request: open_request,
+        _memory: memory,
     })
 }
 
@@ -214,21 +225,25 @@
     workspace.cloned().map(Some).ok_or(LocalResponse::new(Reason::UnknownKey))
 }
 
-async fn read_body(req: &mut Request, max_bytes: usize) -> Result<Bytes, LocalResponse> {
+async fn read_body(
+    req: &mut Request,
+    max_bytes: usize,
+    held: &mut HeldMemory,
+) -> Result<Bytes, LocalResponse> {
     let length = req.headers().get("content-length").and_then(|value| value.to_str().ok());
     let length: Option<usize> = length.and_then(|text| text.parse().ok());
-    if length.is_some_and(|length| length > max_bytes) {
-        return Err(LocalResponse::new(Reason::BodyTooLarge));
-    }
     let mut payload = req.take_payload();
-    match read_payload(&mut payload, max_bytes).await {
-        Ok(Some(body)) => Ok(body),
-        Ok(None) => Err(LocalResponse::new(Reason::BodyTooLarge)),
-        Err(err) => {
-            log::debug!("request: body not received completely: {err}");
-            Err(LocalResponse::new(Reason::BodyIncomplete))
+    let read = read_request_body(&mut payload, length, max_bytes, held).await;
+    read.map_err(|err| {
+        log::debug!("request: {err}");
+        match err {
+            BodyError::TooLarge(_) => LocalResponse::new(Reason::BodyTooLarge),
+            BodyError::Incomplete(_) => LocalResponse::new(Reason::BodyIncomplete),
+            BodyError::NoRoom(_) => {
+                LocalResponse::with_retry_after(Reason::NoMemory, NO_MEMORY_RETRY)
+            }
         }
-    }
+    })
 }
 
 fn pick_service(table: &RoutingTable, route: &Route) -> Result<Arc<ServiceSpec>, LocalResponse> {
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -2,13 +2,23 @@
 
 use std::{convert::Infallible, future::Future, io, net::SocketAddr, rc::Rc, time::Duration};
 
-use actix_http::{HttpService, KeepAlive, Request, Response, StatusCode, body::BoxBody};
+use actix_http::{
+    Extensions, HttpService, KeepAlive, Request, Response, StatusCode,
+    body::{BodySize, BoxBody, MessageBody},
+};
 use actix_rt::net::TcpStream;
 use actix_service::{Service, ServiceFactory, fn_service};
 use futures_util::FutureExt;
+use lycheelatch_policy::ConnectionLimits;
 use tokio::{net::TcpListener, sync::watch};
 
-use crate::open_count::OpenCount;
+use crate::{
+    client_connection::{ClientConnection, ReadLimits},
+    connection_table::ConnectionTable,
+    held_body::HeldBody,
+    open_count::OpenCount,
+    paced_stream::PacedStream,
+};
 
 /// Time that a client gets to receive the rest of a response when its connection is closed.
 const DISCONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -19,11 +29,18 @@
 /// Maximum number of connections waiting to be accepted.
 const BACKLOG: u32 = 1024;
 
-/// Timeouts of a server's connections.
+/// Limits of a server's connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct ServerLimits {
     pub(crate) head_timeout: Duration,
     pub(crate) idle_timeout: Duration,
+    pub(crate) read: ReadLimits,
+}
+
+impl From<ServerLimits> for ConnectionLimits {
+    fn from(limits: ServerLimits) -> ConnectionLimits {
+        ConnectionLimits { head: limits.head_timeout, idle: limits.idle_timeout }
+    }
 }
 
 /// The end of a server: when it begins, and which connections are still open.
@@ -49,16 +66,33 @@
 /// `limits` is called for each connection, since a new configuration may change the timeouts.
 pub(crate) async fn serve<H, F>(
     listener: TcpListener,
+    table: Rc<ConnectionTable>,
     limits: impl Fn() -> ServerLimits,
     drain: Option<Drain>,
     handler: H,
 ) where
     H: Fn(Request) -> F + Clone + 'static,
     F: Future<Output = Response<BoxBody>> + 'static,
+{
+    tokio::select! {
+        () = table.check_progress(|| limits().into()) => {}
+        () = accept(listener, &table, &limits, drain, handler) => {}
+    }
+}
+
+async fn accept<H, F>(
+    listener: TcpListener,
+    table: &Rc<ConnectionTable>,
+    limits: &impl Fn() -> ServerLimits,
+    drain: Option<Drain>,
+    handler: H,
+) where
+    H: Fn(Request) -> F + Clone + 'static,
+    F: Future<Output = Response<BoxBody>> + 'static,
 {
     let mut current = limits();
     let closing = drain.as_ref().map(|drain| drain.closing.clone());
-    let mut service = service(current, closing.clone(), handler.clone()).await;
+    let mut service = service(current, closing.clone(), table.clone(), handler.clone()).await;
     loop {
         let accepted = tokio::select! {
             biased;
@@ -69,16 +103,16 @@
         let wanted = limits();
         if wanted != current {
             current = wanted;
-            service = self::service(current, closing.clone(), handler.clone()).await;
+            service = self::service(current, closing.clone(), table.clone(), handler.clone()).await;
         }
-        spawn_connection(&service, io, peer, drain.as_ref());
+        spawn_connection(&service, table, (io, peer), current, drain.as_ref());
     }
     // Requests on the connections that are left in the queue are answered: with the signal,
     // a new connection would be closed before its first request.
-    let service = self::service(current, None, handler).await;
+    let service = self::service(current, None, table.clone(), handler).await;
     while let Some(accepted) = listener.accept().now_or_never() {
         let Some((io, peer)) = accepted_connection(accepted).await else { return };
-        spawn_connection(&service, io, peer, drain.as_ref());
+        spawn_connection(&service, table, (io, peer), current, drain.as_ref());
     }
 }
 
@@ -102,42 +136,39 @@
 
 fn spawn_connection(
     service: &ConnectionService,
-    io: TcpStream,
-    peer: SocketAddr,
+    table: &Rc<ConnectionTable>,
+    (io, peer): (TcpStream, SocketAddr),
+    limits: ServerLimits,
     drain: Option<&Drain>,
 ) {
-    let served = service.call((io, Some(peer)));
+    let connection = Rc::new(ClientConnection::new(peer.ip(), limits.read));
+    let Some(place) = table.enter(connection.clone()) else { return };
+    let served = (service.0)((PacedStream::new(io, connection.clone()), Some(peer)));
     let guard = drain.map(|drain| drain.connections.open());
     actix_rt::spawn(async move {
-        if let Err(err) = served.await {
-            log::debug!("server: connection from {peer} failed: {err}");
+        tokio::select! {
+            biased;
+            () = connection.closed() => log::debug!("server: closed connection from {peer}"),
+            served = served => {
+                if let Err(err) = served {
+                    log::debug!("server: connection from {peer} failed: {err}");
+                }
+            }
         }
-        drop(guard);
+        drop((place, guard));
     });
 }
 
-type Served = Rc<
-    dyn Fn(
-        (TcpStream, Option<SocketAddr>),
-    )
-        -> std::pin::Pin<Box<dyn Future<Output = Result<(), actix_http::error::DispatchError>>>>,
->;
+type Serving =
+    std::pin::Pin<Box<dyn Future<Output = Result<(), actix_http::error::DispatchError>>>>;
 
 /// A type-erased service that serves a connection.
-struct ConnectionService(Served);
-
-impl ConnectionService {
-    fn call(
-        &self,
-        io: (TcpStream, Option<SocketAddr>),
-    ) -> std::pin::Pin<Box<dyn Future<Output = Result<(), actix_http::error::DispatchError>>>> {
-        (self.0)(io)
-    }
-}
+struct ConnectionService(Rc<dyn Fn((PacedStream, Option<SocketAddr>)) -> Serving>);
 
 async fn service<H, F>(
     limits: ServerLimits,
     closing: Option<watch::Receiver<bool>>,
+    table: Rc<ConnectionTable>,
     handler: H,
 ) -> ConnectionService
 where
@@ -145,7 +176,7 @@
     F: Future<Output = Response<BoxBody>> + 'static,
 {
     let answer = fn_service(move |req: Request| {
-        let answered = handler(req);
+        let answered = respond(table.clone(), req, handler.clone());
         async move { Ok::<_, Infallible>(answered.await) }
     });
     let factory = HttpService::build()
@@ -154,6 +185,9 @@
         .client_disconnect_timeout(DISCONNECT_TIMEOUT)
         .h1_allow_half_closed(false)
         .graceful_shutdown_signal(move || closed(closing.clone()))
+        .on_connect_ext(|io: &PacedStream, ext: &mut Extensions| {
+            ext.insert(io.connection().clone());
+        })
         .h1(answer);
     let service = match factory.new_service(()).await {
         Ok(service) => Rc::new(service),
@@ -165,6 +199,24 @@
     }))
 }
 
+/// Handles a request; its response keeps its memory taken until it has been written.
+async fn respond<H, F>(table: Rc<ConnectionTable>, req: Request, handler: H) -> Response<BoxBody>
+where
+    H: Fn(Request) -> F,
+    F: Future<Output = Response<BoxBody>>,
+{
+    let Some(connection) = ClientConnection::of(&req) else {
+        return empty(StatusCode::INTERNAL_SERVER_ERROR);
+    };
+    let open_request = connection.begin_request(&req);
+    let mut memory = table.memory().hold(connection.client);
+    let response = handler(req).await;
+    if let BodySize::Sized(size) = response.body().size() {
+        memory.resize(usize::try_from(size).unwrap_or(usize::MAX));
+    }
+    response.map_body(|_, body| BoxBody::new(HeldBody::new(body, memory, open_request)))
+}
+
 /// Waits until idle connections are to be closed.
 async fn closed(closing: Option<watch::Receiver<bool>>) {
     if let Some(mut closing) = closing
--- a/components/gateway/src/table.rs
+++ b/components/gateway/src/table.rs
@@ -139,6 +139,8 @@
 /// Limits on callers' requests and connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallerLimits {
+    /// Maximum size of a request head, in bytes.
+    pub head_bytes: usize,
     /// Maximum size of a request body, in bytes.
     pub body_bytes: usize,
     /// Timeout for receiving a complete request head.
@@ -150,6 +152,7 @@
 impl Default for CallerLimits {
     fn default() -> CallerLimits {
         CallerLimits {
+            head_bytes: 16 << 10,
             body_bytes: 4 << 20,
             head_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -5,12 +5,14 @@
 
 mod admission;
 mod bits;
+mod connection_limits;
 mod crash_suspects;
 mod decay;
 mod ejection;
 mod fair_queue;
 mod limit;
 mod load_digest;
+mod memory_budget;
 mod outcome;
 mod placement;
 mod prefix;
@@ -25,6 +27,7 @@
     Admission, AdmissionDecision, AdmissionRequest, Dequeued, Permit, Refusal, RefusalReason,
     Ticket,
 };
+pub use connection_limits::{CloseReason, ConnectionLimits, ConnectionPhase, ConnectionProgress};
 pub use crash_suspects::{
     AnsweredPart, Crash, CrashEvidence, CrashReport, CrashSuspects, CrashVerdict, PartId,
     SuspectPart,
@@ -33,6 +36,7 @@
 pub use fair_queue::{FairQueue, QueuedRequest};
 pub use limit::{CompletionStatus, ConcurrencyLimit};
 pub use load_digest::{DigestError, LoadDigest, ObservedLoad, report_home};
+pub use memory_budget::{MemoryBudget, NoRoom};
 pub use outcome::{
     AttemptEvent, AttemptNumber, LifecycleState, LifecycleStep, RequestEvent, RequestLifecycle,
 };
--- a/components/settings/src/settings.rs
+++ b/components/settings/src/settings.rs
@@ -189,7 +189,6 @@
 
 /// Settings of a node of either kind.
 #[derive(Debug, Clone, PartialEq)]
-#[expect(clippy::large_enum_variant, reason = "read once")]
 pub enum NodeSettings {
     /// A node with the proxy and the operators' API.
     Proxy(Settings),
