--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -32,6 +32,10 @@
     pub rollout_share: GaugeVec,
     /// Share of this node's requests that the canary got since the order, by service.
     pub rollout_exposure: GaugeVec,
+    /// Memory kept for clients' requests and responses, in bytes.
+    pub client_memory: IntGauge,
+    /// Connections that the node closed because of their client, by listener and reason.
+    pub closed_connections: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -67,6 +71,11 @@
             "Version of the configuration in force",
         )?;
         registry.register(Box::new(config_version.clone()))?;
+        let client_memory = IntGauge::new(
+            "lycheelatch_gateway_client_memory_bytes",
+            "Memory kept for clients' requests and responses",
+        )?;
+        registry.register(Box::new(client_memory.clone()))?;
         let unwritten_lines = IntCounter::new(
             "lycheelatch_gateway_unwritten_log_lines_total",
             "Lines of the log that were dropped because its reader was too slow",
@@ -107,6 +116,12 @@
                 "lycheelatch_gateway_rollout_exposure",
                 "Share of this node's requests to the service that the canary got since the order",
             )?,
+            client_memory,
+            closed_connections: counter(
+                "lycheelatch_gateway_closed_connections_total",
+                "Connections that the node closed because of their client, by listener and reason",
+                &["listener", "reason"],
+            )?,
         })
     }
 }
