gateway, platform, policy: An upstream that leaves, or asks for quiet, gets nothing new

Cause: Server-Leaving in an answer and Retry-After on a 503 were not read. Change: the adapter decodes both, UpstreamNotices decides by id and start, and every choice of an upstream (first attempt, retry, resume, replacement) passes it with the named limits.

--- a/components/fakes/src/entry/upstream.rs
+++ b/components/fakes/src/entry/upstream.rs
@@ -21,6 +21,17 @@
 pub enum Behavior {
     /// Sends a complete response with a signature.
     Respond(u16, String),
+    /// Sends a complete response with these header lines besides the request's ID.
+    RespondWith {
+        /// Status code.
+        status: u16,
+        /// Header lines, each with its end.
+        headers: String,
+        /// Body.
+        body: String,
+    },
+    /// Sends this text, in which `{id}` stands for the request's ID, then resets the connection.
+    Cut(String),
     /// Sends a body that is delimited by the close of the connection.
     CloseDelimited(String),
     /// Sends such a body, but resets the connection instead of closing it.
@@ -112,6 +123,7 @@
     crash_rule: Option<CrashRule>,
     crashes: Vec<Crash>,
     limit: Option<String>,
+    is_leaving: bool,
 }
 
 /// A request that an upstream started to execute.
@@ -168,11 +180,17 @@
         self.state.borrow_mut().limit = limit.map(str::to_owned);
     }
 
+    /// Sets whether the upstream says in its complete responses and streams that it leaves.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.state.borrow_mut().is_leaving = is_leaving;
+    }
+
     /// Returns the headers of responses to requests that ran.
     fn response_headers(&self) -> String {
-        let limit = self.state.borrow().limit.clone();
-        let limit = limit.map(|limit| format!("Server-Limit: {limit}\r\n"));
-        format!("{SIGNATURE}{}", limit.unwrap_or_default())
+        let state = self.state.borrow();
+        let limit = state.limit.as_ref().map(|limit| format!("Server-Limit: {limit}\r\n"));
+        let leaving = if state.is_leaving { "Server-Leaving: 1\r\n" } else { "" };
+        format!("{SIGNATURE}{}{leaving}", limit.unwrap_or_default())
     }
 
     /// Returns the requests on which the upstream crashed.
@@ -290,6 +308,16 @@
                 write(io, &response(status, id, &self.response_headers(), &body)).await;
                 true
             }
+            Behavior::RespondWith { status, headers, body } => {
+                write(io, &response(status, id, &headers, &body)).await;
+                true
+            }
+            Behavior::Cut(start) => {
+                write(io, &start.replace("{id}", id)).await;
+                sleep(Duration::from_millis(30)).await;
+                reset(io);
+                false
+            }
             Behavior::CloseDelimited(body) => {
                 write(io, &close_delimited(id, &body)).await;
                 false
--- a/components/gateway/src/decision.rs
+++ b/components/gateway/src/decision.rs
@@ -246,6 +246,12 @@
     LimitNamed { upstream: &'a UpstreamId, per_second: Option<f64> },
     /// What an upstream names as its limit is no number of requests a second.
     LimitInvalid { upstream: &'a UpstreamId },
+    /// An upstream says in a response that it leaves.
+    UpstreamLeaving { upstream: &'a UpstreamId },
+    /// An upstream refused a request and wants none for this time.
+    UpstreamQuiet { upstream: &'a UpstreamId, retry_after_ms: u64 },
+    /// The time for which an upstream wants no requests can't be read.
+    RetryAfterInvalid { upstream: &'a UpstreamId },
     /// The store is unreachable.
     #[serde(rename = "store_lost")]
     #[strum(serialize = "store_lost")]
--- a/components/gateway/src/dialect.rs
+++ b/components/gateway/src/dialect.rs
@@ -90,6 +90,24 @@
     pub load: Option<ReportedLoad>,
     /// Limit that the upstream names.
     pub limit: NamedLimit,
+    /// Whether the upstream leaves and wants no new requests.
+    pub is_leaving: bool,
+    /// Time for which it wants no requests, if it refused.
+    pub retry_after: RetryAfter,
+}
+
+/// Time that a response names in `Retry-After` (RFC 9110, section 10.2.3).
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum RetryAfter {
+    /// It names none.
+    #[default]
+    None,
+    /// After this time.
+    After(Duration),
+    /// At this time since the Unix epoch.
+    At(Duration),
+    /// What it names is no such time.
+    Invalid,
 }
 
 /// Requests a second that an upstream takes from all nodes together, as named in a response.
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use lycheelatch_policy::CrashSuspects;
+use lycheelatch_policy::{CrashSuspects, UpstreamNotices};
 use lycheelatch_prelude::{ServiceName, WorkspaceName};
 use lycheelatch_settings::{GatewaySettings, RetryLimit};
 use tokio::{net::UdpSocket, sync::watch, time::Instant};
@@ -59,6 +59,8 @@
     pub(crate) limits_fingerprint: Cell<u64>,
     /// When all limits were last sent to each node.
     pub(crate) limits_sent: RefCell<ResendTimes>,
+    /// What upstreams asked of this node in their responses.
+    pub(crate) upstream_notices: RefCell<UpstreamNotices>,
     /// Parts that requests are refused for, as last logged.
     pub(crate) refused_parts: RefCell<Vec<String>>,
     /// Whether this node holds the leader lease.
@@ -143,6 +145,7 @@
             evidence_sent: RefCell::default(),
             limits_fingerprint: Cell::new(0),
             limits_sent: RefCell::default(),
+            upstream_notices: RefCell::default(),
             refused_parts: RefCell::default(),
             is_leader: Cell::new(false),
             datagrams: OnceCell::new(),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -65,6 +65,7 @@
 mod test_support;
 mod tombstones;
 mod upstream_limits;
+mod upstream_notices;
 mod usage;
 mod view_exchange;
 mod zone_usage;
@@ -74,7 +75,8 @@
 pub use decision::{DECISION_LOG_TARGET, Reason};
 pub use demand::keep_running;
 pub use dialect::{
-    Dialect, ForwardParams, NamedLimit, Prompt, PromptPart, ReportedLoad, RequestInfo, ResponseInfo,
+    Dialect, ForwardParams, NamedLimit, Prompt, PromptPart, ReportedLoad, RequestInfo,
+    ResponseInfo, RetryAfter,
 };
 pub use directory::{Directory, Upstream, UpstreamEntry};
 pub use engine_load::{EngineLoad, Estimate, InFlight, PrefixChain, PrefixHash};
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -21,6 +21,7 @@
     send_trace::SendTrace,
     serve::RequestContext,
     upstream_limits::record_named_limit,
+    upstream_notices::record_notices,
 };
 
 /// Maximum size of a response that is buffered completely before it is relayed, in bytes.
@@ -119,6 +120,7 @@
     }
     if head.status != StatusCode::MISDIRECTED_REQUEST {
         record_named_limit(&cx.gateway, &upstream, &info);
+        record_notices(&cx.gateway, &upstream, head.status, &info);
     }
     if info.is_not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
         return Err(refused(connection, &upstream, head.status).await);
--- a/components/gateway/src/upstream_limits.rs
+++ b/components/gateway/src/upstream_limits.rs
@@ -14,6 +14,7 @@
     gateway::Gateway,
     messages::Datagram,
     notices::send_notice,
+    upstream_notices::{Willing, willing},
 };
 
 /// Time after which it is forgotten that an upstream names a limit no more.
@@ -109,7 +110,7 @@
     gateway.directory.all().iter().filter_map(notice).take(MAX_NOTICES).collect()
 }
 
-/// Upstreams split by whether their limits let this node send to them now.
+/// Upstreams split by whether they and their limits let this node send to them now.
 pub(crate) struct WithinLimits {
     /// Upstreams to which a request may be sent.
     pub(crate) allowed: Vec<Rc<Upstream>>,
@@ -117,11 +118,11 @@
     pub(crate) next: Option<Duration>,
 }
 
-/// Splits upstreams by whether their limits let this node send to them now.
+/// Splits upstreams by whether they and their limits let this node send to them now.
 pub(crate) fn within_limits(gateway: &Gateway, upstreams: Vec<Rc<Upstream>>) -> WithinLimits {
     let now = gateway.clock.now();
     let nodes: OnceCell<Vec<NodeId>> = OnceCell::new();
-    let mut next: Option<Duration> = None;
+    let Willing { willing: upstreams, mut next } = willing(gateway, upstreams);
     let mut is_allowed = |up: &Rc<Upstream>| {
         let mut limit = up.limit.borrow_mut();
         if limit.per_second().is_none() {
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -20,6 +20,7 @@
 mod retry_detector;
 mod rollout;
 mod upstream_limit;
+mod upstream_notices;
 
 pub use admission::{
     Admission, AdmissionDecision, AdmissionRequest, Dequeued, Permit, Refusal, RefusalReason,
@@ -51,3 +52,4 @@
     decide as decide_rollout, find_fault_alone, loaded_canaries,
 };
 pub use upstream_limit::{HeardLimit, LimitSharers, UpstreamLimit};
+pub use upstream_notices::{TimeToSend, UpstreamNotice, UpstreamNotices, UpstreamStart};
