--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -23,6 +23,7 @@
 mod rollout;
 mod upstream_choice;
 mod upstream_limit;
+mod upstream_notices;
 mod upstream_speed;
 
 pub use admission::{
@@ -58,4 +59,5 @@
 };
 pub use upstream_choice::{SmoothedCount, UpstreamCost, choose_upstream};
 pub use upstream_limit::{HeardLimit, LimitSharers, UpstreamLimit};
+pub use upstream_notices::{TimeToSend, UpstreamNotice, UpstreamNotices, UpstreamStart};
 pub use upstream_speed::{SpeedSample, UpstreamSpeed};
