gateway, platform: The age of an order outlives all processes in its status

Change: the status names the time of the order by the nodes' clock; a node that reads it takes the age from there, unless it lies beyond the deadline, as the clock may have been set since.

--- a/components/gateway/src/rollout.rs
+++ b/components/gateway/src/rollout.rs
@@ -316,7 +316,7 @@
             RolloutState::Running if self.is_completion_due => RolloutState::Completed,
             state => state,
         };
-        RolloutStatus { state, to: self.to.clone(), order: Some(self.order.0) }
+        RolloutStatus { state, to: self.to.clone(), order: Some(self.order.0), ordered_at_ms: None }
     }
 
     pub(crate) fn report(&self, service: &ServiceName, now: Instant) -> RolloutReport {
--- a/components/gateway/src/rollout_entries.rs
+++ b/components/gateway/src/rollout_entries.rs
@@ -44,4 +44,6 @@
     pub to: Arc<str>,
     /// Revision of the order, if the status names it.
     pub order: Option<u64>,
+    /// Time of the order by the nodes' clock, in milliseconds since the Unix epoch, if it names it.
+    pub ordered_at_ms: Option<u64>,
 }
--- a/components/gateway/src/rollout_status.rs
+++ b/components/gateway/src/rollout_status.rs
@@ -4,11 +4,11 @@
 
 use futures_util::future::join_all;
 use lycheelatch_prelude::ServiceName;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::{
     Commit, CommitOutcome, Gateway, LeaderPermit, Leadership, RolloutStatus, Store, StoreError,
-    StoreLayout, StoreRevision,
+    StoreLayout, StoreRevision, decision::millis,
 };
 
 #[cfg(test)]
@@ -53,8 +53,12 @@
     let rollouts = gateway.rollouts.borrow();
     let Some(table) = gateway.table() else { return Vec::new() };
     let known = rollouts.iter().filter(|(service, _)| table.service(service).is_some());
-    let due = known.filter_map(|(service, _)| {
-        rollouts.status_to_write(service).map(|wanted| (service.clone(), wanted))
+    let now = Instant::now();
+    let due = known.filter_map(|(service, rollout)| {
+        let mut wanted = rollouts.status_to_write(service)?;
+        let ordered_at = gateway.clock.now().saturating_sub(rollout.age(now));
+        wanted.ordered_at_ms = Some(millis(ordered_at));
+        Some((service.clone(), wanted))
     });
     due.collect()
 }
--- a/components/gateway/src/rollout_view.rs
+++ b/components/gateway/src/rollout_view.rs
@@ -1,6 +1,6 @@
 //! Applies the store's entries of roll-outs.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use lycheelatch_prelude::{InvalidValue, ServiceName};
@@ -69,15 +69,28 @@
                 // The order may have been written right after the last read.
                 let ordered_at = now.checked_sub(self.max_read_delay()).unwrap_or(now);
                 rollouts.borrow_mut().apply_order(order, revision, ordered_at);
+                self.learn_order_age(&service);
             }
             EntryKey::Status(service) => {
                 let status = self.layout.parse_rollout_status(value)?;
                 rollouts.borrow_mut().apply_status(&service, status, revision);
+                self.learn_order_age(&service);
             }
         }
         Ok(())
     }
 
+    /// Takes the age of an order from its status, which outlives the processes that saw the order.
+    fn learn_order_age(&self, service: &ServiceName) {
+        let mut rollouts = self.gateway.rollouts.borrow_mut();
+        let Some(ordered_at_ms) = rollouts.ordered_at_ms(service) else { return };
+        let clock = self.gateway.clock.now();
+        let age = clock.checked_sub(Duration::from_millis(ordered_at_ms));
+        if let Some(age) = age {
+            rollouts.hear_status_age(service, age, Instant::now());
+        }
+    }
+
     fn rollout_key(&self, key: &str) -> Result<EntryKey, InvalidValue> {
         let service = |name: &str| -> Result<ServiceName, InvalidValue> {
             name.parse().map_err(|err: InvalidValue| InvalidValue::new(key, name, err.reason))
--- a/components/gateway/src/rollouts.rs
+++ b/components/gateway/src/rollouts.rs
@@ -212,6 +212,24 @@
         }
     }
 
+    /// Returns the time of the order that a service's status names, in milliseconds since the Unix
+    /// epoch.
+    pub(crate) fn ordered_at_ms(&self, service: &ServiceName) -> Option<u64> {
+        self.statuses.get(service).and_then(|(status, _)| status.ordered_at_ms)
+    }
+
+    /// Takes note of how long ago an order was written by the clock with which its status was.
+    ///
+    /// An age beyond the deadline is ignored: the clock may have been set since.
+    pub(crate) fn hear_status_age(&mut self, service: &ServiceName, age: Duration, now: Instant) {
+        let status = self.statuses.get(service);
+        let Some(rollout) = self.services.get_mut(service) else { return };
+        let is_own = status.is_some_and(|(status, at)| rollout.owns(status, *at));
+        if is_own && age <= rollout.duration {
+            rollout.hear_age(age, now);
+        }
+    }
+
     /// Takes note of how long ago another node saw an order.
     pub(crate) fn hear_age(&mut self, report: &RolloutReport, now: Instant) {
         let order = StoreRevision(report.order);
--- a/components/gateway/src/rollouts/tests.rs
+++ b/components/gateway/src/rollouts/tests.rs
@@ -20,7 +20,7 @@
 }
 
 fn status(state: RolloutState, to: &str, order: u64) -> RolloutStatus {
-    RolloutStatus { state, to: to.into(), order: Some(order) }
+    RolloutStatus { state, to: to.into(), order: Some(order), ordered_at_ms: None }
 }
 
 fn notice(order: u64, phase: RolloutPhase, canary_share: f64) -> RolloutNotice {
@@ -153,6 +153,23 @@
     assert_eq!(age, Duration::from_secs(20));
 }
 
+#[tokio::test]
+async fn age_of_order_outlives_all_nodes_in_its_status() {
+    tokio::time::pause();
+    tokio::time::advance(DURATION).await;
+    let mut rollouts = rollouts();
+    rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
+    let running =
+        RolloutStatus { ordered_at_ms: Some(1_000_000), ..status(RolloutState::Running, "v2", 5) };
+    rollouts.apply_status(&service(), running, StoreRevision(6));
+    assert_eq!(rollouts.ordered_at_ms(&service()), Some(1_000_000));
+    let age = |rollouts: &Rollouts| rollouts.get(&service()).unwrap().age(Instant::now());
+    rollouts.hear_status_age(&service(), 2 * DURATION, Instant::now());
+    assert_eq!(age(&rollouts), Duration::ZERO, "the clock was set since");
+    rollouts.hear_status_age(&service(), DURATION / 2, Instant::now());
+    assert_eq!(age(&rollouts), DURATION / 2);
+}
+
 #[tokio::test]
 async fn frozen_leader_leaves_share_as_it_is() {
     tokio::time::pause();
--- a/components/gateway/src/test_support.rs
+++ b/components/gateway/src/test_support.rs
@@ -81,7 +81,12 @@
         "RolledBack" => RolloutState::RolledBack,
         other => return Err(InvalidValue::new("state", other, "is unknown")),
     };
-    Ok(RolloutStatus { state, to: parts[1].into(), order: parts[2].parse().ok() })
+    Ok(RolloutStatus {
+        state,
+        to: parts[1].into(),
+        order: parts[2].parse().ok(),
+        ordered_at_ms: None,
+    })
 }
 
 /// Encodes a status for [`parse_rollout_status`].
