Merge the roll-outs' decision: the leader judges recent counts too, nodes judge alone more strictly

The leader asks RolloutJudge once it has heard all nodes, and each node find_fault_alone for its own counts.

--- a/components/gateway/src/rollout.rs
+++ b/components/gateway/src/rollout.rs
@@ -4,7 +4,7 @@
 
 use lycheelatch_policy::{
     CanaryOutcome, ExposureGate, LATENCY_CLASSES, LatencyClass, RollbackReason, RolloutCounts,
-    RolloutEvidence, RolloutLimits, RolloutPhase, RolloutStep, Track, decide_rollout,
+    RolloutEvidence, RolloutPhase, Track, find_fault_alone,
 };
 use lycheelatch_prelude::ServiceName;
 use tokio::time::Instant;
@@ -282,19 +282,11 @@
 
     /// Stops sending to the canary if what this node counted itself shows that it is bad; returns
     /// why, when it does.
-    pub(crate) fn check_alone(
-        &mut self,
-        limits: &RolloutLimits,
-        now: Instant,
-    ) -> Option<RollbackReason> {
-        if self.is_final() || self.is_stopped_here {
-            return None;
-        }
-        let step = decide_rollout(&self.evidence(self.counts.clone(), 0, now), limits);
-        let RolloutStep::RollBack(reason) = step else { return None };
-        if reason == RollbackReason::NotEnoughEvidence {
+    pub(crate) fn check_alone(&mut self) -> Option<RollbackReason> {
+        if self.is_stopped_here {
             return None;
         }
+        let reason = find_fault_alone(&self.counts, self.phase)?;
         self.is_stopped_here = true;
         Some(reason)
     }
--- a/components/gateway/src/rollout_leader.rs
+++ b/components/gateway/src/rollout_leader.rs
@@ -7,7 +7,8 @@
 };
 
 use lycheelatch_policy::{
-    RollbackReason, RolloutCounts, RolloutLimits, RolloutPhase, RolloutStep, Track, decide_rollout,
+    RollbackReason, RolloutCounts, RolloutJudge, RolloutLimits, RolloutPhase, RolloutStep, Track,
+    decide_rollout,
 };
 use lycheelatch_prelude::{NodeId, ServiceName};
 use tokio::time::{Instant, sleep};
@@ -74,10 +75,26 @@
     }
 }
 
+/// What this leader remembers of each order, by service.
+#[derive(Default)]
+struct Judges(BTreeMap<ServiceName, (StoreRevision, RolloutJudge)>);
+
+impl Judges {
+    /// Returns the judge of an order, an empty one if the last order was another one.
+    fn of(&mut self, service: &ServiceName, order: StoreRevision) -> &mut RolloutJudge {
+        let entry = self.0.entry(service.clone()).or_insert((order, RolloutJudge::default()));
+        if entry.0 != order {
+            *entry = (order, RolloutJudge::default());
+        }
+        &mut entry.1
+    }
+}
+
 /// Decides until the task is dropped; all nodes also judge by what they counted themselves.
 pub(crate) async fn run(gateway: Rc<Gateway>, leader: Rc<Leadership>) {
     let Some(limits) = gateway.rollouts.borrow().limits() else { return };
     let mut reports = ClusterReports::default();
+    let mut judges = Judges::default();
     let mut leader_since = None;
     let mut unknown = BTreeSet::new();
     loop {
@@ -87,24 +104,25 @@
             continue;
         }
         let now = Instant::now();
-        check_alone(&gateway, &limits, now);
+        check_alone(&gateway, now);
         gateway.peers.borrow().digests().for_each(|digest| reports.record(digest));
         if leader.fence().is_some() {
             let since = *leader_since.get_or_insert(now);
             let has_settled = now - since >= LEADER_INTERVAL * SETTLE_INTERVALS;
             log_unknown_services(&gateway, &mut unknown);
-            decide_all(&gateway, &reports, &limits, has_settled, now);
+            decide_all(&gateway, &reports, &mut judges, &limits, has_settled, now);
         } else {
             leader_since = None;
+            judges = Judges::default();
         }
         update_metrics(&gateway);
     }
 }
 
 /// Stops sending to canaries that this node knows to be bad by its own counts.
-fn check_alone(gateway: &Gateway, limits: &RolloutLimits, now: Instant) {
+fn check_alone(gateway: &Gateway, now: Instant) {
     for (service, rollout) in gateway.rollouts.borrow_mut().iter_mut() {
-        if let Some(reason) = rollout.check_alone(limits, now) {
+        if let Some(reason) = rollout.check_alone() {
             log_step(service, rollout, rollout.counts(), Some(&reason), now);
         }
     }
@@ -127,6 +145,7 @@
 fn decide_all(
     gateway: &Gateway,
     reports: &ClusterReports,
+    judges: &mut Judges,
     limits: &RolloutLimits,
     has_settled: bool,
     now: Instant,
@@ -144,7 +163,10 @@
         }
         let in_flight = in_flight_at_stable(gateway, service, rollout, now);
         let evidence = rollout.evidence(counts, in_flight, now);
-        let step = decide_rollout(&evidence, limits);
+        let step = match has_settled {
+            true => judges.of(service, rollout.order).decide(&evidence, limits),
+            false => decide_rollout(&evidence, limits),
+        };
         let step = possible_step(step, &upstreams, has_settled, rollout);
         apply_step(service, rollout, &evidence.counts, step, now);
     }
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -20,6 +20,7 @@
 mod retry_detector;
 mod rollout;
 mod upstream_limit;
+mod upstream_notices;
 
 pub use admission::{
     Admission, AdmissionDecision, AdmissionRequest, Dequeued, Permit, Refusal, RefusalReason,
@@ -45,8 +46,10 @@
 pub use retry_budget::RetryBudget;
 pub use retry_detector::{Fingerprint, RetryDetector, fingerprint_home};
 pub use rollout::{
-    CanaryOutcome, ExposureGate, FALSE_ALARM_RATE, LATENCY_CLASSES, LatencyClass, RollbackReason,
-    RolloutCounts, RolloutEvidence, RolloutLimits, RolloutPhase, RolloutStep, RouteCounts, Track,
-    TrackCounts, comparison_share, decide as decide_rollout, loaded_canaries,
+    ALONE_FALSE_ALARM_RATE, CanaryOutcome, ExposureGate, FALSE_ALARM_RATE, LATENCY_CLASSES,
+    LatencyClass, PROMOTION_FALSE_ALARM_RATE, RollbackReason, RolloutCounts, RolloutEvidence,
+    RolloutJudge, RolloutLimits, RolloutPhase, RolloutStep, RouteCounts, Track, TrackCounts,
+    decide as decide_rollout, find_fault_alone, loaded_canaries,
 };
 pub use upstream_limit::{HeardLimit, LimitSharers, UpstreamLimit};
+pub use upstream_notices::{TimeToSend, UpstreamNotice, UpstreamNotices, UpstreamStart};
