gateway, cli: Shared prefixes count once in an engine's memory; learnt speed in events and metrics

An engine's memory counted the shared prefix of each request apart: 64 requests with one prefix of 13,300 tokens filled it at 34. Shared prefixes in use now count once, over all nodes. send_ended tells the learnt and the stated speed, explain says how much slower than learnt a late answer was, and a metric has three quantiles of the learnt speed for each service. To other availability zones at most 6 samples go with a datagram.

--- a/components/gateway/src/decision.rs
+++ b/components/gateway/src/decision.rs
@@ -105,7 +105,7 @@
     pub(crate) upstream: &'a UpstreamId,
     /// Number of upstreams that were considered.
     pub(crate) candidates: usize,
-    /// Estimated time to the first token.
+    /// Estimated time to the first event, or to the response.
     pub(crate) expected_ms: Option<u64>,
     /// Second-best upstream and its estimated time to the first token.
     pub(crate) runner_up: Option<&'a UpstreamId>,
@@ -116,6 +116,10 @@
     pub(crate) running_elsewhere: u32,
     pub(crate) elapsed_ms: u64,
     pub(crate) end: &'a str,
+    /// Time that work was expected to take at the upstream, in percent of its service's usual.
+    pub(crate) speed_percent: u32,
+    /// Figure that the upstream stated, in percent of its usual time.
+    pub(crate) stated_percent: Option<u32>,
 }
 
 /// An event stream that an upstream ended prematurely.
--- a/components/gateway/src/engine_load.rs
+++ b/components/gateway/src/engine_load.rs
@@ -20,6 +20,12 @@
 /// can fetch it.
 const FETCHABLE_AFTER: Duration = Duration::from_millis(600);
 
+/// Time since its last use for which a prefix is assumed to belong to a request in flight.
+const PREFIX_USE_TIME: Duration = Duration::from_secs(4);
+
+/// Number of prefixes in use from which on those of ended requests are looked for.
+const MAX_SHARED_IN_USE: usize = 64;
+
 /// Share of the available memory that cached prompts are assumed to occupy.
 const CACHE_SHARE: f64 = 0.75;
 
@@ -59,6 +65,11 @@
         &self.links[..self.links.len().saturating_sub(1)]
     }
 
+    /// Returns the number of tokens of the prefixes that other requests may share.
+    pub fn shared_tokens(&self) -> u64 {
+        self.shared_prefixes().iter().map(|(_, tokens)| u64::from(*tokens)).sum()
+    }
+
     /// Returns the hash of the longest prefix that may be shared, for prefix affinity.
     pub fn affinity(&self) -> u64 {
         self.shared_prefixes().last().or(self.links.last()).map_or(0, |(hash, _)| hash.0)
@@ -74,6 +85,8 @@
     pub prefill_tokens: u64,
     /// Tokens of KV cache that the requests are expected to occupy.
     pub memory_tokens: u64,
+    /// Part of `memory_tokens` that belongs to shared prefixes, once for each request.
+    pub shared_tokens: u64,
 }
 
 impl std::ops::AddAssign for InFlight {
@@ -81,6 +94,7 @@
         self.requests = self.requests.saturating_add(other.requests);
         self.prefill_tokens = self.prefill_tokens.saturating_add(other.prefill_tokens);
         self.memory_tokens = self.memory_tokens.saturating_add(other.memory_tokens);
+        self.shared_tokens = self.shared_tokens.saturating_add(other.shared_tokens);
     }
 }
 
@@ -98,6 +112,8 @@
 pub struct EngineLoad {
     cache: HashMap<PrefixHash, Cached>,
     cached_tokens: u64,
+    /// Tokens and last use of shared prefixes that requests in flight may hold.
+    shared_in_use: HashMap<PrefixHash, (u32, Instant)>,
     /// Work in flight from this node.
     pub own: InFlight,
     /// Work in flight from the other nodes, as last reported.
@@ -155,6 +171,7 @@
         engine: &EngineSpec,
         speed: EngineSpeed,
         fetchable: u32,
+        now: Instant,
     ) -> Estimate {
         let own = self.cached_tokens(chain);
         let fetched_tokens = fetchable.saturating_sub(own);
@@ -168,8 +185,8 @@
         let ms = speed.prefill_ms(prefill_tokens as f64) + fixed;
         let own_prefill = speed.prefill_ms(f64::from(uncached_tokens));
         let ms_without_queue = own_prefill + speed.first_token_ms;
-        let has_capacity = total.requests < engine.slots
-            && total.memory_tokens.saturating_add(chain.memory_tokens) <= engine.memory_tokens;
+        let has_capacity =
+            total.requests < engine.slots && self.has_memory(chain, engine.memory_tokens, now);
         let fetch = f64::from(fetched_tokens) / engine.transfer_tokens_per_ms.unwrap_or(f64::MAX);
         Estimate {
             time_to_first_token: Duration::from_secs_f64((ms + fetch) / 1000.0),
@@ -182,12 +199,34 @@
         }
     }
 
+    /// Returns whether the engine's memory holds a request beside those in flight.
+    ///
+    /// Requests that share a prefix occupy it once. Which requests of other nodes do is not known,
+    /// but together they occupy no more than all prefixes that were used lately.
+    fn has_memory(&self, chain: &PrefixChain, capacity: u64, now: Instant) -> bool {
+        let total = self.total();
+        if total.memory_tokens.saturating_add(chain.memory_tokens) <= capacity {
+            return true;
+        }
+        let is_in_use = |used: &Instant| now.saturating_duration_since(*used) < PREFIX_USE_TIME;
+        let in_use = self.shared_in_use.values().filter(|(_, used)| is_in_use(used));
+        let in_use: u64 = in_use.map(|(tokens, _)| u64::from(*tokens)).sum();
+        let is_new = |hash| !self.shared_in_use.get(hash).is_some_and(|(_, used)| is_in_use(used));
+        let new_prefixes = chain.shared_prefixes().iter().filter(|(hash, _)| is_new(hash));
+        let new_prefixes: u64 = new_prefixes.map(|(_, tokens)| u64::from(*tokens)).sum();
+        let unshared = total.memory_tokens.saturating_sub(total.shared_tokens);
+        let alone = chain.memory_tokens.saturating_sub(chain.shared_tokens());
+        let needed = unshared + total.shared_tokens.min(in_use) + alone + new_prefixes;
+        needed <= capacity
+    }
+
     /// Adds a request of this node; returns its work for `remove_request`.
     pub fn add_request(&mut self, chain: &PrefixChain, estimate: &Estimate) -> InFlight {
         let work = InFlight {
             requests: 1,
             prefill_tokens: u64::from(estimate.uncached_tokens),
             memory_tokens: chain.memory_tokens,
+            shared_tokens: chain.shared_tokens(),
         };
         self.own += work;
         work
@@ -204,6 +243,7 @@
         self.own.requests = self.own.requests.saturating_sub(work.requests);
         self.own.prefill_tokens = self.own.prefill_tokens.saturating_sub(work.prefill_tokens);
         self.own.memory_tokens = self.own.memory_tokens.saturating_sub(work.memory_tokens);
+        self.own.shared_tokens = self.own.shared_tokens.saturating_sub(work.shared_tokens);
     }
 
     /// Records prompt prefixes sent to the engine by any node as cached.
@@ -213,6 +253,7 @@
         memory_tokens: u64,
         now: Instant,
     ) {
+        self.record_use(&links[..links.len().saturating_sub(1)], now);
         for &(hash, tokens) in links {
             if let Some(known) = self.cache.get_mut(&hash) {
                 known.used = now;
@@ -225,6 +266,15 @@
         self.evict(memory_tokens);
     }
 
+    /// Records that a request begins with shared prefixes.
+    fn record_use(&mut self, shared: &[(PrefixHash, u32)], now: Instant) {
+        if self.shared_in_use.len() >= MAX_SHARED_IN_USE {
+            let age = |used: Instant| now.saturating_duration_since(used);
+            self.shared_in_use.retain(|_, (_, used)| age(*used) < PREFIX_USE_TIME);
+        }
+        self.shared_in_use.extend(shared.iter().map(|&(hash, tokens)| (hash, (tokens, now))));
+    }
+
     /// Returns up to `max` prefixes that several requests used, most recently used last.
     pub fn shared_cache(&self, max: usize) -> Vec<(PrefixHash, u32)> {
         let shared = self.cache.iter().filter(|(_, cached)| cached.uses > 1);
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -42,6 +42,9 @@
 /// Maximum number of samples of speed in one datagram, those of the last rounds included.
 const MAX_SPEED_NOTICES: usize = 24;
 
+/// The same for nodes in other availability zones, which place few requests on the same upstreams.
+const MAX_SPEED_NOTICES_ELSEWHERE: usize = 6;
+
 /// Maximum size of a received datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
 
@@ -96,6 +99,7 @@
             return;
         }
         for_other_zones.leave_out_details();
+        for_other_zones.speed_notices.truncate(MAX_SPEED_NOTICES_ELSEWHERE);
         self.send(for_other_zones, &targets.other_zones).await;
         let is_reporter = reports_zone(&self.gateway, now);
         let zone_sum = is_reporter.then(|| self.zone_sum(&digest, now));
@@ -233,6 +237,7 @@
             requests: up.running.get(),
             prefill_tokens: own.prefill_tokens,
             memory_tokens: own.memory_tokens,
+            shared_tokens: own.shared_tokens,
         }
     });
     let usage = gateway.usage.borrow();
--- a/components/gateway/src/gossip/tests.rs
+++ b/components/gateway/src/gossip/tests.rs
@@ -70,8 +70,13 @@
     let used = ReportedUsage { admitted: most, refused: u64::MAX };
     hostile.quota_use = vec![("ws".parse().unwrap(), used); 2];
     let upstream = "engine-zone-a".parse().unwrap();
-    let load =
-        UpstreamLoad { upstream, requests: u32::MAX, prefill_tokens: u64::MAX, memory_tokens: 9 };
+    let load = UpstreamLoad {
+        upstream,
+        requests: u32::MAX,
+        prefill_tokens: u64::MAX,
+        memory_tokens: 9,
+        shared_tokens: 0,
+    };
     hostile.upstreams = vec![load.clone(); 3];
     let valid = postcard::to_stdvec(&Datagram::State(hostile)).unwrap();
     let mut rng = StdRng::seed_from_u64(5);
--- a/components/gateway/src/messages.rs
+++ b/components/gateway/src/messages.rs
@@ -25,6 +25,7 @@
     pub(crate) requests: u32,
     pub(crate) prefill_tokens: u64,
     pub(crate) memory_tokens: u64,
+    pub(crate) shared_tokens: u64,
 }
 
 impl From<&UpstreamLoad> for InFlight {
@@ -33,6 +34,7 @@
             requests: load.requests,
             prefill_tokens: load.prefill_tokens,
             memory_tokens: load.memory_tokens,
+            shared_tokens: load.shared_tokens,
         }
     }
 }
--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Prometheus metrics of a gateway.
 
 use prometheus::{
-    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     exponential_buckets,
 };
 
@@ -24,6 +24,9 @@
     pub unwritten_lines: IntCounter,
     /// Time from the arrival of a request to the first byte of its response, in seconds.
     pub first_byte: Histogram,
+    /// Learnt speed of a service's upstreams: quantiles of the time that work takes there, relative
+    /// to the service's usual.
+    pub upstream_speed: GaugeVec,
     /// Version of the current configuration.
     pub config_version: IntGauge,
 }
@@ -53,6 +56,12 @@
             "Lines of the log that were dropped because its reader was too slow",
         )?;
         registry.register(Box::new(unwritten_lines.clone()))?;
+        let opts = Opts::new(
+            "lycheelatch_gateway_upstream_speed_factor",
+            "Time that work takes at upstreams relative to the service's usual, by quantile",
+        );
+        let upstream_speed = GaugeVec::new(opts, &["service", "quantile"])?;
+        registry.register(Box::new(upstream_speed.clone()))?;
         registry.register(Box::new(EVENTS.clone()))?;
         Ok(GatewayMetrics {
             registry: registry.clone(),
@@ -77,6 +86,7 @@
                 &["call", "result"],
             )?,
             unwritten_lines,
+            upstream_speed,
             first_byte,
             config_version,
         })
--- a/components/gateway/src/notices.rs
+++ b/components/gateway/src/notices.rs
@@ -44,6 +44,7 @@
             requests: work.requests,
             prefill_tokens: work.prefill_tokens,
             memory_tokens: work.memory_tokens,
+            shared_tokens: work.shared_tokens,
         },
         links: encode_links(&prompt.links),
     };
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -100,6 +100,11 @@
         }
     }
 
+    /// Returns the time until the first event, or the response.
+    pub fn expected_time(&self) -> Duration {
+        self.usual_time.mul_f64(self.factor)
+    }
+
     /// Sets the time at the usual speed from the one that is expected.
     fn with_expected(mut self, time: Duration) -> ExpectedSpeed {
         self.usual_time = time.div_f64(self.factor);
@@ -178,7 +183,7 @@
         let crowding = f64::from(load.total().requests) / f64::from(engine.slots.max(1));
         let speed = ExpectedSpeed::of(up, crowding, now);
         let at_speed = req.speed.slowed(speed.factor);
-        let estimate = load.estimate(chain, engine, at_speed, fetchable_here);
+        let estimate = load.estimate(chain, engine, at_speed, fetchable_here, now);
         soonest = soonest.min(estimate.time_to_first_token);
         if !estimate.has_capacity {
             continue;
--- a/components/gateway/src/send_trace.rs
+++ b/components/gateway/src/send_trace.rs
@@ -7,6 +7,7 @@
 use crate::{
     attempts::SendOutcome,
     decision::{Decision, NodeEvent, SendEnded, log_event, millis},
+    directory::Upstream,
     notices::announce_absence,
     place::Placement,
     response_cut::record_cut,
@@ -21,6 +22,7 @@
     started: Instant,
     running_here: u32,
     running_elsewhere: u32,
+    stated_percent: Option<u32>,
     is_finished: bool,
 }
 
@@ -32,6 +34,7 @@
             started: Instant::now(),
             running_here: placement.upstream.running.get(),
             running_elsewhere: placement.upstream.running_elsewhere.get(),
+            stated_percent: stated_percent(&placement.upstream),
             is_finished: false,
         }
     }
@@ -83,12 +86,14 @@
             runner_up: placement.runner_up.as_ref().map(|(id, _)| id),
             runner_up_ms: placement.runner_up.as_ref().map(|(_, estimate)| millis(*estimate)),
             fetched_tokens: placement.estimate.map(|estimate| estimate.fetched_tokens),
-            expected_ms: placement.estimate.map(|estimate| millis(estimate.time_to_first_token)),
+            expected_ms: Some(millis(placement.speed.expected_time())),
             uncached_tokens: placement.estimate.map(|estimate| estimate.uncached_tokens),
             running_here: self.running_here,
             running_elsewhere: self.running_elsewhere,
             elapsed_ms: millis(self.started.elapsed()),
             end,
+            speed_percent: (placement.speed.factor * 100.0).round() as u32,
+            stated_percent: self.stated_percent,
         }));
     }
 }
@@ -106,6 +111,11 @@
     }
 }
 
+/// Returns the figure that an upstream stated last, in percent of its usual time.
+fn stated_percent(upstream: &Upstream) -> Option<u32> {
+    upstream.reported_load.get().and_then(|(load, _)| load.work_time_percent)
+}
+
 fn outcome_label(outcome: SendOutcome) -> &'static str {
     match outcome {
         SendOutcome::NotSent => "not_sent",
--- a/components/gateway/src/upstream_speeds.rs
+++ b/components/gateway/src/upstream_speeds.rs
@@ -4,12 +4,17 @@
 //! A node sees a small share of an upstream's answers, so each sample goes to the other nodes in
 //! the next datagrams.
 
+use std::collections::BTreeMap;
+
 use lycheelatch_policy::SpeedSample;
-use lycheelatch_prelude::UpstreamId;
+use lycheelatch_prelude::{ServiceName, UpstreamId};
 use serde::{Deserialize, Serialize};
 use tokio::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64;
 
+#[cfg(test)]
+mod tests;
+
 use crate::{dialect::ReportedLoad, directory::Upstream, gateway::Gateway, place::ExpectedSpeed};
 
 /// Steps of an encoded logarithm for a factor of e.
@@ -27,6 +32,9 @@
 /// Age up to which a stated figure is passed on.
 const MAX_STATED_AGE: Duration = Duration::from_millis(400);
 
+/// Quantiles of the learnt speeds in the metric, with their labels.
+const QUANTILES: [(f64, &str); 3] = [(0.1, "0.1"), (0.5, "0.5"), (0.9, "0.9")];
+
 /// Hash of an upstream's identifier, short enough for each sample.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub(crate) struct UpstreamKey(u32);
@@ -123,6 +131,27 @@
     waiting.push(SpeedNotice::new(upstream.key(), sample, stated));
 }
 
+/// Updates the metric of learnt speeds: a few quantiles for each service, so that the number of
+/// series does not grow with that of upstreams.
+pub(crate) fn update_speed_metric(gateway: &Gateway, now: Instant) {
+    let mut factors: BTreeMap<ServiceName, Vec<f64>> = BTreeMap::new();
+    for upstream in gateway.directory.all() {
+        let speed = upstream.speed.borrow();
+        if !speed.is_unknown() {
+            let service = upstream.entry.borrow().service.clone();
+            factors.entry(service).or_default().push(speed.factor(0.0, now));
+        }
+    }
+    for (service, mut factors) in factors {
+        factors.sort_by(f64::total_cmp);
+        for (quantile, label) in QUANTILES {
+            let at = ((factors.len() - 1) as f64 * quantile).round() as usize;
+            let gauge = &gateway.metrics.upstream_speed;
+            gauge.with_label_values(&[service.as_str(), label]).set(factors[at]);
+        }
+    }
+}
+
 /// Takes over the samples of another node.
 pub(crate) fn handle_speed_notices(gateway: &Gateway, notices: &[SpeedNotice], now: Instant) {
     for notice in notices {
--- a/components/gateway/src/view_exchange.rs
+++ b/components/gateway/src/view_exchange.rs
@@ -22,6 +22,7 @@
     server::empty,
     sync::{CachedEntry, LocalChange, StoreView},
     tombstones::Tombstone,
+    upstream_speeds::update_speed_metric,
 };
 
 /// Path of a node's view; the query holds the requesting node's cursor.
@@ -183,6 +184,7 @@
 }
 
 fn metrics(gateway: &Gateway) -> Response<BoxBody> {
+    update_speed_metric(gateway, Instant::now());
     let families = gateway.metrics.registry.gather();
     match prometheus::TextEncoder::new().encode_to_string(&families) {
         Ok(text) => Response::ok().set_body(BoxBody::new(text)),
--- a/components/gateway/tests/place.rs
+++ b/components/gateway/tests/place.rs
@@ -98,7 +98,8 @@
 }
 
 fn add_load(engine: &Upstream, prefill_tokens: u64) {
-    let work = InFlight { requests: 1, prefill_tokens, memory_tokens: prefill_tokens };
+    let memory_tokens = prefill_tokens;
+    let work = InFlight { requests: 1, prefill_tokens, memory_tokens, shared_tokens: 0 };
     engine.load.borrow_mut().others += work;
 }
 
@@ -222,6 +223,36 @@
     assert!((0..10).all(|shared| choose_far(shared) == choose_far(shared)));
 }
 
+/// Returns how many requests with prompts that `chain_of` makes an engine has room for at once.
+fn room_of_engine(chain_of: impl Fn(u64) -> PrefixChain) -> usize {
+    let (engines, now) = (engines(1), Instant::now());
+    let has_room = |own: u64| {
+        let chain = chain_of(own);
+        let mut load = engines[0].load.borrow_mut();
+        let estimate = load.estimate(&chain, &ENGINE, EngineSpeed::default(), 0, now);
+        load.add_request(&chain, &estimate);
+        load.record_prefixes(&chain.links, ENGINE.memory_tokens, now);
+        estimate.has_capacity
+    };
+    (0..1000).take_while(|own| has_room(*own)).count()
+}
+
+#[test]
+fn estimate_counts_a_shared_prefix_once() {
+    let slots = ENGINE.slots as usize;
+    assert_eq!(room_of_engine(|own| chain(1, 13_300, 1000 + own, 3720)), slots);
+    let by_memory = ENGINE.memory_tokens as usize / (13_300 + 3720 + 100);
+    assert_eq!(room_of_engine(|own| chain(2000 + own, 13_300, 1000 + own, 3720)), by_memory);
+}
+
+#[test]
+fn estimate_has_room_by_slots_for_short_prompts_and_by_memory_for_long_ones() {
+    let slots = ENGINE.slots as usize;
+    assert_eq!(room_of_engine(|own| chain(1, 350, 1000 + own, 1110)), slots);
+    let by_memory = ENGINE.memory_tokens as usize / 40_100;
+    assert_eq!(room_of_engine(|own| chain(2000 + own, 100, 1000 + own, 39_900)), by_memory);
+}
+
 /// Records that requests took `ratio` times as long as usual at an upstream.
 fn observe_speed(upstream: &Upstream, ratio: f64, now: Instant) {
     let sample = SpeedSample { log_ratio: f64::ln(ratio), crowding: 0.0 };
@@ -342,7 +373,7 @@
         *free_at = free_at.max(at) + f64::from(prefill) / 44_000.0;
         in_time += u32::from(*free_at + 0.03 - at <= TARGET.as_secs_f64());
         let mut load = engine.load.borrow_mut();
-        let estimate = load.estimate(&prompt, &ENGINE, EngineSpeed::default(), 0);
+        let estimate = load.estimate(&prompt, &ENGINE, EngineSpeed::default(), 0, now);
         let work = load.add_request(&prompt, &estimate);
         load.record_prefixes(&prompt.links, ENGINE.memory_tokens, now);
         drop(load);
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -45,6 +45,8 @@
         running_elsewhere: u32,
         elapsed_ms: u64,
         end: String,
+        speed_percent: Option<u32>,
+        stated_percent: Option<u32>,
     },
     StreamBroke {
         upstream: String,
@@ -126,15 +128,18 @@
             running_elsewhere,
             elapsed_ms,
             end,
+            speed_percent,
+            stated_percent,
         } => format!(
             "sent to {upstream} of {candidates} ({running_here} running from here, \
              {running_elsewhere} from other nodes; expected {} ms, {} tokens to read, {} to fetch; \
-             second choice {} at {} ms): {end} after {elapsed_ms} ms",
+             second choice {} at {} ms{}): {end} after {elapsed_ms} ms",
             or_dash(expected_ms.as_ref()),
             or_dash(uncached_tokens.as_ref()),
             or_dash(fetched_tokens.as_ref()),
             or_dash(runner_up.as_ref()),
             or_dash(runner_up_ms.as_ref()),
+            describe_speed(*speed_percent, *stated_percent),
         ),
         Event::StreamBroke { upstream, last_event, reason } => {
             format!("broke at {upstream} after event {}: {reason}", or_dash(last_event.as_ref()))
@@ -158,6 +163,13 @@
     }
 }
 
+/// Describes the speed that an upstream was assumed to have, if the line tells it.
+fn describe_speed(learnt: Option<u32>, stated: Option<u32>) -> String {
+    let Some(learnt) = learnt else { return String::new() };
+    let stated = stated.map_or(String::new(), |stated| format!(", it stated {stated}%"));
+    format!("; learnt to take {learnt}% of the usual time{stated}")
+}
+
 /// Formats a value, or `-` if there is none.
 fn or_dash<T: ToString>(value: Option<&T>) -> String {
     value.map_or_else(|| "-".to_owned(), T::to_string)
@@ -175,11 +187,21 @@
         _ => None,
     });
     let slow = lines.iter().find_map(|line| match &line.event {
-        Event::SendEnded { upstream, expected_ms: Some(expected), elapsed_ms, end, .. }
-            if end == "answered" && *elapsed_ms > 2 * expected =>
-        {
+        Event::SendEnded {
+            upstream,
+            expected_ms: Some(expected),
+            elapsed_ms,
+            end,
+            speed_percent,
+            ..
+        } if end == "answered" && *elapsed_ms > 2 * expected => {
+            let slower = speed_percent.map_or(String::new(), |percent| {
+                let took = u64::from(percent) * elapsed_ms / (*expected).max(1);
+                format!(": it took {took}% of the usual time, {percent}% were learnt")
+            });
             Some(format!(
-                "{upstream} gave its first event after {elapsed_ms} ms, {expected} ms were expected"
+                "{upstream} gave its first event after {elapsed_ms} ms, {expected} ms were \
+                 expected{slower}"
             ))
         }
         _ => None,
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -413,6 +413,8 @@
 const LOG: &str = r#"12:00 node-2 {"time_ms":1040,"node":"node-2","event":"send_ended","request":"id-1","upstream":"r-2","candidates":3,"expected_ms":90,"runner_up":"r-1","runner_up_ms":120,"uncached_tokens":800,"fetched_tokens":0,"running_here":1,"running_elsewhere":4,"elapsed_ms":400,"end":"answered"}
 12:00 node-2 {"time_ms":1900,"node":"node-2","event":"request_ended","request":"id-1","route":"letters","workspace":"ws","reason":"answered","status":200,"sends":1,"elapsed_ms":1300,"config_version":7}
 12:00 node-1 {"time_ms":1000,"node":"node-1","event":"request_refused","request":"id-2","reason":"over_quota","status":429,"retry_after_ms":300,"config_version":7}
+12:00 node-2 {"time_ms":1040,"node":"node-2","event":"send_ended","request":"id-3","upstream":"r-2","candidates":3,"expected_ms":100,"runner_up":null,"runner_up_ms":null,"uncached_tokens":800,"fetched_tokens":0,"running_here":1,"running_elsewhere":4,"elapsed_ms":400,"end":"answered","speed_percent":55,"stated_percent":250}
+12:00 node-2 {"time_ms":1900,"node":"node-2","event":"request_ended","request":"id-3","route":"letters","workspace":"ws","reason":"answered","status":200,"sends":1,"elapsed_ms":1300,"config_version":7}
 not a line of ours
 "#;
 
@@ -421,6 +423,15 @@
     actix_web::rt::System::new().block_on(run(&matches, &mut Cursor::new(LOG)))
 }
 
+#[test]
+fn explain_why_tells_the_learnt_speed_of_a_slow_upstream() {
+    let why = explain(&["id-3", "--why"]).stdout;
+    assert!(why.ends_with("it took 220% of the usual time, 55% were learnt\n"), "{why}");
+    let timeline = explain(&["id-3"]).stdout;
+    let learnt = "learnt to take 55% of the usual time, it stated 250%";
+    assert!(timeline.contains(learnt), "{timeline}");
+}
+
 #[test]
 fn explain_request_in_order() {
     let output = explain(&["id-1"]);
