policy, gateway: An engine's speed counts as far as the latency target is near

Requests that were in time anywhere filled the fast engines. Their speed now hardly counts for them, so that fast engines stay free for long prompts. Not measured yet.

--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use lycheelatch_policy::{UpstreamCost, choose_upstream};
+use lycheelatch_policy::{UpstreamCost, choose_upstream, cost_of_time};
 use lycheelatch_prelude::{UpstreamId, ZoneName};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -174,6 +174,7 @@
     let mut best: Option<(f64, &Rc<Upstream>, Estimate, ExpectedSpeed)> = None;
     let mut runner_up: Option<(f64, &Rc<Upstream>, Estimate, ExpectedSpeed)> = None;
     let mut soonest = Duration::MAX;
+    let target_ms = millis(req.time_to_target);
     for up in usable {
         let entry = up.entry.borrow();
         let load = up.load.borrow();
@@ -188,7 +189,7 @@
         if !estimate.has_capacity {
             continue;
         }
-        let mut score = estimate.time_to_first_token.as_secs_f64() * 1000.0;
+        let mut score = cost_of_time(millis(estimate.time_to_first_token), speed.factor, target_ms);
         let read_again = req.speed.prefill_ms(f64::from(estimate.uncached_shared));
         let fetched = req.speed.prefill_ms(f64::from(estimate.fetched_tokens));
         score += read_again * PREFILL_PENALTY_SHARE + fetched * FETCH_PENALTY_SHARE;
@@ -228,6 +229,11 @@
     }
 }
 
+/// Returns a duration in milliseconds.
+fn millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1000.0
+}
+
 /// Returns whether the first token comes soon enough.
 ///
 /// Waiting doesn't help a request whose prompt alone takes longer than `max_time`, so it is
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -50,6 +50,6 @@
     CanaryOutcome, LATENCY_CLASSES, LatencyClass, RollbackReason, RolloutCounts, RolloutEvidence,
     RolloutLimits, RolloutPhase, RolloutStep, RouteCounts, Track, TrackCounts,
 };
-pub use upstream_choice::{SmoothedCount, UpstreamCost, choose_upstream};
+pub use upstream_choice::{SmoothedCount, UpstreamCost, choose_upstream, cost_of_time};
 pub use upstream_limit::{HeardLimit, LimitSharers, UpstreamLimit};
 pub use upstream_speed::{SpeedSample, UpstreamSpeed};
--- a/components/policy/src/upstream_choice.rs
+++ b/components/policy/src/upstream_choice.rs
@@ -16,6 +16,26 @@
 /// Difference of penalties up to which upstreams are drawn from the same group, in milliseconds.
 const SAME_GROUP_MS: f64 = 5.0;
 
+/// Shares of the time left until the latency target at which the speed of an upstream begins to
+/// count, and from which on it counts in full.
+const SPEED_COUNTS: (f64, f64) = (0.2, 0.7);
+
+/// Least weight of the speed of an upstream.
+const MIN_SPEED_WEIGHT: f64 = 0.15;
+
+/// Cost of a time that is `expected` at an upstream where work takes `factor` times as long as
+/// usual, if `left` is left until the latency target; all in milliseconds.
+///
+/// While the target is far, the speed hardly counts: a request that is in time anywhere leaves the
+/// fast upstreams to those that are in time only there.
+pub fn cost_of_time(expected: f64, factor: f64, left: f64) -> f64 {
+    let usual = expected / factor;
+    let used = expected.max(usual) / left.max(f64::EPSILON);
+    let (from, full) = SPEED_COUNTS;
+    let weight = ((used - from) / (full - from)).clamp(MIN_SPEED_WEIGHT, 1.0);
+    usual + weight * (expected - usual)
+}
+
 /// Weight of a new count in a smoothed one.
 const COUNT_GAIN: f64 = 0.2;
 
