--- a/components/gateway/src/metrics.rs
+++ b/components/gateway/src/metrics.rs
@@ -24,6 +24,9 @@
     pub unwritten_lines: IntCounter,
     /// Time from the arrival of a request to the first byte of its response, in seconds.
     pub first_byte: Histogram,
+    /// Learnt speed of a service's upstreams: quantiles of the time that work takes there, relative
+    /// to the service's usual.
+    pub upstream_speed: GaugeVec,
     /// Version of the current configuration.
     pub config_version: IntGauge,
     /// Phase of roll-outs by service: 0 canary, 1 promoting, 2 completed, 3 rolled back.
@@ -81,6 +84,12 @@
             "Lines of the log that were dropped because its reader was too slow",
         )?;
         registry.register(Box::new(unwritten_lines.clone()))?;
+        let opts = Opts::new(
+            "lycheelatch_gateway_upstream_speed_factor",
+            "Time that work takes at upstreams relative to the service's usual, by quantile",
+        );
+        let upstream_speed = GaugeVec::new(opts, &["service", "quantile"])?;
+        registry.register(Box::new(upstream_speed.clone()))?;
         registry.register(Box::new(EVENTS.clone()))?;
         Ok(GatewayMetrics {
             registry: registry.clone(),
@@ -105,6 +114,7 @@
                 &["call", "result"],
             )?,
             unwritten_lines,
+            upstream_speed,
             first_byte,
             config_version,
             rollout_phase,
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -57,7 +57,7 @@
     RolloutJudge, RolloutLimits, RolloutPhase, RolloutStep, RouteCounts, Track, TrackCounts,
     decide as decide_rollout, find_fault_alone, loaded_canaries,
 };
-pub use upstream_choice::{SmoothedCount, UpstreamCost, choose_upstream};
+pub use upstream_choice::{SmoothedCount, UpstreamCost, choose_upstream, cost_of_time};
 pub use upstream_limit::{HeardLimit, LimitSharers, UpstreamLimit};
 pub use upstream_notices::{TimeToSend, UpstreamNotice, UpstreamNotices, UpstreamStart};
 pub use upstream_speed::{SpeedSample, UpstreamSpeed};
