--- a/components/gateway/src/connection_table.rs
+++ b/components/gateway/src/connection_table.rs
@@ -11,7 +11,10 @@
 use prometheus::IntCounterVec;
 use tokio::time::{Instant, sleep};
 
-use crate::{client_connection::ClientConnection, held_memory::ClientMemory};
+use crate::{
+    client_connection::ClientConnection,
+    held_memory::{ClientMemory, HeldMemory},
+};
 
 /// Interval at which connections are checked for progress.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -19,11 +22,21 @@
 /// Interval between two log lines on closed connections.
 const LOG_INTERVAL: Duration = Duration::from_secs(10);
 
+/// What becomes of a response that the budget has no room for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ResponseMemory {
+    /// It is sent, since its request has run; what follows is refused sooner.
+    Always,
+    /// It is dropped, and the request is refused.
+    WithinBudget,
+}
+
 /// The open connections of a listener.
 pub(crate) struct ConnectionTable {
     name: &'static str,
     max: usize,
     memory: ClientMemory,
+    responses: ResponseMemory,
     closed: IntCounterVec,
     next: Cell<u64>,
     open: RefCell<BTreeMap<u64, Rc<ClientConnection>>>,
@@ -49,12 +62,14 @@
         name: &'static str,
         max: usize,
         memory: ClientMemory,
+        responses: ResponseMemory,
         closed: IntCounterVec,
     ) -> ConnectionTable {
         ConnectionTable {
             name,
             max,
             memory,
+            responses,
             closed,
             next: Cell::new(0),
             open: RefCell::default(),
@@ -68,6 +83,15 @@
         &self.memory
     }
 
+    /// Takes the memory of a response; returns whether it may be sent.
+    pub(crate) fn hold_response(&self, memory: &mut HeldMemory, bytes: usize) -> bool {
+        match self.responses {
+            ResponseMemory::Always => memory.resize(bytes),
+            ResponseMemory::WithinBudget => return memory.try_resize(bytes).is_ok(),
+        }
+        true
+    }
+
     /// Gives a new connection a place: a free one, or that of the connection that has made no
     /// progress for longest. Returns `None` if all connections are in use.
     pub(crate) fn enter(self: &Rc<Self>, connection: Rc<ClientConnection>) -> Option<Place> {
--- a/components/gateway/src/paced_stream/tests.rs
+++ b/components/gateway/src/paced_stream/tests.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     client_connection::ReadLimits,
-    connection_table::ConnectionTable,
+    connection_table::{ConnectionTable, ResponseMemory},
     held_memory::ClientMemory,
     request_body::read_request_body,
     server::{ServerLimits, bind, serve},
@@ -41,7 +41,8 @@
     let closed =
         IntCounterVec::new(Opts::new("closed", "Closed"), &["listener", "reason"]).unwrap();
     let held = ClientMemory::new(1 << 20, memory.clone());
-    let table = Rc::new(ConnectionTable::new("test", 100, held.clone(), closed));
+    let table =
+        Rc::new(ConnectionTable::new("test", 100, held.clone(), ResponseMemory::Always, closed));
     let requests = Rc::new(Cell::new(0));
     let count = requests.clone();
     let handler = move |mut req: Request| {
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -14,7 +14,7 @@
     BootClock, CallerLimits, ClusterClock, Dialect, Gateway, GatewayMetrics, Leadership,
     PlatformApi, Store, StoreLayout, cache_exchange,
     client_connection::ReadLimits,
-    connection_table::ConnectionTable,
+    connection_table::{ConnectionTable, ResponseMemory},
     decision::{NodeEvent, log_event},
     gossip, leader, members, report, scale, serve,
     server::{self, ServerLimits, empty},
@@ -30,6 +30,9 @@
     read: ReadLimits { head: 16 * 1024, unread_body: 64 * 1024 },
 };
 
+/// Name of the callers' listener in logs and metrics.
+const CALLERS: &str = "callers";
+
 /// Bytes by which a head may exceed its limit: blank lines before it, which the limit leaves out.
 const HEAD_SLACK_BYTES: usize = 1024;
 
@@ -153,7 +156,12 @@
 
 fn connection_table(gateway: &Gateway, name: &'static str, max: usize) -> Rc<ConnectionTable> {
     let closed = gateway.metrics.closed_connections.clone();
-    Rc::new(ConnectionTable::new(name, max, gateway.client_memory.clone(), closed))
+    let responses = match name {
+        CALLERS => ResponseMemory::Always,
+        _ => ResponseMemory::WithinBudget,
+    };
+    let memory = gateway.client_memory.clone();
+    Rc::new(ConnectionTable::new(name, max, memory, responses, closed))
 }
 
 async fn serve_callers(gateway: Rc<Gateway>, listener: tokio::net::TcpListener) {
@@ -169,7 +177,7 @@
             },
         }
     };
-    let table = connection_table(&gateway, "callers", gateway.limits.callers);
+    let table = connection_table(&gateway, CALLERS, gateway.limits.callers);
     let drain = gateway.drain();
     let handler = move |req| serve::handle(gateway.clone(), req);
     server::serve(listener, table, limits, Some(drain), handler).await;
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -210,9 +210,11 @@
     };
     let open_request = connection.begin_request(&req);
     let mut memory = table.memory().hold(connection.client);
-    let response = handler(req).await;
-    if let BodySize::Sized(size) = response.body().size() {
-        memory.resize(usize::try_from(size).unwrap_or(usize::MAX));
+    let mut response = handler(req).await;
+    if let BodySize::Sized(size) = response.body().size()
+        && !table.hold_response(&mut memory, usize::try_from(size).unwrap_or(usize::MAX))
+    {
+        response = empty(StatusCode::SERVICE_UNAVAILABLE);
     }
     response.map_body(|_, body| BoxBody::new(HeldBody::new(body, memory, open_request)))
 }
