gateway: The leader judges by recent counts too, a node alone by an error rate of its own

Cause: hundreds of nodes asked the decision of all nodes about their own few counts, whose error rates (at the promotion 0.05) are meant to be spent once. Change: RolloutJudge at the leader, find_fault_alone at each node.

--- a/components/gateway/src/rollout.rs
+++ b/components/gateway/src/rollout.rs
@@ -4,7 +4,8 @@
 
 use lycheelatch_policy::{
     CanaryOutcome, ExposureGate, LATENCY_CLASSES, LatencyClass, RollbackReason, RolloutCounts,
-    RolloutEvidence, RolloutLimits, RolloutPhase, RolloutStep, Track, decide_rollout,
+    RolloutEvidence, RolloutJudge, RolloutLimits, RolloutPhase, RolloutStep, Track,
+    find_fault_alone,
 };
 use lycheelatch_prelude::ServiceName;
 use tokio::time::Instant;
@@ -56,6 +57,8 @@
     is_completion_due: bool,
     counts: RolloutCounts,
     gate: ExposureGate,
+    /// Decides while this node is the leader.
+    judge: RolloutJudge,
 }
 
 impl Rollout {
@@ -79,6 +82,7 @@
             is_completion_due: false,
             counts: RolloutCounts::default(),
             gate: ExposureGate::new(rand::random()),
+            judge: RolloutJudge::default(),
         }
     }
 
@@ -280,21 +284,22 @@
         }
     }
 
-    /// Stops sending to the canary if what this node counted itself shows that it is bad; returns
-    /// why, when it does.
-    pub(crate) fn check_alone(
+    /// Returns the next step by what all nodes counted.
+    pub(crate) fn decide(
         &mut self,
+        evidence: &RolloutEvidence,
         limits: &RolloutLimits,
-        now: Instant,
-    ) -> Option<RollbackReason> {
+    ) -> RolloutStep {
+        self.judge.decide(evidence, limits)
+    }
+
+    /// Stops sending to the canary if what this node counted itself shows that it is bad; returns
+    /// why, when it does.
+    pub(crate) fn check_alone(&mut self) -> Option<RollbackReason> {
         if self.is_final() || self.is_stopped_here {
             return None;
         }
-        let step = decide_rollout(&self.evidence(self.counts.clone(), 0, now), limits);
-        let RolloutStep::RollBack(reason) = step else { return None };
-        if reason == RollbackReason::NotEnoughEvidence {
-            return None;
-        }
+        let reason = find_fault_alone(&self.counts, self.phase)?;
         self.is_stopped_here = true;
         Some(reason)
     }
--- a/components/gateway/src/rollout_leader.rs
+++ b/components/gateway/src/rollout_leader.rs
@@ -7,7 +7,7 @@
 };
 
 use lycheelatch_policy::{
-    RollbackReason, RolloutCounts, RolloutLimits, RolloutPhase, RolloutStep, Track, decide_rollout,
+    RollbackReason, RolloutCounts, RolloutLimits, RolloutPhase, RolloutStep, Track,
 };
 use lycheelatch_prelude::{NodeId, ServiceName};
 use tokio::time::{Instant, sleep};
@@ -87,7 +87,7 @@
             continue;
         }
         let now = Instant::now();
-        check_alone(&gateway, &limits, now);
+        check_alone(&gateway, now);
         gateway.peers.borrow().digests().for_each(|digest| reports.record(digest));
         if leader.fence().is_some() {
             let since = *leader_since.get_or_insert(now);
@@ -102,9 +102,9 @@
 }
 
 /// Stops sending to canaries that this node knows to be bad by its own counts.
-fn check_alone(gateway: &Gateway, limits: &RolloutLimits, now: Instant) {
+fn check_alone(gateway: &Gateway, now: Instant) {
     for (service, rollout) in gateway.rollouts.borrow_mut().iter_mut() {
-        if let Some(reason) = rollout.check_alone(limits, now) {
+        if let Some(reason) = rollout.check_alone() {
             log_step(service, rollout, rollout.counts(), Some(&reason), now);
         }
     }
@@ -144,7 +144,7 @@
         }
         let in_flight = in_flight_at_stable(gateway, service, rollout, now);
         let evidence = rollout.evidence(counts, in_flight, now);
-        let step = decide_rollout(&evidence, limits);
+        let step = rollout.decide(&evidence, limits);
         let step = possible_step(step, &upstreams, has_settled, rollout);
         apply_step(service, rollout, &evidence.counts, step, now);
     }
--- a/components/gateway/src/rollouts/tests.rs
+++ b/components/gateway/src/rollouts/tests.rs
@@ -180,13 +180,12 @@
 #[tokio::test]
 async fn node_without_leader_stops_sending_to_bad_canary() {
     let mut rollouts = rollouts();
-    let limits = rollouts.limits().unwrap();
     rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
     rollouts.apply_notice(&notice(5, RolloutPhase::Canary, 0.05), Instant::now());
     count(&mut rollouts, "v1", 1000, 0);
     count(&mut rollouts, "v2", 50, 4);
     let rollout = rollouts.get_mut(&service()).unwrap();
-    assert!(rollout.check_alone(&limits, Instant::now()).is_some());
+    assert!(rollout.check_alone().is_some());
     assert!(!rollout.admit_to_canary());
     rollout.follow(RolloutPhase::Canary, 0.05, Instant::now());
     assert_eq!(rollout.canary_share(), 0.0, "a step of the leader does not undo it");
