--- a/components/gateway/src/rollout_placement.rs
+++ b/components/gateway/src/rollout_placement.rs
@@ -13,6 +13,9 @@
     place::{Placement, PlacementError, PlacementRequest, place},
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Upstreams that an attempt may be sent to.
 enum Permitted {
     /// All of these alike.
--- a/components/gateway/src/test_support.rs
+++ b/components/gateway/src/test_support.rs
@@ -5,7 +5,7 @@
 use actix_http::{ResponseHead, header::HeaderMap};
 use bytes::Bytes;
 use lycheelatch_prelude::{InvalidValue, ServiceName};
-use lycheelatch_settings::{GatewaySettings, NodeSettings};
+use lycheelatch_settings::{GatewaySettings, NodeSettings, RolloutBounds};
 
 use crate::{
     ClusterClock, Dialect, ForwardParams, Gateway, GatewayMetrics, RequestInfo, ResponseInfo,
@@ -43,6 +43,14 @@
     Gateway::new(settings(node), Rc::new(NoDialect), metrics, Rc::new(time))
 }
 
+/// Returns a gateway that acts upon orders of roll-outs.
+pub(crate) fn gateway_with_rollouts(time: ClusterClock) -> Gateway {
+    let bounds = RolloutBounds { exposure: 0.1, extra: 50, rollback: Duration::from_secs(5) };
+    let settings = GatewaySettings { rollout: Some(bounds), ..settings(1) };
+    let metrics = GatewayMetrics::new(&prometheus::Registry::new()).unwrap();
+    Gateway::new(settings, Rc::new(NoDialect), metrics, Rc::new(time))
+}
+
 /// Returns the entry of an engine of the service `svc`.
 pub(crate) fn engine_entry(id: &str, zone: &str) -> UpstreamEntry {
     UpstreamEntry {
--- a/components/gateway/src/view_exchange/tests.rs
+++ b/components/gateway/src/view_exchange/tests.rs
@@ -176,3 +176,67 @@
     apply_view(&view, wire);
     assert_eq!(upstream_ids(&view), ["a", "c"]);
 }
+
+/// Returns a view of a gateway that acts upon roll-outs.
+fn view_with_rollouts() -> StoreView {
+    let clock = ClusterClock::new(Rc::new(SystemBootClock));
+    let gateway = Rc::new(test_support::gateway_with_rollouts(clock));
+    StoreView::new(gateway, Rc::new(UnreachableStore), Rc::new(PortLayout))
+}
+
+/// Returns the version that `svc` moves to.
+fn ordered_version(view: &StoreView) -> Option<String> {
+    let rollouts = view.gateway.rollouts.borrow();
+    rollouts.get(&"svc".parse().unwrap()).map(|rollout| rollout.to.to_string())
+}
+
+fn is_running(view: &StoreView) -> bool {
+    view.gateway.rollouts.borrow().is_running(&"svc".parse().unwrap())
+}
+
+fn put_order(view: &StoreView, value: &'static str, revision: u64) {
+    view.apply_rollout(&"op/rollout/svc".into(), value.into(), StoreRevision(revision));
+}
+
+#[tokio::test]
+async fn rollout_reaches_nodes_without_store() {
+    let (reader, follower) = (view_with_rollouts(), view_with_rollouts());
+    put_order(&reader, "v2 60", 5);
+    apply_view(&follower, view_wire(&reader, Cursor::default()));
+    assert_eq!(ordered_version(&follower).as_deref(), Some("v2"));
+    let seen = Cursor { incarnation: reader.incarnation, change: reader.last_change() };
+    reader.remove_rollout(&"op/rollout/svc".into(), StoreRevision(7));
+    apply_view(&follower, view_wire(&reader, seen));
+    assert!(!is_running(&follower), "withdrawn");
+}
+
+#[tokio::test]
+async fn rollout_older_view_replaces_no_newer_order() {
+    let (old, new) = (view_with_rollouts(), view_with_rollouts());
+    put_order(&old, "v2 60", 5);
+    put_order(&new, "v3 60", 8);
+    new.advance_revision(StoreRevision(8));
+    apply_view(&new, view_wire(&old, Cursor::default()));
+    assert_eq!(ordered_version(&new).as_deref(), Some("v3"));
+    new.remove_rollout(&"op/rollout/svc".into(), StoreRevision(9));
+    apply_view(&new, view_wire(&old, Cursor::default()));
+    assert!(!is_running(&new), "an older view brings no withdrawn order back");
+}
+
+#[tokio::test]
+async fn rollout_entry_that_cannot_be_read_leaves_others_alone() {
+    let view = view_with_rollouts();
+    put_order(&view, "v2 60", 5);
+    view.apply_rollout(&"op/rollout/a b".into(), "v2 60".into(), StoreRevision(6));
+    view.apply_rollout(&"op/rollout/other".into(), "v2".into(), StoreRevision(7));
+    view.apply_rollout(&"status/rollout/other".into(), "odd".into(), StoreRevision(8));
+    assert!(is_running(&view));
+    assert_eq!(view.gateway.rollouts.borrow().iter().count(), 1);
+}
+
+#[tokio::test]
+async fn rollout_without_bounds_is_not_cached() {
+    let view = view();
+    put_order(&view, "v2 60", 5);
+    assert!(view.rollouts.borrow().is_empty());
+}
