--- a/components/fakes/src/entry/upstream.rs
+++ b/components/fakes/src/entry/upstream.rs
@@ -123,9 +123,9 @@
     crash_rule: Option<CrashRule>,
     crashes: Vec<Crash>,
     limit: Option<String>,
-    is_leaving: bool,
     /// Name of the instance; requests that name another one are not executed.
     instance: Option<String>,
+    is_leaving: bool,
 }
 
 /// A request that an upstream started to execute.
@@ -182,11 +182,6 @@
         self.state.borrow_mut().limit = limit.map(str::to_owned);
     }
 
-    /// Sets whether the upstream says in its complete responses and streams that it leaves.
-    pub fn set_leaving(&self, is_leaving: bool) {
-        self.state.borrow_mut().is_leaving = is_leaving;
-    }
-
     /// Sets the instance's name; requests that expect another one are answered with status 421.
     pub fn set_instance(&self, name: &str) {
         self.state.borrow_mut().instance = Some(name.to_owned());
@@ -199,6 +194,11 @@
         state.instance.as_deref().is_some_and(|name| expected != Some(name))
     }
 
+    /// Sets whether the upstream says in its complete responses and streams that it leaves.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.state.borrow_mut().is_leaving = is_leaving;
+    }
+
     /// Returns the headers of responses to requests that ran.
     fn response_headers(&self) -> String {
         let state = self.state.borrow();
--- a/components/gateway/src/rollout.rs
+++ b/components/gateway/src/rollout.rs
@@ -4,8 +4,7 @@
 
 use lycheelatch_policy::{
     CanaryOutcome, ExposureGate, LATENCY_CLASSES, LatencyClass, RollbackReason, RolloutCounts,
-    RolloutEvidence, RolloutJudge, RolloutLimits, RolloutPhase, RolloutStep, Track,
-    find_fault_alone,
+    RolloutEvidence, RolloutPhase, Track, find_fault_alone,
 };
 use lycheelatch_prelude::ServiceName;
 use tokio::time::Instant;
@@ -57,8 +56,6 @@
     is_completion_due: bool,
     counts: RolloutCounts,
     gate: ExposureGate,
-    /// Decides while this node is the leader.
-    judge: RolloutJudge,
 }
 
 impl Rollout {
@@ -82,7 +79,6 @@
             is_completion_due: false,
             counts: RolloutCounts::default(),
             gate: ExposureGate::new(rand::random()),
-            judge: RolloutJudge::default(),
         }
     }
 
@@ -284,19 +280,10 @@
         }
     }
 
-    /// Returns the next step by what all nodes counted.
-    pub(crate) fn decide(
-        &mut self,
-        evidence: &RolloutEvidence,
-        limits: &RolloutLimits,
-    ) -> RolloutStep {
-        self.judge.decide(evidence, limits)
-    }
-
     /// Stops sending to the canary if what this node counted itself shows that it is bad; returns
     /// why, when it does.
     pub(crate) fn check_alone(&mut self) -> Option<RollbackReason> {
-        if self.is_final() || self.is_stopped_here {
+        if self.is_stopped_here {
             return None;
         }
         let reason = find_fault_alone(&self.counts, self.phase)?;
@@ -321,7 +308,7 @@
             RolloutState::Running if self.is_completion_due => RolloutState::Completed,
             state => state,
         };
-        RolloutStatus { state, to: self.to.clone(), order: Some(self.order.0) }
+        RolloutStatus { state, to: self.to.clone(), order: Some(self.order.0), ordered_at_ms: None }
     }
 
     pub(crate) fn report(&self, service: &ServiceName, now: Instant) -> RolloutReport {
