gateway: An upstream of which nothing is known is assumed to be as fast as the known ones

platform's path_refusal_without_end_does_not_delay_the_next_attempt failed, rightly: once one of two upstreams was learnt to be fast, the other was never tried. It passes now; place_plain has a test of its own.

--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -319,7 +319,8 @@
     now: Instant,
     random: f64,
 ) -> Result<Placement, PlacementError> {
-    let loads: Vec<_> = usable.iter().map(|up| PlainLoad::of(req, up, now)).collect();
+    let usual = usual_factor(usable, now);
+    let loads: Vec<_> = usable.iter().map(|up| PlainLoad::of(req, up, usual, now)).collect();
     let costs: Vec<_> = loads.iter().map(|load| load.cost).collect();
     let best = choose_upstream(&costs, random).ok_or(PlacementError::NoUpstream)?;
     let (upstream, load) = (usable[best], &loads[best]);
@@ -336,6 +337,15 @@
     })
 }
 
+/// Returns the mean factor of the upstreams of which something is known, for the others, so that
+/// these are tried; at most the usual of the service.
+fn usual_factor(usable: &[&Rc<Upstream>], now: Instant) -> f64 {
+    let known = usable.iter().filter(|up| !up.speed.borrow().is_unknown());
+    let logs: Vec<_> = known.map(|up| up.speed.borrow().factor(0.0, now).ln()).collect();
+    let mean = (logs.iter().sum::<f64>() / logs.len().max(1) as f64).exp();
+    mean.min(1.0)
+}
+
 /// What a request to an upstream that is not a model has to expect.
 struct PlainLoad {
     speed: ExpectedSpeed,
@@ -347,11 +357,14 @@
 }
 
 impl PlainLoad {
-    fn of(req: &PlacementRequest<'_>, up: &Upstream, now: Instant) -> PlainLoad {
+    fn of(req: &PlacementRequest<'_>, up: &Upstream, usual_factor: f64, now: Instant) -> PlainLoad {
         let slots = up.entry.borrow().slots.max(1);
         let requests = requests_at(up, req.speed.first_token_ms, now);
         let crowding = f64::from(requests) / f64::from(slots);
-        let speed = ExpectedSpeed::of(up, crowding, now);
+        let mut speed = ExpectedSpeed::of(up, crowding, now);
+        if up.speed.borrow().is_unknown() {
+            speed.factor = usual_factor;
+        }
         let alone_ms = req.speed.first_token_ms * speed.factor;
         let delay = up.speed.borrow().delay_to_others(requests, slots, now);
         let ahead = (requests + 1).saturating_sub(slots);
--- a/components/gateway/tests/place.rs
+++ b/components/gateway/tests/place.rs
@@ -322,6 +322,14 @@
     assert!(counts.iter().all(|count| (70..130).contains(count)), "{counts:?}");
 }
 
+#[test]
+fn place_plain_tries_an_upstream_of_which_nothing_is_known() {
+    let (upstreams, now) = (engines(2), Instant::now());
+    observe_speed(&upstreams[1], 0.1, now);
+    let counts = choose_plain(&upstreams, now);
+    assert!(counts[0] > 120, "{counts:?}");
+}
+
 #[test]
 fn place_plain_sends_less_to_slow_upstreams_but_tries_them() {
     let (upstreams, now) = (engines(4), Instant::now());
