gateway: A turn of a client's stream ends without a wake if nothing has arrived

Change: at the end of a turn the stream looks for what has arrived and wakes the task only for that; the end of a body ends no turn.

--- a/components/gateway/src/paced_stream.rs
+++ b/components/gateway/src/paced_stream.rs
@@ -64,17 +64,37 @@
         &self.connection
     }
 
-    /// Ends the turn: the dispatcher is woken to read on after it has handled what it has.
+    /// Ends the turn: the dispatcher handles what it has, and is woken to read what has arrived.
     fn end_turn(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.is_turn_over = false;
         self.passed_in_turn = 0;
-        cx.waker().wake_by_ref();
+        if self.ahead.is_empty()
+            && let Poll::Ready(Err(err)) = self.fill_ahead(cx)
+        {
+            return Poll::Ready(Err(err));
+        }
+        if self.is_eof || !self.ahead.is_empty() {
+            cx.waker().wake_by_ref();
+        }
         Poll::Pending
     }
 
     /// Reads ahead while reading is paused, so that the client's end is noticed.
     fn poll_paused(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.connection.wait_for_reading(cx);
+        if let Poll::Ready(Err(err)) = self.fill_ahead(cx) {
+            return Poll::Ready(Err(err));
+        }
+        if self.is_eof {
+            return Poll::Ready(Ok(()));
+        }
+        if !self.ahead.is_empty() {
+            self.connection.wait_for_reading(cx);
+        }
+        Poll::Pending
+    }
+
+    /// Reads until nothing has arrived, the client has ended, or enough is read.
+    fn fill_ahead(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         while !self.is_eof && self.ahead.len() < MAX_AHEAD_BYTES {
             let mut space = [0; MAX_AHEAD_BYTES];
             let mut buf = ReadBuf::new(&mut space[self.ahead.len()..]);
@@ -83,7 +103,7 @@
             self.is_eof = buf.filled().is_empty();
             self.ahead.extend_from_slice(buf.filled());
         }
-        if self.is_eof { Poll::Ready(Ok(())) } else { Poll::Pending }
+        Poll::Ready(Ok(()))
     }
 
     /// Passes on at most `limit` bytes: those that were read ahead, or else from the socket.
@@ -166,7 +186,7 @@
         let next = if left == 0 { Framing::Head } else { Framing::Sized(left) };
         self.connection.record_read(n, next);
         self.passed_in_turn += n;
-        self.is_turn_over = left == 0 || self.passed_in_turn >= BODY_TURN_BYTES;
+        self.is_turn_over = self.passed_in_turn >= BODY_TURN_BYTES;
         Poll::Ready(Ok(()))
     }
 
