--- a/components/gateway/src/messages.rs
+++ b/components/gateway/src/messages.rs
@@ -135,7 +135,7 @@
     pub(crate) rollouts: Vec<RolloutReport>,
     /// Steps of roll-outs, from the leader only.
     pub(crate) rollout_notices: Vec<RolloutNotice>,
-    /// How long recent requests took, each sent once to every node.
+    /// Samples of upstreams' speed from recent requests, up to a maximum number.
     pub(crate) speed_notices: Vec<SpeedNotice>,
 }
 
--- a/components/gateway/src/quota/admission.rs
+++ b/components/gateway/src/quota/admission.rs
@@ -1,4 +1,4 @@
-//! Admission of a request within its workspace's limit, and who goes first near it.
+//! Admission of requests within their workspace's limit, by priority near the limit.
 
 use std::time::Duration;
 
--- a/components/gateway/src/rollout.rs
+++ b/components/gateway/src/rollout.rs
@@ -12,6 +12,7 @@
 use crate::{
     RolloutOrder, RolloutState, RolloutStatus, StoreRevision,
     decision::millis,
+    directory::Upstream,
     rollout_report::{RolloutNotice, RolloutReport},
     rollouts::state_of,
 };
@@ -228,6 +229,11 @@
         if version == Some(&self.to) { Track::Canary } else { Track::Stable }
     }
 
+    /// Returns the track of an upstream.
+    pub(crate) fn track_of(&self, upstream: &Upstream) -> Track {
+        self.track(upstream.entry.borrow().version.as_ref())
+    }
+
     pub(crate) fn record_sent(&mut self, version: Option<&Arc<str>>, is_first: bool) {
         if self.is_final() {
             return;
--- a/components/gateway/src/rollout_leader.rs
+++ b/components/gateway/src/rollout_leader.rs
@@ -159,7 +159,7 @@
         let mut counts = rollout.counts().clone();
         for report in reports.on(service, rollout.order) {
             report.add_to(&mut counts);
-            rollout_follows_peer(rollout, report, now);
+            follow_peer(rollout, report, now);
         }
         let in_flight = in_flight_at_stable(gateway, service, rollout, now);
         let evidence = rollout.evidence(counts, in_flight, now);
@@ -172,8 +172,8 @@
     }
 }
 
-/// Takes over the promotion that an earlier leader decided.
-fn rollout_follows_peer(rollout: &mut Rollout, report: &RolloutReport, now: Instant) {
+/// Takes over the phase that an earlier leader decided.
+fn follow_peer(rollout: &mut Rollout, report: &RolloutReport, now: Instant) {
     match report.phase {
         RolloutPhase::Canary => {}
         phase => rollout.follow(phase, rollout.canary_share(), now),
@@ -188,9 +188,7 @@
 
 fn tracks_in_use(gateway: &Gateway, service: &ServiceName, rollout: &Rollout) -> TracksInUse {
     let upstreams = gateway.directory.available(service);
-    let has = |track| {
-        upstreams.iter().any(|up| rollout.track(up.entry.borrow().version.as_ref()) == track)
-    };
+    let has = |track| upstreams.iter().any(|up| rollout.track_of(up) == track);
     TracksInUse { has_canary: has(Track::Canary), has_stable: has(Track::Stable) }
 }
 
@@ -250,7 +248,7 @@
 }
 
 /// Returns the requests of all live nodes at the stable track; a node that does not know of the
-/// promotion counts as one request at least.
+/// promotion counts as at least one request.
 fn in_flight_at_stable(
     gateway: &Gateway,
     service: &ServiceName,
@@ -274,9 +272,7 @@
     /// Returns this node's requests in flight at the stable track of a service.
     pub(crate) fn in_flight_at_stable(&self, service: &ServiceName, rollout: &Rollout) -> u32 {
         let upstreams = self.directory.for_service(service);
-        let stable = upstreams
-            .iter()
-            .filter(|up| rollout.track(up.entry.borrow().version.as_ref()) == Track::Stable);
+        let stable = upstreams.iter().filter(|up| rollout.track_of(up) == Track::Stable);
         stable.map(|up| up.running.get()).fold(0, u32::saturating_add)
     }
 
--- a/components/gateway/src/rollout_placement.rs
+++ b/components/gateway/src/rollout_placement.rs
@@ -56,7 +56,7 @@
 ) -> Permitted {
     let mut rollouts = gateway.rollouts.borrow_mut();
     let Some(rollout) = rollouts.get_mut(service) else { return Permitted::Any(candidates) };
-    let track = |up: &Rc<Upstream>| rollout.track(up.entry.borrow().version.as_ref());
+    let track = |up: &Rc<Upstream>| rollout.track_of(up);
     let has_stable = all.iter().any(|up| track(up) == Track::Stable);
     let (canary, stable): (Vec<_>, Vec<_>) =
         candidates.into_iter().partition(|up| track(up) == Track::Canary);
--- a/components/gateway/src/upstream_notices.rs
+++ b/components/gateway/src/upstream_notices.rs
@@ -1,4 +1,5 @@
-//! Heeds what upstreams ask of this node in their responses.
+//! Records what upstreams ask of this node in their responses, and selects those that accept
+//! requests.
 
 use std::{rc::Rc, time::Duration};
 
@@ -20,7 +21,7 @@
     status: StatusCode,
     info: &ResponseInfo,
 ) {
-    // What neither signs nor refuses may be something else at the upstream's address.
+    // A response without a signature or refusal may come from another program at the address.
     if !info.is_signed && !info.is_not_run {
         return;
     }
--- a/components/gateway/src/upstream_speeds.rs
+++ b/components/gateway/src/upstream_speeds.rs
@@ -1,5 +1,5 @@
-//! Feeds what is known of the upstreams' speed: own requests, stated figures and the samples of
-//! other nodes.
+//! Records samples of the upstreams' speed: from own requests, from the figures that upstreams
+//! state, and from other nodes.
 //!
 //! A node sees a small share of an upstream's answers, so each sample goes to the other nodes in
 //! the next datagrams.
@@ -12,11 +12,11 @@
 use tokio::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::{dialect::ReportedLoad, directory::Upstream, gateway::Gateway, place::ExpectedSpeed};
+
 #[cfg(test)]
 mod tests;
 
-use crate::{dialect::ReportedLoad, directory::Upstream, gateway::Gateway, place::ExpectedSpeed};
-
 /// Steps of an encoded logarithm for a factor of e.
 const LOG_STEPS: f64 = 32.0;
 
