--- a/components/gateway/src/rollout_view.rs
+++ b/components/gateway/src/rollout_view.rs
@@ -38,7 +38,7 @@
     pub(crate) fn apply_rollout(&self, key: &Arc<str>, value: Bytes, revision: StoreRevision) {
         let is_up_to_date =
             self.rollouts.borrow().get(key).is_some_and(|cached| cached.revision >= revision);
-        if !self.is_rollout_key(key) || is_up_to_date || self.is_buried(key, revision) {
+        if !self.is_rollout_key(key) || is_up_to_date || self.is_deleted(key, revision) {
             return;
         }
         if let Err(err) = self.read_rollout(key, &value, revision) {
@@ -106,7 +106,7 @@
     pub(crate) fn remove_rollout(&self, key: &Arc<str>, revision: StoreRevision) {
         let is_up_to_date =
             self.rollouts.borrow().get(key).is_some_and(|cached| cached.revision >= revision);
-        if !self.is_rollout_key(key) || is_up_to_date || self.is_buried(key, revision) {
+        if !self.is_rollout_key(key) || is_up_to_date || self.is_deleted(key, revision) {
             return;
         }
         self.rollouts.borrow_mut().remove(key);
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -155,7 +155,7 @@
     }
 
     /// Returns whether a key was removed at a revision or later.
-    pub(crate) fn is_buried(&self, key: &str, revision: StoreRevision) -> bool {
+    pub(crate) fn is_deleted(&self, key: &str, revision: StoreRevision) -> bool {
         self.tombstones.borrow().covers(key, revision)
     }
 
