--- a/components/gateway/src/connection_table.rs
+++ b/components/gateway/src/connection_table.rs
@@ -86,10 +86,12 @@
     /// Takes the memory of a response; returns whether it may be sent.
     pub(crate) fn hold_response(&self, memory: &mut HeldMemory, bytes: usize) -> bool {
         match self.responses {
-            ResponseMemory::Always => memory.resize(bytes),
-            ResponseMemory::WithinBudget => return memory.try_resize(bytes).is_ok(),
+            ResponseMemory::Always => {
+                memory.resize(bytes);
+                true
+            }
+            ResponseMemory::WithinBudget => memory.try_resize(bytes).is_ok(),
         }
-        true
     }
 
     /// Gives a new connection a place: a free one, or that of the connection that has made no
--- a/components/gateway/src/held_memory.rs
+++ b/components/gateway/src/held_memory.rs
@@ -18,7 +18,7 @@
         ClientMemory { budget: Rc::new(RefCell::new(MemoryBudget::new(total))), gauge }
     }
 
-    /// Returns whether little is left for large amounts.
+    /// Returns whether the budget is short; see [`MemoryBudget::is_short`].
     pub(crate) fn is_short(&self) -> bool {
         self.budget.borrow().is_short()
     }
--- a/components/gateway/src/node_limits.rs
+++ b/components/gateway/src/node_limits.rs
@@ -2,8 +2,8 @@
 
 use lycheelatch_settings::MachineLimits;
 
-/// Share of the machine's memory that is kept for clients.
-const CLIENT_MEMORY_SHARE: u64 = 4;
+/// Divisor of the machine's memory that gives the part kept for clients.
+const CLIENT_MEMORY_DIVISOR: u64 = 4;
 
 /// Minimum amount of memory that is kept for clients, in bytes.
 const MIN_CLIENT_MEMORY: u64 = 8 << 20;
@@ -36,10 +36,10 @@
 impl From<MachineLimits> for NodeLimits {
     fn from(machine: MachineLimits) -> NodeLimits {
         let sockets = machine.file_descriptors.saturating_sub(FILES);
-        let by_memory = machine.memory_bytes / CLIENT_MEMORY_SHARE / CONNECTION_BYTES;
+        let by_memory = machine.memory_bytes / CLIENT_MEMORY_DIVISOR / CONNECTION_BYTES;
         let count =
             |wanted: u64| usize::try_from(wanted.max(MIN_CONNECTIONS)).unwrap_or(usize::MAX);
-        let memory = (machine.memory_bytes / CLIENT_MEMORY_SHARE).max(MIN_CLIENT_MEMORY);
+        let memory = (machine.memory_bytes / CLIENT_MEMORY_DIVISOR).max(MIN_CLIENT_MEMORY);
         NodeLimits {
             client_memory: usize::try_from(memory).unwrap_or(usize::MAX),
             callers: count((sockets / 2).min(by_memory)),
--- a/components/gateway/src/paced_stream.rs
+++ b/components/gateway/src/paced_stream.rs
@@ -190,7 +190,7 @@
         Poll::Ready(Ok(()))
     }
 
-    /// Closes the connection if more was read without a request than any sound client sends.
+    /// Closes the connection if more was read without a request than its limits allow.
     fn check_unclaimed(&self) {
         let connection = &self.connection;
         let max = match connection.framing.get() {
--- a/components/policy/src/memory_budget.rs
+++ b/components/policy/src/memory_budget.rs
@@ -55,7 +55,7 @@
         self.used
     }
 
-    /// Returns whether large amounts have taken more than half of their share.
+    /// Returns whether more is taken than half of the share of large amounts.
     pub fn is_short(&self) -> bool {
         self.used * 2 > share(self.total, LARGE_SHARE)
     }
--- a/components/policy/src/rollout/decision.rs
+++ b/components/policy/src/rollout/decision.rs
@@ -17,8 +17,8 @@
 /// Maximum part of the permitted exposure that these extra requests add to the comparison.
 const MAX_COMPARISON_EXTRA: f64 = 0.3;
 
-/// Part of the extra requests that is planned for altogether; the rest is left for requests that a restarted
-/// node forgot, for retries, and for messages on their way.
+/// Part of the extra requests that is planned for altogether; the rest is left for requests whose
+/// counts a restarted node lost, for retries, and for messages on their way.
 const PLANNED_EXTRA_PART: f64 = 0.5;
 
 /// Earliest time of the promotion before the deadline, as a divisor of the duration.
@@ -63,8 +63,8 @@
     limits: &RolloutLimits,
 ) -> RolloutStep {
     let find = |error_rate| {
-        let find = |counts| find_fault(counts, evidence.phase, error_rate);
-        find(&evidence.counts).or_else(|| recent.and_then(find))
+        let find_in = |counts| find_fault(counts, evidence.phase, error_rate);
+        find_in(&evidence.counts).or_else(|| recent.and_then(find_in))
     };
     match evidence.phase {
         RolloutPhase::Canary => decide_canary(evidence, limits, find),
--- a/components/policy/src/rollout/fault.rs
+++ b/components/policy/src/rollout/fault.rs
@@ -6,7 +6,9 @@
 };
 
 /// Probability with which a version that is as good as the old one is taken for a bad one at any
-/// time during a roll-out, over all routes and tests.
+/// time during a roll-out, over all routes and tests of the counts since the order.
+///
+/// [`super::RolloutJudge`] compares the recent counts at the same threshold besides.
 pub const FALSE_ALARM_RATE: f64 = 0.005;
 
 /// The same for the moment before the promotion, which can't be undone.
@@ -27,9 +29,6 @@
 /// Shares of slow responses that are tested against the tolerated one.
 const SLOW_SHARES: [f64; 3] = [0.15, 0.4, 0.9];
 
-/// Latency classes by which the canary may be slower: a factor of the square root of 2.
-const TOLERATED_CLASSES: usize = 0;
-
 /// Factors by which failures may be more frequent at a bad canary.
 const FAILURE_RATIOS: [f64; 4] = [2.0, 4.0, 8.0, 16.0];
 
@@ -84,8 +83,8 @@
     log_evidence(&strata, ratios, TOLERATED_FAILURE_RATE, &FAILURE_RATES)
 }
 
-/// Returns the log e-value against "the canary is at most slower than the stable track by a class, or
-/// doesn't have more slow responses than are tolerated".
+/// Returns the log e-value against "the canary doesn't answer slowly more often than the stable
+/// track, or not more often than is tolerated".
 ///
 /// Each class is taken as the bound of slow responses in turn; the mean of the e-values is one.
 fn log_slowness(routes: &[&RouteCounts], ratios: &[f64]) -> f64 {
@@ -94,12 +93,12 @@
             .iter()
             .map(|route| Comparison {
                 stable: route.stable.slower_than(class),
-                canary: route.canary.slower_than(class + TOLERATED_CLASSES),
+                canary: route.canary.slower_than(class),
             })
             .collect();
         log_evidence(&strata, ratios, TOLERATED_SLOW_SHARE, &SLOW_SHARES)
     };
-    log_mean_exp((0..LATENCY_CLASSES - 1 - TOLERATED_CLASSES).map(of_class))
+    log_mean_exp((0..LATENCY_CLASSES - 1).map(of_class))
 }
 
 /// Returns the log e-value against "events aren't more frequent at the canary, or not more
