gateway: The end of a chunked body is found behind trailers

Cause: the framing took the two bytes after the last chunk's size for the end, so a body with trailers was held back and its request waited until its deadline. Found by reading the change again.

--- a/components/gateway/src/chunk_framing.rs
+++ b/components/gateway/src/chunk_framing.rs
@@ -9,8 +9,12 @@
     Extension(u64),
     /// A chunk with this number of bytes left, the line end after it included.
     Data(u64),
-    /// The line end after the last chunk, of which this number of bytes is left.
-    End(u64),
+    /// The start of a line after the last chunk: a trailer, or the empty line that ends the body.
+    LineStart,
+    /// A trailer.
+    Trailer,
+    /// The body has ended.
+    End,
 }
 
 /// Position within a body in chunks.
@@ -35,7 +39,7 @@
                 self.step(*byte);
                 at += 1;
             }
-            if self.0 == State::End(0) {
+            if self.0 == State::End {
                 return Some(at);
             }
         }
@@ -61,14 +65,18 @@
             (State::Extension(size), _) => State::Extension(size),
             (State::Data(left), _) if left > 1 => State::Data(left - 1),
             (State::Data(_), _) => State::Size(0),
-            (State::End(left), _) => State::End(left.saturating_sub(1)),
+            (State::LineStart, b'\r') => State::LineStart,
+            (State::LineStart, b'\n') => State::End,
+            (State::Trailer, b'\n') => State::LineStart,
+            (State::LineStart | State::Trailer, _) => State::Trailer,
+            (State::End, _) => State::End,
         };
     }
 }
 
 fn after_size(size: u64) -> State {
     match size {
-        0 => State::End(2),
+        0 => State::LineStart,
         size => State::Data(size.saturating_add(2)),
     }
 }
@@ -85,9 +93,11 @@
             sizes in prop::collection::vec(1_usize..300, 0..10),
             piece in 1_usize..50,
             extension in prop::sample::select(vec!["", ";a=b", " ;f"]),
+            trailers in prop::sample::select(vec!["", "X-Sum: 1\r\n", "A: 1\r\nB:\r\n", "A: 1\n"]),
         ) {
             let chunk = |size: &usize| format!("{size:x}{extension}\r\n{}\r\n", "\n".repeat(*size));
-            let body = sizes.iter().map(chunk).collect::<String>() + "0\r\n\r\n";
+            let body = sizes.iter().map(chunk).collect::<String>();
+            let body = format!("{body}0\r\n{trailers}\r\n");
             let sent = format!("{body}GET /");
             let mut framing = ChunkFraming::new();
             let mut ends = Vec::new();
