--- a/components/gateway/src/decision.rs
+++ b/components/gateway/src/decision.rs
@@ -14,7 +14,7 @@
 use strum::IntoStaticStr;
 use tokio::time::Instant;
 
-use crate::{PurchaseOption, response_cut::ResponseStage};
+use crate::{PurchaseOption, config_view::EntrySource, response_cut::ResponseStage};
 
 /// Maximum lines per second for routine events, such as requests that succeeded.
 const MAX_ROUTINE_PER_SECOND: u32 = 20;
@@ -221,11 +221,21 @@
     /// A configuration was applied.
     #[serde(rename = "config_in_force")]
     #[strum(serialize = "config_in_force")]
-    ConfigApplied { version: u64 },
+    ConfigApplied {
+        version: u64,
+        source: EntrySource,
+        revision: u64,
+        #[serde(rename = "read_age_ms")]
+        age_ms: u64,
+    },
+    /// A configuration was read that does not replace the one in force.
+    #[serde(rename = "config_passed_over")]
+    #[strum(serialize = "config_passed_over")]
+    ConfigSkipped { source: EntrySource, revision: u64, cached_revision: u64 },
     /// A configuration was rejected as invalid.
     #[serde(rename = "config_refused")]
     #[strum(serialize = "config_refused")]
-    ConfigRejected { revision: u64, reason: &'a str },
+    ConfigRejected { source: EntrySource, revision: u64, reason: &'a str },
     /// An upstream was added to the directory.
     #[serde(rename = "upstream_came")]
     #[strum(serialize = "upstream_came")]
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -187,15 +187,16 @@
         self.table.borrow().clone()
     }
 
-    /// Replaces the routing table, unless the current one has the same or a higher version.
-    pub fn set_table(&self, table: RoutingTable) {
+    /// Replaces the routing table, unless the current one has the same or a higher version; returns
+    /// whether it was replaced.
+    pub fn set_table(&self, table: RoutingTable) -> bool {
         let mut current = self.table.borrow_mut();
         if current.as_ref().is_some_and(|current| current.version >= table.version) {
-            return;
+            return false;
         }
-        log_event(&NodeEvent::ConfigApplied { version: table.version });
         self.metrics.config_version.set(i64::try_from(table.version).unwrap_or(i64::MAX));
         *current = Some(Rc::new(table));
+        true
     }
 
     /// Applies those changed settings that don't require a restart.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod chunk_framing;
 mod client_connection;
 mod clock;
+mod config_view;
 mod connection;
 mod connection_table;
 mod crash_evidence;
--- a/components/gateway/src/store_watch.rs
+++ b/components/gateway/src/store_watch.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     Freshness, StoreError, StoreEvent, StoreRevision,
+    config_view::EntrySource,
     sync::{StoreView, WATCH_WAIT},
 };
 
@@ -79,7 +80,7 @@
     let mut orders = Vec::new();
     for item in operators.items {
         if &*item.key == view.layout.config_key() {
-            view.apply_config(item.value, item.revision);
+            view.apply_config(item.value, item.revision, EntrySource::Store);
         } else if view.is_rollout_key(&item.key) {
             orders.push(item);
         }
@@ -106,7 +107,7 @@
     let is_upstream = |key: &str| key.starts_with(view.layout.upstream_prefix());
     match event {
         StoreEvent::Written(item) if &*item.key == view.layout.config_key() => {
-            view.apply_config(item.value, item.revision);
+            view.apply_config(item.value, item.revision, EntrySource::Store);
         }
         StoreEvent::Written(item) if is_upstream(&item.key) => {
             view.apply_upstream(&item.key, item.value, item.revision);
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -16,7 +16,7 @@
 use tokio::{sync::watch, time::Instant};
 
 use crate::{
-    Gateway, KeyValue, RoutingTable, Store, StoreError, StoreLayout, StoreRevision,
+    Gateway, KeyValue, Store, StoreError, StoreLayout, StoreRevision,
     decision::{NodeEvent, log_event, millis},
     tombstones::{Tombstone, Tombstones},
 };
@@ -233,25 +233,6 @@
         }
     }
 
-    /// Applies a configuration, unless the cached one is at least as new.
-    pub(crate) fn apply_config(&self, value: Bytes, revision: StoreRevision) {
-        let is_up_to_date =
-            self.config.borrow().as_ref().is_some_and(|cached| cached.revision >= revision);
-        if is_up_to_date {
-            return;
-        }
-        match self.layout.parse_config(&value) {
-            Ok(source) => self.gateway.set_table(RoutingTable::from(source)),
-            Err(err) => log_event(&NodeEvent::ConfigRejected {
-                revision: revision.0,
-                reason: &err.to_string(),
-            }),
-        }
-        let changed = self.next_change();
-        *self.config.borrow_mut() = Some(CachedEntry { value, revision, changed });
-        self.changes.send_replace(changed);
-    }
-
     /// Applies an upstream's entry, unless the cached entry or tombstone is at least as new.
     pub(crate) fn apply_upstream(&self, key: &Arc<str>, value: Bytes, revision: StoreRevision) {
         let mut upstreams = self.upstreams.borrow_mut();
--- a/components/gateway/src/view_exchange.rs
+++ b/components/gateway/src/view_exchange.rs
@@ -16,6 +16,7 @@
 use crate::{
     Gateway, KeyValue, StoreRevision,
     cache_exchange::{CACHES_PATH, engine_caches},
+    config_view::EntrySource,
     connection::Connection,
     decision::{NodeEvent, log_event},
     peer_http::{FETCH_TIMEOUT, FetchError, connect, encoded, get},
@@ -283,7 +284,7 @@
     }
     current.cursor = Cursor { incarnation: wire.incarnation, change: LocalChange(wire.change) };
     view.set_age(Duration::from_millis(wire.age_ms));
-    apply_view(view, wire);
+    apply_view(view, wire, EntrySource::Node(address));
     *followed = Some(current);
     Ok(())
 }
@@ -303,7 +304,7 @@
         let seed = gateway.seeds().choose(&mut rand::rng()).copied();
         let Some(address) = newer.or(peer).or(seed) else { continue };
         match timeout(FETCH_TIMEOUT, fetch_complete_view(address)).await {
-            Ok(Ok(wire)) => apply_view(&view, wire),
+            Ok(Ok(wire)) => apply_view(&view, wire, EntrySource::Node(address)),
             Ok(Err(err)) => log::debug!("peers: failed to fetch the view of {address}: {err}"),
             Err(_) => log::debug!("peers: fetching the view of {address} timed out"),
         }
@@ -337,9 +338,9 @@
     get(connection, uri).await
 }
 
-fn apply_view(view: &StoreView, wire: ViewWire) {
+fn apply_view(view: &StoreView, wire: ViewWire, source: EntrySource) {
     if let Some(config) = wire.config {
-        view.apply_config(config.value.into(), StoreRevision(config.revision));
+        view.apply_config(config.value.into(), StoreRevision(config.revision), source);
     }
     let is_fresh = Duration::from_millis(wire.age_ms) <= view.max_age();
     let revision = StoreRevision(wire.revision);
--- a/components/gateway/src/view_exchange/tests.rs
+++ b/components/gateway/src/view_exchange/tests.rs
@@ -1,5 +1,7 @@
 //! Which entries of another node's view are applied.
 
+use std::net::{Ipv4Addr, SocketAddrV4};
+
 use async_trait::async_trait;
 use bytes::Bytes;
 use lycheelatch_prelude::{InvalidValue, ServiceName, UpstreamId};
@@ -11,6 +13,10 @@
     test_support,
 };
 
+/// The node whose views are applied.
+const SOURCE: EntrySource =
+    EntrySource::Node(SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1)));
+
 /// A store that can't be reached.
 struct UnreachableStore;
 
@@ -142,38 +148,38 @@
 #[test]
 fn apply_view_older_one_restores_no_removed_upstream() {
     let view = view();
-    apply_view(&view, complete_view(10, &[("up/a", 5), ("up/b", 6)]));
+    apply_view(&view, complete_view(10, &[("up/a", 5), ("up/b", 6)]), SOURCE);
     view.remove_upstream(&"up/a".into(), StoreRevision(12));
     // A delayed response of another node still contains the removed upstream.
-    apply_view(&view, complete_view(9, &[("up/a", 5), ("up/b", 6)]));
+    apply_view(&view, complete_view(9, &[("up/a", 5), ("up/b", 6)]), SOURCE);
     assert_eq!(upstream_ids(&view), ["b"]);
 }
 
 #[test]
 fn apply_view_older_one_adds_no_upstream_removed_before() {
     let view = view();
-    apply_view(&view, complete_view(10, &[("up/b", 6)]));
-    apply_view(&view, complete_view(9, &[("up/a", 5), ("up/b", 6)]));
+    apply_view(&view, complete_view(10, &[("up/b", 6)]), SOURCE);
+    apply_view(&view, complete_view(9, &[("up/a", 5), ("up/b", 6)]), SOURCE);
     assert_eq!(upstream_ids(&view), ["b"]);
 }
 
 #[test]
 fn apply_view_accepts_an_upstream_registered_again() {
     let view = view();
-    apply_view(&view, complete_view(10, &[("up/a", 5)]));
+    apply_view(&view, complete_view(10, &[("up/a", 5)]), SOURCE);
     view.remove_upstream(&"up/a".into(), StoreRevision(12));
-    apply_view(&view, complete_view(14, &[("up/a", 13)]));
+    apply_view(&view, complete_view(14, &[("up/a", 13)]), SOURCE);
     assert_eq!(upstream_ids(&view), ["a"]);
 }
 
 #[test]
 fn apply_view_old_one_adds_newer_entry_and_removes_none() {
     let view = view();
-    apply_view(&view, complete_view(10, &[("up/a", 5)]));
+    apply_view(&view, complete_view(10, &[("up/a", 5)]), SOURCE);
     // The other node has not read the store for a minute, so entries missing there are kept here.
     let mut wire = complete_view(20, &[("up/c", 15)]);
     wire.age_ms = 60_000;
-    apply_view(&view, wire);
+    apply_view(&view, wire, SOURCE);
     assert_eq!(upstream_ids(&view), ["a", "c"]);
 }
 
@@ -202,11 +208,11 @@
 async fn rollout_reaches_nodes_without_store() {
     let (reader, follower) = (view_with_rollouts(), view_with_rollouts());
     put_order(&reader, "v2 60", 5);
-    apply_view(&follower, view_wire(&reader, Cursor::default()));
+    apply_view(&follower, view_wire(&reader, Cursor::default()), SOURCE);
     assert_eq!(ordered_version(&follower).as_deref(), Some("v2"));
     let seen = Cursor { incarnation: reader.incarnation, change: reader.last_change() };
     reader.remove_rollout(&"op/rollout/svc".into(), StoreRevision(7));
-    apply_view(&follower, view_wire(&reader, seen));
+    apply_view(&follower, view_wire(&reader, seen), SOURCE);
     assert!(!is_running(&follower), "withdrawn");
 }
 
@@ -216,10 +222,10 @@
     put_order(&old, "v2 60", 5);
     put_order(&new, "v3 60", 8);
     new.advance_revision(StoreRevision(8));
-    apply_view(&new, view_wire(&old, Cursor::default()));
+    apply_view(&new, view_wire(&old, Cursor::default()), SOURCE);
     assert_eq!(ordered_version(&new).as_deref(), Some("v3"));
     new.remove_rollout(&"op/rollout/svc".into(), StoreRevision(9));
-    apply_view(&new, view_wire(&old, Cursor::default()));
+    apply_view(&new, view_wire(&old, Cursor::default()), SOURCE);
     assert!(!is_running(&new), "an older view brings no withdrawn order back");
 }
 
