--- a/components/fakes/src/entry/mod.rs
+++ b/components/fakes/src/entry/mod.rs
@@ -16,7 +16,7 @@
 pub use crash::{Crash, CrashRule};
 pub use documents::{WorkspaceLimit, config_document, upstream_entry};
 pub use response_text::echo_event;
-pub use store::{DutyCall, FakeStore, StoreMode};
+pub use store::{DutyCall, FakeStore, StoreCopy, StoreMode};
 pub use upstream::{Behavior, ECHO_EVENTS, ExecutedRequest, ReceivedRequest, ScriptedUpstream};
 
 /// Time limit for a response.
--- a/components/fakes/src/entry/store.rs
+++ b/components/fakes/src/entry/store.rs
@@ -7,7 +7,12 @@
     time::Duration,
 };
 
-use actix_web::{App, HttpRequest, HttpResponse, HttpServer, rt, web};
+use actix_web::{
+    App, HttpRequest, HttpResponse, HttpServer,
+    dev::Service,
+    http::header::{HeaderName, HeaderValue},
+    rt, web,
+};
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
@@ -30,6 +35,9 @@
     LoseWriteResponses,
 }
 
+/// Header that counts how often the store came back from a copy.
+const ERA_HEADER: HeaderName = HeaderName::from_static("store-era");
+
 #[derive(Clone)]
 struct StoredItem {
     value: String,
@@ -43,15 +51,27 @@
     mode: StoreMode,
     /// Number of coming watch responses that are corrupted.
     corrupt_watch_responses: u32,
+    /// How often the store came back from a copy.
+    era: u64,
+    contents: Contents,
+    compacted_revision: u64,
+    duty_calls: Vec<DutyCall>,
+    refuses_orders: bool,
+}
+
+/// What a copy of the store holds.
+#[derive(Clone, Default)]
+struct Contents {
     revision: u64,
     items: BTreeMap<String, StoredItem>,
     history: Vec<Value>,
-    compacted_revision: u64,
     leases: HashMap<u64, (Instant, Duration)>,
-    duty_calls: Vec<DutyCall>,
-    refuses_orders: bool,
 }
 
+/// A copy of the store, from which it can be restored later.
+#[derive(Clone)]
+pub struct StoreCopy(Contents);
+
 /// A call that only the node holding the duty lease makes.
 #[derive(Debug, Clone)]
 pub struct DutyCall {
@@ -82,8 +102,19 @@
         let state = Arc::new(Mutex::new(State::default()));
         let data = web::Data::from(state.clone());
         let server = HttpServer::new(move || {
+            let state = data.clone();
             App::new()
                 .app_data(data.clone())
+                .wrap_fn(move |req, service| {
+                    let response = service.call(req);
+                    let state = state.clone();
+                    async move {
+                        let mut response = response.await?;
+                        let era = state.lock().unwrap().era;
+                        response.headers_mut().insert(ERA_HEADER, HeaderValue::from(era));
+                        Ok(response)
+                    }
+                })
                 .route("/-/kv-key", web::get().to(get_key))
                 .route("/-/kv-range", web::get().to(get_range))
                 .route("/-/kv-watch", web::get().to(watch))
@@ -128,32 +159,56 @@
     pub fn put_bytes(&self, key: &str, value: &[u8]) {
         use base64::Engine;
         let text = base64::engine::general_purpose::STANDARD.encode(value);
-        self.state.lock().unwrap().write(key, text, 0);
+        self.state.lock().unwrap().contents.write(key, text, 0);
     }
 
     /// Writes a value whose encoded text is `text`, which need not be base64.
     pub fn put_encoded(&self, key: &str, text: &str) {
-        self.state.lock().unwrap().write(key, text.to_owned(), 0);
+        self.state.lock().unwrap().contents.write(key, text.to_owned(), 0);
     }
 
     /// Returns the JSON value of a key, if there is one.
     pub fn value(&self, key: &str) -> Option<Value> {
         use base64::Engine;
-        let text = self.state.lock().unwrap().items.get(key)?.value.clone();
+        let text = self.state.lock().unwrap().contents.items.get(key)?.value.clone();
         let bytes = base64::engine::general_purpose::STANDARD.decode(text).unwrap();
         Some(serde_json::from_slice(&bytes).unwrap())
     }
 
     /// Deletes a key.
     pub fn delete(&self, key: &str) {
-        self.state.lock().unwrap().delete(key);
+        self.state.lock().unwrap().contents.delete(key);
     }
 
     /// Drops the change history, so that watches from older revisions fail with status 410.
     pub fn compact(&self) {
         let mut state = self.state.lock().unwrap();
-        state.compacted_revision = state.revision;
-        state.history.clear();
+        state.compacted_revision = state.contents.revision;
+        state.contents.history.clear();
+    }
+
+    /// Copies what the store holds now.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.state.lock().unwrap().contents.clone())
+    }
+
+    /// Replaces what the store holds by an earlier copy, and begins a new era.
+    ///
+    /// Leases of the copy run on from then; those granted since the copy are gone.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = self.state.lock().unwrap();
+        state.contents = copy.0.clone();
+        state.era += 1;
+        state.compacted_revision = state.compacted_revision.min(state.contents.revision);
+        let now = Instant::now();
+        for (expires_at, ttl) in state.contents.leases.values_mut() {
+            *expires_at = now + *ttl;
+        }
+    }
+
+    /// Returns the store's revision.
+    pub fn revision(&self) -> u64 {
+        self.state.lock().unwrap().contents.revision
     }
 
     /// Refuses orders of upstreams from now on, as none are to be had.
@@ -167,7 +222,7 @@
     }
 }
 
-impl State {
+impl Contents {
     fn write(&mut self, key: &str, value: String, lease: u64) {
         self.revision += 1;
         let revision = self.revision;
@@ -221,7 +276,7 @@
 async fn check_mode(state: &Shared) -> Option<HttpResponse> {
     let mode = {
         let mut state = state.lock().unwrap();
-        state.expire_leases();
+        state.contents.expire_leases();
         state.mode
     };
     match mode {
@@ -248,7 +303,7 @@
     if let Some(refused) = check_mode(&state).await {
         return refused;
     }
-    let state = state.lock().unwrap();
+    let state = &state.lock().unwrap().contents;
     let key = &query["key"];
     match state.items.get(key) {
         Some(item) => HttpResponse::Ok().json(item_json(key, item)),
@@ -260,7 +315,7 @@
     if let Some(refused) = check_mode(&state).await {
         return refused;
     }
-    let state = state.lock().unwrap();
+    let state = &state.lock().unwrap().contents;
     let prefix = &query["path_prefix"];
     let after = query.get("after").map_or("", String::as_str);
     let items = state.items.iter().filter(|(key, _)| key.starts_with(prefix.as_str()));
@@ -283,8 +338,8 @@
     loop {
         {
             let mut state = state.lock().unwrap();
-            state.expire_leases();
-            if after < state.compacted_revision {
+            state.contents.expire_leases();
+            if after < state.compacted_revision || after > state.contents.revision {
                 return HttpResponse::Gone().finish();
             }
             let prefix = &query["path_prefix"];
@@ -292,13 +347,13 @@
                 event["revision"].as_u64().unwrap() > after
                     && event["key"].as_str().unwrap().starts_with(prefix.as_str())
             };
-            let events: Vec<&Value> = state.history.iter().filter(is_new).collect();
+            let events: Vec<&Value> = state.contents.history.iter().filter(is_new).collect();
             if !events.is_empty() || Instant::now() >= deadline {
                 if state.corrupt_watch_responses > 0 {
                     state.corrupt_watch_responses -= 1;
                     return HttpResponse::Ok().body("{\"events\": [");
                 }
-                let body = json!({"events": events, "store_revision": state.revision});
+                let body = json!({"events": events, "store_revision": state.contents.revision});
                 return HttpResponse::Ok().json(body);
             }
         }
@@ -311,7 +366,7 @@
         return refused;
     }
     let response = {
-        let mut state = state.lock().unwrap();
+        let state = &mut state.lock().unwrap().contents;
         let matches = |expected: &Value| {
             let key = expected["key"].as_str().unwrap();
             let revision = state.items.get(key).map_or(0, |item| item.revision);
@@ -337,7 +392,7 @@
     }
     let ttl_ms = body["ttl_ms"].as_u64().unwrap();
     let id = {
-        let mut state = state.lock().unwrap();
+        let state = &mut state.lock().unwrap().contents;
         let ttl = Duration::from_millis(ttl_ms);
         let id = 1000 + u64::try_from(state.leases.len()).unwrap() + state.revision * 100;
         state.leases.insert(id, (Instant::now() + ttl, ttl));
@@ -350,7 +405,7 @@
     if let Some(refused) = check_mode(&state).await {
         return refused;
     }
-    let mut state = state.lock().unwrap();
+    let state = &mut state.lock().unwrap().contents;
     match state.leases.get_mut(&id) {
         Some((expires_at, ttl)) => {
             *expires_at = Instant::now() + *ttl;
@@ -364,7 +419,7 @@
     if let Some(refused) = check_mode(&state).await {
         return refused;
     }
-    state.lock().unwrap().end_lease(*id);
+    state.lock().unwrap().contents.end_lease(*id);
     HttpResponse::Ok().finish()
 }
 
