--- a/components/gateway/src/cache_exchange/tests.rs
+++ b/components/gateway/src/cache_exchange/tests.rs
@@ -2,8 +2,8 @@
 
 use super::*;
 use crate::{
-    CallerLimits, ClusterClock, EngineSpec, PrefixHash, RoutingTable, ServiceSpec, StoreRevision,
-    SystemBootClock, TableSource, engine_load::PrefixChain, test_support,
+    CallerLimits, ClusterClock, EngineSpec, PrefixHash, RoutingTable, ServiceSpec, SystemBootClock,
+    TableSource, engine_load::PrefixChain, test_support,
 };
 
 const ENGINE: EngineSpec =
@@ -25,7 +25,7 @@
         limits: CallerLimits::default(),
     }));
     let entry = test_support::engine_entry("engine-1", "zone-a");
-    gateway.directory.put(entry, StoreRevision(1));
+    gateway.directory.put(entry, test_support::first_era(1));
     gateway
 }
 
--- a/components/gateway/src/config_view.rs
+++ b/components/gateway/src/config_view.rs
@@ -3,11 +3,12 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use lycheelatch_prelude::InvalidValue;
 use serde::Serialize;
 
 use crate::{
-    RoutingTable, StoreRevision,
-    decision::{NodeEvent, log_event, millis},
+    RoutingTable, StoreRevision, TableSource,
+    decision::{NodeEvent, RevisionLine, log_event, millis},
     sync::{CachedEntry, StoreView},
 };
 
@@ -22,43 +23,50 @@
 }
 
 impl StoreView {
-    /// Applies a configuration, unless the cached one is at least as new.
+    /// Applies a configuration, unless the one in force has the same or a higher version.
+    ///
+    /// The version decides, not the revision: the store may come back from a copy with an older
+    /// configuration, and one that is invalid takes no place.
     pub(crate) fn apply_config(&self, value: Bytes, revision: StoreRevision, source: EntrySource) {
-        let cached_revision = self.config.borrow().as_ref().map(|cached| cached.revision);
-        if let Some(cached) = cached_revision
-            && cached >= revision
-        {
-            if cached > revision {
-                log_event(&NodeEvent::ConfigSkipped {
-                    source,
-                    revision: revision.0,
-                    cached_revision: cached.0,
-                });
-            }
+        if self.config.borrow().as_ref().is_some_and(|cached| cached.value == value) {
             return;
         }
         match self.layout.parse_config(&value) {
-            Ok(parsed) => self.put_in_force(RoutingTable::from(parsed), revision, source),
-            Err(err) => log_event(&NodeEvent::ConfigRejected {
-                source,
-                revision: revision.0,
-                reason: &err.to_string(),
-            }),
+            Ok(parsed) => self.put_in_force(parsed, value, revision, source),
+            Err(err) => self.log_rejected_config(&err, revision, source),
         }
+    }
+
+    fn put_in_force(
+        &self,
+        parsed: TableSource,
+        value: Bytes,
+        revision: StoreRevision,
+        source: EntrySource,
+    ) {
+        let version = parsed.version;
+        let at = RevisionLine::from(revision);
+        if !self.gateway.set_table(RoutingTable::from(parsed)) {
+            let in_force = self.gateway.table().map_or(0, |table| table.version);
+            log_event(&NodeEvent::ConfigSkipped { version, in_force, source, at });
+            return;
+        }
+        log_event(&NodeEvent::ConfigApplied { version, source, at, age_ms: millis(self.age()) });
         let changed = self.next_change();
         *self.config.borrow_mut() = Some(CachedEntry { value, revision, changed });
         self.announce_change(changed);
     }
 
-    fn put_in_force(&self, table: RoutingTable, revision: StoreRevision, source: EntrySource) {
-        let version = table.version;
-        if self.gateway.set_table(table) {
-            log_event(&NodeEvent::ConfigApplied {
-                version,
-                source,
-                revision: revision.0,
-                age_ms: millis(self.age()),
-            });
+    /// Logs why a configuration is refused, once for each revision.
+    fn log_rejected_config(
+        &self,
+        err: &InvalidValue,
+        revision: StoreRevision,
+        source: EntrySource,
+    ) {
+        if self.rejected_config.replace(Some(revision)) != Some(revision) {
+            let reason = &err.to_string();
+            log_event(&NodeEvent::ConfigRejected { source, at: revision.into(), reason });
         }
     }
 }
--- a/components/gateway/src/decision.rs
+++ b/components/gateway/src/decision.rs
@@ -14,7 +14,7 @@
 use strum::IntoStaticStr;
 use tokio::time::Instant;
 
-use crate::{PurchaseOption, config_view::EntrySource, response_cut::ResponseStage};
+use crate::{PurchaseOption, StoreRevision, config_view::EntrySource, response_cut::ResponseStage};
 
 /// Maximum lines per second for routine events, such as requests that succeeded.
 const MAX_ROUTINE_PER_SECOND: u32 = 20;
@@ -224,18 +224,30 @@
     ConfigApplied {
         version: u64,
         source: EntrySource,
-        revision: u64,
+        #[serde(flatten)]
+        at: RevisionLine,
         #[serde(rename = "read_age_ms")]
         age_ms: u64,
     },
     /// A configuration was read that does not replace the one in force.
     #[serde(rename = "config_passed_over")]
     #[strum(serialize = "config_passed_over")]
-    ConfigSkipped { source: EntrySource, revision: u64, cached_revision: u64 },
+    ConfigSkipped {
+        version: u64,
+        in_force: u64,
+        source: EntrySource,
+        #[serde(flatten)]
+        at: RevisionLine,
+    },
     /// A configuration was rejected as invalid.
     #[serde(rename = "config_refused")]
     #[strum(serialize = "config_refused")]
-    ConfigRejected { source: EntrySource, revision: u64, reason: &'a str },
+    ConfigRejected {
+        source: EntrySource,
+        #[serde(flatten)]
+        at: RevisionLine,
+        reason: &'a str,
+    },
     /// An upstream was added to the directory.
     #[serde(rename = "upstream_came")]
     #[strum(serialize = "upstream_came")]
@@ -243,11 +255,19 @@
     /// An upstream no longer accepts new requests.
     #[serde(rename = "upstream_drains")]
     #[strum(serialize = "upstream_drains")]
-    UpstreamDraining { upstream: &'a UpstreamId, revision: u64 },
+    UpstreamDraining {
+        upstream: &'a UpstreamId,
+        #[serde(flatten)]
+        at: RevisionLine,
+    },
     /// An upstream was removed from the directory.
     #[serde(rename = "upstream_gone")]
     #[strum(serialize = "upstream_gone")]
-    UpstreamRemoved { upstream: &'a UpstreamId, revision: u64 },
+    UpstreamRemoved {
+        upstream: &'a UpstreamId,
+        #[serde(flatten)]
+        at: RevisionLine,
+    },
     /// An upstream entry in the store is invalid.
     #[serde(rename = "entry_refused")]
     #[strum(serialize = "entry_refused")]
@@ -286,6 +306,13 @@
         #[serde(rename = "away_ms")]
         outage_ms: u64,
     },
+    /// The store came back from a copy.
+    StoreRestored {
+        #[serde(flatten)]
+        at: RevisionLine,
+        before_era: u64,
+        before_revision: u64,
+    },
     /// The node follows another node's view instead of reading the store.
     #[serde(rename = "follows")]
     #[strum(serialize = "follows")]
@@ -328,7 +355,13 @@
     #[strum(serialize = "clock_set")]
     ClockAdjusted { from_ms: u64, to_ms: u64 },
     /// An operator ordered a roll-out.
-    RolloutOrdered { service: &'a ServiceName, to: &'a str, duration_ms: u64, order: u64 },
+    RolloutOrdered {
+        service: &'a ServiceName,
+        to: &'a str,
+        duration_ms: u64,
+        #[serde(flatten)]
+        at: RevisionLine,
+    },
     /// A roll-out goes on with another phase or share.
     RolloutStep {
         service: &'a ServiceName,
@@ -344,6 +377,19 @@
     RolloutRejected { service: &'a ServiceName, reason: &'a str },
 }
 
+/// Position in the store's history.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub(crate) struct RevisionLine {
+    pub(crate) era: u64,
+    pub(crate) revision: u64,
+}
+
+impl From<StoreRevision> for RevisionLine {
+    fn from(revision: StoreRevision) -> RevisionLine {
+        RevisionLine { era: revision.era.0, revision: revision.number }
+    }
+}
+
 /// Counts of a roll-out over all routes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub(crate) struct RolloutCountsLine {
--- a/components/gateway/src/departures.rs
+++ b/components/gateway/src/departures.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use crate::StoreRevision;
+use crate::{StoreRevision, messages::RevisionWire};
 
 /// Time for which a departure is announced. Other nodes learn of it from the store within this
 /// time, unless their calls fail.
@@ -19,7 +19,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Departure {
     pub(crate) upstream: UpstreamId,
-    pub(crate) revision: u64,
+    pub(crate) revision: RevisionWire,
 }
 
 /// Recent departures, oldest first.
@@ -30,7 +30,7 @@
 
 impl Departures {
     pub(crate) fn record(&mut self, upstream: UpstreamId, revision: StoreRevision, now: Instant) {
-        let departure = Departure { upstream, revision: revision.0 };
+        let departure = Departure { upstream, revision: revision.into() };
         self.recent.push_back((now, departure));
     }
 
--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -137,7 +137,7 @@
                 if current.entry.borrow().is_ready && !entry.is_ready {
                     log_event(&NodeEvent::UpstreamDraining {
                         upstream: &entry.id,
-                        revision: revision.0,
+                        at: revision.into(),
                     });
                 }
                 current.revision.set(revision);
@@ -166,9 +166,9 @@
         if upstream.revision.get() >= revision || !upstream.accepts_requests() {
             return false;
         }
-        log_event(&NodeEvent::UpstreamDraining { upstream: id, revision: revision.0 });
+        log_event(&NodeEvent::UpstreamDraining { upstream: id, at: revision.into() });
         upstream.entry.borrow_mut().is_ready = false;
-        upstream.revision.set(StoreRevision(revision.0 - 1));
+        upstream.revision.set(revision.before());
         true
     }
 
@@ -177,7 +177,7 @@
         let mut upstreams = self.upstreams.borrow_mut();
         let is_older = upstreams.get(id).is_some_and(|current| current.revision.get() < revision);
         if is_older && let Some(removed) = upstreams.remove(id) {
-            log_event(&NodeEvent::UpstreamRemoved { upstream: id, revision: revision.0 });
+            log_event(&NodeEvent::UpstreamRemoved { upstream: id, at: revision.into() });
             removed.retire();
             self.by_key.borrow_mut().remove(&removed.key());
         }
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -338,7 +338,7 @@
 /// Stops using upstreams that another node saw leave, and passes the news on.
 fn apply_departures(gateway: &Gateway, departures: &[Departure], now: Instant) {
     for Departure { upstream, revision } in departures {
-        let revision = StoreRevision(*revision);
+        let revision = StoreRevision::from(*revision);
         if gateway.directory.mark_departed(upstream, revision) {
             gateway.departures.borrow_mut().record(upstream.clone(), revision, now);
         }
--- a/components/gateway/src/gossip/tests.rs
+++ b/components/gateway/src/gossip/tests.rs
@@ -7,7 +7,7 @@
 
 use super::*;
 use crate::{
-    ClusterClock, StoreRevision, SystemBootClock,
+    ClusterClock, SystemBootClock,
     quota::{ReportedUsage, SubwindowUsage},
     test_support::{self, digest},
 };
@@ -34,7 +34,7 @@
     }
     for zone in with_engines {
         let entry = test_support::engine_entry(&format!("engine-{zone}"), zone);
-        gateway.directory.put(entry, StoreRevision(1));
+        gateway.directory.put(entry, test_support::first_era(1));
     }
     gateway
 }
--- a/components/gateway/src/leader.rs
+++ b/components/gateway/src/leader.rs
@@ -240,13 +240,13 @@
     let lease_id = store.grant(ttl).await?;
     let commit = Commit {
         key: leader_key().into(),
-        expected: StoreRevision(0),
+        expected: StoreRevision::ABSENT,
         value: node.as_str().to_owned().into(),
         lease: Some(lease_id),
     };
     let CommitOutcome::Applied(revision) = store.commit(commit).await? else { return Ok(None) };
     let now = leader.boot.elapsed();
-    let fence = Fence(revision.0);
+    let fence = Fence(revision.number);
     let last_action = leader.last_action.get();
     let mut lease = LeaderLease::acquired(fence, now, last_action, ttl, leader.max_delivery);
     if is_first_lease {
--- a/components/gateway/src/leader_tests.rs
+++ b/components/gateway/src/leader_tests.rs
@@ -20,7 +20,7 @@
 use crate::{
     BootClock, CapacityOrder, Changes, ClusterClock, Commit, CommitOutcome, Freshness, Gateway,
     KeyValue, LeaderPermit, Leadership, LeaseId, Listing, PlatformApi, PlatformApiError, Store,
-    StoreError, StoreRevision, UsageWindow, WindowCounts,
+    StoreEra, StoreError, StoreRevision, UsageWindow, WindowCounts,
     leader::run_election,
     messages::Digest,
     platform_api::call_while_valid,
--- a/components/gateway/src/leader_tests/model.rs
+++ b/components/gateway/src/leader_tests/model.rs
@@ -60,12 +60,12 @@
         let now = Instant::now();
         self.leases.retain(|_, ends| *ends > now);
         let leases = &self.leases;
-        self.values.retain(|_, value| value.lease.is_none_or(|of| leases.contains_key(&of.0)));
+        self.values.retain(|_, value| value.lease.is_none_or(|of| leases.contains_key(&of.number)));
     }
 
     fn commit(&mut self, commit: Commit) -> Result<CommitOutcome, StoreError> {
         self.expire_leases();
-        if commit.lease.is_some_and(|lease| !self.leases.contains_key(&lease.0)) {
+        if commit.lease.is_some_and(|lease| !self.leases.contains_key(&lease.number)) {
             return Err(StoreError::LeaseEnded);
         }
         let current = self.values.get(&*commit.key).map(|stored| stored.item.revision);
@@ -73,7 +73,7 @@
             return Ok(CommitOutcome::Conflict);
         }
         self.revision += 1;
-        let revision = StoreRevision(self.revision);
+        let revision = test_support::first_era(self.revision);
         let item =
             KeyValue { key: commit.key.clone(), value: commit.value, revision, created: revision };
         self.values.insert(commit.key.to_string(), Stored { item, lease: commit.lease });
@@ -83,12 +83,12 @@
     fn grant(&mut self, ttl: Duration) -> LeaseId {
         self.revision += 1;
         self.leases.insert(self.revision, Instant::now() + ttl);
-        LeaseId(self.revision)
+        LeaseId { era: StoreEra(0), number: self.revision }
     }
 
     fn renew(&mut self, lease: LeaseId) -> Result<(), StoreError> {
         self.expire_leases();
-        let ends = self.leases.get_mut(&lease.0).ok_or(StoreError::LeaseEnded)?;
+        let ends = self.leases.get_mut(&lease.number).ok_or(StoreError::LeaseEnded)?;
         *ends = Instant::now() + LEASE;
         Ok(())
     }
@@ -175,7 +175,7 @@
         platform.expire_leases();
         let matching = platform.values.iter().filter(|(key, _)| key.starts_with(prefix));
         let items = matching.map(|(_, stored)| stored.item.clone()).collect();
-        Ok(Listing { items, revision: StoreRevision(platform.revision) })
+        Ok(Listing { items, revision: test_support::first_era(platform.revision) })
     }
 
     async fn watch(&self, _: &str, _: StoreRevision, _: Duration) -> Result<Changes, StoreError> {
@@ -196,7 +196,7 @@
 
     async fn revoke(&self, lease: LeaseId) -> Result<(), StoreError> {
         self.write(move |platform| {
-            platform.leases.remove(&lease.0);
+            platform.leases.remove(&lease.number);
             Ok(())
         })
         .await
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -54,6 +54,7 @@
 mod request_body;
 mod resend;
 mod response_cut;
+mod restore;
 mod retry_budget;
 mod rollout;
 mod rollout_counting;
@@ -122,8 +123,8 @@
 };
 pub use socket::{MAX_CONTROL_DELIVERY, discard_unacknowledged};
 pub use store::{
-    Changes, Commit, CommitOutcome, Freshness, KeyValue, LeaseId, Listing, Store, StoreError,
-    StoreEvent, StoreRevision,
+    Changes, Commit, CommitOutcome, Freshness, KeyValue, LeaseId, Listing, Store, StoreEra,
+    StoreError, StoreEvent, StoreRevision,
 };
 pub use table::{
     CallerLimits, EngineSpec, KeyedWorkspace, Priority, Quota, Route, RouteKind, RoutingTable,
--- a/components/gateway/src/members.rs
+++ b/components/gateway/src/members.rs
@@ -82,7 +82,7 @@
 async fn register(gateway: &Gateway, store: &dyn Store) -> Result<LeaseId, StoreError> {
     let key = format!("{}{}", members_prefix(), gateway.settings.node);
     let lease = store.grant(REGISTRATION_TTL).await?;
-    let mut expected = StoreRevision(0);
+    let mut expected = StoreRevision::ABSENT;
     loop {
         let value = format!("{} {}", gateway.settings.peers, gateway.settings.zone).into();
         let commit = Commit { key: key.as_str().into(), expected, value, lease: Some(lease) };
@@ -90,7 +90,7 @@
             CommitOutcome::Applied(_) => return Ok(lease),
             CommitOutcome::Conflict => {
                 let current = store.get(&key).await?;
-                expected = current.map_or(StoreRevision(0), |item| item.revision);
+                expected = current.map_or(StoreRevision::ABSENT, |item| item.revision);
             }
         }
     }
--- a/components/gateway/src/messages.rs
+++ b/components/gateway/src/messages.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    StoreEra, StoreRevision,
     departures::Departure,
     engine_load::{InFlight, PrefixHash},
     engine_speed::SpeedSamples,
@@ -19,6 +20,25 @@
     zone_usage::UsageSum,
 };
 
+/// Position in the store's history.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct RevisionWire {
+    era: u64,
+    number: u64,
+}
+
+impl From<StoreRevision> for RevisionWire {
+    fn from(revision: StoreRevision) -> RevisionWire {
+        RevisionWire { era: revision.era.0, number: revision.number }
+    }
+}
+
+impl From<RevisionWire> for StoreRevision {
+    fn from(wire: RevisionWire) -> StoreRevision {
+        StoreRevision::new(StoreEra(wire.era), wire.number)
+    }
+}
+
 /// Load that one node puts on one upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct UpstreamLoad {
--- a/components/gateway/src/rollout.rs
+++ b/components/gateway/src/rollout.rs
@@ -90,7 +90,8 @@
         revision: StoreRevision,
     ) -> Rollout {
         let order = RolloutOrder { service, to: status.to.clone(), duration: Duration::ZERO };
-        let order_revision = status.order.map_or(revision, StoreRevision);
+        let order_revision =
+            status.order.map_or(revision, |number| StoreRevision { number, ..revision });
         let mut rollout = Rollout::new(order, order_revision, Instant::now());
         rollout.apply_status(status, revision);
         rollout.withdraw();
@@ -118,7 +119,7 @@
     /// Returns whether a status in the store is that of this roll-out.
     pub(crate) fn owns(&self, status: &RolloutStatus, written: StoreRevision) -> bool {
         match status.order {
-            Some(order) => StoreRevision(order) == self.order,
+            Some(order) => order == self.order.number,
             None => status.to == self.to && written >= self.order,
         }
     }
@@ -314,18 +315,23 @@
             RolloutState::Running if self.is_completion_due => RolloutState::Completed,
             state => state,
         };
-        RolloutStatus { state, to: self.to.clone(), order: Some(self.order.0), ordered_at_ms: None }
+        RolloutStatus {
+            state,
+            to: self.to.clone(),
+            order: Some(self.order.number),
+            ordered_at_ms: None,
+        }
     }
 
     pub(crate) fn report(&self, service: &ServiceName, now: Instant) -> RolloutReport {
         let age_ms = millis(self.age(now));
-        RolloutReport::new(service.clone(), self.order.0, age_ms, self.phase, &self.counts)
+        RolloutReport::new(service.clone(), self.order, age_ms, self.phase, &self.counts)
     }
 
     pub(crate) fn notice(&self, service: &ServiceName, now: Instant) -> RolloutNotice {
         RolloutNotice {
             service: service.clone(),
-            order: self.order.0,
+            order: self.order.into(),
             age_ms: millis(self.age(now)),
             phase: self.phase,
             canary_share: self.canary_share,
--- a/components/gateway/src/rollout_leader.rs
+++ b/components/gateway/src/rollout_leader.rs
@@ -49,7 +49,7 @@
     /// Takes over the reports of a digest.
     fn record(&mut self, digest: &Digest) {
         for report in &digest.rollouts {
-            let order = StoreRevision(report.order);
+            let order = StoreRevision::from(report.order);
             let of_service = self
                 .0
                 .entry(report.service.clone())
@@ -259,7 +259,7 @@
     let of_peers = peers.live_digests(now).filter_map(|digest| {
         let mut reports = digest.rollouts.iter();
         let report = reports.find(|report| {
-            report.service == *service && StoreRevision(report.order) == rollout.order
+            report.service == *service && StoreRevision::from(report.order) == rollout.order
         })?;
         let is_told = report.phase >= RolloutPhase::Promoting;
         Some(report.in_flight_at_stable.max(u32::from(!is_told)))
--- a/components/gateway/src/rollout_placement.rs
+++ b/components/gateway/src/rollout_placement.rs
@@ -72,7 +72,7 @@
         _ if canary.is_empty() || !rollout.admit_to_canary() => Permitted::Any(stable),
         _ => {
             let share = rollout.canary_share();
-            let seed = rollout.order.0;
+            let seed = rollout.order.number;
             let count = loaded_canaries(stable.len(), canary.len(), share);
             Permitted::CanaryFirst { canary: first_by_hash(canary, count, seed), stable }
         }
--- a/components/gateway/src/rollout_placement/tests.rs
+++ b/components/gateway/src/rollout_placement/tests.rs
@@ -6,8 +6,8 @@
 
 use super::*;
 use crate::{
-    ClusterClock, EngineSpeed, Priority, RolloutOrder, ServiceSpec, StoreRevision, SystemBootClock,
-    UpstreamEntry, test_support,
+    ClusterClock, EngineSpeed, Priority, RolloutOrder, ServiceSpec, SystemBootClock, UpstreamEntry,
+    test_support,
 };
 
 struct Bed {
@@ -24,7 +24,7 @@
         for id in upstreams {
             let version = id.split('-').next().map(Into::into);
             let entry = test_support::engine_entry(id, "zone-a");
-            gateway.directory.put(UpstreamEntry { version, ..entry }, StoreRevision(1));
+            gateway.directory.put(UpstreamEntry { version, ..entry }, test_support::first_era(1));
         }
         let name = "svc".parse().unwrap();
         let service = ServiceSpec { name, connection_limit: 100, engine: None, scaling: None };
@@ -37,7 +37,11 @@
             to: "v2".into(),
             duration: Duration::from_secs(60),
         };
-        self.gateway.rollouts.borrow_mut().apply_order(order, StoreRevision(5), Instant::now());
+        self.gateway.rollouts.borrow_mut().apply_order(
+            order,
+            test_support::first_era(5),
+            Instant::now(),
+        );
     }
 
     fn follow(&self, phase: RolloutPhase, share: f64) {
--- a/components/gateway/src/rollout_report.rs
+++ b/components/gateway/src/rollout_report.rs
@@ -6,6 +6,8 @@
 use lycheelatch_prelude::ServiceName;
 use serde::{Deserialize, Serialize};
 
+use crate::{StoreRevision, messages::RevisionWire};
+
 /// Maximum number of roll-outs in one digest.
 pub(crate) const MAX_REPORTS: usize = 32;
 
@@ -20,7 +22,7 @@
 pub(crate) struct RolloutReport {
     pub(crate) service: ServiceName,
     /// Revision of the order.
-    pub(crate) order: u64,
+    pub(crate) order: RevisionWire,
     /// Time since the order, as far as the node knows, in milliseconds.
     pub(crate) age_ms: u64,
     /// Phase that the node is in.
@@ -37,7 +39,7 @@
 pub(crate) struct RolloutNotice {
     pub(crate) service: ServiceName,
     /// Revision of the order.
-    pub(crate) order: u64,
+    pub(crate) order: RevisionWire,
     /// Time since the order, in milliseconds.
     pub(crate) age_ms: u64,
     pub(crate) phase: RolloutPhase,
@@ -63,7 +65,7 @@
     /// Creates the report of a node.
     pub(crate) fn new(
         service: ServiceName,
-        order: u64,
+        order: StoreRevision,
         age_ms: u64,
         phase: RolloutPhase,
         counts: &RolloutCounts,
@@ -71,7 +73,7 @@
         let routes = bounded(&counts.routes);
         RolloutReport {
             service,
-            order,
+            order: order.into(),
             age_ms,
             phase,
             in_flight_at_stable: 0,
--- a/components/gateway/src/rollout_status.rs
+++ b/components/gateway/src/rollout_status.rs
@@ -92,7 +92,7 @@
     wanted: &RolloutStatus,
 ) -> Result<StatusWrite, StoreError> {
     let current = store.get(key).await?;
-    let expected = current.as_ref().map_or(StoreRevision(0), |item| item.revision);
+    let expected = current.as_ref().map_or(StoreRevision::ABSENT, |item| item.revision);
     let status = current.and_then(|item| layout.parse_rollout_status(&item.value).ok());
     if let Some(status) = status {
         if status.order > wanted.order {
--- a/components/gateway/src/rollout_status/tests.rs
+++ b/components/gateway/src/rollout_status/tests.rs
@@ -9,7 +9,8 @@
 use super::*;
 use crate::{
     Changes, Freshness, KeyValue, LeaseId, Listing, RolloutOrder, RolloutState, TableSource,
-    UpstreamEntry, test_support,
+    UpstreamEntry,
+    test_support::{self, first_era},
 };
 
 const KEY: &str = "status/svc";
@@ -36,7 +37,7 @@
 
     fn put(&self, value: Bytes) -> StoreRevision {
         let revision = self.revision();
-        let revision = StoreRevision(revision.0 + 1);
+        let revision = first_era(revision.number + 1);
         let item = KeyValue { key: KEY.into(), value, revision, created: revision };
         self.item.replace(Some(item));
         self.writes.set(self.writes.get() + 1);
@@ -44,7 +45,7 @@
     }
 
     fn revision(&self) -> StoreRevision {
-        self.item.borrow().as_ref().map_or(StoreRevision(0), |item| item.revision)
+        self.item.borrow().as_ref().map_or(StoreRevision::ABSENT, |item| item.revision)
     }
 
     fn status(&self) -> RolloutStatus {
@@ -165,7 +166,7 @@
     let rolled_back = wanted(RolloutState::RolledBack, 5);
     assert!(write(&store, &rolled_back).await.is_err());
     let found = write(&store, &rolled_back).await.unwrap();
-    assert_eq!(found, StatusWrite::Holds(rolled_back, StoreRevision(1)));
+    assert_eq!(found, StatusWrite::Holds(rolled_back, first_era(1)));
     assert_eq!(store.writes.get(), 1);
 }
 
@@ -177,7 +178,7 @@
             // The first write conflicts with that of another leader.
             let _conflict = write(&store, &wanted(state, 5)).await.unwrap();
             let found = write(&store, &wanted(state, 5)).await.unwrap();
-            assert_eq!(found, StatusWrite::Holds(wanted(end, 5), StoreRevision(1)));
+            assert_eq!(found, StatusWrite::Holds(wanted(end, 5), first_era(1)));
         }
         assert_eq!(store.status(), wanted(end, 5));
     }
--- a/components/gateway/src/rollouts.rs
+++ b/components/gateway/src/rollouts.rs
@@ -91,7 +91,7 @@
             service: &order.service,
             to: &order.to,
             duration_ms: millis(order.duration),
-            order: revision.0,
+            at: revision.into(),
         });
         let service = order.service.clone();
         let mut rollout = Rollout::new(order, revision, ordered_at);
@@ -204,7 +204,7 @@
 
     /// Applies a step of the leader.
     pub(crate) fn apply_notice(&mut self, notice: &RolloutNotice, now: Instant) {
-        let order = StoreRevision(notice.order);
+        let order = StoreRevision::from(notice.order);
         let rollout = self.services.get_mut(&notice.service);
         if let Some(rollout) = rollout.filter(|rollout| rollout.order == order) {
             rollout.hear_age(Duration::from_millis(notice.age_ms), now);
@@ -232,7 +232,7 @@
 
     /// Takes note of how long ago another node saw an order.
     pub(crate) fn hear_age(&mut self, report: &RolloutReport, now: Instant) {
-        let order = StoreRevision(report.order);
+        let order = StoreRevision::from(report.order);
         let rollout = self.services.get_mut(&report.service);
         if let Some(rollout) = rollout.filter(|rollout| rollout.order == order) {
             rollout.hear_age(Duration::from_millis(report.age_ms), now);
--- a/components/gateway/src/rollouts/tests.rs
+++ b/components/gateway/src/rollouts/tests.rs
@@ -3,6 +3,7 @@
 use lycheelatch_policy::{LatencyClass, RolloutStep, decide_rollout};
 
 use super::*;
+use crate::test_support::first_era;
 
 const DURATION: Duration = Duration::from_secs(60);
 
@@ -24,7 +25,13 @@
 }
 
 fn notice(order: u64, phase: RolloutPhase, canary_share: f64) -> RolloutNotice {
-    RolloutNotice { service: service(), order, age_ms: 0, phase, canary_share }
+    RolloutNotice {
+        service: service(),
+        order: first_era(order).into(),
+        age_ms: 0,
+        phase,
+        canary_share,
+    }
 }
 
 fn phase(rollouts: &Rollouts) -> RolloutPhase {
@@ -42,7 +49,7 @@
 #[tokio::test]
 async fn apply_order_gives_canary_nothing_until_leader_is_heard() {
     let mut rollouts = rollouts();
-    rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
+    rollouts.apply_order(order("v2"), first_era(5), Instant::now());
     assert_eq!((phase(&rollouts), share(&rollouts)), (RolloutPhase::Canary, 0.0));
     rollouts.apply_notice(&notice(5, RolloutPhase::Canary, 0.05), Instant::now());
     assert_eq!(share(&rollouts), 0.05);
@@ -53,28 +60,28 @@
 #[tokio::test]
 async fn apply_order_without_bounds_does_nothing() {
     let mut rollouts = Rollouts::new(None);
-    rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
-    rollouts.apply_status(&service(), status(RolloutState::Running, "v2", 5), StoreRevision(6));
+    rollouts.apply_order(order("v2"), first_era(5), Instant::now());
+    rollouts.apply_status(&service(), status(RolloutState::Running, "v2", 5), first_era(6));
     assert!(rollouts.is_empty());
 }
 
 #[tokio::test]
 async fn apply_order_older_one_never_replaces_newer() {
     let mut rollouts = rollouts();
-    rollouts.apply_order(order("v3"), StoreRevision(9), Instant::now());
-    rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
+    rollouts.apply_order(order("v3"), first_era(9), Instant::now());
+    rollouts.apply_order(order("v2"), first_era(5), Instant::now());
     assert_eq!(&*rollouts.get(&service()).unwrap().to, "v3");
 }
 
 #[tokio::test]
 async fn apply_order_second_one_starts_anew() {
     let mut rollouts = rollouts();
-    rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
+    rollouts.apply_order(order("v2"), first_era(5), Instant::now());
     let rolled_back = status(RolloutState::RolledBack, "v2", 5);
-    rollouts.apply_status(&service(), rolled_back, StoreRevision(7));
+    rollouts.apply_status(&service(), rolled_back, first_era(7));
     assert_eq!(phase(&rollouts), RolloutPhase::RolledBack);
     // The same version again: the status of the first order does not end the second one.
-    rollouts.apply_order(order("v2"), StoreRevision(9), Instant::now());
+    rollouts.apply_order(order("v2"), first_era(9), Instant::now());
     assert_eq!(phase(&rollouts), RolloutPhase::Canary);
     let wanted = rollouts.status_to_write(&service()).unwrap();
     assert_eq!((wanted.state, wanted.order), (RolloutState::Running, Some(9)));
@@ -87,13 +94,13 @@
         (RolloutState::RolledBack, RolloutPhase::RolledBack),
     ] {
         let mut rollouts = rollouts();
-        rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
-        rollouts.apply_status(&service(), status(state, "v2", 5), StoreRevision(6));
+        rollouts.apply_order(order("v2"), first_era(5), Instant::now());
+        rollouts.apply_status(&service(), status(state, "v2", 5), first_era(6));
         for step in [RolloutPhase::Canary, RolloutPhase::Promoting, RolloutPhase::RolledBack] {
             rollouts.apply_notice(&notice(5, step, 1.0), Instant::now());
             assert_eq!(phase(&rollouts), end);
         }
-        rollouts.withdraw_order(&service(), StoreRevision(8));
+        rollouts.withdraw_order(&service(), first_era(8));
         assert_eq!(phase(&rollouts), end, "withdrawn afterwards");
         assert_eq!(rollouts.status_to_write(&service()), None);
     }
@@ -102,9 +109,9 @@
 #[tokio::test]
 async fn end_in_store_overrides_step_of_replaced_leader() {
     let mut rollouts = rollouts();
-    rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
+    rollouts.apply_order(order("v2"), first_era(5), Instant::now());
     rollouts.apply_notice(&notice(5, RolloutPhase::RolledBack, 0.0), Instant::now());
-    rollouts.apply_status(&service(), status(RolloutState::Completed, "v2", 5), StoreRevision(6));
+    rollouts.apply_status(&service(), status(RolloutState::Completed, "v2", 5), first_era(6));
     assert_eq!(phase(&rollouts), RolloutPhase::Completed);
 }
 
@@ -112,7 +119,7 @@
 async fn end_is_known_after_restart_from_status_alone() {
     let mut rollouts = rollouts();
     let rolled_back = status(RolloutState::RolledBack, "v2", 5);
-    rollouts.apply_status(&service(), rolled_back, StoreRevision(6));
+    rollouts.apply_status(&service(), rolled_back, first_era(6));
     assert!(rollouts.bars(&service(), Some(&version("v2"))));
     assert!(!rollouts.bars(&service(), Some(&version("v1"))));
     assert!(!rollouts.bars(&service(), None));
@@ -121,8 +128,8 @@
 #[tokio::test]
 async fn running_status_before_its_order_does_not_end_it() {
     let mut rollouts = rollouts();
-    rollouts.apply_status(&service(), status(RolloutState::Running, "v2", 5), StoreRevision(6));
-    rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
+    rollouts.apply_status(&service(), status(RolloutState::Running, "v2", 5), first_era(6));
+    rollouts.apply_order(order("v2"), first_era(5), Instant::now());
     assert_eq!(phase(&rollouts), RolloutPhase::Canary);
     assert_eq!(rollouts.get(&service()).unwrap().duration, DURATION);
     assert_eq!(rollouts.status_to_write(&service()), None);
@@ -131,11 +138,11 @@
 #[tokio::test]
 async fn withdraw_order_rolls_back() {
     let mut rollouts = rollouts();
-    rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
-    rollouts.apply_status(&service(), status(RolloutState::Running, "v2", 5), StoreRevision(6));
-    rollouts.withdraw_order(&service(), StoreRevision(4));
+    rollouts.apply_order(order("v2"), first_era(5), Instant::now());
+    rollouts.apply_status(&service(), status(RolloutState::Running, "v2", 5), first_era(6));
+    rollouts.withdraw_order(&service(), first_era(4));
     assert_eq!(phase(&rollouts), RolloutPhase::Canary, "by an older revision");
-    rollouts.withdraw_order(&service(), StoreRevision(7));
+    rollouts.withdraw_order(&service(), first_era(7));
     assert_eq!(phase(&rollouts), RolloutPhase::RolledBack);
     let wanted = rollouts.status_to_write(&service()).unwrap();
     assert_eq!(wanted.state, RolloutState::RolledBack);
@@ -146,7 +153,7 @@
     tokio::time::pause();
     tokio::time::advance(DURATION).await;
     let mut rollouts = rollouts();
-    rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
+    rollouts.apply_order(order("v2"), first_era(5), Instant::now());
     let old = RolloutNotice { age_ms: 20_000, ..notice(5, RolloutPhase::Canary, 0.05) };
     rollouts.apply_notice(&old, Instant::now());
     let age = rollouts.get(&service()).unwrap().age(Instant::now());
@@ -158,10 +165,10 @@
     tokio::time::pause();
     tokio::time::advance(DURATION).await;
     let mut rollouts = rollouts();
-    rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
+    rollouts.apply_order(order("v2"), first_era(5), Instant::now());
     let running =
         RolloutStatus { ordered_at_ms: Some(1_000_000), ..status(RolloutState::Running, "v2", 5) };
-    rollouts.apply_status(&service(), running, StoreRevision(6));
+    rollouts.apply_status(&service(), running, first_era(6));
     assert_eq!(rollouts.ordered_at_ms(&service()), Some(1_000_000));
     let age = |rollouts: &Rollouts| rollouts.get(&service()).unwrap().age(Instant::now());
     rollouts.hear_status_age(&service(), 2 * DURATION, Instant::now());
@@ -174,7 +181,7 @@
 async fn frozen_leader_leaves_share_as_it_is() {
     tokio::time::pause();
     let mut rollouts = rollouts();
-    rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
+    rollouts.apply_order(order("v2"), first_era(5), Instant::now());
     rollouts.apply_notice(&notice(5, RolloutPhase::Canary, 0.05), Instant::now());
     tokio::time::advance(2 * DURATION).await;
     assert_eq!((phase(&rollouts), share(&rollouts)), (RolloutPhase::Canary, 0.05));
@@ -197,7 +204,7 @@
 #[tokio::test]
 async fn node_without_leader_stops_sending_to_bad_canary() {
     let mut rollouts = rollouts();
-    rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
+    rollouts.apply_order(order("v2"), first_era(5), Instant::now());
     rollouts.apply_notice(&notice(5, RolloutPhase::Canary, 0.05), Instant::now());
     count(&mut rollouts, "v1", 1000, 0);
     count(&mut rollouts, "v2", 50, 4);
@@ -212,7 +219,7 @@
 async fn reports_of_halves_add_up() {
     let (mut one, mut other) = (rollouts(), rollouts());
     for half in [&mut one, &mut other] {
-        half.apply_order(order("v2"), StoreRevision(5), Instant::now());
+        half.apply_order(order("v2"), first_era(5), Instant::now());
         count(half, "v1", 100, 0);
         count(half, "v2", 10, 4);
     }
@@ -232,9 +239,9 @@
 async fn reports_hold_only_roll_outs_under_way() {
     let mut rollouts = rollouts();
     assert!(rollouts.reports(Instant::now()).is_empty());
-    rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
+    rollouts.apply_order(order("v2"), first_era(5), Instant::now());
     assert_eq!(rollouts.reports(Instant::now()).len(), 1);
-    rollouts.apply_status(&service(), status(RolloutState::Completed, "v2", 5), StoreRevision(6));
+    rollouts.apply_status(&service(), status(RolloutState::Completed, "v2", 5), first_era(6));
     assert!(rollouts.reports(Instant::now()).is_empty());
 }
 
@@ -242,7 +249,7 @@
 async fn streams_leave_old_version_late_in_promotion() {
     tokio::time::pause();
     let mut rollouts = rollouts();
-    rollouts.apply_order(order("v2"), StoreRevision(5), Instant::now());
+    rollouts.apply_order(order("v2"), first_era(5), Instant::now());
     tokio::time::advance(Duration::from_secs(54)).await;
     let rollout = rollouts.get_mut(&service()).unwrap();
     rollout.promote(Instant::now());
--- a/components/gateway/src/store.rs
+++ b/components/gateway/src/store.rs
@@ -1,18 +1,57 @@
 //! Interface to the platform's key-value store.
 
-use std::{sync::Arc, time::Duration};
+use std::{fmt, sync::Arc, time::Duration};
 
 use async_trait::async_trait;
 use bytes::Bytes;
 use displaydoc::Display;
 
-/// Revision of the store, which increases with each change.
+/// How often the store came back from an older copy of itself.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct StoreRevision(pub u64);
+pub struct StoreEra(pub u64);
 
-/// Identifier of a lease in the store.
+/// Position in the store's history.
+///
+/// The number increases with each change. When the store comes back from a copy, numbers go back
+/// and are given out again, so that only the era tells the two histories apart. All revisions of a
+/// later era come after those of an earlier one.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StoreRevision {
+    /// Era in which the store gave out the number, or a later one in which it was read.
+    pub era: StoreEra,
+    /// Number of the change; 0 before the first one.
+    pub number: u64,
+}
+
+impl StoreRevision {
+    /// Revision of a key that does not exist.
+    pub const ABSENT: StoreRevision = StoreRevision { era: StoreEra(0), number: 0 };
+
+    /// Creates a revision.
+    pub const fn new(era: StoreEra, number: u64) -> StoreRevision {
+        StoreRevision { era, number }
+    }
+
+    /// Returns the revision before this one in the same era.
+    pub(crate) fn before(self) -> StoreRevision {
+        StoreRevision { number: self.number.saturating_sub(1), ..self }
+    }
+}
+
+impl fmt::Display for StoreRevision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era.0, self.number)
+    }
+}
+
+/// Identifier of a lease in the store, which another lease may have in a later era.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct LeaseId(pub u64);
+pub struct LeaseId {
+    /// Era in which the lease was granted.
+    pub era: StoreEra,
+    /// Number of the lease.
+    pub number: u64,
+}
 
 /// A key with its value.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -64,7 +103,7 @@
 pub struct Commit {
     /// The key.
     pub key: Arc<str>,
-    /// Expected current revision; 0 if the key must not exist.
+    /// Expected current revision; [`StoreRevision::ABSENT`] if the key must not exist.
     pub expected: StoreRevision,
     /// The new value.
     pub value: Bytes,
@@ -90,6 +129,8 @@
     NoAnswer(Arc<str>),
     /// the history after this revision is dropped
     Compacted,
+    /// the store came back from a copy, so that what was read before does not apply
+    Restored,
     /// the lease has ended
     LeaseEnded,
     /// the store answered with something that can't be read: {0}
@@ -117,7 +158,8 @@
     async fn list(&self, prefix: &str, freshness: Freshness) -> Result<Listing, StoreError>;
 
     /// Waits at most `wait` for changes below a prefix after a revision; fails with
-    /// [`StoreError::Compacted`] if the history after it is not kept any more.
+    /// [`StoreError::Compacted`] if the history after it is not kept any more, and with
+    /// [`StoreError::Restored`] if the revision is of an earlier era.
     async fn watch(
         &self,
         prefix: &str,
@@ -125,13 +167,15 @@
         wait: Duration,
     ) -> Result<Changes, StoreError>;
 
-    /// Writes a key, if its revision is the expected one.
+    /// Writes a key, if its revision is the expected one; fails with [`StoreError::Restored`] if a
+    /// write took effect in a later era than that of the expected revision or the lease.
     async fn commit(&self, commit: Commit) -> Result<CommitOutcome, StoreError>;
 
     /// Grants a lease that ends `ttl` after the store received its last renewal.
     async fn grant(&self, ttl: Duration) -> Result<LeaseId, StoreError>;
 
-    /// Renews a lease; fails with [`StoreError::LeaseEnded`] if it has ended.
+    /// Renews a lease; fails with [`StoreError::LeaseEnded`] if it has ended or was granted in an
+    /// earlier era.
     async fn renew(&self, lease: LeaseId) -> Result<(), StoreError>;
 
     /// Revokes a lease and deletes its keys.
--- a/components/gateway/src/store_watch.rs
+++ b/components/gateway/src/store_watch.rs
@@ -30,6 +30,9 @@
     let mut backoff = BACKOFF.0;
     loop {
         wait_while_following(&view).await;
+        if view.take_settled() {
+            after = None;
+        }
         let sent = Instant::now();
         match update(&view, after, sent).await {
             Ok(revision) => {
@@ -37,7 +40,7 @@
                 backoff = BACKOFF.0;
                 sleep(view.read_interval()).await;
             }
-            Err(StoreError::Compacted) => after = None,
+            Err(StoreError::Compacted | StoreError::Restored) => after = None,
             Err(err) => {
                 view.record_failure(&err, sent);
                 let is_unreadable = matches!(err, StoreError::BadAnswer(_));
@@ -77,6 +80,7 @@
 
 async fn read_all(view: &StoreView, sent: Instant) -> Result<StoreRevision, StoreError> {
     let operators = view.store.list(view.layout.operator_prefix(), Freshness::Linearizable).await?;
+    view.note_era(operators.revision);
     let mut orders = Vec::new();
     for item in operators.items {
         if &*item.key == view.layout.config_key() {
@@ -89,7 +93,7 @@
     read_statuses(view).await?;
     let upstreams = view.store.list(view.layout.upstream_prefix(), Freshness::Linearizable).await?;
     view.record_success(sent);
-    view.apply_listing(upstreams.items, upstreams.revision);
+    view.apply_store_listing(upstreams.items, upstreams.revision);
     Ok(operators.revision.min(upstreams.revision))
 }
 
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -18,6 +18,7 @@
 use crate::{
     Gateway, KeyValue, Store, StoreError, StoreLayout, StoreRevision,
     decision::{NodeEvent, log_event, millis},
+    restore::Restore,
     tombstones::{Tombstone, Tombstones},
 };
 
@@ -114,6 +115,10 @@
     recovered_at: Cell<Option<Instant>>,
     /// First revision that was read after the recovery; later deletions are not due to the outage.
     revision_at_recovery: Cell<Option<StoreRevision>>,
+    /// The last time that the store came back from a copy, until its entries have settled.
+    pub(crate) restore: Cell<Option<Restore>>,
+    /// Revision of the last configuration that was refused.
+    pub(crate) rejected_config: Cell<Option<StoreRevision>>,
 }
 
 impl StoreView {
@@ -141,6 +146,8 @@
             rejected: RefCell::default(),
             recovered_at: Cell::default(),
             revision_at_recovery: Cell::default(),
+            restore: Cell::default(),
+            rejected_config: Cell::default(),
         }
     }
 
@@ -207,12 +214,17 @@
     pub(crate) fn record_success(&self, sent: Instant) {
         let now = Instant::now();
         if self.calls.record_success(sent).is_some_and(|outage| outage > MIN_OUTAGE) {
-            self.recovered_at.set(Some(now));
-            self.revision_at_recovery.set(None);
+            self.await_registrations(now);
         }
         self.last_success.set(Some(now));
     }
 
+    /// Lets upstreams that are missing register again within the grace period.
+    pub(crate) fn await_registrations(&self, now: Instant) {
+        self.recovered_at.set(Some(now));
+        self.revision_at_recovery.set(None);
+    }
+
     /// Records the failure of a call sent at `sent`.
     pub(crate) fn record_failure(&self, err: &StoreError, sent: Instant) {
         self.calls.record_failure(err, sent);
@@ -280,7 +292,7 @@
         self.gateway.departures.borrow_mut().record(id, revision, Instant::now());
     }
 
-    fn upstream_id(&self, key: &str) -> Option<UpstreamId> {
+    pub(crate) fn upstream_id(&self, key: &str) -> Option<UpstreamId> {
         let id = key.strip_prefix(self.layout.upstream_prefix())?;
         id.parse().map_err(|err| log::warn!("directory: invalid upstream identifier: {err}")).ok()
     }
--- a/components/gateway/src/test_support.rs
+++ b/components/gateway/src/test_support.rs
@@ -9,7 +9,8 @@
 
 use crate::{
     ClusterClock, Dialect, ForwardParams, Gateway, GatewayMetrics, RequestInfo, ResponseInfo,
-    RolloutOrder, RolloutState, RolloutStatus, UpstreamEntry, messages::Digest,
+    RolloutOrder, RolloutState, RolloutStatus, StoreEra, StoreRevision, UpstreamEntry,
+    messages::Digest,
 };
 
 /// Dialect for tests that process no requests.
@@ -37,6 +38,11 @@
     }
 }
 
+/// Returns a revision of a store that never came back from a copy.
+pub(crate) fn first_era(number: u64) -> StoreRevision {
+    StoreRevision::new(StoreEra(0), number)
+}
+
 /// Returns a gateway whose node has a number.
 pub(crate) fn gateway(node: usize, time: ClusterClock) -> Gateway {
     let metrics = GatewayMetrics::new(&prometheus::Registry::new()).unwrap();
--- a/components/gateway/src/upstream_speeds/tests.rs
+++ b/components/gateway/src/upstream_speeds/tests.rs
@@ -3,14 +3,14 @@
 use std::rc::Rc;
 
 use super::*;
-use crate::{ClusterClock, StoreRevision, SystemBootClock, test_support};
+use crate::{ClusterClock, SystemBootClock, test_support};
 
 const USUAL: Duration = Duration::from_millis(100);
 
 /// Returns a node that knows one upstream.
 fn node(number: usize) -> (Gateway, Rc<Upstream>) {
     let gateway = test_support::gateway(number, ClusterClock::new(Rc::new(SystemBootClock)));
-    gateway.directory.put(test_support::engine_entry("r-1", "zone-a"), StoreRevision(1));
+    gateway.directory.put(test_support::engine_entry("r-1", "zone-a"), test_support::first_era(1));
     let upstream = gateway.directory.get(&"r-1".parse().unwrap()).unwrap();
     (gateway, upstream)
 }
--- a/components/gateway/src/view_exchange.rs
+++ b/components/gateway/src/view_exchange.rs
@@ -19,6 +19,7 @@
     config_view::EntrySource,
     connection::Connection,
     decision::{NodeEvent, log_event},
+    messages::RevisionWire,
     peer_http::{FETCH_TIMEOUT, FetchError, connect, encoded, get},
     server::empty,
     sync::{CachedEntry, LocalChange, StoreView},
@@ -61,13 +62,13 @@
 struct ValueWire {
     key: String,
     value: Vec<u8>,
-    revision: u64,
+    revision: RevisionWire,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
 struct TombstoneWire {
     key: String,
-    revision: u64,
+    revision: RevisionWire,
 }
 
 /// A node's view of the store, or its changes.
@@ -80,7 +81,7 @@
     is_complete: bool,
     /// Time since the last response of the store, in milliseconds.
     age_ms: u64,
-    revision: u64,
+    revision: RevisionWire,
     config: Option<ValueWire>,
     upstreams: Vec<ValueWire>,
     tombstones: Vec<TombstoneWire>,
@@ -118,13 +119,17 @@
 
 impl From<ValueWire> for KeyValue {
     fn from(wire: ValueWire) -> KeyValue {
-        let revision = StoreRevision(wire.revision);
+        let revision = wire.revision.into();
         KeyValue { key: wire.key.into(), value: wire.value.into(), revision, created: revision }
     }
 }
 
 fn value_wire(key: &str, cached: &CachedEntry) -> ValueWire {
-    ValueWire { key: key.to_owned(), value: cached.value.to_vec(), revision: cached.revision.0 }
+    ValueWire {
+        key: key.to_owned(),
+        value: cached.value.to_vec(),
+        revision: cached.revision.into(),
+    }
 }
 
 /// Returns the changes of a view after a cursor, or the complete view if they are not available.
@@ -136,14 +141,14 @@
     let upstreams = view.upstreams.borrow();
     let tombstone_wire = |(key, tombstone): (&str, Tombstone)| TombstoneWire {
         key: key.to_owned(),
-        revision: tombstone.revision.0,
+        revision: tombstone.revision.into(),
     };
     ViewWire {
         incarnation: view.incarnation,
         change: view.last_change().0,
         is_complete,
         age_ms: u64::try_from(view.age().as_millis()).unwrap_or(u64::MAX),
-        revision: view.revision.get().0,
+        revision: view.revision.get().into(),
         config: view
             .config
             .borrow()
@@ -340,12 +345,14 @@
 
 fn apply_view(view: &StoreView, wire: ViewWire, source: EntrySource) {
     if let Some(config) = wire.config {
-        view.apply_config(config.value.into(), StoreRevision(config.revision), source);
+        view.apply_config(config.value.into(), config.revision.into(), source);
     }
     let is_fresh = Duration::from_millis(wire.age_ms) <= view.max_age();
-    let revision = StoreRevision(wire.revision);
+    let revision = StoreRevision::from(wire.revision);
+    view.note_era(revision);
     let rollouts = wire.rollouts.into_iter().map(KeyValue::from);
-    if wire.is_complete && is_fresh && revision >= view.revision.get() {
+    let is_ahead = is_fresh && revision >= view.revision.get();
+    if wire.is_complete && is_ahead {
         view.apply_rollout_listing(ALL_KEYS, rollouts.collect(), revision);
         view.apply_listing(wire.upstreams.into_iter().map(KeyValue::from).collect(), revision);
         return;
@@ -354,12 +361,12 @@
         view.apply_rollout(&item.key, item.value, item.revision);
     }
     let items = wire.upstreams.into_iter().map(KeyValue::from);
-    for item in items.filter(|item| view.is_current(&item.key, item.revision)) {
+    for item in items.filter(|item| is_ahead || view.is_current(&item.key, item.revision)) {
         view.apply_upstream(&item.key, item.value, item.revision);
     }
     for tombstone in wire.tombstones {
         let key: Arc<str> = tombstone.key.into();
-        let revision = StoreRevision(tombstone.revision);
+        let revision = tombstone.revision.into();
         match view.is_rollout_key(&key) {
             true => view.remove_rollout(&key, revision),
             false => view.remove_upstream(&key, revision),
--- a/components/gateway/src/view_exchange/tests.rs
+++ b/components/gateway/src/view_exchange/tests.rs
@@ -9,8 +9,9 @@
 use super::*;
 use crate::{
     Changes, ClusterClock, Commit, CommitOutcome, Freshness, LeaseId, Listing, RolloutOrder,
-    RolloutStatus, Store, StoreError, StoreLayout, SystemBootClock, TableSource, UpstreamEntry,
-    test_support,
+    RolloutStatus, Store, StoreEra, StoreError, StoreLayout, SystemBootClock, TableSource,
+    UpstreamEntry,
+    test_support::{self, first_era},
 };
 
 /// The node whose views are applied.
@@ -126,14 +127,14 @@
     let value = |(key, revision): &(&str, u64)| ValueWire {
         key: (*key).to_owned(),
         value: b"80".to_vec(),
-        revision: *revision,
+        revision: first_era(*revision).into(),
     };
     ViewWire {
         incarnation: 1,
         change: revision,
         is_complete: true,
         age_ms: 0,
-        revision,
+        revision: first_era(revision).into(),
         config: None,
         upstreams: upstreams.iter().map(value).collect(),
         tombstones: Vec::new(),
@@ -149,7 +150,7 @@
 fn apply_view_older_one_restores_no_removed_upstream() {
     let view = view();
     apply_view(&view, complete_view(10, &[("up/a", 5), ("up/b", 6)]), SOURCE);
-    view.remove_upstream(&"up/a".into(), StoreRevision(12));
+    view.remove_upstream(&"up/a".into(), first_era(12));
     // A delayed response of another node still contains the removed upstream.
     apply_view(&view, complete_view(9, &[("up/a", 5), ("up/b", 6)]), SOURCE);
     assert_eq!(upstream_ids(&view), ["b"]);
@@ -167,7 +168,7 @@
 fn apply_view_accepts_an_upstream_registered_again() {
     let view = view();
     apply_view(&view, complete_view(10, &[("up/a", 5)]), SOURCE);
-    view.remove_upstream(&"up/a".into(), StoreRevision(12));
+    view.remove_upstream(&"up/a".into(), first_era(12));
     apply_view(&view, complete_view(14, &[("up/a", 13)]), SOURCE);
     assert_eq!(upstream_ids(&view), ["a"]);
 }
@@ -183,6 +184,37 @@
     assert_eq!(upstream_ids(&view), ["a", "c"]);
 }
 
+/// Returns the complete view of a node that read the store after it came back from a copy.
+fn restored_view(revision: u64, upstreams: &[(&str, u64)]) -> ViewWire {
+    let second_era = |number| StoreRevision::new(StoreEra(1), number).into();
+    let mut wire = complete_view(revision, upstreams);
+    wire.revision = second_era(revision);
+    for (value, (_, number)) in wire.upstreams.iter_mut().zip(upstreams) {
+        value.revision = second_era(*number);
+    }
+    wire
+}
+
+#[test]
+fn apply_view_later_era_goes_before_higher_revisions() {
+    let view = view();
+    apply_view(&view, complete_view(100, &[("up/a", 90)]), SOURCE);
+    apply_view(&view, restored_view(60, &[("up/a", 50), ("up/b", 55)]), SOURCE);
+    assert_eq!(upstream_ids(&view), ["a", "b"]);
+    view.remove_upstream(&"up/a".into(), StoreRevision::new(StoreEra(1), 61));
+    assert_eq!(upstream_ids(&view), ["b"]);
+}
+
+#[test]
+fn apply_view_earlier_era_changes_nothing_later() {
+    let view = view();
+    apply_view(&view, restored_view(60, &[("up/a", 50)]), SOURCE);
+    view.remove_upstream(&"up/a".into(), StoreRevision::new(StoreEra(1), 61));
+    // A node that has not heard of the restore still answers with higher revisions.
+    apply_view(&view, complete_view(100, &[("up/a", 90), ("up/c", 95)]), SOURCE);
+    assert!(upstream_ids(&view).is_empty(), "{:?}", upstream_ids(&view));
+}
+
 /// Returns a view of a gateway that acts upon roll-outs.
 fn view_with_rollouts() -> StoreView {
     let clock = ClusterClock::new(Rc::new(SystemBootClock));
@@ -201,7 +233,7 @@
 }
 
 fn put_order(view: &StoreView, value: &'static str, revision: u64) {
-    view.apply_rollout(&"op/rollout/svc".into(), value.into(), StoreRevision(revision));
+    view.apply_rollout(&"op/rollout/svc".into(), value.into(), first_era(revision));
 }
 
 #[tokio::test]
@@ -211,7 +243,7 @@
     apply_view(&follower, view_wire(&reader, Cursor::default()), SOURCE);
     assert_eq!(ordered_version(&follower).as_deref(), Some("v2"));
     let seen = Cursor { incarnation: reader.incarnation, change: reader.last_change() };
-    reader.remove_rollout(&"op/rollout/svc".into(), StoreRevision(7));
+    reader.remove_rollout(&"op/rollout/svc".into(), first_era(7));
     apply_view(&follower, view_wire(&reader, seen), SOURCE);
     assert!(!is_running(&follower), "withdrawn");
 }
@@ -221,10 +253,10 @@
     let (old, new) = (view_with_rollouts(), view_with_rollouts());
     put_order(&old, "v2 60", 5);
     put_order(&new, "v3 60", 8);
-    new.advance_revision(StoreRevision(8));
+    new.advance_revision(first_era(8));
     apply_view(&new, view_wire(&old, Cursor::default()), SOURCE);
     assert_eq!(ordered_version(&new).as_deref(), Some("v3"));
-    new.remove_rollout(&"op/rollout/svc".into(), StoreRevision(9));
+    new.remove_rollout(&"op/rollout/svc".into(), first_era(9));
     apply_view(&new, view_wire(&old, Cursor::default()), SOURCE);
     assert!(!is_running(&new), "an older view brings no withdrawn order back");
 }
@@ -233,9 +265,9 @@
 async fn rollout_entry_that_cannot_be_read_leaves_others_alone() {
     let view = view_with_rollouts();
     put_order(&view, "v2 60", 5);
-    view.apply_rollout(&"op/rollout/a b".into(), "v2 60".into(), StoreRevision(6));
-    view.apply_rollout(&"op/rollout/other".into(), "v2".into(), StoreRevision(7));
-    view.apply_rollout(&"status/rollout/other".into(), "odd".into(), StoreRevision(8));
+    view.apply_rollout(&"op/rollout/a b".into(), "v2 60".into(), first_era(6));
+    view.apply_rollout(&"op/rollout/other".into(), "v2".into(), first_era(7));
+    view.apply_rollout(&"status/rollout/other".into(), "odd".into(), first_era(8));
     assert!(is_running(&view));
     assert_eq!(view.gateway.rollouts.borrow().iter().count(), 1);
 }
--- a/components/gateway/tests/place.rs
+++ b/components/gateway/tests/place.rs
@@ -4,8 +4,8 @@
 
 use lycheelatch_gateway::{
     Directory, EngineSpec, EngineSpeed, InFlight, Placement, PlacementError, PlacementRequest,
-    PrefixChain, Priority, Prompt, PromptPart, ServiceSpec, StoreRevision, Upstream, UpstreamEntry,
-    place,
+    PrefixChain, Priority, Prompt, PromptPart, ServiceSpec, StoreEra, StoreRevision, Upstream,
+    UpstreamEntry, place,
 };
 use lycheelatch_policy::SpeedSample;
 use lycheelatch_prelude::{UpstreamId, ZoneName};
@@ -48,7 +48,7 @@
             started_at_ms: None,
             version: None,
         };
-        directory.put(entry, StoreRevision(1));
+        directory.put(entry, StoreRevision::new(StoreEra(0), 1));
     }
     directory.all()
 }
