gateway: A leader's fence and waiting time hold over a store that comes back from a copy

In a copy the key and its lease may be missing, so that a second node got the lease while the first still relied on it, and with the same or a lower number.

The number now holds the era above the revision. A node that gets the lease waits a whole lease from the time by which it knew of the store's era, as a lease granted before may be held until then; a lease of an earlier era is never renewed, since another one may have its number.

leader_stays_unique_when_the_store_is_restored failed before: two leaders with one fencing number, 8.0 s and 12.1 s into a run whose store came back at 7.75 s from a copy 7.5 s old.

--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -14,7 +14,7 @@
 use tokio::{net::UdpSocket, sync::watch, time::Instant};
 
 use crate::{
-    ClusterClock, Dialect, Directory, GatewayMetrics, RoutingTable, Workspace,
+    ClusterClock, Dialect, Directory, GatewayMetrics, RoutingTable, StoreEra, Workspace,
     decision::{Decision, DecisionLog, NodeEvent, QuotaExceeded, log_event, millis},
     departures::Departures,
     engine_load::PrefixHash,
@@ -71,6 +71,8 @@
     pub(crate) refused_parts: RefCell<Vec<String>>,
     /// Whether this node holds the leader lease.
     pub(crate) is_leader: Cell<bool>,
+    /// Latest era of the store that is known.
+    pub(crate) store_era: Cell<Option<StoreEra>>,
     pub(crate) datagrams: OnceCell<Rc<UdpSocket>>,
     pub(crate) rollouts: RefCell<Rollouts>,
     pub(crate) demand: RefCell<BTreeMap<ServiceName, Demand>>,
@@ -163,6 +165,7 @@
             upstream_notices: RefCell::default(),
             refused_parts: RefCell::default(),
             is_leader: Cell::new(false),
+            store_era: Cell::new(None),
             datagrams: OnceCell::new(),
             rollouts: RefCell::new(rollouts),
             demand: RefCell::default(),
--- a/components/gateway/src/leader.rs
+++ b/components/gateway/src/leader.rs
@@ -13,7 +13,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    BootClock, Commit, CommitOutcome, Gateway, LeaderPermit, LeaseId, Store, StoreError,
+    BootClock, Commit, CommitOutcome, Gateway, LeaderPermit, LeaseId, Store, StoreEra, StoreError,
     StoreRevision,
     decision::{NodeEvent, log_event, millis},
     layout::OWN_PREFIX,
@@ -42,6 +42,12 @@
 /// Number of distinct values of the jitter.
 const JITTER_STEPS: u64 = 1024;
 
+/// Bits of a fencing number that hold the revision; the bits above hold the era.
+const FENCE_REVISION_BITS: u32 = 40;
+
+/// Largest era that a fencing number holds, so that receivers may read it as a float.
+const MAX_FENCE_ERA: u64 = (1 << 13) - 1;
+
 /// Age of the cluster below which no lease of an earlier leader can have ended.
 const FIRST_LEASE_PERIOD: Duration = Duration::from_millis(2500);
 
@@ -60,12 +66,14 @@
     /// Returns the lease of a node that became the leader at `now`, with no validity yet.
     ///
     /// Calls arrive at most `max_delivery` after they were sent. The node may not act within `ttl`
-    /// and a margin after its own last action, since another node may have acted in between. All
-    /// times are since the machine's boot.
+    /// and a margin after its own last action, since another node may have acted in between. The
+    /// same holds after `era_since`, by which the store's era had begun: a copy of the store may
+    /// lack a lease that its holder still relies on. All times are since the machine's boot.
     pub fn acquired(
         fence: Fence,
         now: Duration,
         last_action: Option<Duration>,
+        era_since: Option<Duration>,
         ttl: Duration,
         max_delivery: Duration,
     ) -> LeaderLease {
@@ -76,7 +84,8 @@
         // Its own last call may have taken longer to arrive than the next one will.
         let own_arrival = max_delivery.max(margin);
         let after_own = last_action.map_or(Duration::ZERO, |at| at + ttl + own_arrival);
-        let valid_from = after_predecessor.max(after_own);
+        let after_restore = era_since.map_or(Duration::ZERO, |at| at + ttl + last_arrival);
+        let valid_from = after_predecessor.max(after_own).max(after_restore);
         LeaderLease { fence, valid_from, valid_until: Duration::ZERO }
     }
 
@@ -100,6 +109,9 @@
     last_action: Cell<Option<Duration>>,
     /// Longest time from the sending of a leader's call to its arrival.
     max_delivery: Duration,
+    /// Latest era of the store that is known, and the time since the machine's boot by which it
+    /// had begun.
+    era: Cell<Option<(StoreEra, Duration)>>,
 }
 
 impl Leadership {
@@ -108,7 +120,14 @@
     pub fn new(boot: Rc<dyn BootClock>, max_delivery: Duration) -> Leadership {
         // An earlier process on this machine may have acted until now.
         let last_action = Cell::new(Some(boot.elapsed()));
-        Leadership { boot, lease: Cell::new(None), last_action, max_delivery }
+        Leadership { boot, lease: Cell::new(None), last_action, max_delivery, era: Cell::new(None) }
+    }
+
+    /// Takes note that the store is in an era, or in a later one.
+    fn observe_era(&self, era: StoreEra) {
+        if self.era.get().is_none_or(|(known, _)| era > known) {
+            self.era.set(Some((era, self.boot.elapsed())));
+        }
     }
 
     /// Returns the fencing number, if this node is the leader and may act now.
@@ -150,6 +169,14 @@
     }
 }
 
+/// Returns the fencing number of a leader whose key was created at a revision.
+///
+/// It grows also when the store comes back from a copy and gives out its revisions again.
+fn fence_at(created: StoreRevision) -> Fence {
+    let era = created.era.0.min(MAX_FENCE_ERA);
+    Fence(era << FENCE_REVISION_BITS | created.number & ((1 << FENCE_REVISION_BITS) - 1))
+}
+
 fn leader_key() -> String {
     format!("{OWN_PREFIX}holder")
 }
@@ -165,6 +192,9 @@
     let node = &gateway.settings.node;
     for attempt in 0_u64.. {
         sleep(POLL_INTERVAL.mul_f64(jitter(node, attempt))).await;
+        if let Some(era) = gateway.store_era.get() {
+            leader.observe_era(era);
+        }
         if !should_poll(&gateway, attempt) {
             continue;
         }
@@ -238,6 +268,7 @@
     }
     let sent = leader.boot.elapsed();
     let lease_id = store.grant(ttl).await?;
+    leader.observe_era(lease_id.era);
     let commit = Commit {
         key: leader_key().into(),
         expected: StoreRevision::ABSENT,
@@ -246,9 +277,16 @@
     };
     let CommitOutcome::Applied(revision) = store.commit(commit).await? else { return Ok(None) };
     let now = leader.boot.elapsed();
-    let fence = Fence(revision.number);
     let last_action = leader.last_action.get();
-    let mut lease = LeaderLease::acquired(fence, now, last_action, ttl, leader.max_delivery);
+    let era_since = leader.era.get().map(|(_, since)| since);
+    let mut lease = LeaderLease::acquired(
+        fence_at(revision),
+        now,
+        last_action,
+        era_since,
+        ttl,
+        leader.max_delivery,
+    );
     if is_first_lease {
         lease.valid_from = now;
     }
--- a/components/gateway/src/leader_tests.rs
+++ b/components/gateway/src/leader_tests.rs
@@ -160,6 +160,13 @@
     number: usize,
 }
 
+/// A copy of the store, from which it comes back later.
+#[derive(Debug, Clone, Copy)]
+struct Restore {
+    copied_at: Duration,
+    at: Duration,
+}
+
 fn paused_runtime() -> tokio::runtime::Runtime {
     let mut builder = tokio::runtime::Builder::new_current_thread();
     builder.enable_time().start_paused(true).build().unwrap()
@@ -171,10 +178,24 @@
     script: &[Outcome],
     restarts: &[Restart],
 ) -> (Vec<Action>, Vec<Report>) {
-    let runtime = paused_runtime();
     let script = script.iter().copied().collect();
+    run_model(ModelPlatform::new(answered_writes, script), restarts, None)
+}
+
+/// Runs a scenario in which all writes are answered and the store comes back from a copy.
+fn run_restored(restarts: &[Restart], restore: Option<Restore>) -> (Vec<Action>, Vec<Report>) {
+    run_model(ModelPlatform::new(0, VecDeque::new()), restarts, restore)
+}
+
+fn run_model(
+    platform: ModelPlatform,
+    restarts: &[Restart],
+    restore: Option<Restore>,
+) -> (Vec<Action>, Vec<Report>) {
+    let runtime = paused_runtime();
     LocalSet::new().block_on(&runtime, async move {
-        let platform = Rc::new(RefCell::new(ModelPlatform::new(answered_writes, script)));
+        let platform = Rc::new(RefCell::new(platform));
+        let mut copy = None;
         let mut nodes = vec![Node::start(&platform, 1), Node::start(&platform, 2)];
         loop {
             sleep(CHECK_INTERVAL).await;
@@ -183,6 +204,12 @@
                 break;
             }
             let is_due = |time: Duration| time <= at && at < time + CHECK_INTERVAL;
+            if restore.is_some_and(|restore| is_due(restore.copied_at)) {
+                copy = Some(platform.borrow().copy());
+            }
+            if restore.is_some_and(|restore| is_due(restore.at)) {
+                copy.take().into_iter().for_each(|copy| platform.borrow_mut().restore(copy));
+            }
             for restart in restarts.iter().filter(|restart| is_due(restart.at)) {
                 for node in nodes.iter().filter(|node| node.number == restart.number) {
                     node.gateway.start_stopping();
@@ -205,6 +232,12 @@
 
 /// Checks the invariants of every run.
 fn check_invariants(actions: &[Action], reports: &[Report]) -> Result<(), String> {
+    check_terms(actions)?;
+    check_reports(reports)
+}
+
+/// Checks that at most one node acts as the leader.
+fn check_terms(actions: &[Action]) -> Result<(), String> {
     for pair in actions.windows(2) {
         let (before, after) = (&pair[0], &pair[1]);
         if after.fence < before.fence {
@@ -224,6 +257,11 @@
             ));
         }
     }
+    Ok(())
+}
+
+/// Checks that no window is reported with two counts.
+fn check_reports(reports: &[Report]) -> Result<(), String> {
     let mut counts = BTreeMap::new();
     for report in reports {
         let first = counts.entry(report.window).or_insert(report);
@@ -334,6 +372,33 @@
     }
 }
 
+/// Runs scenarios whose store comes back from a copy, and checks what the platform received.
+fn check_restores(check: impl Fn(&[Action], &[Report]) -> Result<(), String>) {
+    for copied_at in (0..40).map(|step| RESTART_STEP * step) {
+        for age in [1, 5, 9, 14, 30, 48].map(|steps| RESTART_STEP * steps) {
+            let restore = Restore { copied_at, at: copied_at + age };
+            let restart = |at, number| vec![Restart { at, number }];
+            let scenarios = [
+                Vec::new(),
+                restart(restore.at, 1),
+                restart(restore.copied_at, 1),
+                restart(restore.copied_at, 2),
+            ];
+            for restarts in scenarios {
+                let (actions, reports) = run_restored(&restarts, Some(restore));
+                if let Err(violation) = check(&actions, &reports) {
+                    panic!("{restore:?}, {restarts:?}: {violation}");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn leader_stays_unique_when_the_store_is_restored() {
+    check_restores(|actions, _| check_terms(actions));
+}
+
 /// Permit that lapses at a time.
 struct LapsingPermit(Instant);
 
--- a/components/gateway/src/leader_tests/model.rs
+++ b/components/gateway/src/leader_tests/model.rs
@@ -2,14 +2,25 @@
 
 use super::*;
 
+#[derive(Clone)]
 pub(super) struct Stored {
     item: KeyValue,
     lease: Option<LeaseId>,
 }
 
+/// What a copy of the store holds.
+#[derive(Clone)]
+pub(super) struct StoreCopy {
+    revision: u64,
+    values: BTreeMap<String, Stored>,
+    leases: BTreeMap<u64, Instant>,
+}
+
 /// Store contents and the calls that the platform received.
 pub(super) struct ModelPlatform {
     pub(super) started: Instant,
+    /// How often the store came back from a copy.
+    pub(super) era: StoreEra,
     pub(super) revision: u64,
     pub(super) values: BTreeMap<String, Stored>,
     pub(super) leases: BTreeMap<u64, Instant>,
@@ -27,6 +38,7 @@
     pub(super) fn new(answered_writes: u32, script: VecDeque<Outcome>) -> ModelPlatform {
         ModelPlatform {
             started: Instant::now(),
+            era: StoreEra::default(),
             revision: 1,
             values: BTreeMap::new(),
             leases: BTreeMap::new(),
@@ -48,6 +60,23 @@
         self.leases.values_mut().for_each(|ends| *ends += paused_since.elapsed());
     }
 
+    pub(super) fn copy(&self) -> StoreCopy {
+        StoreCopy {
+            revision: self.revision,
+            values: self.values.clone(),
+            leases: self.leases.clone(),
+        }
+    }
+
+    /// Replaces what the store holds by a copy, whose leases run on from now.
+    pub(super) fn restore(&mut self, copy: StoreCopy) {
+        self.era.0 += 1;
+        self.revision = copy.revision;
+        self.values = copy.values;
+        self.leases = copy.leases;
+        self.leases.values_mut().for_each(|ends| *ends = Instant::now() + LEASE);
+    }
+
     fn next_outcome(&mut self) -> Outcome {
         if self.answered_writes > 0 {
             self.answered_writes -= 1;
@@ -68,28 +97,35 @@
         if commit.lease.is_some_and(|lease| !self.leases.contains_key(&lease.number)) {
             return Err(StoreError::LeaseEnded);
         }
-        let current = self.values.get(&*commit.key).map(|stored| stored.item.revision);
-        if current.unwrap_or_default() != commit.expected {
+        let current = self.values.get(&*commit.key).map(|stored| stored.item.revision.number);
+        if current.unwrap_or_default() != commit.expected.number {
             return Ok(CommitOutcome::Conflict);
         }
         self.revision += 1;
-        let revision = test_support::first_era(self.revision);
+        let revision = StoreRevision::new(self.era, self.revision);
         let item =
             KeyValue { key: commit.key.clone(), value: commit.value, revision, created: revision };
         self.values.insert(commit.key.to_string(), Stored { item, lease: commit.lease });
+        let is_of_key = commit.expected != StoreRevision::ABSENT && commit.expected.era != self.era;
+        if is_of_key || commit.lease.is_some_and(|lease| lease.era != self.era) {
+            return Err(StoreError::Restored);
+        }
         Ok(CommitOutcome::Applied(revision))
     }
 
     fn grant(&mut self, ttl: Duration) -> LeaseId {
         self.revision += 1;
         self.leases.insert(self.revision, Instant::now() + ttl);
-        LeaseId { era: StoreEra(0), number: self.revision }
+        LeaseId { era: self.era, number: self.revision }
     }
 
     fn renew(&mut self, lease: LeaseId) -> Result<(), StoreError> {
         self.expire_leases();
         let ends = self.leases.get_mut(&lease.number).ok_or(StoreError::LeaseEnded)?;
         *ends = Instant::now() + LEASE;
+        if lease.era != self.era {
+            return Err(StoreError::LeaseEnded);
+        }
         Ok(())
     }
 }
@@ -166,7 +202,9 @@
         let mut platform = self.0.borrow_mut();
         platform.reads += 1;
         platform.expire_leases();
-        Ok(platform.values.get(key).map(|stored| stored.item.clone()))
+        let era = platform.era;
+        let item = platform.values.get(key).map(|stored| stored.item.clone());
+        Ok(item.map(|item| KeyValue { revision: StoreRevision { era, ..item.revision }, ..item }))
     }
 
     async fn list(&self, prefix: &str, _: Freshness) -> Result<Listing, StoreError> {
@@ -175,7 +213,7 @@
         platform.expire_leases();
         let matching = platform.values.iter().filter(|(key, _)| key.starts_with(prefix));
         let items = matching.map(|(_, stored)| stored.item.clone()).collect();
-        Ok(Listing { items, revision: test_support::first_era(platform.revision) })
+        Ok(Listing { items, revision: StoreRevision::new(platform.era, platform.revision) })
     }
 
     async fn watch(&self, _: &str, _: StoreRevision, _: Duration) -> Result<Changes, StoreError> {
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -239,7 +239,9 @@
 
     /// Raises the revision up to which the store was read; records the first one after a recovery.
     pub(crate) fn advance_revision(&self, revision: StoreRevision) {
-        self.revision.set(self.revision.get().max(revision));
+        let latest = self.revision.get().max(revision);
+        self.revision.set(latest);
+        self.gateway.store_era.set(Some(latest.era));
         if self.revision_at_recovery.get().is_none() {
             self.revision_at_recovery.set(Some(revision));
         }
--- a/components/gateway/tests/holding.rs
+++ b/components/gateway/tests/holding.rs
@@ -36,7 +36,7 @@
 #[test]
 fn acquired_acts_soon_unless_the_node_acted_itself() {
     let acts_from = |last_action| {
-        LeaderLease::acquired(Fence(1), ms(20_000), last_action, TTL, ms(300)).valid_from
+        LeaderLease::acquired(Fence(1), ms(20_000), last_action, None, TTL, ms(300)).valid_from
     };
     assert_eq!(acts_from(None), ms(21_000));
     assert_eq!(acts_from(Some(ms(3000))), ms(21_000));
@@ -53,7 +53,7 @@
         let last_arrival = predecessor.valid_until + MAX_DELIVERY;
         // The store grants it after the end of the former one.
         let acquired = ttl + ms(1);
-        let successor = LeaderLease::acquired(Fence(2), acquired, None, ttl, MAX_DELIVERY);
+        let successor = LeaderLease::acquired(Fence(2), acquired, None, None, ttl, MAX_DELIVERY);
         assert!(last_arrival < successor.valid_from, "{ttl:?}: {successor:?}");
     }
 }
@@ -84,7 +84,7 @@
                 lease_ends = arrives + TTL;
                 let last_action = last_actions[holder];
                 let mut lease =
-                    LeaderLease::acquired(Fence(1), arrives, last_action, TTL, MAX_DELIVERY);
+                    LeaderLease::acquired(Fence(1), arrives, last_action, None, TTL, MAX_DELIVERY);
                 lease.extend(now, TTL);
                 leases[holder] = Some(lease);
             }
