gateway: No usage window is reported twice when the store comes back from a copy

A report now names the era in which it was written. A leader that reads one of an earlier era, or none in a store that was restored, reports from the first window on that was not complete by then; a write that took effect in a later era than the one that was read is not sent.

--- a/components/gateway/src/leader.rs
+++ b/components/gateway/src/leader.rs
@@ -130,6 +130,11 @@
         }
     }
 
+    /// Returns the latest known era of the store; the first one if none is known.
+    pub(crate) fn era(&self) -> StoreEra {
+        self.era.get().map(|(era, _)| era).unwrap_or_default()
+    }
+
     /// Returns the fencing number, if this node is the leader and may act now.
     pub fn fence(&self) -> Option<Fence> {
         let lease = self.lease.get()?;
--- a/components/gateway/src/leader_tests.rs
+++ b/components/gateway/src/leader_tests.rs
@@ -399,6 +399,11 @@
     check_restores(|actions, _| check_terms(actions));
 }
 
+#[test]
+fn leader_reports_no_window_twice_when_the_store_is_restored() {
+    check_restores(|_, reports| check_reports(reports));
+}
+
 /// Permit that lapses at a time.
 struct LapsingPermit(Instant);
 
--- a/components/gateway/src/report.rs
+++ b/components/gateway/src/report.rs
@@ -1,7 +1,9 @@
 //! Usage reports to the platform: one per window, with the counts of all nodes.
 //!
 //! The leader writes a report to the store before it sends it, so that a new
-//! leader repeats exactly that report and never sends a different one.
+//! leader repeats exactly that report and never sends a different one. If the
+//! store has come back from a copy since, the copy may lack the last report; then
+//! windows that may have been reported before are left out.
 
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
@@ -10,7 +12,8 @@
 use tokio::time::sleep;
 
 use crate::{
-    Commit, CommitOutcome, Gateway, Leadership, PlatformApi, Store, StoreError, StoreRevision,
+    Commit, CommitOutcome, Gateway, Leadership, PlatformApi, Store, StoreEra, StoreError,
+    StoreRevision,
     decision::{NodeEvent, log_event},
     layout::OWN_PREFIX,
     platform_api::call_while_valid,
@@ -36,14 +39,20 @@
 struct UsageReport {
     window: UsageWindow,
     counts: BTreeMap<WorkspaceName, u64>,
+    /// Era of the store in which the report was written.
+    #[serde(default)]
+    era: u64,
 }
 
 /// The last report with its revision in the store and whether it was sent.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 struct LastReport {
     report: Option<UsageReport>,
     revision: StoreRevision,
+    era: StoreEra,
     is_sent: bool,
+    /// First window that no report can have been sent for that the store lost.
+    first_unreported: UsageWindow,
 }
 
 fn last_report_key() -> String {
@@ -80,7 +89,7 @@
     last: &mut Option<LastReport>,
 ) -> Result<(), StoreError> {
     if last.is_none() {
-        *last = Some(read_last_report(store).await?);
+        *last = Some(read_last_report(gateway, store, leader).await?);
     }
     let Some(current) = last else { return Ok(()) };
     if !current.is_sent {
@@ -91,12 +100,13 @@
     }
     let Some(window) = next_window(gateway, current) else { return Ok(()) };
     let counts = window_counts(gateway, window);
-    if counts.is_empty() {
-        current.report = Some(UsageReport { window, counts: BTreeMap::new() });
+    let is_empty = counts.is_empty();
+    let report = UsageReport { window, counts, era: current.era.0 };
+    if is_empty {
+        current.report = Some(report);
         return Ok(());
     }
-    let report = UsageReport { window, counts };
-    *current = write_report(store, current.revision, report).await?;
+    *current = write_report(gateway, store, leader, current, report).await?;
     Ok(())
 }
 
@@ -106,7 +116,7 @@
     let usage = gateway.usage.borrow();
     let oldest = usage.window_at(now.saturating_sub(gateway.settings.usage_due));
     let after_last = last.report.as_ref().map_or(0, |report| report.window.0 + 1);
-    let window = UsageWindow(oldest.0.max(after_last));
+    let window = UsageWindow(oldest.0.max(after_last).max(last.first_unreported.0));
     (usage.end_of(window) + collection_delay(gateway) <= now).then_some(window)
 }
 
@@ -126,28 +136,60 @@
     counts
 }
 
-async fn read_last_report(store: &dyn Store) -> Result<LastReport, StoreError> {
-    let Some(item) = store.get(&last_report_key()).await? else { return Ok(LastReport::default()) };
-    let report = serde_json::from_slice(&item.value)
+async fn read_last_report(
+    gateway: &Gateway,
+    store: &dyn Store,
+    leader: &Leadership,
+) -> Result<LastReport, StoreError> {
+    let Some(item) = store.get(&last_report_key()).await? else {
+        let era = leader.era();
+        let first_unreported = first_unreported(gateway, era == StoreEra::default());
+        let revision = StoreRevision::ABSENT;
+        return Ok(LastReport { report: None, revision, era, is_sent: false, first_unreported });
+    };
+    let report: UsageReport = serde_json::from_slice(&item.value)
         .map_err(|err| StoreError::BadAnswer(err.to_string().into()))?;
-    Ok(LastReport { report: Some(report), revision: item.revision, is_sent: false })
+    let era = item.revision.era;
+    let is_last_held = report.era == era.0;
+    Ok(LastReport {
+        report: Some(report),
+        revision: item.revision,
+        era,
+        is_sent: !is_last_held,
+        first_unreported: first_unreported(gateway, is_last_held),
+    })
+}
+
+/// Returns the first window for which no report can have been lost: any, if the store holds what
+/// was written last, otherwise the first one that is not complete yet.
+fn first_unreported(gateway: &Gateway, is_last_held: bool) -> UsageWindow {
+    if is_last_held {
+        return UsageWindow(0);
+    }
+    let complete_before = gateway.clock.now().saturating_sub(collection_delay(gateway));
+    gateway.usage.borrow().window_at(complete_before)
 }
 
 /// Writes a report, unless another one was written; returns the stored one.
 async fn write_report(
+    gateway: &Gateway,
     store: &dyn Store,
-    expected: StoreRevision,
+    leader: &Leadership,
+    last: &LastReport,
     report: UsageReport,
 ) -> Result<LastReport, StoreError> {
     let value =
         serde_json::to_vec(&report).map_err(|err| StoreError::BadAnswer(err.to_string().into()))?;
+    let expected = last.revision;
     let commit =
         Commit { key: last_report_key().into(), expected, value: value.into(), lease: None };
     match store.commit(commit).await? {
+        // What was written since the copy, and lost, may have been another report of the window.
+        CommitOutcome::Applied(revision) if revision.era != last.era => Err(StoreError::Restored),
         CommitOutcome::Applied(revision) => {
-            Ok(LastReport { report: Some(report), revision, is_sent: false })
+            Ok(LastReport { report: Some(report), revision, is_sent: false, ..last.clone() })
         }
-        CommitOutcome::Conflict => read_last_report(store).await,
+        CommitOutcome::Conflict => read_last_report(gateway, store, leader).await,
     }
 }
 
