gateway, platform: A roll-out goes on when the store comes back from a copy

An order that is missing after a restore waits as a missing upstream does. An order of a later era with the same version and duration is the same roll-out, whose status is written again if the copy lacks it; the status names the era of its order. An order that the copy held counts as written before the restore.

rollouts_order_written_again_after_a_restore_goes_on failed before: the version that was rolled back got requests.

--- a/components/gateway/src/restore.rs
+++ b/components/gateway/src/restore.rs
@@ -77,6 +77,16 @@
         self.apply_listing(items, revision);
     }
 
+    /// Applies a complete listing of the orders of roll-outs that the store returned.
+    pub(crate) fn apply_store_orders(&self, mut items: Vec<KeyValue>, revision: StoreRevision) {
+        if let Some(restore) = self.restore.get() {
+            for item in items.iter_mut().filter(|item| restore.may_be_copied(item.revision)) {
+                item.revision.era = restore.before;
+            }
+        }
+        self.apply_rollout_listing(self.layout.rollout_prefix(), items, revision);
+    }
+
     /// Returns the revision by which a listed entry is compared with what is known of its key.
     ///
     /// An entry that the copy may have held counts as written before the restore, unless it shows
--- a/components/gateway/src/rollout.rs
+++ b/components/gateway/src/rollout.rs
@@ -90,8 +90,7 @@
         revision: StoreRevision,
     ) -> Rollout {
         let order = RolloutOrder { service, to: status.to.clone(), duration: Duration::ZERO };
-        let order_revision =
-            status.order.map_or(revision, |number| StoreRevision { number, ..revision });
+        let order_revision = status.order.unwrap_or(revision);
         let mut rollout = Rollout::new(order, order_revision, Instant::now());
         rollout.apply_status(status, revision);
         rollout.withdraw();
@@ -110,6 +109,18 @@
         }
     }
 
+    /// Returns whether an order of a later era is this one, written again or kept in a copy of the
+    /// store.
+    pub(crate) fn is_repeated_by(&self, order: &RolloutOrder, revision: StoreRevision) -> bool {
+        let is_same = self.to == order.to && self.duration == order.duration;
+        is_same && !self.is_withdrawn && revision.era > self.order.era
+    }
+
+    /// Goes on under the revision of the order in a later era, whose status is written again.
+    pub(crate) fn continue_at(&mut self, revision: StoreRevision) {
+        self.order = revision;
+    }
+
     /// Ends the roll-out, as its order was withdrawn.
     pub(crate) fn withdraw(&mut self) {
         self.is_withdrawn = true;
@@ -119,7 +130,8 @@
     /// Returns whether a status in the store is that of this roll-out.
     pub(crate) fn owns(&self, status: &RolloutStatus, written: StoreRevision) -> bool {
         match status.order {
-            Some(order) => order == self.order.number,
+            // A copy of the store may hold the order, which then is read in a later era.
+            Some(order) => order.number == self.order.number && status.to == self.to,
             None => status.to == self.to && written >= self.order,
         }
     }
@@ -315,12 +327,7 @@
             RolloutState::Running if self.is_completion_due => RolloutState::Completed,
             state => state,
         };
-        RolloutStatus {
-            state,
-            to: self.to.clone(),
-            order: Some(self.order.number),
-            ordered_at_ms: None,
-        }
+        RolloutStatus { state, to: self.to.clone(), order: Some(self.order), ordered_at_ms: None }
     }
 
     pub(crate) fn report(&self, service: &ServiceName, now: Instant) -> RolloutReport {
--- a/components/gateway/src/rollout_entries.rs
+++ b/components/gateway/src/rollout_entries.rs
@@ -5,6 +5,8 @@
 use lycheelatch_prelude::ServiceName;
 use serde::{Deserialize, Serialize};
 
+use crate::StoreRevision;
+
 /// An operator's order to move a service to another version.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RolloutOrder {
@@ -43,7 +45,7 @@
     /// Version that the service moves to.
     pub to: Arc<str>,
     /// Revision of the order, if the status names it.
-    pub order: Option<u64>,
+    pub order: Option<StoreRevision>,
     /// Time of the order by the nodes' clock, in milliseconds since the Unix epoch, if it names it.
     pub ordered_at_ms: Option<u64>,
 }
--- a/components/gateway/src/rollout_status.rs
+++ b/components/gateway/src/rollout_status.rs
@@ -95,13 +95,14 @@
     let expected = current.as_ref().map_or(StoreRevision::ABSENT, |item| item.revision);
     let status = current.and_then(|item| layout.parse_rollout_status(&item.value).ok());
     if let Some(status) = status {
-        if status.order > wanted.order {
-            return Ok(StatusWrite::Superseded);
-        }
-        let is_same_order = status.order == wanted.order;
+        let number = |status: &RolloutStatus| status.order.map(|order| order.number);
+        let is_same_order = number(&status) == number(wanted) && status.to == wanted.to;
         if is_same_order && (status.state.is_final() || status.state == wanted.state) {
             return Ok(StatusWrite::Holds(status, expected));
         }
+        if !is_same_order && status.order > wanted.order {
+            return Ok(StatusWrite::Superseded);
+        }
     }
     if !permit.is_valid() {
         return Ok(StatusWrite::Skipped);
--- a/components/gateway/src/rollout_status/tests.rs
+++ b/components/gateway/src/rollout_status/tests.rs
@@ -153,7 +153,7 @@
 }
 
 fn wanted(state: RolloutState, order: u64) -> RolloutStatus {
-    RolloutStatus { state, to: "v2".into(), order: Some(order), ordered_at_ms: None }
+    RolloutStatus { state, to: "v2".into(), order: Some(first_era(order)), ordered_at_ms: None }
 }
 
 async fn write(store: &OneKey, wanted: &RolloutStatus) -> Result<StatusWrite, StoreError> {
--- a/components/gateway/src/rollout_view.rs
+++ b/components/gateway/src/rollout_view.rs
@@ -41,6 +41,7 @@
         if !self.is_rollout_key(key) || is_up_to_date || self.is_deleted(key, revision) {
             return;
         }
+        self.cancel_removal(key);
         if let Err(err) = self.read_rollout(key, &value, revision) {
             self.log_rejected(key, &err);
             if let Ok(EntryKey::Order(service)) = self.rollout_key(key) {
@@ -146,7 +147,7 @@
         let cached: Vec<_> = self.rollouts.borrow().keys().cloned().collect();
         let is_gone = |key: &&Arc<str>| key.starts_with(prefix) && !listed.contains(*key);
         for key in cached.iter().filter(is_gone) {
-            self.remove_rollout(key, revision);
+            self.handle_deletion(key, revision);
         }
     }
 }
--- a/components/gateway/src/rollouts.rs
+++ b/components/gateway/src/rollouts.rs
@@ -86,6 +86,10 @@
             if known.order >= revision {
                 return;
             }
+            if known.is_repeated_by(&order, revision) {
+                known.continue_at(revision);
+                return;
+            }
         }
         log_event(&NodeEvent::RolloutOrdered {
             service: &order.service,
--- a/components/gateway/src/rollouts/tests.rs
+++ b/components/gateway/src/rollouts/tests.rs
@@ -3,7 +3,7 @@
 use lycheelatch_policy::{LatencyClass, RolloutStep, decide_rollout};
 
 use super::*;
-use crate::test_support::first_era;
+use crate::{StoreEra, test_support::first_era};
 
 const DURATION: Duration = Duration::from_secs(60);
 
@@ -21,7 +21,7 @@
 }
 
 fn status(state: RolloutState, to: &str, order: u64) -> RolloutStatus {
-    RolloutStatus { state, to: to.into(), order: Some(order), ordered_at_ms: None }
+    RolloutStatus { state, to: to.into(), order: Some(first_era(order)), ordered_at_ms: None }
 }
 
 fn notice(order: u64, phase: RolloutPhase, canary_share: f64) -> RolloutNotice {
@@ -84,7 +84,7 @@
     rollouts.apply_order(order("v2"), first_era(9), Instant::now());
     assert_eq!(phase(&rollouts), RolloutPhase::Canary);
     let wanted = rollouts.status_to_write(&service()).unwrap();
-    assert_eq!((wanted.state, wanted.order), (RolloutState::Running, Some(9)));
+    assert_eq!((wanted.state, wanted.order), (RolloutState::Running, Some(first_era(9))));
 }
 
 #[tokio::test]
@@ -259,3 +259,24 @@
     assert!(rollout.should_leave(Some(&old), Instant::now()));
     assert!(!rollout.should_leave(Some(&new), Instant::now()));
 }
+
+#[test]
+fn rollouts_order_written_again_after_a_restore_goes_on() {
+    let mut rollouts = rollouts();
+    rollouts.apply_order(order("v2"), first_era(50), Instant::now());
+    rollouts.apply_status(&service(), status(RolloutState::RolledBack, "v2", 50), first_era(51));
+    let again = StoreRevision::new(StoreEra(1), 30);
+    rollouts.apply_order(order("v2"), again, Instant::now());
+    assert!(!rollouts.is_running(&service()), "the version that was rolled back gets requests");
+    let wanted = rollouts.status_to_write(&service()).unwrap();
+    assert_eq!((wanted.state, wanted.order), (RolloutState::RolledBack, Some(again)));
+}
+
+#[test]
+fn rollouts_new_order_at_a_lower_revision_after_a_restore_is_carried_out() {
+    let mut rollouts = rollouts();
+    rollouts.apply_order(order("v2"), first_era(50), Instant::now());
+    rollouts.apply_status(&service(), status(RolloutState::Completed, "v2", 50), first_era(51));
+    rollouts.apply_order(order("v3"), StoreRevision::new(StoreEra(1), 30), Instant::now());
+    assert!(rollouts.is_running(&service()));
+}
--- a/components/gateway/src/store_watch.rs
+++ b/components/gateway/src/store_watch.rs
@@ -89,7 +89,7 @@
             orders.push(item);
         }
     }
-    view.apply_rollout_listing(view.layout.rollout_prefix(), orders, operators.revision);
+    view.apply_store_orders(orders, operators.revision);
     read_statuses(view).await?;
     let upstreams = view.store.list(view.layout.upstream_prefix(), Freshness::Linearizable).await?;
     view.record_success(sent);
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -254,7 +254,7 @@
         if is_up_to_date || self.tombstones.borrow().covers(key, revision) {
             return;
         }
-        self.pending_removals.borrow_mut().remove(key);
+        self.cancel_removal(key);
         let Some(id) = self.upstream_id(key) else { return };
         let before = self.gateway.directory.get(&id).map(|up| up.entry.borrow().clone());
         let parsed = self.layout.parse_upstream(&id, &value);
@@ -299,13 +299,28 @@
         id.parse().map_err(|err| log::warn!("directory: invalid upstream identifier: {err}")).ok()
     }
 
-    /// Removes an upstream, or delays the removal if it may register again after an outage.
+    /// Removes an entry, or delays the removal if it may be written again after an outage.
     pub(crate) fn handle_deletion(&self, key: &Arc<str>, revision: StoreRevision) {
-        if self.may_be_registered_again(revision) {
+        // The nodes write statuses themselves, and have to know what the store lacks.
+        let is_status = key.starts_with(self.layout.rollout_status_prefix());
+        if !is_status && self.may_be_registered_again(revision) {
             self.pending_removals.borrow_mut().insert(key.clone(), revision);
             return;
         }
-        self.remove_upstream(key, revision);
+        self.remove_entry(key, revision);
+    }
+
+    /// Removes the entry of a roll-out or of an upstream.
+    pub(crate) fn remove_entry(&self, key: &Arc<str>, revision: StoreRevision) {
+        match self.is_rollout_key(key) {
+            true => self.remove_rollout(key, revision),
+            false => self.remove_upstream(key, revision),
+        }
+    }
+
+    /// Keeps an entry whose removal was delayed, as it was written again.
+    pub(crate) fn cancel_removal(&self, key: &Arc<str>) {
+        self.pending_removals.borrow_mut().remove(key);
     }
 
     /// Removes an upstream deleted by `revision`, unless the cached entry is at least as new.
@@ -333,13 +348,13 @@
         revision > self.revision.get() || self.upstreams.borrow().contains_key(key)
     }
 
-    /// Removes the upstreams that did not register again within the grace period.
+    /// Removes the entries that were not written again within the grace period.
     pub(crate) fn finish_removals(&self) {
         if self.recovered_at.get().is_some_and(|at| at.elapsed() < RECOVERY_GRACE) {
             return;
         }
         for (key, revision) in self.pending_removals.take() {
-            self.remove_upstream(&key, revision);
+            self.remove_entry(&key, revision);
         }
     }
 
--- a/components/gateway/src/test_support.rs
+++ b/components/gateway/src/test_support.rs
@@ -98,14 +98,14 @@
     Ok(RolloutStatus {
         state,
         to: parts[1].into(),
-        order: parts[2].parse().ok(),
+        order: parts[2].parse().ok().map(first_era),
         ordered_at_ms: None,
     })
 }
 
 /// Encodes a status for [`parse_rollout_status`].
 pub(crate) fn encode_rollout_status(status: &RolloutStatus) -> Bytes {
-    let order = status.order.map_or_else(String::new, |order| order.to_string());
+    let order = status.order.map_or_else(String::new, |order| order.number.to_string());
     format!("{:?} {} {order}", status.state, status.to).into()
 }
 
--- a/components/gateway/src/view_exchange.rs
+++ b/components/gateway/src/view_exchange.rs
@@ -366,10 +366,6 @@
     }
     for tombstone in wire.tombstones {
         let key: Arc<str> = tombstone.key.into();
-        let revision = tombstone.revision.into();
-        match view.is_rollout_key(&key) {
-            true => view.remove_rollout(&key, revision),
-            false => view.remove_upstream(&key, revision),
-        }
+        view.remove_entry(&key, tombstone.revision.into());
     }
 }
