--- a/components/gateway/src/decision.rs
+++ b/components/gateway/src/decision.rs
@@ -130,6 +130,8 @@
 pub(crate) struct StreamInterrupted<'a> {
     pub(crate) request: &'a str,
     pub(crate) upstream: &'a UpstreamId,
+    /// Version of the upstream's software, if it names one.
+    pub(crate) version: Option<&'a str>,
     /// Id of the last event that was relayed to the caller.
     pub(crate) last_event: Option<u64>,
     pub(crate) reason: &'a str,
@@ -170,6 +172,15 @@
     pub(crate) retry_after_ms: u64,
 }
 
+/// A stream that a caller takes up after its connection broke.
+#[derive(Debug, Serialize)]
+pub(crate) struct StreamTakenUp<'a> {
+    pub(crate) request: &'a str,
+    /// Request that brought the stream's first event, if the caller names it.
+    pub(crate) resumes: Option<&'a str>,
+    pub(crate) last_event: u64,
+}
+
 /// An event about one request in the decision log.
 #[derive(Debug, Serialize, IntoStaticStr)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -191,6 +202,8 @@
     #[serde(rename = "quota_refused")]
     #[strum(serialize = "quota_refused")]
     QuotaExceeded(QuotaExceeded<'a>),
+    /// A caller takes up a stream.
+    StreamTakenUp(StreamTakenUp<'a>),
 }
 
 impl Decision<'_> {
@@ -199,7 +212,7 @@
             Decision::RequestEnded(ended) => ended.reason == Reason::Answered,
             Decision::SendEnded(ended) => ended.end == "answered",
             Decision::StreamInterrupted(_) | Decision::ResponseCut(_) => false,
-            Decision::QuotaExceeded(_) => true,
+            Decision::QuotaExceeded(_) | Decision::StreamTakenUp(_) => true,
             Decision::RequestRefused(refused) => refused.reason == Reason::OverQuota,
         }
     }
--- a/components/gateway/src/dialect.rs
+++ b/components/gateway/src/dialect.rs
@@ -43,6 +43,8 @@
     pub deadline: Option<Duration>,
     /// Last event that the caller received of an interrupted stream.
     pub resume_after: Option<u64>,
+    /// Request that brought the first event of the stream that the caller takes up.
+    pub resumes: Option<Arc<str>>,
     /// Prompt, for requests to a model.
     pub prompt: Option<Prompt>,
 }
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -9,7 +9,7 @@
 use crate::{
     attempts::{Attempts, NextStep},
     crash_evidence::{Trial, check_request},
-    decision::Reason,
+    decision::{Decision, Reason, StreamTakenUp},
     local_response::LocalResponse,
     place::{Placement, PlacementError, PlacementRequest},
     relay::{EventRelay, LargeBodyRelay},
@@ -37,6 +37,11 @@
 
 /// Sends a request to upstreams until one of them responds or no attempt is left.
 pub(crate) async fn dispatch(cx: &Rc<RequestContext>) -> Result<Response<BoxBody>, LocalResponse> {
+    if let Some(last_event) = cx.info.resume_after {
+        let resumes = cx.info.resumes.as_deref();
+        let taken_up = StreamTakenUp { request: &cx.info.id, resumes, last_event };
+        cx.gateway.decisions.write(&Decision::StreamTakenUp(taken_up));
+    }
     let mut attempts = Attempts::new(cx.route.kind, cx.route.max_attempts);
     let mut failed: Option<BufferedResponse> = None;
     let result = cx.run_until_due(send_until_answered(cx, &mut attempts, &mut failed)).await;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -272,10 +272,12 @@
             record_broken(&self.cx, &broken.guard.upstream);
         }
         let upstream = broken.guard.upstream.id();
+        let version = broken.guard.upstream.entry.borrow().version.clone();
         drop(broken);
         self.cx.gateway.decisions.write(&Decision::StreamInterrupted(StreamInterrupted {
             request: &self.cx.info.id,
             upstream: &upstream,
+            version: version.as_deref(),
             last_event: self.last_id,
             reason,
         }));
