gateway: A stream goes on only at the version of the software that began it

Cause: what may go on with a stream was decided by service and track alone. The class: a continuation that isn't bound to what it continues. Three ways led there: resuming within a response, taking up a stream over the client's tries, and the step that moved streams to the new version once a roll-out was promoted.

Change: a stream is bound to the version of the upstream that sent its first event; attempts to go on select only among upstreams of that version, or end the stream incomplete.

A stream that a client takes up names its first request in Resumes. The node that relayed the first event tells two nodes of its zone and one of each other zone, which the request's hash selects; any node asks these. Where one version only has served for as long as a stream can last (twice the longest route timeout, at least 20 s), that is the answer. The versions in use stand in one entry of the store, written at a change by the first node of each zone, so that after all nodes were killed it is known whether another one has just left. What isn't known is refused with 503 at once, which is true: nothing ran.

--- a/components/gateway/src/decision.rs
+++ b/components/gateway/src/decision.rs
@@ -42,6 +42,8 @@
     BodyTooLarge,
     /// The request body was not received completely.
     BodyIncomplete,
+    /// It is not known which version of the software began the stream that is taken up.
+    UnknownOrigin,
     /// The workspace has exceeded its quota.
     OverQuota,
     /// The node is shutting down.
@@ -179,6 +181,10 @@
     /// Request that brought the stream's first event, if the caller names it.
     pub(crate) resumes: Option<&'a str>,
     pub(crate) last_event: u64,
+    /// Whether the version that began it is known; otherwise it is refused.
+    pub(crate) is_known: bool,
+    /// That version, if its upstreams name one.
+    pub(crate) version: Option<&'a str>,
 }
 
 /// An event about one request in the decision log.
--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -20,6 +20,7 @@
     engine_load::EngineLoad,
     health::Health,
     pool::Pool,
+    software_version::VersionHistory,
     upstream_speeds::UpstreamKey,
 };
 
@@ -123,6 +124,8 @@
 pub struct Directory {
     upstreams: RefCell<BTreeMap<UpstreamId, Rc<Upstream>>>,
     by_key: RefCell<HashMap<UpstreamKey, Rc<Upstream>>>,
+    /// Versions of the registered upstreams, and of those that left lately.
+    pub(crate) versions: RefCell<VersionHistory>,
 }
 
 impl Directory {
@@ -150,13 +153,20 @@
             service: &entry.service,
             address: entry.address,
         });
+        self.versions.borrow_mut().add(&entry, Instant::now());
         let upstream = Rc::new(Upstream::new(entry, revision));
         self.by_key.borrow_mut().insert(upstream.key(), upstream.clone());
         if let Some(replaced) = upstreams.insert(upstream.id(), upstream) {
-            replaced.retire();
+            self.retire(&replaced);
         }
     }
 
+    /// Takes an upstream out of use that is no longer registered.
+    fn retire(&self, upstream: &Upstream) {
+        upstream.retire();
+        self.versions.borrow_mut().remove(&upstream.entry.borrow(), Instant::now());
+    }
+
     /// Stops sending requests to an upstream whose entry at `revision` says that it is draining or
     /// gone; returns whether the upstream accepted requests until now.
     ///
@@ -178,7 +188,7 @@
         let is_older = upstreams.get(id).is_some_and(|current| current.revision.get() < revision);
         if is_older && let Some(removed) = upstreams.remove(id) {
             log_event(&NodeEvent::UpstreamRemoved { upstream: id, at: revision.into() });
-            removed.retire();
+            self.retire(&removed);
             self.by_key.borrow_mut().remove(&removed.key());
         }
     }
@@ -189,7 +199,7 @@
         let found = upstreams.extract_if(.., |_, up| is_taken(up.entry.borrow().address));
         let removed: Vec<_> = found.collect();
         for (_, upstream) in &removed {
-            upstream.retire();
+            self.retire(upstream);
             self.by_key.borrow_mut().remove(&upstream.key());
         }
         removed.into_iter().map(|(id, _)| id).collect()
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -9,13 +9,15 @@
 use crate::{
     attempts::{Attempts, NextStep},
     crash_evidence::{Trial, check_request},
-    decision::{Decision, Reason, StreamTakenUp},
+    decision::Reason,
+    directory::Upstream,
     local_response::LocalResponse,
-    place::{Placement, PlacementError, PlacementRequest},
+    place::{Placement, PlacementError, PlacementRequest, place},
     relay::{EventRelay, LargeBodyRelay},
     rollout_placement::place_permitted,
     send::{BufferedResponse, Failure, StartedStream, UpstreamResponse, send},
     serve::RequestContext,
+    software_version::SoftwareVersion,
     upstream_limits::{WithinLimits, within_limits},
 };
 
@@ -37,11 +39,7 @@
 
 /// Sends a request to upstreams until one of them responds or no attempt is left.
 pub(crate) async fn dispatch(cx: &Rc<RequestContext>) -> Result<Response<BoxBody>, LocalResponse> {
-    if let Some(last_event) = cx.info.resume_after {
-        let resumes = cx.info.resumes.as_deref();
-        let taken_up = StreamTakenUp { request: &cx.info.id, resumes, last_event };
-        cx.gateway.decisions.write(&Decision::StreamTakenUp(taken_up));
-    }
+    cx.bind_resumed().await?;
     let mut attempts = Attempts::new(cx.route.kind, cx.route.max_attempts);
     let mut failed: Option<BufferedResponse> = None;
     let result = cx.run_until_due(send_until_answered(cx, &mut attempts, &mut failed)).await;
@@ -193,7 +191,8 @@
         check_request(&cx.gateway, &cx.service, cx.info.prompt.as_ref())?;
     }
     let all_upstreams = cx.gateway.directory.for_service(&cx.service.name);
-    let candidates = all_upstreams.iter().filter(|up| up.accepts_requests()).cloned().collect();
+    let is_candidate = |up: &&Rc<Upstream>| up.accepts_requests() && cx.may_run_at(up);
+    let candidates = all_upstreams.iter().filter(is_candidate).cloned().collect();
     let WithinLimits { allowed: candidates, next } = within_limits(&cx.gateway, candidates);
     let late = cx.arrived + cx.route.target;
     let req = PlacementRequest {
@@ -207,7 +206,13 @@
         time_to_target: late.saturating_duration_since(now),
         priority: cx.priority(),
     };
-    place_permitted(&cx.gateway, &req, candidates, now, rand::random()).map_err(|none| {
+    let random = rand::random();
+    let placed = match cx.stream_version.get() {
+        // The roll-out's shares are those of new streams.
+        Some(_) => place(&req, &candidates, now, random),
+        None => place_permitted(&cx.gateway, &req, candidates, now, random),
+    };
+    placed.map_err(|none| {
         cx.gateway.count_rejected(&cx.service.name);
         let after = match none {
             PlacementError::NoUpstream => next,
@@ -245,6 +250,7 @@
         UpstreamResponse::Events(started) => {
             let mut response = Response::new(started.status);
             response.head_mut().headers = started.headers.clone();
+            cx.bind_stream(SoftwareVersion::from(&*started.guard.upstream));
             let relay = EventRelay::new(cx.clone(), started, attempts);
             response.set_body(BoxBody::new(relay.into_body()))
         }
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -30,6 +30,7 @@
     rollouts::Rollouts,
     schedule,
     stop_schedule::StopSchedule,
+    stream_origin::StreamOrigins,
     upstream_speeds::SpeedNotice,
     usage::{Usage, UsageWindow},
 };
@@ -73,6 +74,9 @@
     pub(crate) is_leader: Cell<bool>,
     /// Latest era of the store that is known.
     pub(crate) store_era: Cell<Option<StoreEra>>,
+    /// When the view of the store was last confirmed, here or at the node that is followed.
+    pub(crate) view_confirmed_at: Cell<Option<Instant>>,
+    pub(crate) stream_origins: RefCell<StreamOrigins>,
     pub(crate) datagrams: OnceCell<Rc<UdpSocket>>,
     pub(crate) rollouts: RefCell<Rollouts>,
     pub(crate) demand: RefCell<BTreeMap<ServiceName, Demand>>,
@@ -82,7 +86,7 @@
     retries: RefCell<HashMap<ServiceName, RetryBudget>>,
     has_upstreams: Cell<bool>,
     reloaded: RefCell<ReloadableSettings>,
-    started: Instant,
+    pub(crate) started: Instant,
     pub(crate) stopping: watch::Sender<Option<StopSchedule>>,
     pub(crate) closing: watch::Sender<bool>,
     requests: OpenCount,
@@ -166,6 +170,8 @@
             refused_parts: RefCell::default(),
             is_leader: Cell::new(false),
             store_era: Cell::new(None),
+            view_confirmed_at: Cell::new(None),
+            stream_origins: RefCell::new(StreamOrigins::new(Instant::now())),
             datagrams: OnceCell::new(),
             rollouts: RefCell::new(rollouts),
             demand: RefCell::default(),
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -303,6 +303,7 @@
         Ok(Datagram::State(digest)) => handle_state(gateway, from, *digest),
         Ok(Datagram::Sent(notice)) => handle_sent(gateway, notice),
         Ok(Datagram::Absent(upstream)) => handle_absent(gateway, &upstream),
+        Ok(Datagram::StreamBegan(origin)) => gateway.record_origin(origin),
         Ok(Datagram::Limits(notices)) => handle_limits(gateway, &notices),
         Ok(Datagram::CrashEvidence(evidence)) => handle_evidence(gateway, evidence),
         Ok(Datagram::ZoneUsage(zone, sum)) => {
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -74,10 +74,12 @@
 mod server;
 mod size;
 mod socket;
+mod software_version;
 mod stop_schedule;
 mod stopping;
 mod store;
 mod store_watch;
+mod stream_origin;
 mod sync;
 mod table;
 #[cfg(test)]
@@ -87,6 +89,7 @@
 mod upstream_notices;
 mod upstream_speeds;
 mod usage;
+mod version_record;
 mod view_exchange;
 mod zone_usage;
 
--- a/components/gateway/src/local_response.rs
+++ b/components/gateway/src/local_response.rs
@@ -67,6 +67,7 @@
         Reason::Stopping
         | Reason::NotInitialized
         | Reason::NoUpstream
+        | Reason::UnknownOrigin
         | Reason::CrashesUpstreams
         | Reason::Busy
         | Reason::NoMemory
--- a/components/gateway/src/messages.rs
+++ b/components/gateway/src/messages.rs
@@ -14,6 +14,7 @@
     engine_speed::SpeedSamples,
     quota::ReportedUsage,
     rollout_report::{RolloutNotice, RolloutReport},
+    stream_origin::StreamOrigin,
     upstream_limits::LimitNotice,
     upstream_speeds::SpeedNotice,
     usage::UsageWindow,
@@ -117,6 +118,8 @@
     Limits(Vec<LimitNotice>),
     /// Requests that upstreams crashed on, sent at once and to nodes that lack them.
     CrashEvidence(CrashEvidence),
+    /// A stream that began at the sender, for the nodes that others ask for it.
+    StreamBegan(StreamOrigin),
     /// Usage of workspaces in all other availability zones, for nodes of the sender's zone.
     OtherZonesUsage(UsageSum),
 }
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -8,6 +8,7 @@
 
 use lycheelatch_prelude::{NodeId, UpstreamId, WorkspaceName, ZoneName};
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
     engine_load::InFlight,
@@ -31,6 +32,9 @@
 /// Time without a digest after which a node that is not registered in the store is removed.
 const REMOVAL_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Nodes of the sender's availability zone that hold a record.
+const HOLDERS_IN_OWN_ZONE: usize = 2;
+
 /// Returns whether a digest of the same process says more than the current one.
 ///
 /// In one round the leader may get both a brief and a complete digest, with the same sequence
@@ -82,6 +86,15 @@
     pub(crate) other_zones: Vec<SocketAddr>,
 }
 
+/// Other nodes that hold a record.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub(crate) struct RecordHolders {
+    /// Those in this node's availability zone.
+    pub(crate) own_zone: Vec<SocketAddr>,
+    /// One in each other availability zone.
+    pub(crate) other_zones: Vec<SocketAddr>,
+}
+
 /// Table of the other nodes and their latest digests.
 #[derive(Debug)]
 pub(crate) struct PeerTable {
@@ -338,6 +351,31 @@
         self.peers.values().any(matches)
     }
 
+    /// Returns the nodes that hold a record for the others, by the record's key.
+    ///
+    /// All nodes that hear the same others select the same ones.
+    pub(crate) fn record_holders(&self, zone: &ZoneName, key: u64, now: Instant) -> RecordHolders {
+        let weight = |id: &NodeId| xxh3_64_with_seed(id.as_str().as_bytes(), key);
+        let mut own_zone = vec![(weight(&self.own), None)];
+        let mut other_zones: BTreeMap<&ZoneName, (u64, SocketAddr)> = BTreeMap::new();
+        for (id, peer) in self.live_peers(now) {
+            let candidate = (weight(id), peer.address);
+            match &peer.zone {
+                Some(of_peer) if of_peer != zone => {
+                    let best = other_zones.entry(of_peer).or_insert(candidate);
+                    *best = (*best).max(candidate);
+                }
+                _ => own_zone.push((candidate.0, Some(candidate.1))),
+            }
+        }
+        own_zone.sort_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+        let of_zone = own_zone.into_iter().take(HOLDERS_IN_OWN_ZONE);
+        RecordHolders {
+            own_zone: of_zone.filter_map(|(_, address)| address).collect(),
+            other_zones: other_zones.into_values().map(|(_, address)| address).collect(),
+        }
+    }
+
     /// Returns the addresses of the live nodes.
     pub(crate) fn live_addresses(&self, now: Instant) -> Vec<SocketAddr> {
         self.live_peers(now).map(|(_, peer)| peer.address).collect()
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -18,7 +18,7 @@
     in_flight::InFlightGuard,
     place::Placement,
     response_cut::{ResponseStage, record_cut},
-    rollout_counting::{must_leave, record_broken},
+    rollout_counting::record_broken,
     send::{BufferedResponse, StartedStream},
     serve::RequestContext,
 };
@@ -137,14 +137,12 @@
         reason: String,
         /// Upstream for the rest of the stream.
         reserved: Option<Box<Placement>>,
-        /// Whether the upstream is at fault.
-        is_fault: bool,
     },
 }
 
 impl Step {
     fn interrupted(reason: impl Into<String>) -> Step {
-        Step::Interrupted { reason: reason.into(), reserved: None, is_fault: true }
+        Step::Interrupted { reason: reason.into(), reserved: None }
     }
 }
 
@@ -183,8 +181,8 @@
                     }
                     return self.fail("the time is up");
                 }
-                Step::Interrupted { reason, reserved, is_fault } => {
-                    if !self.try_resume(&reason, reserved, is_fault).await {
+                Step::Interrupted { reason, reserved } => {
+                    if !self.try_resume(&reason, reserved).await {
                         return self.fail(&reason);
                     }
                 }
@@ -196,10 +194,6 @@
     /// complete event arrives for too long; any other one is read until the deadline.
     async fn step_or_leave(&mut self) -> Step {
         let cx = self.cx.clone();
-        if let Some(next) = self.place_of_next_version() {
-            let reason = "its version is being replaced".to_owned();
-            return Step::Interrupted { reason, reserved: Some(Box::new(next)), is_fault: false };
-        }
         let leave_at = Instant::now() + cx.route.event_gap_target * STALLED_AFTER_GAPS;
         if self.attempts.may_abandon() && leave_at < cx.deadline {
             if let Some(step) = cx.gateway.run_until(leave_at, self.step()).await {
@@ -209,11 +203,7 @@
                 && let Some(next) = self.replacement()
             {
                 let reason = "no event for too long".to_owned();
-                return Step::Interrupted {
-                    reason,
-                    reserved: Some(Box::new(next)),
-                    is_fault: true,
-                };
+                return Step::Interrupted { reason, reserved: Some(Box::new(next)) };
             }
         }
         cx.run_until_due(self.step()).await.unwrap_or(Step::TimeUp)
@@ -225,15 +215,6 @@
         choose_replacement(&self.cx, &self.attempts, &current)
     }
 
-    /// Reserves an upstream of the new version, if a roll-out is about to stop this one.
-    fn place_of_next_version(&self) -> Option<Placement> {
-        let current = self.current.as_ref()?;
-        if !self.attempts.may_abandon() || !must_leave(&self.cx, &current.guard.upstream) {
-            return None;
-        }
-        self.replacement()
-    }
-
     async fn step(&mut self) -> Step {
         let Some(current) = &mut self.current else {
             return Step::interrupted("no upstream");
@@ -258,19 +239,12 @@
     }
 
     /// Resumes the stream on another upstream, if the route allows it; returns whether it did.
-    async fn try_resume(
-        &mut self,
-        reason: &str,
-        reserved: Option<Box<Placement>>,
-        is_fault: bool,
-    ) -> bool {
+    async fn try_resume(&mut self, reason: &str, reserved: Option<Box<Placement>>) -> bool {
         let Some(broken) = self.current.take() else { return false };
         if reserved.is_none() {
             record_cut(&self.cx, &broken.guard.upstream, ResponseStage::Streaming);
         }
-        if is_fault {
-            record_broken(&self.cx, &broken.guard.upstream);
-        }
+        record_broken(&self.cx, &broken.guard.upstream);
         let upstream = broken.guard.upstream.id();
         let version = broken.guard.upstream.entry.borrow().version.clone();
         drop(broken);
--- a/components/gateway/src/rollout.rs
+++ b/components/gateway/src/rollout.rs
@@ -32,9 +32,6 @@
 /// Time that a decision needs until the store holds it.
 const REPORT_TIME: Duration = Duration::from_millis(300);
 
-/// Part of the time from the promotion to the deadline after which streams leave the stable track.
-const MOVE_AFTER_PART: u32 = 3;
-
 /// One service's roll-out, as this node knows it.
 pub(crate) struct Rollout {
     /// Version that the service moves to.
@@ -49,7 +46,6 @@
     phase: RolloutPhase,
     /// Whether the store says that the phase is the last one.
     is_end_stored: bool,
-    promoted_at: Option<Instant>,
     canary_share: f64,
     /// Whether this node sends nothing to the canary because of what it counted itself.
     is_stopped_here: bool,
@@ -74,7 +70,6 @@
             ordered_at,
             phase: RolloutPhase::Canary,
             is_end_stored: false,
-            promoted_at: None,
             canary_share: 0.0,
             is_stopped_here: false,
             is_completion_due: false,
@@ -158,9 +153,8 @@
     }
 
     /// Moves all new requests to the canary.
-    pub(crate) fn promote(&mut self, now: Instant) {
+    pub(crate) fn promote(&mut self) {
         self.advance(RolloutPhase::Promoting);
-        self.promoted_at.get_or_insert(now);
     }
 
     /// Stops sending to the canary.
@@ -181,10 +175,10 @@
     }
 
     /// Follows a step of the leader. The end of a promoted roll-out is read from the store.
-    pub(crate) fn follow(&mut self, phase: RolloutPhase, canary_share: f64, now: Instant) {
+    pub(crate) fn follow(&mut self, phase: RolloutPhase, canary_share: f64) {
         match phase {
             RolloutPhase::Canary => self.set_share(canary_share),
-            RolloutPhase::Promoting | RolloutPhase::Completed => self.promote(now),
+            RolloutPhase::Promoting | RolloutPhase::Completed => self.promote(),
             RolloutPhase::RolledBack => self.roll_back(),
         }
     }
@@ -310,17 +304,6 @@
         Some(reason)
     }
 
-    /// Returns whether a stream that can go on at another upstream should leave one of a version.
-    pub(crate) fn should_leave(&self, version: Option<&Arc<str>>, now: Instant) -> bool {
-        let Some(promoted_at) = self.promoted_at else { return false };
-        if self.phase != RolloutPhase::Promoting || self.is_stopped_here {
-            return false;
-        }
-        let deadline = self.ordered_at + self.duration;
-        let stay = deadline.saturating_duration_since(promoted_at) / MOVE_AFTER_PART;
-        self.track(version) == Track::Stable && now >= promoted_at + stay
-    }
-
     /// Returns the status that the store should hold.
     pub(crate) fn wanted_status(&self) -> RolloutStatus {
         let state = match state_of(self.phase) {
--- a/components/gateway/src/rollout_leader.rs
+++ b/components/gateway/src/rollout_leader.rs
@@ -159,7 +159,7 @@
         let mut counts = rollout.counts().clone();
         for report in reports.on(service, rollout.order) {
             report.add_to(&mut counts);
-            follow_peer(rollout, report, now);
+            follow_peer(rollout, report);
         }
         let in_flight = in_flight_at_stable(gateway, service, rollout, now);
         let evidence = rollout.evidence(counts, in_flight, now);
@@ -173,10 +173,10 @@
 }
 
 /// Takes over the phase that an earlier leader decided.
-fn follow_peer(rollout: &mut Rollout, report: &RolloutReport, now: Instant) {
+fn follow_peer(rollout: &mut Rollout, report: &RolloutReport) {
     match report.phase {
         RolloutPhase::Canary => {}
-        phase => rollout.follow(phase, rollout.canary_share(), now),
+        phase => rollout.follow(phase, rollout.canary_share()),
     }
 }
 
@@ -232,7 +232,7 @@
             }
         }
         RolloutStep::Promote => {
-            rollout.promote(now);
+            rollout.promote();
             log_step(service, rollout, counts, None, now);
         }
         RolloutStep::Complete => {
--- a/components/gateway/src/rollout_placement/tests.rs
+++ b/components/gateway/src/rollout_placement/tests.rs
@@ -47,7 +47,7 @@
     fn follow(&self, phase: RolloutPhase, share: f64) {
         let mut rollouts = self.gateway.rollouts.borrow_mut();
         let rollout = rollouts.get_mut(&self.service.name).unwrap();
-        rollout.follow(phase, share, Instant::now());
+        rollout.follow(phase, share);
     }
 
     /// Returns how many of `count` requests go to upstreams of version `v2`, or `None` if one is
--- a/components/gateway/src/rollouts.rs
+++ b/components/gateway/src/rollouts.rs
@@ -212,7 +212,7 @@
         let rollout = self.services.get_mut(&notice.service);
         if let Some(rollout) = rollout.filter(|rollout| rollout.order == order) {
             rollout.hear_age(Duration::from_millis(notice.age_ms), now);
-            rollout.follow(notice.phase, notice.canary_share, now);
+            rollout.follow(notice.phase, notice.canary_share);
         }
     }
 
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -20,7 +20,7 @@
     server::{self, ServerLimits, empty},
     store_watch,
     sync::StoreView,
-    view_exchange,
+    version_record, view_exchange,
 };
 
 /// Timeouts of connections to the readiness, peer and metrics servers.
@@ -105,6 +105,7 @@
             actix_rt::spawn(members::keep_registered(gateway.clone(), parts.store.clone())),
             actix_rt::spawn(gossip::run(gateway.clone(), datagrams)),
             actix_rt::spawn(cache_exchange::learn_caches(gateway.clone())),
+            actix_rt::spawn(version_record::run(gateway.clone(), parts.store.clone())),
             actix_rt::spawn(leader::run_election(
                 gateway.clone(),
                 parts.store.clone(),
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -1,6 +1,11 @@
 //! Handles a caller's request: routing, authentication, admission, dispatch and response.
 
-use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, OnceCell},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use actix_http::{
     ConnectionType, HttpMessage, Method, Request, Response, Uri,
@@ -24,6 +29,7 @@
     open_count::OpenGuard,
     quota::Charge,
     request_body::{BodyError, read_request_body},
+    software_version::SoftwareVersion,
 };
 
 /// `Retry-After` of a node that has not received its configuration yet.
@@ -45,6 +51,8 @@
     pub(crate) info: RequestInfo,
     pub(crate) chain: Option<PrefixChain>,
     pub(crate) trial: Trial,
+    /// Version of the software that began the stream.
+    pub(crate) stream_version: OnceCell<SoftwareVersion>,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
@@ -187,6 +195,7 @@
         info,
         chain,
         trial,
+        stream_version: OnceCell::new(),
         method,
         uri,
         headers,
--- /dev/null
+++ b/components/gateway/src/stream_origin.rs
@@ -0,0 +1,283 @@
+//! Which version of the software began a stream.
+//!
+//! A client that takes up a stream at another node names only its first request. The node that
+//! relayed that request's first event tells a few nodes, which the request's hash selects, so that
+//! any node can ask them. Where a single version has served the service for as long as a stream can
+//! last, no record is needed.
+
+use std::{
+    collections::{HashMap, hash_map::Entry},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use actix_http::{Response, Uri, body::BoxBody};
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use lycheelatch_prelude::ServiceName;
+use serde::{Deserialize, Serialize};
+use tokio::time::{Instant, timeout};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{
+    Gateway,
+    decision::{Decision, Reason, StreamTakenUp},
+    directory::Upstream,
+    local_response::LocalResponse,
+    messages::Datagram,
+    notices::send_notice,
+    peer_http::{FetchError, connect, encoded, get},
+    serve::RequestContext,
+    software_version::SoftwareVersion,
+};
+
+/// Path of the question which version began a stream; the query holds its key and its service.
+pub(crate) const ORIGIN_PATH: &str = "/origin";
+
+/// Shortest time for which a stream and its continuations are assumed to last.
+const MIN_STREAM_LIFE: Duration = Duration::from_secs(20);
+
+/// Lifetime of a stream with its continuations, as a multiple of the longest route timeout.
+const LIFE_PER_TIMEOUT: u32 = 2;
+
+/// Time within which the nodes of one availability zone answer, or those of all others.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Age of the view of the store above which a version may have come unnoticed.
+const MAX_VIEW_AGE: Duration = Duration::from_secs(3);
+
+/// `Retry-After` of a stream that can't be taken up here.
+const RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// Hash of the service and of the request that brought a stream's first event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub(crate) struct StreamKey(pub(crate) u64);
+
+impl StreamKey {
+    pub(crate) fn new(service: &ServiceName, request: &str) -> StreamKey {
+        let seed = xxh3_64_with_seed(service.as_str().as_bytes(), 0);
+        StreamKey(xxh3_64_with_seed(request.as_bytes(), seed))
+    }
+}
+
+/// A stream that began at a version.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct StreamOrigin {
+    pub(crate) key: StreamKey,
+    pub(crate) version: SoftwareVersion,
+}
+
+/// What a node knows of the origin of a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+struct OriginAnswer {
+    /// Version that began the stream, if the node was told.
+    recorded: Option<SoftwareVersion>,
+    /// The only version of the service for as long as a stream can last.
+    only: Option<SoftwareVersion>,
+}
+
+/// Origins of the streams that began within their lifetime.
+#[derive(Debug)]
+pub(crate) struct StreamOrigins {
+    current: HashMap<StreamKey, SoftwareVersion>,
+    previous: HashMap<StreamKey, SoftwareVersion>,
+    rotated_at: Instant,
+    /// Whether the versions that were in use before the process started are known.
+    pub(crate) is_past_known: bool,
+}
+
+impl StreamOrigins {
+    pub(crate) fn new(now: Instant) -> StreamOrigins {
+        StreamOrigins {
+            current: HashMap::new(),
+            previous: HashMap::new(),
+            rotated_at: now,
+            is_past_known: false,
+        }
+    }
+
+    /// Records an origin; the first record of a stream stays. Each is kept for at least `life`.
+    pub(crate) fn record(&mut self, origin: StreamOrigin, life: Duration, now: Instant) {
+        if now - self.rotated_at >= life {
+            self.previous = std::mem::take(&mut self.current);
+            self.rotated_at = now;
+        }
+        if let Entry::Vacant(entry) = self.current.entry(origin.key) {
+            entry.insert(origin.version);
+        }
+    }
+
+    /// Returns the version that began a stream.
+    pub(crate) fn get(&self, key: StreamKey) -> Option<&SoftwareVersion> {
+        self.previous.get(&key).or_else(|| self.current.get(&key))
+    }
+}
+
+impl Gateway {
+    /// Returns the time for which a stream can last, over all of a client's requests.
+    pub(crate) fn stream_life(&self) -> Duration {
+        let longest = self.table().map_or(Duration::ZERO, |table| table.longest_timeout());
+        (longest * LIFE_PER_TIMEOUT).max(MIN_STREAM_LIFE)
+    }
+
+    /// Returns the version of a service, if it was the only one for as long as a stream can last.
+    fn only_version(&self, service: &ServiceName) -> Option<SoftwareVersion> {
+        let now = Instant::now();
+        let life = self.stream_life();
+        let is_old = now.saturating_duration_since(self.started) > life;
+        if !is_old && !self.stream_origins.borrow().is_past_known {
+            return None;
+        }
+        let confirmed = self.view_confirmed_at.get();
+        if confirmed.is_none_or(|at| now.saturating_duration_since(at) > MAX_VIEW_AGE) {
+            return None;
+        }
+        // A process younger than that has no earlier time to ask for.
+        let since = now.checked_sub(life).unwrap_or(self.started);
+        self.directory.versions.borrow().only_since(service, since)
+    }
+
+    /// Records an origin that another node announced.
+    pub(crate) fn record_origin(&self, origin: StreamOrigin) {
+        let life = self.stream_life();
+        self.stream_origins.borrow_mut().record(origin, life, Instant::now());
+    }
+
+    /// Returns what this node knows of a stream's origin.
+    fn origin_answer(&self, key: StreamKey, service: &ServiceName) -> OriginAnswer {
+        let recorded = self.stream_origins.borrow().get(key).cloned();
+        OriginAnswer { recorded, only: self.only_version(service) }
+    }
+
+    /// Records the version at which a request's stream began, here and at the nodes that others
+    /// will ask.
+    fn announce_origin(&self, origin: StreamOrigin) {
+        let zone = &self.settings.zone;
+        let targets = self.peers.borrow().record_holders(zone, origin.key.0, Instant::now());
+        self.record_origin(origin.clone());
+        if let Some(socket) = self.datagrams.get() {
+            let targets = targets.own_zone.into_iter().chain(targets.other_zones).collect();
+            send_notice(socket, &Datagram::StreamBegan(origin), targets);
+        }
+    }
+}
+
+impl RequestContext {
+    /// Returns the key of the request's stream: that of the first request, if it is taken up.
+    fn stream_key(&self) -> StreamKey {
+        let first = self.info.resumes.as_ref().unwrap_or(&self.info.id);
+        StreamKey::new(&self.service.name, first)
+    }
+
+    /// Returns whether an upstream may run the request: a stream goes on only at its own version, and
+    /// not at one that a roll-out has ended.
+    pub(crate) fn may_run_at(&self, upstream: &Upstream) -> bool {
+        let Some(version) = self.stream_version.get() else { return true };
+        let is_barred = || {
+            let rollouts = self.gateway.rollouts.borrow();
+            rollouts.bars(&self.service.name, version.name())
+        };
+        SoftwareVersion::from(upstream) == *version && !is_barred()
+    }
+
+    /// Binds a stream whose first event is there to the version that generated it.
+    pub(crate) fn bind_stream(&self, version: SoftwareVersion) {
+        if !self.route.kind.may_repeat() {
+            return;
+        }
+        let version = self.stream_version.get_or_init(|| version).clone();
+        self.gateway.announce_origin(StreamOrigin { key: self.stream_key(), version });
+    }
+
+    /// Binds a stream that a client takes up to the version that began it.
+    ///
+    /// A stream of which that is not known is refused: its rest could come from another version.
+    pub(crate) async fn bind_resumed(&self) -> Result<(), LocalResponse> {
+        let Some(last_event) = self.info.resume_after.filter(|_| self.route.kind.is_stream())
+        else {
+            return Ok(());
+        };
+        let found = self.find_origin().await;
+        let version = found.as_ref().and_then(|version| version.name());
+        self.gateway.decisions.write(&Decision::StreamTakenUp(StreamTakenUp {
+            request: &self.info.id,
+            resumes: self.info.resumes.as_deref(),
+            last_event,
+            is_known: found.is_some(),
+            version: version.map(|name| &**name),
+        }));
+        match found {
+            Some(version) => {
+                self.stream_version.get_or_init(|| version);
+                Ok(())
+            }
+            None => Err(LocalResponse::with_retry_after(Reason::UnknownOrigin, RETRY_AFTER)),
+        }
+    }
+
+    async fn find_origin(&self) -> Option<SoftwareVersion> {
+        let (service, key) = (&self.service.name, self.stream_key());
+        let own = self.gateway.origin_answer(key, service);
+        if self.info.resumes.is_none() {
+            return own.only;
+        }
+        if own.recorded.is_some() {
+            return own.recorded;
+        }
+        // A version that came a moment ago may have begun the stream at another node.
+        let zone = &self.gateway.settings.zone;
+        let holders = self.gateway.peers.borrow().record_holders(zone, key.0, Instant::now());
+        let uri = format!("{ORIGIN_PATH}?key={}&service={service}", key.0);
+        let of_zone = ask(holders.own_zone, &uri).await;
+        if let Some(version) = of_zone.recorded.or(own.only).or(of_zone.only) {
+            return Some(version);
+        }
+        let of_others = ask(holders.other_zones, &uri).await;
+        of_others.recorded.or(of_others.only)
+    }
+}
+
+/// Asks some nodes for a stream's origin; ends with the first one that has a record.
+async fn ask(targets: Vec<SocketAddr>, uri: &str) -> OriginAnswer {
+    let mut known = OriginAnswer::default();
+    let asked = async {
+        let mut answers: FuturesUnordered<_> =
+            targets.into_iter().map(|target| fetch(target, uri)).collect();
+        while let Some(answer) = answers.next().await {
+            match answer {
+                Ok(OriginAnswer { recorded, only }) => {
+                    known.only = known.only.take().or(only);
+                    known.recorded = recorded;
+                }
+                Err(err) => log::debug!("peers: the origin of a stream was not told: {err}"),
+            }
+            if known.recorded.is_some() {
+                return;
+            }
+        }
+    };
+    if timeout(ANSWER_TIMEOUT, asked).await.is_err() {
+        log::debug!("peers: the origin of a stream was not told in time");
+    }
+    known
+}
+
+async fn fetch(target: SocketAddr, uri: &str) -> Result<OriginAnswer, FetchError> {
+    let uri = Uri::try_from(uri).unwrap_or(Uri::from_static(ORIGIN_PATH));
+    get(&mut connect(target).await?, uri).await
+}
+
+/// Answers the question of another node which version began a stream.
+pub(crate) fn answer_origin(gateway: &Rc<Gateway>, query: &str) -> Response<BoxBody> {
+    let value = |name: &str| {
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+    };
+    let key = value("key").and_then(|key| key.parse().ok()).map(StreamKey);
+    let service = value("service").and_then(|service| service.parse().ok());
+    let answer = match (key, service) {
+        (Some(key), Some(service)) => gateway.origin_answer(key, &service),
+        _ => OriginAnswer::default(),
+    };
+    encoded("origin", &answer)
+}
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -182,7 +182,7 @@
 
     /// Sets the time since the last response of the store, as another node reported it.
     pub(crate) fn set_age(&self, age: Duration) {
-        self.last_success.set(Instant::now().checked_sub(age));
+        self.confirm(Instant::now().checked_sub(age));
     }
 
     /// Returns the time since the last response of the store.
@@ -216,7 +216,12 @@
         if self.calls.record_success(sent).is_some_and(|outage| outage > MIN_OUTAGE) {
             self.await_registrations(now);
         }
-        self.last_success.set(Some(now));
+        self.confirm(Some(now));
+    }
+
+    fn confirm(&self, at: Option<Instant>) {
+        self.last_success.set(at);
+        self.gateway.view_confirmed_at.set(at);
     }
 
     /// Lets upstreams that are missing register again within the grace period.
--- a/components/gateway/src/table.rs
+++ b/components/gateway/src/table.rs
@@ -256,6 +256,11 @@
         self.services.values()
     }
 
+    /// Returns the longest timeout of any route; 0 if there are none.
+    pub fn longest_timeout(&self) -> Duration {
+        self.routes().map(|route| route.timeout).max().unwrap_or_default()
+    }
+
     /// Returns all routes.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.hosts.values().flatten()
--- a/components/gateway/src/view_exchange.rs
+++ b/components/gateway/src/view_exchange.rs
@@ -22,6 +22,7 @@
     messages::RevisionWire,
     peer_http::{FETCH_TIMEOUT, FetchError, connect, encoded, get},
     server::empty,
+    stream_origin::{ORIGIN_PATH, answer_origin},
     sync::{CachedEntry, LocalChange, StoreView},
     tombstones::Tombstone,
     upstream_speeds::update_speed_metric,
@@ -183,6 +184,7 @@
             wait_for_change(&view, cursor).await;
             encoded("view", &view_wire(&view, cursor))
         }
+        ORIGIN_PATH => answer_origin(&gateway, req.uri().query().unwrap_or_default()),
         CACHES_PATH => encoded("caches", &engine_caches(&gateway)),
         METRICS_PATH => metrics(&gateway),
         _ => empty(StatusCode::NOT_FOUND),
@@ -349,6 +351,11 @@
     }
     let is_fresh = Duration::from_millis(wire.age_ms) <= view.max_age();
     let revision = StoreRevision::from(wire.revision);
+    if is_fresh {
+        let read_at = Instant::now().checked_sub(Duration::from_millis(wire.age_ms));
+        let confirmed = &view.gateway.view_confirmed_at;
+        confirmed.set(confirmed.get().max(read_at));
+    }
     view.note_era(revision);
     let rollouts = wire.rollouts.into_iter().map(KeyValue::from);
     let is_ahead = is_fresh && revision >= view.revision.get();
