gateway: The origins of streams outlast the end of all nodes

Cause: the nodes keep the origins for each other only, and all had ended.

While a service has several versions, the first node of each zone writes what its zone told it to the store, every half second, under a lease as long as a stream can last; when the second version comes, the streams that are still under way are written too. A node that starts again reads the records if it is the first of its zone, which the others ask. That is two writes a second and zone in such times, whatever the number of nodes, and none otherwise.

joined_versions_take_up_after_all_nodes_were_killed answers 503 without it.

--- a/components/gateway/src/decision.rs
+++ b/components/gateway/src/decision.rs
@@ -332,6 +332,8 @@
         before_era: u64,
         before_revision: u64,
     },
+    /// Origins of streams were read from the store, after a restart.
+    StreamOriginsRead { streams: usize },
     /// The node follows another node's view instead of reading the store.
     #[serde(rename = "follows")]
     #[strum(serialize = "follows")]
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -80,6 +80,7 @@
 mod store;
 mod store_watch;
 mod stream_origin;
+mod stream_record;
 mod sync;
 mod table;
 #[cfg(test)]
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -89,7 +89,7 @@
 /// Other nodes that hold a record.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub(crate) struct RecordHolders {
-    /// Those in this node's availability zone.
+    /// Those in this node's availability zone, its first node among them.
     pub(crate) own_zone: Vec<SocketAddr>,
     /// One in each other availability zone.
     pub(crate) other_zones: Vec<SocketAddr>,
@@ -370,8 +370,11 @@
         }
         own_zone.sort_by_key(|(weight, _)| std::cmp::Reverse(*weight));
         let of_zone = own_zone.into_iter().take(HOLDERS_IN_OWN_ZONE);
+        let mut of_zone: BTreeSet<_> = of_zone.filter_map(|(_, address)| address).collect();
+        let first = self.live_in_zone(zone, now).into_iter().next();
+        of_zone.extend(first.filter(|(id, _)| *id < self.own).map(|(_, address)| address));
         RecordHolders {
-            own_zone: of_zone.filter_map(|(_, address)| address).collect(),
+            own_zone: of_zone.into_iter().collect(),
             other_zones: other_zones.into_values().map(|(_, address)| address).collect(),
         }
     }
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -18,7 +18,7 @@
     decision::{NodeEvent, log_event},
     gossip, leader, members, report, rollout_leader, rollout_status, scale, serve,
     server::{self, ServerLimits, empty},
-    store_watch,
+    store_watch, stream_record,
     sync::StoreView,
     version_record, view_exchange,
 };
@@ -105,6 +105,7 @@
             actix_rt::spawn(members::keep_registered(gateway.clone(), parts.store.clone())),
             actix_rt::spawn(gossip::run(gateway.clone(), datagrams)),
             actix_rt::spawn(cache_exchange::learn_caches(gateway.clone())),
+            actix_rt::spawn(stream_record::run(gateway.clone(), parts.store.clone())),
             actix_rt::spawn(version_record::run(gateway.clone(), parts.store.clone())),
             actix_rt::spawn(leader::run_election(
                 gateway.clone(),
--- a/components/gateway/src/software_version.rs
+++ b/components/gateway/src/software_version.rs
@@ -111,6 +111,11 @@
         used.next().is_none().then(|| only.clone())
     }
 
+    /// Returns whether several versions of a service were in use since a time.
+    pub(crate) fn has_several_since(&self, since: Instant) -> bool {
+        self.0.keys().any(|service| self.used_since(service, since).nth(1).is_some())
+    }
+
     /// Returns all versions with the time at which the last upstream left; `None` for those in use.
     pub(crate) fn iter(
         &self,
--- a/components/gateway/src/stream_origin.rs
+++ b/components/gateway/src/stream_origin.rs
@@ -2,11 +2,12 @@
 //!
 //! A client that takes up a stream at another node names only its first request. The node that
 //! relayed that request's first event tells a few nodes, which the request's hash selects, so that
-//! any node can ask them. Where a single version has served the service for as long as a stream can
+//! any node can ask them, and the first one of its availability zone, which keeps them in the
+//! store (`stream_record`). Where a single version has served the service for as long as a stream can
 //! last, no record is needed.
 
 use std::{
-    collections::{HashMap, hash_map::Entry},
+    collections::{HashMap, VecDeque, hash_map::Entry},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -82,6 +83,8 @@
     current: HashMap<StreamKey, SoftwareVersion>,
     previous: HashMap<StreamKey, SoftwareVersion>,
     rotated_at: Instant,
+    /// Origins that the store does not hold, oldest first.
+    unsaved: VecDeque<(Instant, StreamOrigin)>,
     /// Whether the versions that were in use before the process started are known.
     pub(crate) is_past_known: bool,
 }
@@ -92,6 +95,7 @@
             current: HashMap::new(),
             previous: HashMap::new(),
             rotated_at: now,
+            unsaved: VecDeque::new(),
             is_past_known: false,
         }
     }
@@ -103,8 +107,23 @@
             self.rotated_at = now;
         }
         if let Entry::Vacant(entry) = self.current.entry(origin.key) {
-            entry.insert(origin.version);
+            entry.insert(origin.version.clone());
+            self.unsaved.push_back((now, origin));
         }
+        self.drop_unsaved(life, now);
+    }
+
+    /// Drops the origins whose streams have ended from those to be saved.
+    fn drop_unsaved(&mut self, life: Duration, now: Instant) {
+        while self.unsaved.front().is_some_and(|(at, _)| now - *at > life) {
+            self.unsaved.pop_front();
+        }
+    }
+
+    /// Keeps origins that could not be saved for the next attempt.
+    pub(crate) fn put_back(&mut self, origins: Vec<StreamOrigin>) {
+        let now = Instant::now();
+        origins.into_iter().rev().for_each(|origin| self.unsaved.push_front((now, origin)));
     }
 
     /// Returns the version that began a stream.
@@ -137,6 +156,26 @@
         self.directory.versions.borrow().only_since(service, since)
     }
 
+    /// Returns whether this node keeps the origins of its availability zone in the store: the first
+    /// live one does.
+    pub(crate) fn is_zone_recorder(&self, now: Instant) -> bool {
+        let is_first = self.peers.borrow().rank_in_zone(&self.settings.zone, now) == 0;
+        is_first && !self.is_stopping()
+    }
+
+    /// Takes at most `max` origins that have to be saved; none while each service has had one
+    /// version only, as that answers all questions.
+    pub(crate) fn take_unsaved(&self, max: usize) -> Vec<StreamOrigin> {
+        let now = Instant::now();
+        let since = now.checked_sub(self.stream_life()).unwrap_or(self.started);
+        if !self.directory.versions.borrow().has_several_since(since) {
+            return Vec::new();
+        }
+        let unsaved = &mut self.stream_origins.borrow_mut().unsaved;
+        let count = unsaved.len().min(max);
+        unsaved.drain(..count).map(|(_, origin)| origin).collect()
+    }
+
     /// Records an origin that another node announced.
     pub(crate) fn record_origin(&self, origin: StreamOrigin) {
         let life = self.stream_life();
--- a/components/gateway/src/version_record.rs
+++ b/components/gateway/src/version_record.rs
@@ -122,9 +122,7 @@
 
 /// Returns whether this node writes the record: the first live one of its availability zone does.
 fn is_writer(gateway: &Gateway, now: Instant) -> bool {
-    let zone = &gateway.settings.zone;
-    let is_first = gateway.peers.borrow().rank_in_zone(zone, now) == 0;
-    is_first && gateway.is_initialized() && !gateway.is_stopping()
+    gateway.is_zone_recorder(now) && gateway.is_initialized()
 }
 
 fn current_record(gateway: &Gateway, now: Instant) -> VersionRecord {
