gateway: A refusal that names no request refuses none

Reported by other operators (REFUSED, TWICE): a faulty runner wrote an earlier refusal once more on a kept connection. One with the id of the earlier request is skipped here. One without an id was taken for the answer to the next request, which the upstream was running: the caller was told 503, not run.

A refusal counts only if it names the request; otherwise it is unknown whether the request ran. faulty_answer_refusal_that_comes_again_refuses_no_other_request failed before: 503 in place of 502.

Not found here, with a test each: an answer without a length that is reset during a long upload (faulty_answer_reset_during_the_upload_is_not_complete, three delays of the reset, plain and streamed), and an answer with status 000 (faulty_answer_with_status_000_is_no_answer, all four kinds of route).

--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -129,6 +129,10 @@
         record_notices(&cx.gateway, &upstream, head.status, &info);
     }
     if info.is_not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
+        if info.request.is_none() {
+            // It may be the refusal of an earlier request.
+            return Err(unknown("a refusal that names no request".to_owned()));
+        }
         return Err(refused(connection, &upstream, head.status).await);
     }
     if !info.is_signed || info.is_encoded {
