gateway: A status that says not run is passed on only with the upstream's mark

Found beside the reports on refusals: 408, 429 and 503 of an upstream that ran the request and did not mark its answer as a refusal reached the caller of a request that must run once, who takes them for a promise that it did not run (REFUSED). They end in 502 now, which promises nothing; requests that may run again get the answer as before.

faulty_answer_refusal_without_its_mark_is_not_passed_on_as_one failed before: 408 in place of 502.

--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -138,6 +138,10 @@
     if !info.is_signed || info.is_encoded {
         return Err(unknown(format!("status {} without a signature", head.status.as_u16())));
     }
+    if promises_not_run(head.status) && !cx.route.kind.may_repeat() {
+        // Callers would take it for a statement that the request did not run.
+        return Err(unknown(format!("status {} without its mark", head.status.as_u16())));
+    }
     let headers = cx.gateway.dialect.response_headers(&head.headers);
     if cx.route.kind.is_stream() && head.status.is_success() {
         let started = StartedStream {
@@ -176,6 +180,16 @@
     Ok(UpstreamResponse::Buffered(response))
 }
 
+/// Returns whether callers take a status for the statement that the request did not run.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Counts a request that ran towards the usage report, in the window in which it began.
 fn count_usage(cx: &RequestContext, began: Instant) {
     if let Some(workspace) = &cx.workspace {
