gateway: An error in place of the rest of a stream is not passed on as events

Reported by other operators (ORDER, MIXED): a stream broke off, and the text of an error came in the middle of it, at times its whole head. With an error's status this did not happen here: the stream ended incomplete. Two other cases did: a 200 of another type, whose text was passed on as events and ended the stream as if complete, and a head within a body that ends with its connection.

What goes on with a stream must be an event stream if it names its type, and an event without an id after one with an id ends the stream as broken; comments are let through.

faulty_answer_error_in_place_of_the_rest_is_not_in_the_stream failed before with Content-Type: text/plain: the error's text stood in the stream.

--- a/components/gateway/src/frames.rs
+++ b/components/gateway/src/frames.rs
@@ -15,6 +15,14 @@
     pub bytes: Bytes,
 }
 
+impl Frame {
+    /// Returns whether the event has a field, and not only comments.
+    pub fn has_field(&self) -> bool {
+        let mut lines = self.bytes.split(|&b| b == b'\n').map(<[u8]>::trim_ascii_end);
+        lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
+    }
+}
+
 /// an event is larger than this node takes
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub struct FrameTooLarge;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -285,9 +285,14 @@
 }
 
 /// Returns the complete events received so far, without those that were relayed before.
+///
+/// Fails on an event without an id after one with an id: it is no part of the stream.
 fn take_frames(current: &mut StartedStream, last_id: &mut Option<u64>) -> Result<Bytes, String> {
     let mut ready = BytesMut::new();
     while let Some(frame) = current.frames.next_frame().map_err(|err| err.to_string())? {
+        if frame.id.is_none() && last_id.is_some() && frame.has_field() {
+            return Err("an event without an id".to_owned());
+        }
         let is_known = matches!((frame.id, *last_id), (Some(id), Some(last)) if id <= last);
         if is_known {
             continue;
--- a/components/gateway/src/send.rs
+++ b/components/gateway/src/send.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use actix_http::{ResponseHead, StatusCode, header::HeaderMap};
+use actix_http::{
+    ResponseHead, StatusCode,
+    header::{CONTENT_TYPE, HeaderMap},
+};
 use bytes::{Bytes, BytesMut};
 use lycheelatch_prelude::UpstreamId;
 use tokio::time::{Instant, timeout};
@@ -32,6 +35,9 @@
 /// Maximum size of such a response while the memory for clients is short, in bytes.
 const MAX_BUFFERED_WHEN_SHORT: usize = 16 * 1024;
 
+/// Media type of event streams.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Time within which the body of a refusal must arrive for its connection to be reused.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -144,6 +150,9 @@
     }
     let headers = cx.gateway.dialect.response_headers(&head.headers);
     if cx.route.kind.is_stream() && head.status.is_success() {
+        if resume_after.is_some() && !may_hold_events(&head.headers) {
+            return Err(unknown("what follows the stream is no event stream".to_owned()));
+        }
         let started = StartedStream {
             status: head.status,
             headers,
@@ -190,6 +199,12 @@
     )
 }
 
+/// Returns whether a response's body may be an event stream, by its type.
+fn may_hold_events(headers: &HeaderMap) -> bool {
+    let media_type = headers.get(CONTENT_TYPE).map(|value| value.as_bytes().to_ascii_lowercase());
+    media_type.is_none_or(|media_type| media_type.starts_with(EVENT_STREAM))
+}
+
 /// Counts a request that ran towards the usage report, in the window in which it began.
 fn count_usage(cx: &RequestContext, began: Instant) {
     if let Some(workspace) = &cx.workspace {
