--- a/components/fakes/src/entry/store.rs
+++ b/components/fakes/src/entry/store.rs
@@ -175,6 +175,18 @@
         Some(serde_json::from_slice(&bytes).unwrap())
     }
 
+    /// Returns the revision of a key's last change, if it exists.
+    pub fn key_revision(&self, key: &str) -> Option<u64> {
+        self.state.lock().unwrap().contents.items.get(key).map(|item| item.revision)
+    }
+
+    /// Returns the JSON values below a prefix, by key.
+    pub fn values(&self, prefix: &str) -> Vec<(String, Value)> {
+        let keys: Vec<_> = self.state.lock().unwrap().contents.items.keys().cloned().collect();
+        let keys = keys.into_iter().filter(|key| key.starts_with(prefix));
+        keys.filter_map(|key| self.value(&key).map(|value| (key, value))).collect()
+    }
+
     /// Deletes a key.
     pub fn delete(&self, key: &str) {
         self.state.lock().unwrap().contents.delete(key);
--- a/components/gateway/src/software_version.rs
+++ b/components/gateway/src/software_version.rs
@@ -11,6 +11,9 @@
 
 use crate::{UpstreamEntry, directory::Upstream};
 
+#[cfg(test)]
+mod tests;
+
 /// Version of an upstream's software within its service; `None` if its entry names none.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub(crate) struct SoftwareVersion(Option<Arc<str>>);
--- a/components/gateway/src/stream_origin.rs
+++ b/components/gateway/src/stream_origin.rs
@@ -32,6 +32,9 @@
     software_version::SoftwareVersion,
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Path of the question which version began a stream; the query holds its key and its service.
 pub(crate) const ORIGIN_PATH: &str = "/origin";
 
--- /dev/null
+++ b/components/gateway/src/stream_origin/tests.rs
@@ -0,0 +1,52 @@
+//! How long origins are kept, and which ones are saved.
+
+use super::*;
+use crate::{ClusterClock, SystemBootClock, directory::Directory, test_support};
+
+const LIFE: Duration = Duration::from_secs(20);
+
+fn origin(request: &str, version: &str) -> StreamOrigin {
+    let entry = crate::UpstreamEntry {
+        version: Some(version.into()),
+        ..test_support::engine_entry("r-1", "zone-a")
+    };
+    let key = StreamKey::new(&entry.service, request);
+    StreamOrigin { key, version: (&entry).into() }
+}
+
+#[tokio::test(start_paused = true)]
+async fn origins_are_kept_for_a_life_and_the_first_one_stays() {
+    let mut origins = StreamOrigins::new(Instant::now());
+    let first = origin("id-1", "v1");
+    origins.record(first.clone(), LIFE, Instant::now());
+    origins.record(origin("id-1", "v2"), LIFE, Instant::now());
+    assert_eq!(origins.get(first.key), Some(&first.version));
+    tokio::time::advance(LIFE).await;
+    origins.record(origin("id-2", "v2"), LIFE, Instant::now());
+    assert_eq!(origins.get(first.key), Some(&first.version), "a life has just passed");
+    tokio::time::advance(LIFE).await;
+    origins.record(origin("id-3", "v2"), LIFE, Instant::now());
+    assert_eq!(origins.get(first.key), None);
+}
+
+#[test]
+fn stream_key_differs_between_services() {
+    let key = |service: &str| StreamKey::new(&service.parse().unwrap(), "id-1");
+    assert_ne!(key("svc"), key("other"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn take_unsaved_waits_for_a_second_version() {
+    let gateway = test_support::gateway(1, ClusterClock::new(Rc::new(SystemBootClock)));
+    let put = |directory: &Directory, id: &str, version: &str| {
+        let entry = test_support::engine_entry(id, "zone-a");
+        let entry = crate::UpstreamEntry { version: Some(version.into()), ..entry };
+        directory.put(entry, test_support::first_era(1));
+    };
+    put(&gateway.directory, "r-1", "v1");
+    gateway.record_origin(origin("id-1", "v1"));
+    assert!(gateway.take_unsaved(9).is_empty(), "one version answers all questions");
+    put(&gateway.directory, "r-2", "v2");
+    assert_eq!(gateway.take_unsaved(9), [origin("id-1", "v1")], "it began before, and runs on");
+    assert!(gateway.take_unsaved(9).is_empty());
+}
--- a/components/soak/src/cluster.rs
+++ b/components/soak/src/cluster.rs
@@ -1,6 +1,6 @@
 //! Cluster under test: nodes, store, upstreams, callers and faults.
 
-use std::{cell::RefCell, path::PathBuf, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::BTreeSet, path::PathBuf, rc::Rc, time::Duration};
 
 use lycheelatch_fakes::entry::{
     Behavior, FakeStore, ScriptedUpstream, StoreMode, WorkspaceLimit, config_document,
@@ -18,6 +18,7 @@
     load::{CallLog, call_forever},
     named_limits::{LimitLog, check_limits, limit_summary},
     nodes::{Cut, Links, Node, QUIET_TIME},
+    restored_store::restore_forever,
     rollouts::RolloutLog,
 };
 
@@ -32,6 +33,8 @@
     NamedLimits,
     /// A bad and a good version are rolled out.
     Rollout,
+    /// The store comes back from a copy, again and again.
+    RestoredStore,
 }
 
 const NODES: usize = 3;
@@ -56,6 +59,8 @@
     /// Drains without a disturbance.
     drains: RefCell<Vec<Drain>>,
     config_version: RefCell<u64>,
+    /// Keys of upstreams that were removed.
+    removed: RefCell<BTreeSet<String>>,
     /// Time of the last change of the store's mode.
     last_store_disturbance: RefCell<Instant>,
     faults: RefCell<Vec<String>>,
@@ -90,6 +95,7 @@
             log: CallLog::default(),
             drains: RefCell::default(),
             config_version: RefCell::new(1),
+            removed: RefCell::default(),
             last_store_disturbance: RefCell::new(Instant::now()),
             faults: RefCell::default(),
             harmful_calls: HarmfulCalls::default(),
@@ -119,6 +125,9 @@
                 cluster.rollouts.play(&cluster.store).await;
             }));
         }
+        if cluster.scenario == Scenario::RestoredStore {
+            callers.push(actix_rt::spawn(restore_forever(cluster.clone())));
+        }
         let faults = inject_all(&cluster, plan(cluster.seed, NODES, UPSTREAMS, length));
         let cuts = inject_all(&cluster, plan_cuts(cluster.seed, NODES, length));
         tokio::join!(faults, cuts);
@@ -177,6 +186,24 @@
         }
     }
 
+    pub(crate) fn seed(&self) -> u64 {
+        self.seed
+    }
+
+    pub(crate) fn store(&self) -> &FakeStore {
+        &self.store
+    }
+
+    /// Takes note that the store is being disturbed.
+    pub(crate) fn disturb_store(&self) {
+        self.last_store_disturbance.replace(Instant::now());
+    }
+
+    /// Returns whether the upstream with this key has left.
+    pub(crate) fn was_removed(&self, key: &str) -> bool {
+        self.removed.borrow().contains(key)
+    }
+
     /// Converts an index among the upstreams in use to an index among all upstreams.
     fn current_index(&self, at: usize) -> usize {
         self.upstreams.borrow().len() - UPSTREAMS + at
@@ -311,6 +338,7 @@
     sleep(Duration::from_secs(4)).await;
     let is_quiet = is_quiet && cluster.is_quiet();
     cluster.store.delete(&key);
+    cluster.removed.borrow_mut().insert(key);
     sleep(Duration::from_millis(700)).await;
     let number = cluster.upstreams.borrow().len();
     let replacement = start_upstream(&cluster.store, number, cluster.scenario).await;
--- a/components/soak/src/main.rs
+++ b/components/soak/src/main.rs
@@ -8,6 +8,7 @@
 mod load;
 mod named_limits;
 mod nodes;
+mod restored_store;
 mod rollouts;
 
 use std::{path::PathBuf, process::ExitCode, time::Duration};
@@ -36,13 +37,13 @@
         .arg(
             Arg::new("scenario")
                 .long("scenario")
-                .value_parser(["faults", "crashing-part", "named-limits", "rollout"])
+                .value_parser(["faults", "crashing-part", "named-limits", "rollout", "restored-store"])
                 .default_value("faults")
                 .help("What happens beside the faults")
                 .long_help(
                     "What happens beside the faults: nothing; upstreams crash on requests whose prompt \
-                     holds one part; upstreams name limits of requests a second; or a bad and a \
-                     good version are rolled out",
+                     holds one part; upstreams name limits of requests a second; a bad and a good \
+                     version are rolled out; or the store comes back from a copy, again and again",
                 ),
         )
         .arg(
@@ -62,6 +63,7 @@
         Some("crashing-part") => Scenario::CrashingPart,
         Some("named-limits") => Scenario::NamedLimits,
         Some("rollout") => Scenario::Rollout,
+        Some("restored-store") => Scenario::RestoredStore,
         _ => Scenario::Faults,
     };
     let node = matches.get_one::<PathBuf>("node").cloned().unwrap_or_else(default_node_program);
