gateway: A stream that is taken up goes to the service that began it

What a client took up could go to another service, where the same name of a version means nothing.

The draw of a streaming request now follows from the request that began the stream; where the shares were changed since, only a record counts.

joined_versions_take_up_stays_at_the_service_of_a_split_route failed before.

--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -30,6 +30,7 @@
     quota::Charge,
     request_body::{BodyError, read_request_body},
     software_version::SoftwareVersion,
+    stream_origin::stream_draw,
 };
 
 /// `Retry-After` of a node that has not received its configuration yet.
@@ -177,7 +178,7 @@
     let body = read.ok_or(LocalResponse::new(Reason::DeadlineExpired))??;
     // The body may have taken long, and what is passed on now needs time for its response.
     refuse_while_stopping(gateway)?;
-    let service = pick_service(&table, &route)?;
+    let service = pick_service(&table, &route, &info)?;
     let trial = check_request(gateway, &service, info.prompt.as_ref())?;
     let chain = info.prompt.as_ref().map(PrefixChain::from);
     let now = Instant::now();
@@ -256,8 +257,14 @@
     })
 }
 
-fn pick_service(table: &RoutingTable, route: &Route) -> Result<Arc<ServiceSpec>, LocalResponse> {
-    let name: Option<&ServiceName> = route.pick(rand::random());
+fn pick_service(
+    table: &RoutingTable,
+    route: &Route,
+    info: &RequestInfo,
+) -> Result<Arc<ServiceSpec>, LocalResponse> {
+    // What a client takes up of a stream goes to the service that began it.
+    let draw = if route.kind.is_stream() { stream_draw(info) } else { rand::random() };
+    let name: Option<&ServiceName> = route.pick(draw);
     let service = name.and_then(|name| table.service(name));
     service.cloned().ok_or(LocalResponse::new(Reason::NoUpstream))
 }
--- a/components/gateway/src/stream_origin.rs
+++ b/components/gateway/src/stream_origin.rs
@@ -21,7 +21,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    Gateway,
+    Gateway, RequestInfo,
     decision::{Decision, Reason, StreamTakenUp},
     directory::Upstream,
     local_response::LocalResponse,
@@ -53,6 +53,9 @@
 /// `Retry-After` of a stream that can't be taken up here.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// Separates the draw of a service from other hashes of a request.
+const DRAW_SEED: u64 = 0x5e7;
+
 /// Hash of the service and of the request that brought a stream's first event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub(crate) struct StreamKey(pub(crate) u64);
@@ -204,11 +207,24 @@
     }
 }
 
+/// Returns a number in `[0, 1)` that is the same for a stream and for what is taken up of it.
+pub(crate) fn stream_draw(info: &RequestInfo) -> f64 {
+    let hash = xxh3_64_with_seed(info.first_request().as_bytes(), DRAW_SEED);
+    // The upper bits, as many as a float holds.
+    (hash >> 11) as f64 / (1_u64 << 53) as f64
+}
+
+impl RequestInfo {
+    /// Returns the request that brought the stream's first event: this one, if it takes up none.
+    fn first_request(&self) -> &str {
+        self.resumes.as_deref().unwrap_or(&self.id)
+    }
+}
+
 impl RequestContext {
     /// Returns the key of the request's stream: that of the first request, if it is taken up.
     fn stream_key(&self) -> StreamKey {
-        let first = self.info.resumes.as_ref().unwrap_or(&self.info.id);
-        StreamKey::new(&self.service.name, first)
+        StreamKey::new(&self.service.name, self.info.first_request())
     }
 
     /// Returns whether an upstream may run the request: a stream goes on only at its own version, and
@@ -259,7 +275,13 @@
 
     async fn find_origin(&self) -> Option<SoftwareVersion> {
         let (service, key) = (&self.service.name, self.stream_key());
-        let own = self.gateway.origin_answer(key, service);
+        let is_split = self.route.is_split();
+        // Another service of a split route may have begun it, before the shares were changed.
+        let usable = |answer: OriginAnswer| OriginAnswer {
+            only: answer.only.filter(|_| !is_split),
+            ..answer
+        };
+        let own = usable(self.gateway.origin_answer(key, service));
         if self.info.resumes.is_none() {
             return own.only;
         }
@@ -270,11 +292,11 @@
         let zone = &self.gateway.settings.zone;
         let holders = self.gateway.peers.borrow().record_holders(zone, key.0, Instant::now());
         let uri = format!("{ORIGIN_PATH}?key={}&service={service}", key.0);
-        let of_zone = ask(holders.own_zone, &uri).await;
+        let of_zone = usable(ask(holders.own_zone, &uri).await);
         if let Some(version) = of_zone.recorded.or(own.only).or(of_zone.only) {
             return Some(version);
         }
-        let of_others = ask(holders.other_zones, &uri).await;
+        let of_others = usable(ask(holders.other_zones, &uri).await);
         of_others.recorded.or(of_others.only)
     }
 }
--- a/components/gateway/src/table.rs
+++ b/components/gateway/src/table.rs
@@ -276,6 +276,11 @@
 }
 
 impl Route {
+    /// Returns whether several services share the route's traffic.
+    pub fn is_split(&self) -> bool {
+        self.shares.iter().filter(|share| share.weight > 0).count() > 1
+    }
+
     /// Picks a service by weight; `draw` is a uniform random number in `[0, 1)`.
     pub fn pick(&self, draw: f64) -> Option<&ServiceName> {
         let total: u32 = self.shares.iter().map(|share| share.weight).sum();
