gateway: Origins of streams go to other zones only while there are several versions

With one version its name answers every question, and a node of another zone can ask this zone as long as any of its nodes lives. At 390 nodes and 9,400 streams a second that is 72 datagrams a second and node in place of 193, by calculation. All tests of joined_versions pass, with the one across zones.

--- a/components/gateway/src/stream_origin.rs
+++ b/components/gateway/src/stream_origin.rs
@@ -7,7 +7,7 @@
 //! last, no record is needed.
 
 use std::{
-    collections::{HashMap, VecDeque, hash_map::Entry},
+    collections::{BTreeSet, HashMap, VecDeque, hash_map::Entry},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -169,12 +169,17 @@
         is_first && !self.is_stopping()
     }
 
+    /// Returns whether a service had several versions within the time that a stream can last.
+    fn has_several_versions(&self) -> bool {
+        let now = Instant::now();
+        let since = now.checked_sub(self.stream_life()).unwrap_or(self.started);
+        self.directory.versions.borrow().has_several_since(since)
+    }
+
     /// Takes at most `max` origins that have to be saved; none while each service has had one
     /// version only, as that answers all questions.
     pub(crate) fn take_unsaved(&self, max: usize) -> Vec<StreamOrigin> {
-        let now = Instant::now();
-        let since = now.checked_sub(self.stream_life()).unwrap_or(self.started);
-        if !self.directory.versions.borrow().has_several_since(since) {
+        if !self.has_several_versions() {
             return Vec::new();
         }
         let unsaved = &mut self.stream_origins.borrow_mut().unsaved;
@@ -195,15 +200,18 @@
     }
 
     /// Records the version at which a request's stream began, here and at the nodes that others
-    /// will ask.
+    /// will ask: those of this availability zone, and in case the zone is lost, those of others
+    /// while there are several versions.
     fn announce_origin(&self, origin: StreamOrigin) {
-        let zone = &self.settings.zone;
-        let targets = self.peers.borrow().record_holders(zone, origin.key.0, Instant::now());
         self.record_origin(origin.clone());
-        if let Some(socket) = self.datagrams.get() {
-            let targets = targets.own_zone.into_iter().chain(targets.other_zones).collect();
-            send_notice(socket, &Datagram::StreamBegan(origin), targets);
+        let Some(socket) = self.datagrams.get() else { return };
+        let zone = &self.settings.zone;
+        let holders = self.peers.borrow().record_holders(zone, origin.key.0, Instant::now());
+        let mut targets: BTreeSet<_> = holders.own_zone.into_iter().collect();
+        if self.has_several_versions() {
+            targets.extend(holders.other_zones);
         }
+        send_notice(socket, &Datagram::StreamBegan(origin), targets);
     }
 }
 
