gateway: A second restore before the first has settled brings back no upstream that left

Found in reading the diff: the second restore took the first one's era as that of what was known before, so that the copy's entry of an upstream that drains was newer than the knowledge of it.

restored_store_twice_runner_that_drains_is_not_used_again failed before: used again 0.2 s after the second restore.

--- a/components/gateway/src/report.rs
+++ b/components/gateway/src/report.rs
@@ -155,6 +155,7 @@
         report: Some(report),
         revision: item.revision,
         era,
+        // If the store lost a later report, that one may have been of the same window.
         is_sent: !is_last_held,
         first_unreported: first_unreported(gateway, is_last_held),
     })
--- a/components/gateway/src/restore.rs
+++ b/components/gateway/src/restore.rs
@@ -20,6 +20,7 @@
 /// Boundary between what the copy may have held and what was written since.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Restore {
+    /// Era of what was known before.
     before: StoreEra,
     /// First revision that was read in the new era.
     first_read: StoreRevision,
@@ -37,7 +38,8 @@
     /// Takes note of a later era than that of what was read before.
     pub(crate) fn note_era(&self, revision: StoreRevision) {
         let known = self.revision.get();
-        let noted = self.restore.get().map_or(known.era, |restore| restore.first_read.era);
+        let unsettled = self.restore.get();
+        let noted = unsettled.map_or(known.era, |restore| restore.first_read.era);
         if revision.era <= noted || known == StoreRevision::ABSENT {
             return;
         }
@@ -47,7 +49,10 @@
             before_revision: known.number,
         });
         let now = Instant::now();
-        let restore = Restore { before: known.era, first_read: revision, noticed_at: now };
+        // Until a restore has settled, what was known before it still goes before.
+        let before = unsettled.map_or(known.era, |restore| restore.before);
+        let restore = Restore { before, first_read: revision, noticed_at: now };
+        self.gateway.store_era.set(Some(revision.era));
         self.restore.set(Some(restore));
         self.await_registrations(now);
     }
