gateway: A large view arrives over a slow link

Cause, as far as it is shown: a view had 0.8 s, or 1.5 s for a follower, for the whole of its transfer; what had not arrived by then was thrown away and begun anew, for ever where the link is too slow. The class: a retry of a whole transfer under a limit for the whole.

The limits now hold for the connection, the head and each part; the whole has 3 s. A follower that waits for a large view reads the store meanwhile, after the same 1.5 s as before. A node that is behind asks another one each time.

--- a/components/gateway/src/cache_exchange.rs
+++ b/components/gateway/src/cache_exchange.rs
@@ -9,13 +9,13 @@
 use lycheelatch_prelude::UpstreamId;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 use crate::{
     Gateway,
     directory::Upstream,
     messages::{decode_links, encode_links},
-    peer_http::{FETCH_TIMEOUT, FetchError, connect, get},
+    peer_http::{FetchError, connect, get},
 };
 
 #[cfg(test)]
@@ -86,8 +86,9 @@
 }
 
 async fn fetch_caches(address: SocketAddr) -> Result<Vec<EngineCache>, FetchError> {
-    let fetching = async { get(&mut connect(address).await?, Uri::from_static(CACHES_PATH)).await };
-    timeout(FETCH_TIMEOUT, fetching).await.map_err(|_| FetchError::Timeout)?
+    let mut connection = connect(address).await?;
+    let uri = Uri::from_static(CACHES_PATH);
+    Ok(get(&mut connection, uri, Duration::ZERO).await?.resource)
 }
 
 fn apply_caches(gateway: &Gateway, caches: &[EngineCache]) {
--- a/components/gateway/src/peer_http.rs
+++ b/components/gateway/src/peer_http.rs
@@ -7,18 +7,22 @@
     body::BoxBody,
     header::{HOST, HeaderMap, HeaderValue},
 };
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
 use serde::{Serialize, de::DeserializeOwned};
+use tokio::time::{Instant, timeout};
 
 use crate::{
     connection::{Connection, ExchangeError, OutgoingRequest},
     server::empty,
 };
 
-/// Time limit of one fetch.
+/// Time limit for a connection, for the head of a response, and for each further part of it.
 pub(crate) const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time limit for the whole body of a response, also if it makes progress.
+const MAX_BODY_TIME: Duration = Duration::from_secs(3);
+
 /// Maximum size of a response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
@@ -33,6 +37,8 @@
     Decode(postcard::Error),
     /// no answer in time
     Timeout,
+    /// its response is too large
+    TooLarge,
     /// its node has not reached the store for {0} ms
     Stale(u64),
 }
@@ -50,20 +56,50 @@
     Ok(Connection::open(address, FETCH_TIMEOUT).await?)
 }
 
-/// Fetches and decodes a resource of another node.
+/// A resource of another node.
+pub(crate) struct Fetched<T> {
+    pub(crate) resource: T,
+    /// Time that its body took to arrive.
+    pub(crate) transfer_time: Duration,
+}
+
+/// Fetches and decodes a resource of another node, which may hold its response back for `wait`.
+///
+/// A body that is large for the link may take its time as long as it makes progress; begun anew, it
+/// would take as long again.
 pub(crate) async fn get<T: DeserializeOwned>(
     connection: &mut Connection,
     uri: Uri,
-) -> Result<T, FetchError> {
+    wait: Duration,
+) -> Result<Fetched<T>, FetchError> {
     let mut headers = HeaderMap::new();
     headers.insert(HOST, HeaderValue::from_static("node"));
     let req = OutgoingRequest { method: Method::GET, uri, headers, body: Bytes::new() };
-    let head = connection.exchange(req).await?;
+    let head = timeout(wait + FETCH_TIMEOUT, connection.exchange(req)).await;
+    let head = head.map_err(|_| FetchError::Timeout)??;
     if head.status != StatusCode::OK {
         return Err(FetchError::Status(head.status.as_u16()));
     }
-    let body = connection.read_body(MAX_RESPONSE_BYTES).await?;
-    postcard::from_bytes(&body).map_err(FetchError::Decode)
+    let began = Instant::now();
+    let body = timeout(MAX_BODY_TIME, read_body(connection)).await;
+    let body = body.map_err(|_| FetchError::Timeout)??;
+    let resource = postcard::from_bytes(&body).map_err(FetchError::Decode)?;
+    Ok(Fetched { resource, transfer_time: began.elapsed() })
+}
+
+/// Reads a body whose parts each arrive in time.
+async fn read_body(connection: &mut Connection) -> Result<Bytes, FetchError> {
+    let mut body = BytesMut::new();
+    loop {
+        let chunk = timeout(FETCH_TIMEOUT, connection.next_chunk()).await;
+        let Some(chunk) = chunk.map_err(|_| FetchError::Timeout)?? else {
+            return Ok(body.freeze());
+        };
+        if body.len() + chunk.len() > MAX_RESPONSE_BYTES {
+            return Err(FetchError::TooLarge);
+        }
+        body.extend_from_slice(&chunk);
+    }
 }
 
 /// Returns a response with an encoded resource.
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -318,13 +318,13 @@
         cross_zone_interval(self.peers.len())
     }
 
-    /// Returns the address of a live node with a newer configuration than `version`.
-    pub(crate) fn with_newer_config(&self, version: u64, now: Instant) -> Option<SocketAddr> {
+    /// Returns the addresses of the live nodes with a newer configuration than `version`.
+    pub(crate) fn with_newer_config(&self, version: u64, now: Instant) -> Vec<SocketAddr> {
         let is_newer = |peer: &Peer| {
             peer.digest.as_ref().is_some_and(|digest| digest.config_version > version)
         };
-        let mut newer = self.live_peers(now).filter(|(_, peer)| is_newer(peer));
-        newer.next().map(|(_, peer)| peer.address)
+        let newer = self.live_peers(now).filter(|(_, peer)| is_newer(peer));
+        newer.map(|(_, peer)| peer.address).collect()
     }
 
     /// Returns the nodes that may send requests: this one, the live ones, and registered ones that
--- a/components/gateway/src/stream_origin.rs
+++ b/components/gateway/src/stream_origin.rs
@@ -336,7 +336,7 @@
 
 async fn fetch(target: SocketAddr, uri: &str) -> Result<OriginAnswer, FetchError> {
     let uri = Uri::try_from(uri).unwrap_or(Uri::from_static(ORIGIN_PATH));
-    get(&mut connect(target).await?, uri).await
+    Ok(get(&mut connect(target).await?, uri, Duration::ZERO).await?.resource)
 }
 
 /// Answers the question of another node which version began a stream.
--- a/components/gateway/src/view_exchange.rs
+++ b/components/gateway/src/view_exchange.rs
@@ -3,7 +3,7 @@
 //! In a large availability zone a few nodes read the store and the others
 //! follow them. A node that can't reach the store reads other nodes' views.
 
-use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{net::SocketAddr, pin::pin, rc::Rc, sync::Arc, time::Duration};
 
 use actix_http::{Request, Response, StatusCode, Uri, body::BoxBody};
 use rand::seq::IndexedRandom;
@@ -18,9 +18,9 @@
     cache_exchange::{CACHES_PATH, engine_caches},
     config_view::EntrySource,
     connection::Connection,
-    decision::{NodeEvent, log_event},
+    decision::{NodeEvent, log_event, millis},
     messages::RevisionWire,
-    peer_http::{FETCH_TIMEOUT, FetchError, connect, encoded, get},
+    peer_http::{FETCH_TIMEOUT, FetchError, Fetched, connect, encoded, get},
     server::empty,
     stream_origin::{ORIGIN_PATH, answer_origin},
     sync::{CachedEntry, LocalChange, StoreView},
@@ -118,6 +118,15 @@
     }
 }
 
+/// The age of a view includes the time of its transfer.
+impl From<Fetched<ViewWire>> for ViewWire {
+    fn from(fetched: Fetched<ViewWire>) -> ViewWire {
+        let Fetched { resource: wire, transfer_time } = fetched;
+        let age_ms = wire.age_ms.saturating_add(millis(transfer_time));
+        ViewWire { age_ms, ..wire }
+    }
+}
+
 impl From<ValueWire> for KeyValue {
     fn from(wire: ValueWire) -> KeyValue {
         let revision = wire.revision.into();
@@ -224,7 +233,7 @@
             sleep(FETCH_INTERVAL).await;
             continue;
         };
-        match follow_once(&view, address, &mut followed).await {
+        match follow_or_read(&view, address, &mut followed).await {
             Ok(()) => {
                 if !view.is_following.replace(true) {
                     log_event(&NodeEvent::FollowingReader { reader: address });
@@ -271,6 +280,21 @@
     nodes.get(choice).map(|(_, address)| *address)
 }
 
+/// Fetches the followed node's changes; while a large view takes long to arrive, this node reads
+/// the store itself.
+async fn follow_or_read(
+    view: &StoreView,
+    address: SocketAddr,
+    followed: &mut Option<FollowedNode>,
+) -> Result<(), FetchError> {
+    let mut following = pin!(follow_once(view, address, followed));
+    if let Ok(result) = timeout(LONG_POLL_TIMEOUT + FETCH_TIMEOUT, &mut following).await {
+        return result;
+    }
+    view.is_following.set(false);
+    following.await
+}
+
 async fn follow_once(
     view: &StoreView,
     address: SocketAddr,
@@ -283,12 +307,12 @@
             FollowedNode { address, cursor: Cursor::default(), connection }
         }
     };
-    let fetched =
-        timeout(LONG_POLL_TIMEOUT + FETCH_TIMEOUT, fetch(&mut current.connection, current.cursor));
-    let wire = fetched.await.map_err(|_| FetchError::Timeout)??;
-    if Duration::from_millis(wire.age_ms) > view.max_age() {
-        return Err(FetchError::Stale(wire.age_ms));
+    let fetched = fetch(&mut current.connection, current.cursor, LONG_POLL_TIMEOUT).await?;
+    let sent_age_ms = fetched.resource.age_ms;
+    if Duration::from_millis(sent_age_ms) > view.max_age() {
+        return Err(FetchError::Stale(sent_age_ms));
     }
+    let wire = ViewWire::from(fetched);
     current.cursor = Cursor { incarnation: wire.incarnation, change: LocalChange(wire.change) };
     view.set_age(Duration::from_millis(wire.age_ms));
     apply_view(view, wire, EntrySource::Node(address));
@@ -310,10 +334,9 @@
         let peer = live.choose(&mut rand::rng()).copied();
         let seed = gateway.seeds().choose(&mut rand::rng()).copied();
         let Some(address) = newer.or(peer).or(seed) else { continue };
-        match timeout(FETCH_TIMEOUT, fetch_complete_view(address)).await {
-            Ok(Ok(wire)) => apply_view(&view, wire, EntrySource::Node(address)),
-            Ok(Err(err)) => log::debug!("peers: failed to fetch the view of {address}: {err}"),
-            Err(_) => log::debug!("peers: fetching the view of {address} timed out"),
+        match fetch_complete_view(address).await {
+            Ok(wire) => apply_view(&view, wire, EntrySource::Node(address)),
+            Err(err) => log::debug!("peers: failed to fetch the view of {address}: {err}"),
         }
     }
 }
@@ -326,7 +349,9 @@
 ) -> Option<SocketAddr> {
     let now = Instant::now();
     let version = gateway.table().map_or(0, |table| table.version);
-    let Some(address) = gateway.peers.borrow().with_newer_config(version, now) else {
+    let newer = gateway.peers.borrow().with_newer_config(version, now);
+    // Another one each time, as one may be slow.
+    let Some(address) = newer.choose(&mut rand::rng()).copied() else {
         *behind_since = None;
         return None;
     };
@@ -337,12 +362,16 @@
 
 async fn fetch_complete_view(address: SocketAddr) -> Result<ViewWire, FetchError> {
     let mut connection = connect(address).await?;
-    fetch(&mut connection, Cursor::default()).await
+    Ok(fetch(&mut connection, Cursor::default(), Duration::ZERO).await?.into())
 }
 
-async fn fetch(connection: &mut Connection, cursor: Cursor) -> Result<ViewWire, FetchError> {
+async fn fetch(
+    connection: &mut Connection,
+    cursor: Cursor,
+    wait: Duration,
+) -> Result<Fetched<ViewWire>, FetchError> {
     let uri = Uri::try_from(cursor.query()).unwrap_or(Uri::from_static(VIEW_PATH));
-    get(connection, uri).await
+    get(connection, uri, wait).await
 }
 
 fn apply_view(view: &StoreView, wire: ViewWire, source: EntrySource) {
