--- a/components/gateway/src/peer_http.rs
+++ b/components/gateway/src/peer_http.rs
@@ -51,6 +51,12 @@
     }
 }
 
+/// Returns the value of a parameter in a request's query.
+pub(crate) fn query_value<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+}
+
 /// Opens a connection to another node.
 pub(crate) async fn connect(address: SocketAddr) -> Result<Connection, FetchError> {
     Ok(Connection::open(address, FETCH_TIMEOUT).await?)
--- a/components/gateway/src/stream_origin.rs
+++ b/components/gateway/src/stream_origin.rs
@@ -27,7 +27,7 @@
     local_response::LocalResponse,
     messages::Datagram,
     notices::send_notice,
-    peer_http::{FetchError, connect, encoded, get},
+    peer_http::{FetchError, connect, encoded, get, query_value},
     serve::RequestContext,
     software_version::SoftwareVersion,
 };
@@ -341,12 +341,8 @@
 
 /// Answers the question of another node which version began a stream.
 pub(crate) fn answer_origin(gateway: &Rc<Gateway>, query: &str) -> Response<BoxBody> {
-    let value = |name: &str| {
-        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
-    };
-    let key = value("key").and_then(|key| key.parse().ok()).map(StreamKey);
-    let service = value("service").and_then(|service| service.parse().ok());
+    let key = query_value(query, "key").and_then(|key| key.parse().ok()).map(StreamKey);
+    let service = query_value(query, "service").and_then(|service| service.parse().ok());
     let answer = match (key, service) {
         (Some(key), Some(service)) => gateway.origin_answer(key, &service),
         _ => OriginAnswer::default(),
--- a/components/gateway/src/view_exchange.rs
+++ b/components/gateway/src/view_exchange.rs
@@ -20,7 +20,7 @@
     connection::Connection,
     decision::{NodeEvent, log_event, millis},
     messages::RevisionWire,
-    peer_http::{FETCH_TIMEOUT, FetchError, Fetched, connect, encoded, get},
+    peer_http::{FETCH_TIMEOUT, FetchError, Fetched, connect, encoded, get, query_value},
     server::empty,
     stream_origin::{ORIGIN_PATH, answer_origin},
     sync::{CachedEntry, LocalChange, StoreView},
@@ -104,10 +104,7 @@
 
     /// Parses the query of a request; a malformed one requests the complete view.
     fn from_query(query: &str) -> Cursor {
-        let number = |name: &str| {
-            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.find(|(key, _)| *key == name).and_then(|(_, value)| value.parse().ok())
-        };
+        let number = |name: &str| query_value(query, name).and_then(|value| value.parse().ok());
         let (incarnation, change) = (number("incarnation"), number("change"));
         match (incarnation, change) {
             (Some(incarnation), Some(change)) => {
