gateway: Origins that were read from the store are not written to it again

Work done twice: after a restart the first node of each zone read the records of all zones and, while several versions served, wrote all of them once more under a new lease. What was read is recorded, and not counted as unsaved.

--- a/components/gateway/src/stream_origin.rs
+++ b/components/gateway/src/stream_origin.rs
@@ -106,17 +106,26 @@
         }
     }
 
-    /// Records an origin; the first record of a stream stays. Each is kept for at least `life`.
+    /// Records an origin that the store does not hold.
     pub(crate) fn record(&mut self, origin: StreamOrigin, life: Duration, now: Instant) {
+        if self.record_saved(origin.clone(), life, now) {
+            self.unsaved.push_back((now, origin));
+        }
+        self.drop_unsaved(life, now);
+    }
+
+    /// Records an origin; the first record of a stream stays. Each is kept for at least `life`.
+    ///
+    /// Returns whether the stream had no record.
+    fn record_saved(&mut self, origin: StreamOrigin, life: Duration, now: Instant) -> bool {
         if now - self.rotated_at >= life {
             self.previous = std::mem::take(&mut self.current);
             self.rotated_at = now;
         }
-        if let Entry::Vacant(entry) = self.current.entry(origin.key) {
-            entry.insert(origin.version.clone());
-            self.unsaved.push_back((now, origin));
-        }
-        self.drop_unsaved(life, now);
+        let entry = self.current.entry(origin.key);
+        let is_new = matches!(entry, Entry::Vacant(_));
+        entry.or_insert(origin.version);
+        is_new
     }
 
     /// Drops the origins whose streams have ended from those to be saved.
@@ -193,6 +202,12 @@
         self.stream_origins.borrow_mut().record(origin, life, Instant::now());
     }
 
+    /// Records an origin that was read from the store.
+    pub(crate) fn record_saved_origin(&self, origin: StreamOrigin) {
+        let life = self.stream_life();
+        self.stream_origins.borrow_mut().record_saved(origin, life, Instant::now());
+    }
+
     /// Returns what this node knows of a stream's origin.
     fn origin_answer(&self, key: StreamKey, service: &ServiceName) -> OriginAnswer {
         let recorded = self.stream_origins.borrow().get(key).cloned();
--- a/components/gateway/src/stream_origin/tests.rs
+++ b/components/gateway/src/stream_origin/tests.rs
@@ -50,3 +50,12 @@
     assert_eq!(gateway.take_unsaved(9), [origin("id-1", "v1")], "it began before, and runs on");
     assert!(gateway.take_unsaved(9).is_empty());
 }
+
+#[tokio::test(start_paused = true)]
+async fn take_unsaved_leaves_out_what_the_store_holds() {
+    let mut origins = StreamOrigins::new(Instant::now());
+    assert!(origins.record_saved(origin("id-1", "v1"), LIFE, Instant::now()));
+    origins.record(origin("id-1", "v1"), LIFE, Instant::now());
+    assert!(origins.unsaved.is_empty());
+    assert!(origins.get(origin("id-1", "v1").key).is_some());
+}
--- a/components/gateway/src/stream_record.rs
+++ b/components/gateway/src/stream_record.rs
@@ -70,7 +70,7 @@
                     listing.items.iter().filter_map(|item| decode(&item.key, &item.value));
                 let origins: Vec<_> = records.flatten().collect();
                 log_event(&NodeEvent::StreamOriginsRead { streams: origins.len() });
-                origins.into_iter().for_each(|origin| gateway.record_origin(origin));
+                origins.into_iter().for_each(|origin| gateway.record_saved_origin(origin));
                 return;
             }
             Err(err) => log::info!("streams: the records were not read: {err}"),
