--- /dev/null
+++ b/review/stand-ins-2/src/config.rs
@@ -0,0 +1,29 @@
+//! The operator's configuration.
+
+use lycheelatch_fakes::entry::{WorkspaceLimit, config_document};
+use serde_json::{Value, json};
+
+/// Returns a configuration whose resumable stream goes to one service, or half to each of several.
+pub fn configuration(services: &[&str], timeout_ms: u64) -> Value {
+    let mut config = config_document(1, WorkspaceLimit::default());
+    let first = config["services"][0].clone();
+    let named = services.iter().map(|name| {
+        let mut service = first.clone();
+        service["name"] = json!(name);
+        service["engine"]["slots"] = json!(64);
+        service["connection_limit"] = json!(360);
+        service
+    });
+    config["services"] = named.collect();
+    for route in config["routes"].as_array_mut().expect("routes") {
+        route["service"] = json!(services[0]);
+        route["timeout_ms"] = json!(timeout_ms);
+        if route["name"] == "resume" && services.len() > 1 {
+            let weight = 100 / services.len();
+            let split = services.iter().map(|name| json!({"service": name, "weight": weight}));
+            route["traffic_split"] = split.collect();
+            route.as_object_mut().expect("a route").remove("service");
+        }
+    }
+    config
+}
