--- a/review/stand-ins-2/src/case_taken_up.rs
+++ b/review/stand-ins-2/src/case_taken_up.rs
@@ -1,6 +1,6 @@
 //! Clients take up their streams at other nodes, after the only node of a zone was killed.
 
-use std::{cell::Cell, cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::Cell, cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use lycheelatch_fakes::entry::prompt_headers;
 use tokio::time::{Instant, sleep};
@@ -157,13 +157,25 @@
 /// Reads a stream, and takes it up at another node if it is cut.
 async fn stream(
     number: u64,
-    first: std::net::SocketAddr,
-    retry: std::net::SocketAddr,
+    first: SocketAddr,
+    retry: SocketAddr,
     record: &Record,
 ) -> Vec<Attempt> {
     let deadline = Instant::now() + DEADLINE;
     let prompt = prompt_headers(&[0xa, 0x100 + number], 0x5000 + number);
-    let mut tries = vec![attempt(first, "/resume/x", &prompt, deadline, record).await];
+    let begun = attempt(first, "/resume/x", &prompt, deadline, record).await;
+    take_up(begun, &prompt, retry, deadline, record).await
+}
+
+/// Takes up a stream at a node, if it was cut; returns all tries.
+pub async fn take_up(
+    begun: Attempt,
+    prompt: &str,
+    retry: SocketAddr,
+    deadline: Instant,
+    record: &Record,
+) -> Vec<Attempt> {
+    let mut tries = vec![begun];
     let Some(last) = tries[0].last_event().filter(|_| !tries[0].is_complete) else { return tries };
     for _ in 0..TRIES {
         let extra = format!("{prompt}Last-Event-Id: {last}\r\nResumes: {}\r\n", tries[0].id);
--- a/review/stand-ins-2/src/client.rs
+++ b/review/stand-ins-2/src/client.rs
@@ -41,6 +41,18 @@
     extra: &str,
     deadline: Instant,
     record: &Record,
+) -> Attempt {
+    attempt_until(to, path, extra, deadline, deadline, record).await
+}
+
+/// Does the same, but the connection breaks at `broken_at`, if that is earlier.
+pub async fn attempt_until(
+    to: SocketAddr,
+    path: &str,
+    extra: &str,
+    deadline: Instant,
+    broken_at: Instant,
+    record: &Record,
 ) -> Attempt {
     let id = new_id();
     let left = deadline.saturating_duration_since(Instant::now()).as_millis();
@@ -50,8 +62,9 @@
     let shown = extra.trim_end().replace("\r\n", ", ");
     record.line(&format!("client sends {id} to {to}{path} ({shown})"));
     let reading = read(to, &text, &mut attempt);
-    let end = match timeout_at(deadline, reading).await {
+    let end = match timeout_at(deadline.min(broken_at), reading).await {
         Ok(end) => end,
+        Err(_) if broken_at < deadline => "its connection broke".to_owned(),
         Err(_) => "the client's deadline".to_owned(),
     };
     attempt.end = end;
--- a/review/stand-ins-2/src/config.rs
+++ b/review/stand-ins-2/src/config.rs
@@ -5,9 +5,16 @@
 
 /// Returns a configuration whose resumable stream goes to one service, or half to each of several.
 pub fn configuration(services: &[&str], timeout_ms: u64) -> Value {
-    let mut config = config_document(1, WorkspaceLimit::default());
+    let weight = 100 / services.len();
+    let weighted: Vec<_> = services.iter().map(|name| (*name, weight)).collect();
+    split_configuration(1, &weighted, timeout_ms)
+}
+
+/// Returns a configuration whose resumable stream goes to services by their weights.
+pub fn split_configuration(version: u64, services: &[(&str, usize)], timeout_ms: u64) -> Value {
+    let mut config = config_document(version, WorkspaceLimit::default());
     let first = config["services"][0].clone();
-    let named = services.iter().map(|name| {
+    let named = services.iter().map(|(name, _)| {
         let mut service = first.clone();
         service["name"] = json!(name);
         service["engine"]["slots"] = json!(64);
@@ -16,11 +23,11 @@
     });
     config["services"] = named.collect();
     for route in config["routes"].as_array_mut().expect("routes") {
-        route["service"] = json!(services[0]);
+        route["service"] = json!(services[0].0);
         route["timeout_ms"] = json!(timeout_ms);
         if route["name"] == "resume" && services.len() > 1 {
-            let weight = 100 / services.len();
-            let split = services.iter().map(|name| json!({"service": name, "weight": weight}));
+            let split = services.iter();
+            let split = split.map(|(name, weight)| json!({"service": name, "weight": weight}));
             route["traffic_split"] = split.collect();
             route.as_object_mut().expect("a route").remove("service");
         }
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -7,6 +7,7 @@
 mod case_crashing_bursts;
 mod case_crashing_part;
 mod case_reborn;
+mod case_shares;
 mod case_taken_up;
 mod client;
 mod cluster;
@@ -72,6 +73,7 @@
         "split-route" => case_taken_up::play(setting, Condition::SplitRoute).await,
         "newer-version" => case_taken_up::play(setting, Condition::NewerVersion).await,
         "one-service" => case_taken_up::play(setting, Condition::Plain).await,
+        "changed-shares" => case_shares::play(setting).await,
         "crashing-part" => case_crashing_part::play(setting).await,
         "crashing-bursts" => case_crashing_bursts::play(setting).await,
         "reborn" => case_reborn::play(setting).await,
