review: case 10, a part that crashes runners is never refused where streams end with their connection

Cause: complete answers that end with their connection are recorded nowhere, so that no part of a prompt is ever told apart from the others. The program also plays the part on a split route.

--- a/review/stand-ins-2/src/case_crashing_bursts.rs
+++ b/review/stand-ins-2/src/case_crashing_bursts.rs
@@ -15,7 +15,7 @@
     cluster::{Cluster, STABLE_WINDOW, ZONES},
     config::configuration,
     names::Names,
-    runner::{Place, Run, Runner, Work},
+    runner::{Framing, Place, Run, Runner, Work},
 };
 
 /// The part that crashes runners.
@@ -41,6 +41,7 @@
         events: 8,
         crashes_on: setting.is_troubled.then_some(HARMFUL),
         down: Duration::from_secs(3),
+        framing: Framing::Chunks,
     };
     let runs: Rc<RefCell<Vec<Run>>> = Rc::default();
     let is_reached = Rc::new(Cell::new(true));
--- a/review/stand-ins-2/src/case_reborn.rs
+++ b/review/stand-ins-2/src/case_reborn.rs
@@ -18,7 +18,7 @@
     config::configuration,
     names::Names,
     record::Record,
-    runner::{Place, Runner, Work},
+    runner::{Framing, Place, Runner, Work},
 };
 
 const DEADLINE: Duration = Duration::from_secs(12);
@@ -46,6 +46,7 @@
         events: 40,
         crashes_on: None,
         down: Duration::ZERO,
+        framing: Framing::Chunks,
     };
     let runs = Rc::default();
     let mut runners = Vec::new();
--- a/review/stand-ins-2/src/case_shares.rs
+++ b/review/stand-ins-2/src/case_shares.rs
@@ -16,7 +16,7 @@
     cluster::{Cluster, ZONES},
     config::split_configuration,
     names::Names,
-    runner::{Place, Runner, Work},
+    runner::{Framing, Place, Runner, Work},
 };
 
 const SERVICES: [&str; 2] = ["sack-model", "sack-model-next"];
@@ -44,6 +44,7 @@
         events: 35,
         crashes_on: None,
         down: Duration::ZERO,
+        framing: Framing::Chunks,
     };
     let runs = Rc::new(RefCell::new(Vec::new()));
     let is_reached = Rc::new(Cell::new(true));
--- a/review/stand-ins-2/src/case_taken_up.rs
+++ b/review/stand-ins-2/src/case_taken_up.rs
@@ -12,7 +12,7 @@
     config::configuration,
     names::Names,
     record::Record,
-    runner::{Place, Runner, Work},
+    runner::{Framing, Place, Runner, Work},
 };
 
 const SERVICES: [&str; 2] = ["sack-model", "sack-model-next"];
@@ -48,6 +48,7 @@
         events: 35,
         crashes_on: None,
         down: Duration::ZERO,
+        framing: Framing::Chunks,
     };
     let runs = Rc::new(RefCell::new(Vec::new()));
     let is_reached = Rc::new(Cell::new(true));
--- a/review/stand-ins-2/src/config.rs
+++ b/review/stand-ins-2/src/config.rs
@@ -3,14 +3,14 @@
 use lycheelatch_fakes::entry::{WorkspaceLimit, config_document};
 use serde_json::{Value, json};
 
-/// Returns a configuration whose resumable stream goes to one service, or half to each of several.
+/// Returns a configuration whose streams go to one service, or evenly to several.
 pub fn configuration(services: &[&str], timeout_ms: u64) -> Value {
     let weight = 100 / services.len();
     let weighted: Vec<_> = services.iter().map(|name| (*name, weight)).collect();
     split_configuration(1, &weighted, timeout_ms)
 }
 
-/// Returns a configuration whose resumable stream goes to services by their weights.
+/// Returns a configuration whose streams go to services by their weights.
 pub fn split_configuration(version: u64, services: &[(&str, usize)], timeout_ms: u64) -> Value {
     let mut config = config_document(version, WorkspaceLimit::default());
     let first = config["services"][0].clone();
@@ -25,7 +25,7 @@
     for route in config["routes"].as_array_mut().expect("routes") {
         route["service"] = json!(services[0].0);
         route["timeout_ms"] = json!(timeout_ms);
-        if route["name"] == "resume" && services.len() > 1 {
+        if route["kind"] == "streaming" && services.len() > 1 {
             let split = services.iter();
             let split = split.map(|(name, weight)| json!({"service": name, "weight": weight}));
             route["traffic_split"] = split.collect();
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -6,6 +6,7 @@
 
 mod case_crashing_bursts;
 mod case_crashing_part;
+mod case_crashing_steadily;
 mod case_reborn;
 mod case_shares;
 mod case_taken_up;
@@ -22,6 +23,7 @@
     time::Duration,
 };
 
+use case_crashing_steadily::Condition as Steadily;
 use case_taken_up::Condition;
 use record::Record;
 use tokio::time::timeout;
@@ -76,6 +78,9 @@
         "changed-shares" => case_shares::play(setting).await,
         "crashing-part" => case_crashing_part::play(setting).await,
         "crashing-bursts" => case_crashing_bursts::play(setting).await,
+        "crashing-until-close" => case_crashing_steadily::play(setting, Steadily::UntilClose).await,
+        "crashing-split-route" => case_crashing_steadily::play(setting, Steadily::SplitRoute).await,
+        "crashing-plain" => case_crashing_steadily::play(setting, Steadily::Plain).await,
         "reborn" => case_reborn::play(setting).await,
         _ => Verdict::NotRun,
     }
--- a/review/stand-ins-2/src/runner.rs
+++ b/review/stand-ins-2/src/runner.rs
@@ -30,6 +30,33 @@
     pub crashes_on: Option<u64>,
     /// Time until it listens again after such a crash.
     pub down: Duration,
+    pub framing: Framing,
+}
+
+/// How a runner frames its streams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    Chunks,
+    /// Neither a length nor chunks; the stream ends with its connection.
+    UntilClose,
+}
+
+impl Framing {
+    fn head(self, chunked: &str) -> String {
+        match self {
+            Framing::Chunks => chunked.to_owned(),
+            Framing::UntilClose => {
+                chunked.replace("Transfer-Encoding: chunked", "Connection: close")
+            }
+        }
+    }
+
+    fn event(self, text: &str) -> String {
+        match self {
+            Framing::Chunks => format!("{:x}\r\n{text}\r\n", text.len()),
+            Framing::UntilClose => text.to_owned(),
+        }
+    }
 }
 
 /// A request that a runner began to work on.
@@ -134,6 +161,10 @@
 
     async fn serve(self: Rc<Self>, mut io: TcpStream) {
         let _nodelay = io.set_nodelay(true);
+        if self.work.framing == Framing::UntilClose {
+            // A crash resets the connection, so that a cut stream does not look like a whole one.
+            let _reset = io.set_zero_linger();
+        }
         while let Some(head) = read_request(&mut io).await {
             let id = head.get(&self.names.request_id).unwrap_or("none").to_owned();
             if head.get(&self.names.expected_instance).is_some_and(|named| named != self.id) {
@@ -179,20 +210,29 @@
             self.crash_and_return();
             return false;
         }
-        if io.write_all(self.names.stream_head(id).as_bytes()).await.is_err() {
+        let framing = self.work.framing;
+        let head = framing.head(&self.names.stream_head(id));
+        if io.write_all(head.as_bytes()).await.is_err() {
             return false;
         }
         for number in after.unwrap_or(0) + 1..=self.work.events {
             let event = format!("id: {number}\ndata: {version} {}\n\n", self.id);
-            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-            if io.write_all(chunk.as_bytes()).await.is_err() {
+            if io.write_all(framing.event(&event).as_bytes()).await.is_err() {
                 return false;
             }
             if number < self.work.events {
                 sleep(self.work.gap).await;
             }
         }
-        io.write_all(b"0\r\n\r\n").await.is_ok()
+        match framing {
+            Framing::Chunks => io.write_all(b"0\r\n\r\n").await.is_ok(),
+            Framing::UntilClose => {
+                let _closed = io.shutdown().await;
+                // The node has read all of it when it closes its side.
+                while matches!(io.read(&mut [0; 64]).await, Ok(1..)) {}
+                false
+            }
+        }
     }
 
     /// Crashes, unless it just did, and starts again some time later.
