--- a/review/stand-ins-2/src/cluster.rs
+++ b/review/stand-ins-2/src/cluster.rs
@@ -13,7 +13,11 @@
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
-use crate::{record::Record, runner::Runner};
+use crate::{
+    links::{Links, Member, store_for},
+    record::Record,
+    runner::Runner,
+};
 
 /// Zones with their number of machines, as in a small deployment.
 pub const ZONES: [(&str, usize); 4] = [("lima-a", 2), ("lima-b", 2), ("lima-c", 2), ("lima-d", 1)];
@@ -98,6 +102,16 @@
 impl Cluster {
     /// Writes the configuration and starts all nodes, for the first time.
     pub async fn start(repository: &Path, config: &Value, record: Record) -> Cluster {
+        Cluster::start_with_links(repository, config, record, None).await.0
+    }
+
+    /// Does the same, with links between the node named `apart` and all others.
+    pub async fn start_with_links(
+        repository: &Path,
+        config: &Value,
+        record: Record,
+        apart: Option<&str>,
+    ) -> (Cluster, Links) {
         let store = FakeStore::start().await;
         store.refuse_orders();
         store.put("op/config", config);
@@ -117,10 +131,11 @@
             (0..places.len()).map(|at| format!("{network}.{}", at + 11)).collect();
         let ports = free_ports(&addresses);
         let seeds: Vec<String> = addresses.iter().take(3).map(|ip| format!("{ip}:{}", 1)).collect();
+        let (links, stores) = link(&places, &addresses, ports, store.address(), apart).await;
         let mut nodes = Vec::new();
-        for ((name, zone), ip) in places.into_iter().zip(&addresses) {
+        for (((name, zone), ip), store) in places.into_iter().zip(&addresses).zip(&stores) {
             let settings = dir.join(format!("{name}.json"));
-            let text = settings_text(&name, &zone, ip, ports, &seeds, store.address(), true);
+            let text = settings_text(&name, &zone, ip, ports, &seeds, *store, true);
             std::fs::write(&settings, text).expect("the settings can be written");
             let callers = format!("{ip}:{}", ports.callers).parse().expect("an address");
             let log = dir.join(format!("{name}.log"));
@@ -132,16 +147,16 @@
         }
         record.line(&format!("{} nodes started", nodes.len()));
         // From now on a start is no first start of the whole system.
-        for (node, ip) in nodes.iter().zip(&addresses) {
-            let text =
-                settings_text(&node.name, &node.zone, ip, ports, &seeds, store.address(), false);
+        for ((node, ip), store) in nodes.iter().zip(&addresses).zip(&stores) {
+            let text = settings_text(&node.name, &node.zone, ip, ports, &seeds, *store, false);
             let changed = node.settings.clone();
             actix_rt::spawn(async move {
                 sleep(Duration::from_secs(2)).await;
                 std::fs::write(changed, text).expect("the settings can be written");
             });
         }
-        Cluster { store, nodes, record, dir, is_store_up: Rc::new(Cell::new(true)) }
+        let cluster = Cluster { store, nodes, record, dir, is_store_up: Rc::new(Cell::new(true)) };
+        (cluster, links)
     }
 
     /// Waits until all nodes serve.
@@ -206,6 +221,31 @@
     entry
 }
 
+/// Starts the links between the node named `apart` and all others, if there is one; returns also
+/// the address at which each node calls the store.
+async fn link(
+    places: &[(String, String)],
+    addresses: &[String],
+    ports: Ports,
+    store: SocketAddr,
+    apart: Option<&str>,
+) -> (Links, Vec<SocketAddr>) {
+    let links = Links::default();
+    let Some(apart) = apart else { return (links, vec![store; places.len()]) };
+    let members = places.iter().zip(addresses).map(|((name, zone), ip)| {
+        let peers = format!("{ip}:{}", ports.peers).parse().expect("an address");
+        (name == apart, Member { peers, zone: zone.clone() })
+    });
+    let (single, others): (Vec<_>, Vec<_>) = members.partition(|(is_apart, _)| *is_apart);
+    let of = |list: Vec<(bool, Member)>| list.into_iter().map(|(_, it)| it).collect::<Vec<_>>();
+    let (single, others) = (of(single), of(others));
+    links.start(&single[0], &others).await;
+    let (for_single, for_others) =
+        (store_for(store, &others).await, store_for(store, &single).await);
+    let stores = places.iter().map(|(name, _)| if name == apart { for_single } else { for_others });
+    (links, stores.collect())
+}
+
 /// Returns ports that are free at all addresses.
 fn free_ports(addresses: &[String]) -> Ports {
     let port = || loop {
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -4,6 +4,7 @@
 //! 1 if the rule was broken, with 0 if it held, and with 2 if the case could not run. With
 //! `TROUBLE=0` nothing is disturbed.
 
+mod case_alone;
 mod case_crashing_bursts;
 mod case_crashing_part;
 mod case_crashing_steadily;
@@ -13,6 +14,7 @@
 mod client;
 mod cluster;
 mod config;
+mod links;
 mod names;
 mod record;
 mod runner;
@@ -76,6 +78,7 @@
         "newer-version" => case_taken_up::play(setting, Condition::NewerVersion).await,
         "one-service" => case_taken_up::play(setting, Condition::Plain).await,
         "changed-shares" => case_shares::play(setting).await,
+        "node-alone" => case_alone::play(setting).await,
         "crashing-part" => case_crashing_part::play(setting).await,
         "crashing-bursts" => case_crashing_bursts::play(setting).await,
         "crashing-until-close" => case_crashing_steadily::play(setting, Steadily::UntilClose).await,
