--- a/review/stand-ins-2/src/case_alone.rs
+++ b/review/stand-ins-2/src/case_alone.rs
@@ -34,8 +34,8 @@
     let config = configuration(&[SERVICE], 12_000);
     record.line(&format!("configuration: {config}"));
     let alone = "frontend-lima-a-2";
-    let started =
-        Cluster::start_with_links(&setting.repository, &config, record.clone(), Some(alone));
+    let (repository, apart) = (&setting.repository, [alone]);
+    let started = Cluster::start_with_links(repository, &config, record.clone(), &apart, false);
     let (cluster, links) = started.await;
     let work = Work {
         first_event: Duration::from_millis(50),
--- a/review/stand-ins-2/src/cluster.rs
+++ b/review/stand-ins-2/src/cluster.rs
@@ -102,15 +102,17 @@
 impl Cluster {
     /// Writes the configuration and starts all nodes, for the first time.
     pub async fn start(repository: &Path, config: &Value, record: Record) -> Cluster {
-        Cluster::start_with_links(repository, config, record, None).await.0
+        Cluster::start_with_links(repository, config, record, &[], false).await.0
     }
 
-    /// Does the same, with links between the node named `apart` and all others.
+    /// Does the same, with links between the nodes named `apart` and all others, and to the store
+    /// if `is_store_linked`.
     pub async fn start_with_links(
         repository: &Path,
         config: &Value,
         record: Record,
-        apart: Option<&str>,
+        apart: &[&str],
+        is_store_linked: bool,
     ) -> (Cluster, Links) {
         let store = FakeStore::start().await;
         store.refuse_orders();
@@ -131,7 +133,13 @@
             (0..places.len()).map(|at| format!("{network}.{}", at + 11)).collect();
         let ports = free_ports(&addresses);
         let seeds: Vec<String> = addresses.iter().take(3).map(|ip| format!("{ip}:{}", 1)).collect();
-        let (links, stores) = link(&places, &addresses, ports, store.address(), apart).await;
+        let links = Links::default();
+        let store_links = if is_store_linked { links.clone() } else { Links::default() };
+        let members = places.iter().zip(&addresses).map(|((name, zone), ip)| {
+            let peers = format!("{ip}:{}", ports.peers).parse().expect("an address");
+            (apart.contains(&&**name), Member { peers, zone: zone.clone() })
+        });
+        let stores = link(&links, &store_links, members.collect(), store.address()).await;
         let mut nodes = Vec::new();
         for (((name, zone), ip), store) in places.into_iter().zip(&addresses).zip(&stores) {
             let settings = dir.join(format!("{name}.json"));
@@ -221,29 +229,27 @@
     entry
 }
 
-/// Starts the links between the node named `apart` and all others, if there is one; returns also
-/// the address at which each node calls the store.
+/// Starts the links between the nodes that are marked and all others, if there are any; returns the
+/// address at which each node calls the store.
 async fn link(
-    places: &[(String, String)],
-    addresses: &[String],
-    ports: Ports,
+    links: &Links,
+    store_links: &Links,
+    members: Vec<(bool, Member)>,
     store: SocketAddr,
-    apart: Option<&str>,
-) -> (Links, Vec<SocketAddr>) {
-    let links = Links::default();
-    let Some(apart) = apart else { return (links, vec![store; places.len()]) };
-    let members = places.iter().zip(addresses).map(|((name, zone), ip)| {
-        let peers = format!("{ip}:{}", ports.peers).parse().expect("an address");
-        (name == apart, Member { peers, zone: zone.clone() })
-    });
-    let (single, others): (Vec<_>, Vec<_>) = members.partition(|(is_apart, _)| *is_apart);
-    let of = |list: Vec<(bool, Member)>| list.into_iter().map(|(_, it)| it).collect::<Vec<_>>();
-    let (single, others) = (of(single), of(others));
-    links.start(&single[0], &others).await;
-    let (for_single, for_others) =
-        (store_for(store, &others).await, store_for(store, &single).await);
-    let stores = places.iter().map(|(name, _)| if name == apart { for_single } else { for_others });
-    (links, stores.collect())
+) -> Vec<SocketAddr> {
+    let of = |is_apart: bool| -> Vec<Member> {
+        let side = members.iter().filter(|(marked, _)| *marked == is_apart);
+        side.map(|(_, member)| member.clone()).collect()
+    };
+    let (apart, others) = (of(true), of(false));
+    if apart.is_empty() {
+        return vec![store; members.len()];
+    }
+    links.start(&apart, &others).await;
+    let for_apart = store_for(store, &others, store_links).await;
+    let for_others = store_for(store, &apart, &Links::default()).await;
+    let stores = members.iter().map(|(is_apart, _)| if *is_apart { for_apart } else { for_others });
+    stores.collect()
 }
 
 /// Returns ports that are free at all addresses.
--- a/review/stand-ins-2/src/links.rs
+++ b/review/stand-ins-2/src/links.rs
@@ -1,4 +1,4 @@
-//! Links between one node and all others, which can be cut.
+//! Links between some nodes and all others, which can be cut.
 //!
 //! Each node is reached from the other side of the links at a second address, at which its bytes
 //! are passed on. The store's answers name these addresses to the nodes on the other side.
@@ -41,12 +41,24 @@
     SocketAddr::from(([a, b, c, d + 20], address.port()))
 }
 
-/// The links of one node to the others.
+/// The links of some nodes to the others.
 #[derive(Clone, Default)]
 pub struct Links {
     is_cut: Rc<Cell<bool>>,
 }
 
+/// Sockets at the other side's addresses of nodes, by their own addresses.
+type Sockets = Rc<HashMap<SocketAddr, Rc<UdpSocket>>>;
+
+async fn sockets_for(members: &[Member]) -> Sockets {
+    let mut sockets = HashMap::new();
+    for member in members {
+        let socket = UdpSocket::bind(other_side(member.peers)).await.expect("a free port");
+        sockets.insert(member.peers, Rc::new(socket));
+    }
+    Rc::new(sockets)
+}
+
 impl Links {
     pub fn cut(&self) {
         self.is_cut.set(true);
@@ -56,37 +68,28 @@
         self.is_cut.set(false);
     }
 
-    /// Passes on datagrams and connections between `apart` and the others.
-    pub async fn start(&self, apart: &Member, others: &[Member]) {
-        let to_apart = other_side(apart.peers);
-        let outer = Rc::new(UdpSocket::bind(to_apart).await.expect("a free port"));
-        let mut inner = HashMap::new();
-        for other in others {
-            let socket = UdpSocket::bind(other_side(other.peers)).await.expect("a free port");
-            let socket = Rc::new(socket);
-            inner.insert(other.peers, socket.clone());
-            self.pass_datagrams(socket, outer.clone(), other.peers);
-            self.listen(other_side(other.peers), other.peers).await;
+    /// Passes on datagrams and connections between the nodes of `apart` and the others.
+    pub async fn start(&self, apart: &[Member], others: &[Member]) {
+        let (outer, inner) = (sockets_for(apart).await, sockets_for(others).await);
+        for (to, socket) in &*inner {
+            self.pass_datagrams(socket.clone(), *to, outer.clone());
+        }
+        for (to, socket) in &*outer {
+            self.pass_datagrams(socket.clone(), *to, inner.clone());
+        }
+        for member in apart.iter().chain(others) {
+            self.listen(other_side(member.peers), member.peers).await;
         }
-        self.listen(to_apart, apart.peers).await;
-        let (links, apart) = (self.clone(), apart.peers);
-        actix_rt::spawn(async move {
-            let mut buf = vec![0; 65_536];
-            while let Ok((n, from)) = outer.recv_from(&mut buf).await {
-                if let Some(socket) = inner.get(&from).filter(|_| !links.is_cut.get()) {
-                    let _sent = socket.send_to(&buf[..n], apart).await;
-                }
-            }
-        });
     }
 
-    fn pass_datagrams(&self, from: Rc<UdpSocket>, over: Rc<UdpSocket>, to: SocketAddr) {
+    /// Passes on what arrives for a node, from the other side's address of its sender.
+    fn pass_datagrams(&self, socket: Rc<UdpSocket>, to: SocketAddr, senders: Sockets) {
         let links = self.clone();
         actix_rt::spawn(async move {
             let mut buf = vec![0; 65_536];
-            while let Ok((n, _)) = from.recv_from(&mut buf).await {
-                if !links.is_cut.get() {
-                    let _sent = over.send_to(&buf[..n], to).await;
+            while let Ok((n, from)) = socket.recv_from(&mut buf).await {
+                if let Some(sender) = senders.get(&from).filter(|_| !links.is_cut.get()) {
+                    let _sent = sender.send_to(&buf[..n], to).await;
                 }
             }
         });
@@ -130,8 +133,9 @@
 }
 
 /// Passes on calls to the store, whose answers name the other side's address of `members`; returns
-/// the address to call.
-pub async fn store_for(store: SocketAddr, members: &[Member]) -> SocketAddr {
+/// the address to call. While `links` are cut, nothing is passed on.
+pub async fn store_for(store: SocketAddr, members: &[Member], links: &Links) -> SocketAddr {
+    let links = links.clone();
     let names = members.iter().map(|member| {
         let named = other_side(member.peers);
         (member.registration(member.peers), member.registration(named))
@@ -141,16 +145,17 @@
     let address = listener.local_addr().expect("the listener is bound");
     actix_rt::spawn(async move {
         while let Ok((io, _)) = listener.accept().await {
-            let names = names.clone();
+            let (names, links) = (names.clone(), links.clone());
             actix_rt::spawn(async move {
+                links.wait().await;
                 let Ok(onward) = TcpStream::connect(store).await else { return };
-                let ((mut from_node, mut to_node), (mut from_store, mut to_store)) =
-                    (io.into_split(), onward.into_split());
-                actix_rt::spawn(async move {
-                    let _copied = tokio::io::copy(&mut from_node, &mut to_store).await;
-                });
+                let (from_node, mut to_node) = io.into_split();
+                let (mut from_store, to_store) = onward.into_split();
+                let calls = links.clone();
+                actix_rt::spawn(async move { calls.copy(from_node, to_store).await });
                 let mut buf = vec![0; 1 << 20];
                 while let Ok(n @ 1..) = from_store.read(&mut buf).await {
+                    links.wait().await;
                     names.iter().for_each(|(own, other)| replace(&mut buf[..n], own, other));
                     if to_node.write_all(&buf[..n]).await.is_err() {
                         return;
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -8,6 +8,7 @@
 mod case_crashing_bursts;
 mod case_crashing_part;
 mod case_crashing_steadily;
+mod case_out_of_step;
 mod case_reborn;
 mod case_shares;
 mod case_taken_up;
@@ -79,6 +80,7 @@
         "one-service" => case_taken_up::play(setting, Condition::Plain).await,
         "changed-shares" => case_shares::play(setting).await,
         "node-alone" => case_alone::play(setting).await,
+        "out-of-step" => case_out_of_step::play(setting).await,
         "crashing-part" => case_crashing_part::play(setting).await,
         "crashing-bursts" => case_crashing_bursts::play(setting).await,
         "crashing-until-close" => case_crashing_steadily::play(setting, Steadily::UntilClose).await,
