--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -11,6 +11,7 @@
 mod case_out_of_step;
 mod case_reborn;
 mod case_shares;
+mod case_sound_refused;
 mod case_taken_up;
 mod client;
 mod cluster;
@@ -81,6 +82,7 @@
         "changed-shares" => case_shares::play(setting).await,
         "node-alone" => case_alone::play(setting).await,
         "out-of-step" => case_out_of_step::play(setting).await,
+        "sound-refused" => case_sound_refused::play(setting).await,
         "crashing-part" => case_crashing_part::play(setting).await,
         "crashing-bursts" => case_crashing_bursts::play(setting).await,
         "crashing-until-close" => case_crashing_steadily::play(setting, Steadily::UntilClose).await,
--- a/review/stand-ins-2/src/names.rs
+++ b/review/stand-ins-2/src/names.rs
@@ -9,12 +9,16 @@
 /// Stands for the identifier of a request in a template.
 const MARK: &str = "mark-of-a-request";
 
+/// Body of an answer that is no stream.
+const ANSWER: &str = "ok";
+
 /// Names of request headers, in lower case, and templates of response heads.
 pub struct Names {
     pub request_id: String,
     pub expected_instance: String,
     pub prompt_parts: String,
     stream_head: String,
+    answer_head: String,
     refusal: String,
 }
 
@@ -38,6 +42,7 @@
             expected_instance,
             prompt_parts: name_of(&prompt, "fab:100"),
             stream_head: head_of(Behavior::Events(vec![])).await,
+            answer_head: head_of(Behavior::Respond(200, ANSWER.to_owned())).await,
             refusal: head_of(Behavior::NotExecuted(421)).await,
         }
     }
@@ -47,6 +52,11 @@
         self.stream_head.replace(MARK, id)
     }
 
+    /// Returns a whole answer with a length.
+    pub fn answer(&self, id: &str) -> String {
+        self.answer_head.replace(MARK, id) + ANSWER
+    }
+
     /// Returns a whole response that says that the request did not run.
     pub fn refusal(&self, status: u16, id: &str) -> String {
         self.refusal.replace(MARK, id).replace(" 421 ", &format!(" {status} "))
--- a/review/stand-ins-2/src/runner.rs
+++ b/review/stand-ins-2/src/runner.rs
@@ -80,6 +80,7 @@
 }
 
 struct Head {
+    path: String,
     lines: Vec<(String, String)>,
 }
 
@@ -176,6 +177,13 @@
             }
             let after = head.get("last-event-id").and_then(|text| text.parse().ok());
             let is_harmful = self.is_harmful(&head);
+            if head.path.starts_with("/safe/") {
+                sleep(self.work.first_event).await;
+                if io.write_all(self.names.answer(&id).as_bytes()).await.is_err() {
+                    return;
+                }
+                continue;
+            }
             if !self.run(&mut io, &id, after, is_harmful).await {
                 return;
             }
@@ -265,7 +273,8 @@
     let pairs = text.lines().skip(1).filter_map(|line| line.split_once(':'));
     let lines: Vec<_> =
         pairs.map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned())).collect();
-    let head = Head { lines };
+    let path = text.split(' ').nth(1).unwrap_or_default().to_owned();
+    let head = Head { path, lines };
     let length = head.get("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
     while buf.len() < end + length {
         if io.read_buf(&mut buf).await.ok()? == 0 {
