--- a/review/stand-ins-2/src/cluster.rs
+++ b/review/stand-ins-2/src/cluster.rs
@@ -113,6 +113,19 @@
         record: Record,
         apart: &[&str],
         is_store_linked: bool,
+    ) -> (Cluster, Links) {
+        let none = json!({});
+        Cluster::start_with(repository, config, record, apart, is_store_linked, &none).await
+    }
+
+    /// Does the same; `more` are further settings of the nodes.
+    pub async fn start_with(
+        repository: &Path,
+        config: &Value,
+        record: Record,
+        apart: &[&str],
+        is_store_linked: bool,
+        more: &Value,
     ) -> (Cluster, Links) {
         let store = FakeStore::start().await;
         store.refuse_orders();
@@ -143,7 +156,7 @@
         let mut nodes = Vec::new();
         for (((name, zone), ip), store) in places.into_iter().zip(&addresses).zip(&stores) {
             let settings = dir.join(format!("{name}.json"));
-            let text = settings_text(&name, &zone, ip, ports, &seeds, *store, true);
+            let text = settings_text(&name, &zone, ip, ports, &seeds, *store, true, more);
             std::fs::write(&settings, text).expect("the settings can be written");
             let callers = format!("{ip}:{}", ports.callers).parse().expect("an address");
             let log = dir.join(format!("{name}.log"));
@@ -156,7 +169,8 @@
         record.line(&format!("{} nodes started", nodes.len()));
         // From now on a start is no first start of the whole system.
         for ((node, ip), store) in nodes.iter().zip(&addresses).zip(&stores) {
-            let text = settings_text(&node.name, &node.zone, ip, ports, &seeds, *store, false);
+            let text =
+                settings_text(&node.name, &node.zone, ip, ports, &seeds, *store, false, more);
             let changed = node.settings.clone();
             actix_rt::spawn(async move {
                 sleep(Duration::from_secs(2)).await;
@@ -267,6 +281,7 @@
     Ports { callers, readiness, peers, metrics }
 }
 
+#[expect(clippy::too_many_arguments, reason = "each is one field of the settings")]
 /// Returns settings as the deploy template makes them of a small deployment.
 fn settings_text(
     name: &str,
@@ -276,9 +291,10 @@
     seeds: &[String],
     platform: SocketAddr,
     is_first_start: bool,
+    more: &Value,
 ) -> String {
     let at = |port: u16| format!("{ip}:{port}");
-    json!({"gateway": {
+    let mut settings = json!({"gateway": {
         "node": name, "zone": zone, "callers": at(ports.callers),
         "readiness": at(ports.readiness), "peers": at(ports.peers), "metrics": at(ports.metrics),
         "seeds": seeds, "first_start": is_first_start.to_string(),
@@ -288,6 +304,8 @@
         "grace": "8s", "change_bound": "2000ms", "duty_lease": "3000ms",
         "shortest_lease": "1000ms", "usage_window": "5s", "usage_due": "10s",
         "memory": "260MiB", "file_descriptors": "4100", "log": {"level": "info"},
-    }})
-    .to_string()
+    }});
+    let gateway = settings["gateway"].as_object_mut().expect("an object");
+    gateway.extend(more.as_object().expect("an object").clone());
+    settings.to_string()
 }
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -5,9 +5,12 @@
 //! `TROUBLE=0` nothing is disturbed.
 
 mod case_alone;
+mod case_completed;
 mod case_crashing_bursts;
+mod case_crashing_dark;
 mod case_crashing_part;
 mod case_crashing_steadily;
+mod case_moved;
 mod case_out_of_step;
 mod case_reborn;
 mod case_shares;
@@ -27,6 +30,7 @@
     time::Duration,
 };
 
+use case_completed::Condition as Completed;
 use case_crashing_steadily::Condition as Steadily;
 use case_taken_up::Condition;
 use record::Record;
@@ -88,6 +92,10 @@
         "crashing-until-close" => case_crashing_steadily::play(setting, Steadily::UntilClose).await,
         "crashing-split-route" => case_crashing_steadily::play(setting, Steadily::SplitRoute).await,
         "crashing-plain" => case_crashing_steadily::play(setting, Steadily::Plain).await,
+        "completed-alone" => case_completed::play(setting, Completed::CutOff).await,
+        "completed-under-load" => case_completed::play(setting, Completed::UnderLoad).await,
+        "crashing-dark" => case_crashing_dark::play(setting).await,
+        "moved" => case_moved::play(setting).await,
         "reborn" => case_reborn::play(setting).await,
         _ => Verdict::NotRun,
     }
--- a/review/stand-ins-2/src/names.rs
+++ b/review/stand-ins-2/src/names.rs
@@ -57,6 +57,11 @@
         self.answer_head.replace(MARK, id) + ANSWER
     }
 
+    /// Returns a whole answer with a length and a status.
+    pub fn answer_as(&self, status: u16, id: &str) -> String {
+        self.answer(id).replacen(" 200 ", &format!(" {status} "), 1)
+    }
+
     /// Returns a whole response that says that the request did not run.
     pub fn refusal(&self, status: u16, id: &str) -> String {
         self.refusal.replace(MARK, id).replace(" 421 ", &format!(" {status} "))
