review: streams of a later version are barred after a completed roll-out

Cause: Rollouts::bars takes every version but the one of a completed roll-out for the old one, for as long as the status stands in the store. Change: plays 'released': a completed roll-out to v2, then runners of v3 in place of v2.

--- a/review/stand-ins-2/src/cluster.rs
+++ b/review/stand-ins-2/src/cluster.rs
@@ -232,7 +232,8 @@
 }
 
 fn entry(runner: &Runner, sequence: u64) -> Value {
-    let mut entry = upstream_entry(runner.address, "ready");
+    let state = if runner.is_draining.get() { "draining" } else { "ready" };
+    let mut entry = upstream_entry(runner.address, state);
     let incarnation = runner.incarnation.borrow();
     entry["service"] = json!(runner.service);
     entry["zone"] = json!(runner.zone);
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -13,6 +13,7 @@
 mod case_moved;
 mod case_out_of_step;
 mod case_reborn;
+mod case_released;
 mod case_shares;
 mod case_sound_refused;
 mod case_taken_up;
@@ -96,6 +97,7 @@
         "completed-under-load" => case_completed::play(setting, Completed::UnderLoad).await,
         "crashing-dark" => case_crashing_dark::play(setting).await,
         "moved" => case_moved::play(setting).await,
+        "released" => case_released::play(setting).await,
         "reborn" => case_reborn::play(setting).await,
         _ => Verdict::NotRun,
     }
--- a/review/stand-ins-2/src/runner.rs
+++ b/review/stand-ins-2/src/runner.rs
@@ -132,6 +132,8 @@
     pub slowness: Cell<u32>,
     pub on_close: Cell<OnClose>,
     pub ending: Cell<Ending>,
+    /// Whether its entry says that it drains.
+    pub is_draining: Cell<bool>,
     /// Number of the present start.
     start: Cell<u32>,
     listening: RefCell<Option<JoinHandle<()>>>,
@@ -189,6 +191,7 @@
             slowness: Cell::new(1),
             on_close: Cell::new(OnClose::Drops),
             ending: Cell::new(Ending::Closes),
+            is_draining: Cell::new(false),
             start: Cell::new(0),
             listening: RefCell::default(),
             spans: RefCell::default(),
