review: case 7, streams of a version that came after a completed roll-out are lost

Cause: Rollouts::bars takes every version but that of a completed roll-out for the old one. Change: takes the place of the split route after a kill, which stays a play of the program.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,7 +6,7 @@
 repository="$(cd "$here/../.." && pwd)"
 program="$repository/review/stand-ins-2/target/release/lycheelatch-review-stand-ins-2"
 [ -x "$program" ] || { echo "run review/build-2.sh first" >&2; exit 2; }
-"$program" split-route "$here" "$repository"
+"$program" released "$here" "$repository"
 code=$?
 [ "$code" -le 1 ] || exit 2
 exit "$code"
--- a/review/stand-ins-2/src/case_released.rs
+++ b/review/stand-ins-2/src/case_released.rs
@@ -24,6 +24,8 @@
 const ROLLOUT: Duration = Duration::from_secs(12);
 /// Time for which a runner goes on to serve after it has reported that it drains.
 const DRAIN: Duration = Duration::from_millis(3000);
+/// Time between two runners that are replaced.
+const STEP: Duration = Duration::from_millis(400);
 const STREAMS: u64 = 24;
 const DEADLINE: Duration = Duration::from_secs(12);
 const BROKEN_AFTER: Duration = Duration::from_millis(2500);
@@ -52,11 +54,14 @@
     }
     old.iter().for_each(|runner| stop(&cluster, runner));
     sleep(Duration::from_secs(3)).await;
+    let mut serving = new.clone();
     if setting.is_troubled {
         record.line("the runners of v2 are replaced by runners of v3, without an order");
-        let _later = start_all(&cluster, "v3", &names, record).await;
-        sleep(Duration::from_secs(2)).await;
-        new.iter().for_each(|(runner, _)| runner.is_draining.set(true));
+        for (at, old) in new.iter().enumerate() {
+            serving[at] = start(&cluster, "v3", at, &names, record).await;
+            sleep(STEP).await;
+            old.0.is_draining.set(true);
+        }
         sleep(HEARTBEAT + DRAIN).await;
         new.iter().for_each(|runner| stop(&cluster, runner));
     }
@@ -93,6 +98,7 @@
     }
     record.show(&format!("streams: {STREAMS}; taken up: {taken_up}; of these went on: {went_on}"));
     record.show(&format!("new streams: {STREAMS}; begun: {begun}"));
+    cut_by_crash(&serving, &nodes, record).await;
     if taken_up < 12 || begun == 0 {
         return Verdict::NotRun;
     }
@@ -101,12 +107,48 @@
     if share < new_share / 2.0 { Verdict::Broken } else { Verdict::Held }
 }
 
+/// Shows, beside the case, how many streams are lost when two of the runners crash.
+async fn cut_by_crash(serving: &[Registered], nodes: &[SocketAddr], record: &Record) {
+    let mut clients = Vec::new();
+    for number in 0..STREAMS {
+        let (to, record) = (nodes[number as usize % nodes.len()], record.clone());
+        clients.push(actix_rt::spawn(async move {
+            let extra = prompt_headers(&[0xa, 0x100 + number], 0xb000 + number);
+            attempt(to, "/resume/x", &extra, Instant::now() + DEADLINE, &record).await
+        }));
+    }
+    sleep(Duration::from_secs(1)).await;
+    serving[..2].iter().for_each(|(runner, _)| runner.crash());
+    let mut cut = 0;
+    for client in clients {
+        let answer = client.await.expect("the client ends");
+        cut += u32::from(!answer.events.is_empty() && !answer.is_complete);
+    }
+    record.show(&format!(
+        "after a crash of two of nine runners, streams cut for good: {cut} of {STREAMS}"
+    ));
+}
+
 async fn start_all(
     cluster: &Cluster,
     version: &str,
     names: &Rc<Names>,
     record: &Record,
 ) -> Vec<Registered> {
+    let mut runners = Vec::new();
+    for at in 0..RUNNERS {
+        runners.push(start(cluster, version, at, names, record).await);
+    }
+    runners
+}
+
+async fn start(
+    cluster: &Cluster,
+    version: &str,
+    at: usize,
+    names: &Rc<Names>,
+    record: &Record,
+) -> Registered {
     let work = Work {
         first_event: Duration::from_millis(50),
         gap: Duration::from_millis(200),
@@ -115,17 +157,13 @@
         down: Duration::ZERO,
         framing: Framing::Chunks,
     };
-    let mut runners = Vec::new();
-    for at in 0..RUNNERS {
-        let zone = ZONES[at % ZONES.len()].0.to_owned();
-        let place = Place { id: format!("{version}-{at}"), service: SERVICE.to_owned(), zone };
-        let (names, record) = (names.clone(), record.clone());
-        let started = Runner::start(place, version, work.clone(), names, Rc::default(), record);
-        let (runner, is_reached) = (started.await, Rc::new(Cell::new(true)));
-        cluster.keep_registered(runner.clone(), is_reached.clone());
-        runners.push((runner, is_reached));
-    }
-    runners
+    let zone = ZONES[at % ZONES.len()].0.to_owned();
+    let place = Place { id: format!("{version}-{at}"), service: SERVICE.to_owned(), zone };
+    let (names, record) = (names.clone(), record.clone());
+    let runner = Runner::start(place, version, work, names, Rc::default(), record).await;
+    let is_reached = Rc::new(Cell::new(true));
+    cluster.keep_registered(runner.clone(), is_reached.clone());
+    (runner, is_reached)
 }
 
 /// Ends a runner, whose entry goes with it.
