gateway: a version is concluded from a read that began after the client's request

Cause: without a record a stream was taken to have begun at the only version of its service, by views that were confirmed up to 3 s before and as long as another node said the same. A confirmation says nothing of what came after it, and a second node that is out of step for the same reason proves nothing.

Ruled out: a record that was there and not found (the log of both nodes has no record and no answer from the other zones); the age of the view alone (a shorter bound only makes it rarer).

Change: a stream begins only at a version whose entry the store holds. So what follows from a read of the store that began after the client's request came, and that the node's view has caught up with, is proof, and nothing else is (`read_barrier`). Without proof the stream is refused, as before. A node that hears no other one but reads the store no longer refuses. `stream_taken_up` says what the origin follows from, and why the view was not up to date.

--- a/components/gateway/src/decision.rs
+++ b/components/gateway/src/decision.rs
@@ -161,10 +161,26 @@
     /// Request that brought the stream's first event, if the caller names it.
     pub(crate) resumes: Option<&'a str>,
     pub(crate) last_event: u64,
-    /// Whether the version that began it is known; otherwise it is refused.
-    pub(crate) is_known: bool,
+    /// What the version that began it follows from.
+    pub(crate) basis: OriginBasis,
     /// That version, if its upstreams name one.
     pub(crate) version: Option<&'a str>,
+    /// Why this node's view of the store was not up to date, if that was asked.
+    pub(crate) view: Option<String>,
+}
+
+/// What the origin of a stream follows from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum OriginBasis {
+    /// A record at this node.
+    OwnRecord,
+    /// A record at another node.
+    OtherRecord,
+    /// No other version has served.
+    OnlyVersion,
+    /// Nothing; the stream is refused.
+    Unknown,
 }
 
 /// An event about one request in the decision log.
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -27,6 +27,7 @@
     open_count::{OpenCount, OpenGuard},
     peers::PeerTable,
     quota::{self, Charge, Crowd, ProcessAge, QuotaTerms, ReportedUsage, SlidingCounter},
+    read_barrier::ReadBarrier,
     resend::ResendTimes,
     retry_budget::RetryBudget,
     rollouts::Rollouts,
@@ -76,8 +77,8 @@
     pub(crate) is_leader: Cell<bool>,
     /// Latest era of the store that is known.
     pub(crate) store_era: Cell<Option<StoreEra>>,
-    /// When the view of the store was last confirmed, here or at the node that is followed.
-    pub(crate) view_confirmed_at: Cell<Option<Instant>>,
+    /// Lets conclusions rest on all that the store holds; set at the start.
+    pub(crate) read_barrier: OnceCell<ReadBarrier>,
     pub(crate) stream_origins: RefCell<StreamOrigins>,
     pub(crate) datagrams: OnceCell<Rc<UdpSocket>>,
     pub(crate) rollouts: RefCell<Rollouts>,
@@ -172,7 +173,7 @@
             refused_parts: RefCell::default(),
             is_leader: Cell::new(false),
             store_era: Cell::new(None),
-            view_confirmed_at: Cell::new(None),
+            read_barrier: OnceCell::new(),
             stream_origins: RefCell::new(StreamOrigins::new(Instant::now())),
             datagrams: OnceCell::new(),
             rollouts: RefCell::new(rollouts),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -54,6 +54,7 @@
 mod pool;
 mod process_check;
 mod quota;
+mod read_barrier;
 mod relay;
 mod report;
 mod request_body;
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -18,6 +18,7 @@
     event_log::log_event,
     gossip, leader, members,
     node_event::NodeEvent,
+    read_barrier::ReadBarrier,
     report, rollout_leader, rollout_status, scale, serve,
     server::{self, ServerLimits, empty},
     store_watch, stream_record,
@@ -84,6 +85,12 @@
         let gateway = Rc::new(Gateway::new(settings, parts.dialect, metrics, time));
         let view =
             Rc::new(StoreView::new(gateway.clone(), parts.store.clone(), parts.layout.clone()));
+        let barrier = ReadBarrier::new(
+            parts.store.clone(),
+            view.clone(),
+            version_record::record_key().into(),
+        );
+        gateway.read_barrier.get_or_init(|| barrier);
         let leader = Rc::new(Leadership::new(parts.boot, parts.platform_api.max_delivery()));
         let tasks = vec![
             actix_rt::spawn(serve_callers(gateway.clone(), callers)),
--- a/components/gateway/src/store_watch.rs
+++ b/components/gateway/src/store_watch.rs
@@ -38,7 +38,7 @@
             Ok(revision) => {
                 after = Some(revision);
                 backoff = BACKOFF.0;
-                sleep(view.read_interval()).await;
+                view.pause().await;
             }
             Err(StoreError::Compacted | StoreError::Restored) => after = None,
             Err(err) => {
--- a/components/gateway/src/stream_origin.rs
+++ b/components/gateway/src/stream_origin.rs
@@ -2,22 +2,19 @@
 //!
 //! A client that takes up a stream at another node names only its first request. The node that
 //! relayed that request's first event tells a few nodes, which the request's hash selects, so that
-//! any node can ask them, and the first one of its availability zone, which keeps them in the
-//! store (`stream_record`). Where a single version has served the service for as long as a stream can
-//! last, no record is needed.
+//! any node can ask them (`lookup`), and the first one of its availability zone, which keeps them in
+//! the store (`stream_record`). Where a single version has served the service for as long as a stream
+//! can last, no record is needed; that this is so has to follow from a read of the store that began
+//! after the client's request came.
 
 use std::{
     collections::{BTreeSet, HashMap, VecDeque, hash_map::Entry},
-    net::SocketAddr,
-    rc::Rc,
     time::Duration,
 };
 
-use actix_http::{Response, Uri, body::BoxBody};
-use futures_util::{StreamExt, stream::FuturesUnordered};
 use lycheelatch_prelude::ServiceName;
 use serde::{Deserialize, Serialize};
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
@@ -27,19 +24,18 @@
     local_response::LocalResponse,
     messages::Datagram,
     notices::send_notice,
-    peer_http::{FetchError, connect, encoded, get, query_value},
     serve::RequestContext,
     software_version::SoftwareVersion,
 };
 
 mod answers;
+mod lookup;
 #[cfg(test)]
 mod tests;
 
-use answers::{KnownVersions, OriginAnswer, OriginAnswers};
-
-/// Path of the question which version began a stream; the query holds its key and its service.
-pub(crate) const ORIGIN_PATH: &str = "/origin";
+use answers::KnownVersions;
+use lookup::OriginLookup;
+pub(crate) use lookup::{ORIGIN_PATH, answer_origin};
 
 /// Shortest time for which a stream and its continuations are assumed to last.
 const MIN_STREAM_LIFE: Duration = Duration::from_secs(20);
@@ -47,12 +43,6 @@
 /// Lifetime of a stream with its continuations, as a multiple of the longest route timeout.
 const LIFE_PER_TIMEOUT: u32 = 2;
 
-/// Time within which the nodes of one availability zone answer, or those of all others.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
-
-/// Age of the view of the store above which a version may have come unnoticed.
-const MAX_VIEW_AGE: Duration = Duration::from_secs(3);
-
 /// `Retry-After` of a stream that can't be taken up here.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -159,10 +149,7 @@
             return KnownVersions::Several;
         }
         let is_old = now.saturating_duration_since(self.started) > life;
-        let confirmed = self.view_confirmed_at.get();
-        let is_outdated =
-            confirmed.is_none_or(|at| now.saturating_duration_since(at) > MAX_VIEW_AGE);
-        if is_outdated || !is_old && !self.stream_origins.borrow().is_past_known {
+        if !is_old && !self.stream_origins.borrow().is_past_known {
             return KnownVersions::Unknown;
         }
         let only = versions.only_since(service, since);
@@ -206,12 +193,6 @@
         self.stream_origins.borrow_mut().record_saved(origin, life, Instant::now());
     }
 
-    /// Returns what this node knows of a stream's origin.
-    fn origin_answer(&self, key: StreamKey, service: &ServiceName) -> OriginAnswer {
-        let recorded = self.stream_origins.borrow().get(key).cloned();
-        OriginAnswer { recorded, versions: self.known_versions(service) }
-    }
-
     /// Records the version at which a request's stream began, here and at the nodes that others
     /// will ask: those of this availability zone, and in case the zone is lost, those of others
     /// while there are several versions.
@@ -276,16 +257,17 @@
         else {
             return Ok(());
         };
-        let found = self.find_origin().await;
-        let version = found.as_ref().and_then(|version| version.name());
+        let found = OriginLookup::from(self).find().await;
+        let version = found.version.as_ref().and_then(|version| version.name());
         self.gateway.decisions.write(&Decision::StreamTakenUp(StreamTakenUp {
             request: &self.info.id,
             resumes: self.info.resumes.as_deref(),
             last_event,
-            is_known: found.is_some(),
+            basis: found.basis,
             version: version.map(|name| &**name),
+            view: found.barrier.map(|err| err.to_string()),
         }));
-        match found {
+        match found.version {
             Some(version) => {
                 self.stream_version.get_or_init(|| version);
                 Ok(())
@@ -293,79 +275,4 @@
             None => Err(LocalResponse::with_retry_after(Reason::UnknownOrigin, RETRY_AFTER)),
         }
     }
-
-    /// Returns the version that began the request's stream.
-    ///
-    /// Without a record, it is the only version that the service has had. This node alone can't tell
-    /// that while it is out of step, so another one has to say the same.
-    async fn find_origin(&self) -> Option<SoftwareVersion> {
-        let (service, key) = (&self.service.name, self.stream_key());
-        let own = self.gateway.origin_answer(key, service);
-        if self.info.resumes.is_some() && own.recorded.is_some() {
-            return own.recorded;
-        }
-        let mut answers = OriginAnswers::default();
-        let zone = &self.gateway.settings.zone;
-        let holders = self.gateway.peers.borrow().record_holders(zone, key.0, Instant::now());
-        let uri = format!("{ORIGIN_PATH}?key={}&service={service}", key.0);
-        for targets in [holders.own_zone, holders.other_zones] {
-            ask(targets, &uri, &mut answers).await;
-            if let Some(version) = self.conclude(&own, &answers) {
-                return Some(version);
-            }
-        }
-        None
-    }
-
-    /// Returns the version that follows from this node's own answer and those of others.
-    fn conclude(&self, own: &OriginAnswer, others: &OriginAnswers) -> Option<SoftwareVersion> {
-        let recorded = others.recorded().filter(|_| self.info.resumes.is_some());
-        if recorded.is_some() {
-            return recorded;
-        }
-        // Another service of a split route may have begun it, before the shares were changed.
-        let is_alone = self.gateway.peers.borrow().node_count() == 1;
-        if self.route.is_split() || others.is_empty() && !is_alone {
-            return None;
-        }
-        let mut all = others.clone();
-        all.push(own.clone());
-        all.only_version()
-    }
-}
-
-/// Asks some nodes for a stream's origin; ends with the first one that has a record.
-async fn ask(targets: Vec<SocketAddr>, uri: &str, answers: &mut OriginAnswers) {
-    let asked = async {
-        let mut asked: FuturesUnordered<_> =
-            targets.into_iter().map(|target| fetch(target, uri)).collect();
-        while let Some(answer) = asked.next().await {
-            match answer {
-                Ok(answer) => answers.push(answer),
-                Err(err) => log::debug!("peers: the origin of a stream was not told: {err}"),
-            }
-            if answers.recorded().is_some() {
-                return;
-            }
-        }
-    };
-    if timeout(ANSWER_TIMEOUT, asked).await.is_err() {
-        log::debug!("peers: the origin of a stream was not told in time");
-    }
-}
-
-async fn fetch(target: SocketAddr, uri: &str) -> Result<OriginAnswer, FetchError> {
-    let uri = Uri::try_from(uri).unwrap_or(Uri::from_static(ORIGIN_PATH));
-    Ok(get(&mut connect(target).await?, uri, Duration::ZERO).await?.resource)
-}
-
-/// Answers the question of another node which version began a stream.
-pub(crate) fn answer_origin(gateway: &Rc<Gateway>, query: &str) -> Response<BoxBody> {
-    let key = query_value(query, "key").and_then(|key| key.parse().ok()).map(StreamKey);
-    let service = query_value(query, "service").and_then(|service| service.parse().ok());
-    let answer = match (key, service) {
-        (Some(key), Some(service)) => gateway.origin_answer(key, &service),
-        _ => OriginAnswer::default(),
-    };
-    encoded("origin", &answer)
 }
--- a/components/gateway/src/stream_origin/answers.rs
+++ b/components/gateway/src/stream_origin/answers.rs
@@ -11,6 +11,8 @@
     pub(crate) recorded: Option<SoftwareVersion>,
     /// What the node knows of the service's versions.
     pub(crate) versions: KnownVersions,
+    /// Whether `versions` holds all that the store held when the node was asked.
+    pub(crate) is_current: bool,
 }
 
 /// Versions of a service within the time that a stream can last, as one node knows them.
@@ -33,18 +35,22 @@
         self.0.push(answer);
     }
 
-    /// Returns whether no node answered.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.0.is_empty()
-    }
-
     /// Returns the version that a node was told.
     pub(crate) fn recorded(&self) -> Option<SoftwareVersion> {
         self.0.iter().find_map(|answer| answer.recorded.clone())
     }
 
-    /// Returns the only version of the service, unless a node knows of another one.
+    /// Returns the only version of the service, if a node whose view is up to date knows it and no
+    /// node knows of another one.
+    ///
+    /// However many nodes say the same from older views, they may lack the same change.
     pub(crate) fn only_version(&self) -> Option<SoftwareVersion> {
+        let is_current = |answer: &OriginAnswer| {
+            answer.is_current && matches!(answer.versions, KnownVersions::Only(_))
+        };
+        if !self.0.iter().any(is_current) {
+            return None;
+        }
         let mut only = None;
         for answer in &self.0 {
             match (&answer.versions, &only) {
--- a/components/gateway/src/stream_origin/tests.rs
+++ b/components/gateway/src/stream_origin/tests.rs
@@ -1,6 +1,11 @@
 //! How long origins are kept, and which ones are saved.
 
-use super::*;
+use super::{
+    answers::{OriginAnswer, OriginAnswers},
+    *,
+};
+use std::rc::Rc;
+
 use crate::{ClusterClock, SystemBootClock, directory::Directory, test_support};
 
 const LIFE: Duration = Duration::from_secs(20);
@@ -60,14 +65,19 @@
     assert!(origins.get(origin("id-1", "v1").key).is_some());
 }
 
+/// Returns answers of nodes whose views are up to date.
 fn answers(all: &[KnownVersions]) -> OriginAnswers {
     let mut answers = OriginAnswers::default();
     for versions in all {
-        answers.push(OriginAnswer { recorded: None, versions: versions.clone() });
+        answers.push(answer(versions.clone(), true));
     }
     answers
 }
 
+fn answer(versions: KnownVersions, is_current: bool) -> OriginAnswer {
+    OriginAnswer { recorded: None, versions, is_current }
+}
+
 fn only(version: &str) -> KnownVersions {
     KnownVersions::Only(origin("id-1", version).version)
 }
@@ -92,3 +102,18 @@
     assert_eq!(answers(&[KnownVersions::Unknown]).only_version(), None);
     assert_eq!(answers(&[]).only_version(), None);
 }
+
+// Guards against ORDER of review/9: two nodes that were cut off together agreed from views that
+// lacked the same version.
+#[test]
+fn only_version_of_nodes_that_may_be_out_of_step_is_unknown() {
+    let mut answers = OriginAnswers::default();
+    for _ in 0..3 {
+        answers.push(answer(only("v1"), false));
+    }
+    assert_eq!(answers.only_version(), None);
+    answers.push(answer(KnownVersions::Unknown, true));
+    assert_eq!(answers.only_version(), None, "a view that is up to date, but too young");
+    answers.push(answer(only("v1"), true));
+    assert_eq!(answers.only_version(), Some(origin("id-1", "v1").version));
+}
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -13,12 +13,16 @@
 
 use bytes::Bytes;
 use lycheelatch_prelude::{InvalidValue, UpstreamId};
-use tokio::{sync::watch, time::Instant};
+use tokio::{
+    sync::{Notify, watch},
+    time::{Instant, timeout},
+};
 
 use crate::{
     Gateway, KeyValue, Store, StoreError, StoreLayout, StoreRevision,
     event_log::{log_event, millis},
     node_event::NodeEvent,
+    read_barrier::FollowedStore,
     restore::Restore,
     tombstones::{Tombstone, Tombstones},
 };
@@ -120,6 +124,20 @@
     pub(crate) restore: Cell<Option<Restore>>,
     /// Revision of the last configuration that was refused.
     pub(crate) rejected_config: Cell<Option<StoreRevision>>,
+    /// Ends the pause between two watches.
+    read_soon: Notify,
+}
+
+impl FollowedStore for StoreView {
+    fn complete_up_to(&self) -> Option<StoreRevision> {
+        // The entries of a store that came back from a copy have to settle first.
+        let is_complete = !self.is_following.get() && self.restore.get().is_none();
+        is_complete.then(|| self.revision.get())
+    }
+
+    fn read_soon(&self) {
+        self.read_soon.notify_one();
+    }
 }
 
 impl StoreView {
@@ -149,6 +167,7 @@
             revision_at_recovery: Cell::default(),
             restore: Cell::default(),
             rejected_config: Cell::default(),
+            read_soon: Notify::new(),
         }
     }
 
@@ -183,7 +202,7 @@
 
     /// Sets the time since the last response of the store, as another node reported it.
     pub(crate) fn set_age(&self, age: Duration) {
-        self.confirm(Instant::now().checked_sub(age));
+        self.last_success.set(Instant::now().checked_sub(age));
     }
 
     /// Returns the time since the last response of the store.
@@ -196,6 +215,13 @@
         self.gateway.settings.change_bound / INTERVALS_PER_BOUND
     }
 
+    /// Waits between two watches, unless the view is needed up to date.
+    pub(crate) async fn pause(&self) {
+        if timeout(self.read_interval(), self.read_soon.notified()).await.is_ok() {
+            log::trace!("store: read without a pause");
+        }
+    }
+
     /// Returns the time from a write until it is read, if the store answers.
     pub(crate) fn max_read_delay(&self) -> Duration {
         self.read_interval() + RESPONSE_TIME
@@ -217,12 +243,7 @@
         if self.calls.record_success(sent).is_some_and(|outage| outage > MIN_OUTAGE) {
             self.await_registrations(now);
         }
-        self.confirm(Some(now));
-    }
-
-    fn confirm(&self, at: Option<Instant>) {
-        self.last_success.set(at);
-        self.gateway.view_confirmed_at.set(at);
+        self.last_success.set(Some(now));
     }
 
     /// Lets upstreams that are missing register again within the grace period.
--- a/components/gateway/src/version_record.rs
+++ b/components/gateway/src/version_record.rs
@@ -55,7 +55,8 @@
     revision: StoreRevision,
 }
 
-fn record_key() -> String {
+/// Returns the key of the record.
+pub(crate) fn record_key() -> String {
     format!("{OWN_PREFIX}versions")
 }
 
--- a/components/gateway/src/view_exchange.rs
+++ b/components/gateway/src/view_exchange.rs
@@ -191,7 +191,7 @@
             wait_for_change(&view, cursor).await;
             encoded("view", &view_wire(&view, cursor))
         }
-        ORIGIN_PATH => answer_origin(&gateway, req.uri().query().unwrap_or_default()),
+        ORIGIN_PATH => answer_origin(&gateway, req.uri().query().unwrap_or_default()).await,
         CACHES_PATH => encoded("caches", &engine_caches(&gateway)),
         METRICS_PATH => metrics(&gateway),
         _ => empty(StatusCode::NOT_FOUND),
@@ -378,11 +378,6 @@
     }
     let is_fresh = Duration::from_millis(wire.age_ms) <= view.max_age();
     let revision = StoreRevision::from(wire.revision);
-    if is_fresh {
-        let read_at = Instant::now().checked_sub(Duration::from_millis(wire.age_ms));
-        let confirmed = &view.gateway.view_confirmed_at;
-        confirmed.set(confirmed.get().max(read_at));
-    }
     view.note_era(revision);
     let rollouts = wire.rollouts.into_iter().map(KeyValue::from);
     let is_ahead = is_fresh && revision >= view.revision.get();
