gateway: the end of a roll-out says nothing of versions that come later

What callers saw: LOST. A roll-out to v2 was completed, then runners of v3 replaced those of v2 without an order.

Cause: `Rollouts::bars` took every version but the one that the order named for the one that was replaced, for as long as the status stayed in the store. `permitted` read the end in the same way, so that a later version got no new request beside the one before.

Ruled out: origins that are not found (`stream_taken_up` says known for all 24), runners that are ejected or have no room (new streams begin at the same ones).

Change: a completed roll-out concerns the upstreams of other versions whose entries were created by the revision at which the store first held its end. They get no new requests while others have room, as they stop at once; their streams may go on. What registers later is not concerned, whatever its version. The fact is the entry's creation in the store, which nodes now pass on with their views, so leader, follower and a process that has only the status read the same. A version that was rolled back stays barred from everything.

--- a/components/gateway/src/config_view.rs
+++ b/components/gateway/src/config_view.rs
@@ -42,7 +42,8 @@
         }
         log_event(&NodeEvent::ConfigApplied { version, source, at, age_ms: millis(self.age()) });
         let changed = self.next_change();
-        *self.config.borrow_mut() = Some(CachedEntry { value, revision, changed });
+        *self.config.borrow_mut() =
+            Some(CachedEntry { value, revision, created: revision, changed });
         self.announce_change(changed);
     }
 
--- a/components/gateway/src/decision.rs
+++ b/components/gateway/src/decision.rs
@@ -161,6 +161,8 @@
     /// Request that brought the stream's first event, if the caller names it.
     pub(crate) resumes: Option<&'a str>,
     pub(crate) last_event: u64,
+    /// Whether the version that began it is known; otherwise it is refused.
+    pub(crate) is_known: bool,
     /// What the version that began it follows from.
     pub(crate) basis: OriginBasis,
     /// That version, if its upstreams name one.
--- a/components/gateway/src/directory.rs
+++ b/components/gateway/src/directory.rs
@@ -76,11 +76,13 @@
     /// Responses that it cut off.
     pub(crate) cuts: CutResponses,
     revision: Cell<StoreRevision>,
+    /// Revision at which it registered.
+    created: StoreRevision,
     is_removed: Cell<bool>,
 }
 
 impl Upstream {
-    fn new(entry: UpstreamEntry, revision: StoreRevision) -> Upstream {
+    fn new(entry: UpstreamEntry, revision: StoreRevision, created: StoreRevision) -> Upstream {
         Upstream {
             entry: RefCell::new(entry),
             running: Cell::new(0),
@@ -94,6 +96,7 @@
             pool: Pool::default(),
             cuts: CutResponses::default(),
             revision: Cell::new(revision),
+            created,
             is_removed: Cell::new(false),
         }
     }
@@ -109,6 +112,11 @@
         self.entry.borrow().id.clone()
     }
 
+    /// Returns whether it had registered by a revision.
+    pub(crate) fn is_registered_by(&self, revision: StoreRevision) -> bool {
+        self.created <= revision
+    }
+
     /// Returns its short identifier in messages between nodes.
     pub(crate) fn key(&self) -> UpstreamKey {
         UpstreamKey::from(&self.entry.borrow().id)
@@ -158,8 +166,21 @@
 }
 
 impl Directory {
-    /// Inserts or updates an upstream, unless its current entry is at least as new.
+    /// Inserts or updates an upstream that registered at this revision, unless its current entry is
+    /// at least as new.
     pub fn put(&self, entry: UpstreamEntry, revision: StoreRevision) {
+        self.put_created(entry, revision, revision);
+    }
+
+    /// Inserts or updates an upstream whose entry was created at a revision, unless its current
+    /// entry is at least as new.
+    pub(crate) fn put_created(
+        &self,
+        entry: UpstreamEntry,
+        revision: StoreRevision,
+        created: StoreRevision,
+    ) {
+        let mut registered_at = created;
         let mut upstreams = self.upstreams.borrow_mut();
         if let Some(current) = upstreams.get(&entry.id) {
             if revision <= current.revision.get() {
@@ -176,6 +197,8 @@
                 current.entry.replace(entry);
                 return;
             }
+            // Another process took over the entry.
+            registered_at = revision;
         }
         log_event(&NodeEvent::UpstreamAdded {
             upstream: &entry.id,
@@ -183,7 +206,7 @@
             address: entry.address,
         });
         self.versions.borrow_mut().add(&entry, Instant::now());
-        let upstream = Rc::new(Upstream::new(entry, revision));
+        let upstream = Rc::new(Upstream::new(entry, revision, registered_at));
         self.by_key.borrow_mut().insert(upstream.key(), upstream.clone());
         if let Some(replaced) = upstreams.insert(upstream.id(), upstream) {
             self.retire(&replaced);
--- a/components/gateway/src/restore.rs
+++ b/components/gateway/src/restore.rs
@@ -72,6 +72,9 @@
         if let Some(restore) = self.restore.get() {
             for item in &mut items {
                 item.revision = self.revision_of_listed(item, &restore);
+                if restore.may_be_copied(item.created) {
+                    item.created.era = restore.before;
+                }
             }
             // What was known before, and is no longer, was deleted before.
             items.retain(|item| {
--- a/components/gateway/src/rollout.rs
+++ b/components/gateway/src/rollout.rs
@@ -44,8 +44,8 @@
     pub(crate) duration: Duration,
     ordered_at: Instant,
     phase: RolloutPhase,
-    /// Whether the store says that the phase is the last one.
-    is_end_stored: bool,
+    /// Revision at which the store said first that the phase is the last one.
+    ended_at: Option<StoreRevision>,
     canary_share: f64,
     /// Whether this node sends nothing to the canary because of what it counted itself.
     is_stopped_here: bool,
@@ -69,7 +69,7 @@
             duration: order.duration,
             ordered_at,
             phase: RolloutPhase::Canary,
-            is_end_stored: false,
+            ended_at: None,
             canary_share: 0.0,
             is_stopped_here: false,
             is_completion_due: false,
@@ -99,7 +99,7 @@
         }
         self.is_withdrawn = false;
         self.duration = order.duration;
-        if !self.is_end_stored {
+        if self.ended_at.is_none() {
             self.phase = RolloutPhase::Canary;
         }
     }
@@ -133,7 +133,7 @@
 
     /// Applies the status that the store holds.
     pub(crate) fn apply_status(&mut self, status: &RolloutStatus, written: StoreRevision) {
-        if !self.owns(status, written) || self.is_end_stored {
+        if !self.owns(status, written) || self.ended_at.is_some() {
             return;
         }
         let phase = match status.state {
@@ -141,7 +141,7 @@
             RolloutState::Completed => RolloutPhase::Completed,
             RolloutState::RolledBack => RolloutPhase::RolledBack,
         };
-        self.is_end_stored = true;
+        self.ended_at = Some(written);
         self.phase = phase;
     }
 
@@ -236,6 +236,21 @@
         if version == Some(&self.to) { Track::Canary } else { Track::Stable }
     }
 
+    /// Returns whether the end of the roll-out takes a version out of use: one that was rolled back.
+    ///
+    /// A completed roll-out says nothing of other versions, which may come later without an order.
+    pub(crate) fn bars(&self, version: Option<&Arc<str>>) -> bool {
+        self.phase == RolloutPhase::RolledBack && self.track(version) == Track::Canary
+    }
+
+    /// Returns whether an upstream was replaced when the roll-out was completed: one of another
+    /// version that had registered by then, which stops soon.
+    pub(crate) fn replaced(&self, upstream: &Upstream) -> bool {
+        let had_registered = self.ended_at.is_some_and(|end| upstream.is_registered_by(end));
+        let is_completed = self.phase == RolloutPhase::Completed;
+        is_completed && had_registered && self.track_of(upstream) == Track::Stable
+    }
+
     /// Returns the track of an upstream.
     pub(crate) fn track_of(&self, upstream: &Upstream) -> Track {
         self.track(upstream.entry.borrow().version.as_ref())
--- a/components/gateway/src/rollout_placement.rs
+++ b/components/gateway/src/rollout_placement.rs
@@ -11,6 +11,7 @@
     Gateway,
     directory::Upstream,
     place::{Placement, PlacementError, PlacementRequest, place},
+    rollout::Rollout,
 };
 
 #[cfg(test)]
@@ -56,12 +57,14 @@
 ) -> Permitted {
     let mut rollouts = gateway.rollouts.borrow_mut();
     let Some(rollout) = rollouts.get_mut(service) else { return Permitted::Any(candidates) };
+    if rollout.phase() == RolloutPhase::Completed {
+        return Permitted::Any(without_replaced(rollout, candidates));
+    }
     let track = |up: &Rc<Upstream>| rollout.track_of(up);
     let has_stable = all.iter().any(|up| track(up) == Track::Stable);
     let (canary, stable): (Vec<_>, Vec<_>) =
         candidates.into_iter().partition(|up| track(up) == Track::Canary);
     match rollout.phase() {
-        RolloutPhase::Completed if !canary.is_empty() => Permitted::Any(canary),
         RolloutPhase::Completed | RolloutPhase::RolledBack => Permitted::Any(stable),
         // Nothing is replaced where all upstreams run the new version and always have.
         _ if !has_stable && rollout.counts().sent == rollout.counts().sent_to_canary => {
@@ -79,6 +82,13 @@
     }
 }
 
+/// Returns the candidates that a completed roll-out did not replace, or all if there is no other.
+fn without_replaced(rollout: &Rollout, candidates: Vec<Rc<Upstream>>) -> Vec<Rc<Upstream>> {
+    let (replaced, left): (Vec<_>, Vec<_>) =
+        candidates.into_iter().partition(|up| rollout.replaced(up));
+    if left.is_empty() { replaced } else { left }
+}
+
 /// Returns `count` of the upstreams, the same ones on all nodes.
 fn first_by_hash(mut upstreams: Vec<Rc<Upstream>>, count: usize, seed: u64) -> Vec<Rc<Upstream>> {
     if count < upstreams.len() {
--- a/components/gateway/src/rollout_view.rs
+++ b/components/gateway/src/rollout_view.rs
@@ -51,7 +51,7 @@
             self.forget_rejected(key);
         }
         let changed = self.next_change();
-        let cached = CachedEntry { value, revision, changed };
+        let cached = CachedEntry { value, revision, created: revision, changed };
         self.rollouts.borrow_mut().insert(key.clone(), cached);
         self.announce_change(changed);
     }
--- a/components/gateway/src/rollouts.rs
+++ b/components/gateway/src/rollouts.rs
@@ -5,13 +5,14 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use lycheelatch_policy::{CanaryOutcome, RolloutLimits, RolloutPhase, Track};
+use lycheelatch_policy::{CanaryOutcome, RolloutLimits, RolloutPhase};
 use lycheelatch_prelude::ServiceName;
 use lycheelatch_settings::RolloutBounds;
 use tokio::time::Instant;
 
 use crate::{
     RolloutOrder, RolloutState, RolloutStatus, StoreRevision,
+    directory::Upstream,
     event_log::{log_event, millis},
     node_event::NodeEvent,
     rollout::Rollout,
@@ -185,14 +186,16 @@
         self.services.get(service).is_some_and(|rollout| !rollout.is_final())
     }
 
-    /// Returns whether the end of a roll-out bars a version of a service from new requests.
+    /// Returns whether the end of a roll-out bars a version of a service from all requests.
     pub(crate) fn bars(&self, service: &ServiceName, version: Option<&Arc<str>>) -> bool {
-        let Some(rollout) = self.services.get(service) else { return false };
-        match rollout.phase() {
-            RolloutPhase::Canary | RolloutPhase::Promoting => false,
-            RolloutPhase::Completed => rollout.track(version) == Track::Stable,
-            RolloutPhase::RolledBack => rollout.track(version) == Track::Canary,
-        }
+        self.services.get(service).is_some_and(|rollout| rollout.bars(version))
+    }
+
+    /// Returns whether the end of a roll-out leaves an upstream of a service in use.
+    pub(crate) fn leaves_in_use(&self, service: &ServiceName, upstream: &Upstream) -> bool {
+        let Some(rollout) = self.services.get(service) else { return true };
+        let is_barred = rollout.bars(upstream.entry.borrow().version.as_ref());
+        !is_barred && !rollout.replaced(upstream)
     }
 
     /// Returns what this node counted, for the other nodes.
--- a/components/gateway/src/rollouts/tests.rs
+++ b/components/gateway/src/rollouts/tests.rs
@@ -3,7 +3,11 @@
 use lycheelatch_policy::{LatencyClass, RolloutStep, decide_rollout};
 
 use super::*;
-use crate::{StoreEra, test_support::first_era};
+use crate::{
+    StoreEra,
+    directory::Directory,
+    test_support::{self, first_era},
+};
 
 const DURATION: Duration = Duration::from_secs(60);
 
@@ -125,6 +129,35 @@
     assert!(!rollouts.bars(&service(), None));
 }
 
+// Guards against LOST of review/7: a completed roll-out barred every version but its own, for good.
+#[tokio::test]
+async fn completed_end_bars_no_version_and_replaces_what_had_registered() {
+    let upstreams = Directory::default();
+    let put = |id: &str, at: u64| {
+        let entry = test_support::engine_entry(id, "zone-a");
+        let entry = crate::UpstreamEntry { version: Some(id[..2].into()), ..entry };
+        upstreams.put(entry, first_era(at));
+    };
+    for (id, at) in [("v1-a", 2), ("v2-a", 4), ("v1-b", 6), ("v1-c", 8), ("v3-a", 8)] {
+        put(id, at);
+    }
+    let completed = status(RolloutState::Completed, "v2", 5);
+    let mut ordered = rollouts();
+    ordered.apply_order(order("v2"), first_era(5), Instant::now());
+    let mut restarted = rollouts();
+    for rollouts in [&mut ordered, &mut restarted] {
+        rollouts.apply_status(&service(), completed.clone(), first_era(7));
+        for name in ["v1", "v2", "v3"] {
+            assert!(!rollouts.bars(&service(), Some(&version(name))), "{name}");
+        }
+        assert!(!rollouts.bars(&service(), None));
+        let left = upstreams.all().into_iter();
+        let left = left.filter(|upstream| rollouts.leaves_in_use(&service(), upstream));
+        let left: Vec<_> = left.map(|upstream| upstream.id().to_string()).collect();
+        assert_eq!(left, ["v1-c", "v2-a", "v3-a"]);
+    }
+}
+
 #[tokio::test]
 async fn running_status_before_its_order_does_not_end_it() {
     let mut rollouts = rollouts();
--- a/components/gateway/src/scale.rs
+++ b/components/gateway/src/scale.rs
@@ -129,7 +129,7 @@
 ) -> Vec<ZoneCapacity> {
     let rollouts = gateway.rollouts.borrow();
     let mut upstreams = gateway.directory.available(&service.name);
-    upstreams.retain(|up| !rollouts.bars(&service.name, up.entry.borrow().version.as_ref()));
+    upstreams.retain(|up| rollouts.leaves_in_use(&service.name, up));
     let count = |zone: &ZoneName, is_reclaimable: bool| {
         let matches = |up: &&Rc<crate::Upstream>| {
             let entry = up.entry.borrow();
--- a/components/gateway/src/store_watch.rs
+++ b/components/gateway/src/store_watch.rs
@@ -114,7 +114,7 @@
             view.apply_config(item.value, item.revision, EntrySource::Store);
         }
         StoreEvent::Written(item) if is_upstream(&item.key) => {
-            view.apply_upstream(&item.key, item.value, item.revision);
+            view.apply_upstream(item);
         }
         StoreEvent::Deleted { key, revision } if is_upstream(&key) => {
             view.handle_deletion(&key, revision);
--- a/components/gateway/src/stream_origin.rs
+++ b/components/gateway/src/stream_origin.rs
@@ -230,7 +230,7 @@
     }
 
     /// Returns whether an upstream may run the request: a stream goes on only at its own version, and
-    /// not at one that a roll-out has ended.
+    /// not at one that was rolled back.
     pub(crate) fn may_run_at(&self, upstream: &Upstream) -> bool {
         let Some(version) = self.stream_version.get() else { return true };
         let is_barred = || {
@@ -263,6 +263,7 @@
             request: &self.info.id,
             resumes: self.info.resumes.as_deref(),
             last_event,
+            is_known: found.version.is_some(),
             basis: found.basis,
             version: version.map(|name| &**name),
             view: found.barrier.map(|err| err.to_string()),
--- a/components/gateway/src/sync.rs
+++ b/components/gateway/src/sync.rs
@@ -58,6 +58,8 @@
 pub(crate) struct CachedEntry {
     pub(crate) value: Bytes,
     pub(crate) revision: StoreRevision,
+    /// Revision of the key's creation.
+    pub(crate) created: StoreRevision,
     /// The last local change that altered more than the entry's sequence number.
     pub(crate) changed: LocalChange,
 }
@@ -275,7 +277,9 @@
     }
 
     /// Applies an upstream's entry, unless the cached entry or tombstone is at least as new.
-    pub(crate) fn apply_upstream(&self, key: &Arc<str>, value: Bytes, revision: StoreRevision) {
+    pub(crate) fn apply_upstream(&self, item: KeyValue) {
+        let KeyValue { key, value, revision, created } = item;
+        let key = &key;
         let mut upstreams = self.upstreams.borrow_mut();
         let is_up_to_date = upstreams.get(key).is_some_and(|cached| cached.revision >= revision);
         if is_up_to_date || self.tombstones.borrow().covers(key, revision) {
@@ -288,7 +292,7 @@
         match parsed.and_then(|entry| self.gateway.check_entry(entry)) {
             Ok(entry) => {
                 self.rejected.borrow_mut().remove(key);
-                self.gateway.directory.put(entry, revision);
+                self.gateway.directory.put_created(entry, revision, created);
             }
             Err(err) => {
                 self.log_rejected(key, &err);
@@ -302,7 +306,7 @@
         }
         let previous = upstreams.get(key).filter(|_| before == after);
         let changed = previous.map_or_else(|| self.next_change(), |cached| cached.changed);
-        upstreams.insert(key.clone(), CachedEntry { value, revision, changed });
+        upstreams.insert(key.clone(), CachedEntry { value, revision, created, changed });
         drop(upstreams);
         if changed > self.last_change() {
             self.changes.send_replace(changed);
@@ -389,7 +393,7 @@
     pub(crate) fn apply_listing(&self, items: Vec<KeyValue>, revision: StoreRevision) {
         let listed: BTreeSet<_> = items.iter().map(|item| item.key.clone()).collect();
         for item in items {
-            self.apply_upstream(&item.key, item.value, item.revision);
+            self.apply_upstream(item);
         }
         let cached: Vec<_> = self.upstreams.borrow().keys().cloned().collect();
         for key in cached.iter().filter(|key| !listed.contains(*key)) {
--- a/components/gateway/src/view_exchange.rs
+++ b/components/gateway/src/view_exchange.rs
@@ -65,6 +65,7 @@
     key: String,
     value: Vec<u8>,
     revision: RevisionWire,
+    created: RevisionWire,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -127,8 +128,12 @@
 
 impl From<ValueWire> for KeyValue {
     fn from(wire: ValueWire) -> KeyValue {
-        let revision = wire.revision.into();
-        KeyValue { key: wire.key.into(), value: wire.value.into(), revision, created: revision }
+        KeyValue {
+            key: wire.key.into(),
+            value: wire.value.into(),
+            revision: wire.revision.into(),
+            created: wire.created.into(),
+        }
     }
 }
 
@@ -137,6 +142,7 @@
         key: key.to_owned(),
         value: cached.value.to_vec(),
         revision: cached.revision.into(),
+        created: cached.created.into(),
     }
 }
 
@@ -391,7 +397,7 @@
     }
     let items = wire.upstreams.into_iter().map(KeyValue::from);
     for item in items.filter(|item| is_ahead || view.is_current(&item.key, item.revision)) {
-        view.apply_upstream(&item.key, item.value, item.revision);
+        view.apply_upstream(item);
     }
     for tombstone in wire.tombstones {
         let key: Arc<str> = tombstone.key.into();
--- a/components/gateway/src/view_exchange/tests.rs
+++ b/components/gateway/src/view_exchange/tests.rs
@@ -128,6 +128,7 @@
         key: (*key).to_owned(),
         value: b"80".to_vec(),
         revision: first_era(*revision).into(),
+        created: first_era(*revision).into(),
     };
     ViewWire {
         incarnation: 1,
