gateway: a port that the system chooses is free for connections and for datagrams

A node whose settings name port 0 binds its listener for other nodes first, and then datagrams at the port that this gave, which another process may have.

Change: where the system chooses, another port is tried, at most 16.

--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -1,12 +1,12 @@
 //! Startup and graceful shutdown of a gateway.
 
-use std::{cell::RefCell, io, rc::Rc, time::Duration};
+use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::{Response, StatusCode};
 use actix_rt::task::JoinHandle;
 use lycheelatch_settings::GatewaySettings;
 use tokio::{
-    net::UdpSocket,
+    net::{TcpListener, UdpSocket},
     time::{Instant, sleep},
 };
 
@@ -39,6 +39,9 @@
 /// Bytes by which a head may exceed its limit: blank lines before it, which the limit leaves out.
 const HEAD_SLACK_BYTES: usize = 1024;
 
+/// Number of ports that are tried where the operating system chooses one.
+const MAX_BIND_ATTEMPTS: u32 = 16;
+
 /// Interval at which the number of open requests is checked during shutdown.
 const STOP_POLL: Duration = Duration::from_millis(50);
 
@@ -73,14 +76,13 @@
     ) -> io::Result<RunningGateway> {
         let callers = server::bind(settings.callers)?;
         let readiness = server::bind(settings.readiness)?;
-        let internal = server::bind(settings.peers)?;
+        let (internal, datagrams) = bind_peers(settings.peers).await?;
         let metrics_port = server::bind(settings.metrics)?;
         // Port 0 lets the operating system choose; store the actual addresses.
         settings.callers = callers.local_addr()?;
         settings.readiness = readiness.local_addr()?;
         settings.peers = internal.local_addr()?;
         settings.metrics = metrics_port.local_addr()?;
-        let datagrams = UdpSocket::bind(settings.peers).await?;
         let time = Rc::new(ClusterClock::new(parts.boot.clone()));
         let gateway = Rc::new(Gateway::new(settings, parts.dialect, metrics, time));
         let view =
@@ -173,6 +175,23 @@
     }
 }
 
+/// Binds the address at which other nodes reach this one, for connections and for datagrams.
+///
+/// A port that the operating system chooses for the one may be in use for the other; then another
+/// one is tried.
+async fn bind_peers(address: SocketAddr) -> io::Result<(TcpListener, UdpSocket)> {
+    let mut attempts_left = MAX_BIND_ATTEMPTS;
+    loop {
+        let listener = server::bind(address)?;
+        attempts_left -= 1;
+        match UdpSocket::bind(listener.local_addr()?).await {
+            Ok(datagrams) => return Ok((listener, datagrams)),
+            Err(err) if address.port() != 0 || attempts_left == 0 => return Err(err),
+            Err(err) => log::debug!("peers: a port is not free for datagrams: {err}"),
+        }
+    }
+}
+
 fn connection_table(gateway: &Gateway, name: &'static str, max: usize) -> Rc<ConnectionTable> {
     let closed = gateway.metrics.closed_connections.clone();
     let responses = match name {
@@ -183,7 +202,7 @@
     Rc::new(ConnectionTable::new(name, max, memory, responses, closed))
 }
 
-async fn serve_callers(gateway: Rc<Gateway>, listener: tokio::net::TcpListener) {
+async fn serve_callers(gateway: Rc<Gateway>, listener: TcpListener) {
     let limits_of = gateway.clone();
     let limits = move || {
         let limits = limits_of.table().map_or_else(CallerLimits::default, |table| table.limits);
@@ -202,7 +221,7 @@
     server::serve(listener, table, limits, Some(drain), handler).await;
 }
 
-async fn serve_readiness(gateway: Rc<Gateway>, listener: tokio::net::TcpListener) {
+async fn serve_readiness(gateway: Rc<Gateway>, listener: TcpListener) {
     let table = connection_table(&gateway, "readiness", gateway.limits.probes);
     let handler = move |_req| {
         let status =
@@ -216,7 +235,7 @@
 async fn serve_internal(
     gateway: Rc<Gateway>,
     view: Rc<StoreView>,
-    listener: tokio::net::TcpListener,
+    listener: TcpListener,
     table: Rc<ConnectionTable>,
 ) {
     let handler = move |req| view_exchange::handle_request(gateway.clone(), view.clone(), req);
