--- a/components/fakes/src/entry/upstream.rs
+++ b/components/fakes/src/entry/upstream.rs
@@ -10,6 +10,7 @@
 
 use super::{
     any_port,
+    behavior::Behavior,
     crash::{Crash, CrashEnd, CrashRule, TaskSet, holds_shared_part},
     process::{end_process, report_execution},
     response_text::{
@@ -17,66 +18,6 @@
     },
 };
 
-/// How an upstream handles one request.
-#[derive(Debug, Clone)]
-pub enum Behavior {
-    /// Sends a complete response with a signature.
-    Respond(u16, String),
-    /// Sends a complete response with these header lines besides the request's ID.
-    RespondWith {
-        /// Status code.
-        status: u16,
-        /// Header lines, each with its end.
-        headers: String,
-        /// Body.
-        body: String,
-    },
-    /// Sends this text, in which `{id}` stands for the request's ID, then resets the connection.
-    Cut(String),
-    /// Sends a body that is delimited by the close of the connection.
-    CloseDelimited(String),
-    /// Sends such a body, but resets the connection instead of closing it.
-    CloseDelimitedReset(String),
-    /// Resets the connection without a response.
-    Reset,
-    /// Responds with this status and the header that marks the request as not executed.
-    NotExecuted(u16),
-    /// Sends a response with another request's ID first, then the response with this body.
-    StaleResponseFirst(String),
-    /// Responds with this body (the request's ID if empty), then sends a surplus response.
-    ExtraResponse(String),
-    /// Sends a response without a signature.
-    Unsigned,
-    /// Sends events with these IDs, then ends the stream.
-    Events(Vec<u64>),
-    /// Sends events with these IDs and then this text, in a body that is delimited by the close of
-    /// the connection.
-    CloseDelimitedEvents(Vec<u64>, String),
-    /// Sends events with these IDs and a part of another one, then resets the connection.
-    TruncatedEvents(Vec<u64>),
-    /// Sends the first event of [`Behavior::Echo`] and a part of a second one, then resets the
-    /// connection.
-    TruncatedEcho,
-    /// Sends this text, in which `{id}` stands for the request's ID, then the other one without end.
-    Endless {
-        /// Sent once.
-        start: String,
-        /// Sent again and again.
-        repeated: String,
-    },
-    /// Sends events with these IDs, then a byte now and then, without end.
-    StallingEvents(Vec<u64>),
-    /// Responds that the request was not executed, with a body of which a byte is sent now and then.
-    EndlessRefusal,
-    /// Never responds.
-    Hang,
-    /// Waits for 1.1 s, then continues as [`Behavior::Echo`].
-    DelayedEcho,
-    /// Responds with the request's ID; on streaming paths, with events that contain it and follow
-    /// the `last-event-id` of the request.
-    Echo,
-}
-
 /// Delay of [`Behavior::DelayedEcho`].
 const ECHO_DELAY: Duration = Duration::from_millis(1100);
 
@@ -113,10 +54,14 @@
     }
 }
 
+/// How a request is handled by what it holds; `None` leaves it to the script.
+type Choice = Rc<dyn Fn(&ReceivedRequest) -> Option<Behavior>>;
+
 #[derive(Default)]
 struct State {
     script: VecDeque<Behavior>,
     default: Option<Behavior>,
+    choice: Option<Choice>,
     received: Vec<ReceivedRequest>,
     executed: Vec<ExecutedRequest>,
     disconnects: u32,
@@ -129,6 +74,13 @@
     instance: Option<String>,
 }
 
+impl State {
+    fn next_behavior(&mut self) -> Behavior {
+        let default = self.default.clone().unwrap_or(Behavior::Respond(200, "ok".to_owned()));
+        self.script.pop_front().unwrap_or(default)
+    }
+}
+
 /// A request that an upstream started to execute.
 #[derive(Debug, Clone)]
 pub struct ExecutedRequest {
@@ -259,6 +211,12 @@
         self.state.borrow_mut().default = Some(behavior);
     }
 
+    /// Sets how some requests are handled by what they hold, whichever upstream they come to; `None`
+    /// leaves a request to the script.
+    pub fn set_choice(&self, choice: impl Fn(&ReceivedRequest) -> Option<Behavior> + 'static) {
+        self.state.borrow_mut().choice = Some(Rc::new(choice));
+    }
+
     /// Appends the handling of one request to the script.
     pub fn push(&self, behavior: Behavior) {
         self.state.borrow_mut().script.push_back(behavior);
@@ -298,11 +256,11 @@
         while let Some(req) = read_request(&mut io).await {
             let id = req.header("lycheelatch-request-id").unwrap_or("none").to_owned();
             let is_misdirected = self.is_misdirected(&req);
+            let choice = self.state.borrow().choice.clone();
+            let chosen = choice.and_then(|choice| choice(&req));
             let behavior = {
                 let mut state = self.state.borrow_mut();
-                let default =
-                    state.default.clone().unwrap_or(Behavior::Respond(200, "ok".to_owned()));
-                let scripted = state.script.pop_front().unwrap_or(default);
+                let scripted = chosen.unwrap_or_else(|| state.next_behavior());
                 let behavior = if is_misdirected { Behavior::NotExecuted(421) } else { scripted };
                 if !matches!(behavior, Behavior::NotExecuted(_)) {
                     state.executed.push(ExecutedRequest { id: id.clone(), at: Instant::now() });
