soak: clients take streams up while versions, shares and links change

None of the three faults of the review could show in the soak: its upstreams had one version and one service, no client took a stream up, and no two nodes were cut off together. The scenario `taken-up` begins streams of a split route at one node and takes them up at another one, beside the usual faults, while versions join and leave without an order, a roll-out is completed, the shares change, and two nodes are cut off from the store while the third one is stopped. Checked from what clients see: all events of a stream are of one version of one service, always; and of the streams that nothing disturbed at least half go on.

--- a/components/soak/src/cluster.rs
+++ b/components/soak/src/cluster.rs
@@ -20,6 +20,7 @@
     nodes::{Cut, Links, Node, QUIET_TIME},
     restored_store::restore_forever,
     rollouts::RolloutLog,
+    taken_up::{self, TakenUpLog},
     upstream_processes::UpstreamProcesses,
 };
 
@@ -38,6 +39,8 @@
     Rollout,
     /// The store comes back from a copy, again and again.
     RestoredStore,
+    /// Clients take streams up at other nodes, while versions and shares change.
+    TakenUp,
 }
 
 const NODES: usize = 3;
@@ -79,6 +82,7 @@
     harmful_calls: HarmfulCalls,
     limits: LimitLog,
     rollouts: RolloutLog,
+    taken_up: TakenUpLog,
 }
 
 impl Cluster {
@@ -118,6 +122,7 @@
             harmful_calls: HarmfulCalls::default(),
             limits: LimitLog::new(seed),
             rollouts: RolloutLog::default(),
+            taken_up: TakenUpLog::new(),
         }
     }
 
@@ -145,6 +150,9 @@
         if cluster.scenario == Scenario::RestoredStore {
             callers.push(actix_rt::spawn(restore_forever(cluster.clone())));
         }
+        if cluster.scenario == Scenario::TakenUp {
+            callers.extend(taken_up::start(&cluster).await);
+        }
         let faults = inject_all(&cluster, plan(cluster.seed, NODES, UPSTREAMS, length));
         let cuts = inject_all(&cluster, plan_cuts(cluster.seed, NODES, length));
         tokio::join!(faults, cuts);
@@ -195,6 +203,11 @@
             violations.extend(self.rollouts.check(&all));
             notes.push(self.rollouts.summary());
         }
+        if self.scenario == Scenario::TakenUp {
+            let (note, found) = self.taken_up.check();
+            notes.push(note);
+            violations.extend(found);
+        }
         Report {
             seed: self.seed,
             requests: calls.len(),
@@ -209,6 +222,25 @@
         self.seed
     }
 
+    pub(crate) fn nodes(&self) -> &[Node] {
+        &self.nodes
+    }
+
+    pub(crate) fn taken_up(&self) -> &TakenUpLog {
+        &self.taken_up
+    }
+
+    /// Publishes a new version of the configuration.
+    pub(crate) fn update_config(&self) {
+        let version = *self.config_version.borrow() + 1;
+        self.config_version.replace(version);
+        let mut config = configuration(version);
+        if self.scenario == Scenario::TakenUp {
+            self.taken_up.add_to(&mut config);
+        }
+        self.store.put("op/config", &config);
+    }
+
     pub(crate) fn store(&self) -> &FakeStore {
         &self.store
     }
@@ -229,7 +261,7 @@
     }
 
     /// Returns whether neither the store nor any node was disturbed within [`QUIET_TIME`].
-    fn is_quiet(&self) -> bool {
+    pub(crate) fn is_quiet(&self) -> bool {
         self.nodes.iter().all(|node| self.is_quiet_at(node))
     }
 
@@ -332,11 +364,7 @@
                 cut_off(leader, cut, time).await;
             }
         }
-        Fault::UpdateConfig => {
-            let version = *cluster.config_version.borrow() + 1;
-            cluster.config_version.replace(version);
-            cluster.store.put("op/config", &configuration(version));
-        }
+        Fault::UpdateConfig => cluster.update_config(),
     }
 }
 
--- a/components/soak/src/main.rs
+++ b/components/soak/src/main.rs
@@ -10,6 +10,7 @@
 mod nodes;
 mod restored_store;
 mod rollouts;
+mod taken_up;
 mod upstream_processes;
 
 use std::{path::PathBuf, process::ExitCode, time::Duration};
@@ -46,13 +47,16 @@
                     "named-limits",
                     "rollout",
                     "restored-store",
+                    "taken-up",
                 ])
                 .default_value("faults")
                 .help("What happens beside the faults")
                 .long_help(
                     "What happens beside the faults: nothing; upstreams crash on requests whose prompt \
                      holds one part, in this process or in processes of their own; upstreams name limits of requests a second; a bad and a good \
-                     version are rolled out; or the store comes back from a copy, again and again",
+                     version are rolled out; the store comes back from a copy, again and again; or \
+                     clients take streams up at other nodes, while versions and shares change and \
+                     nodes are cut off together",
                 ),
         )
         .arg(
@@ -75,6 +79,7 @@
         Some("named-limits") => Scenario::NamedLimits,
         Some("rollout") => Scenario::Rollout,
         Some("restored-store") => Scenario::RestoredStore,
+        Some("taken-up") => Scenario::TakenUp,
         _ => Scenario::Faults,
     };
     let node = matches.get_one::<PathBuf>("node").cloned().unwrap_or_else(default_node_program);
