gateway: nodes take over the records of streams of other zones

Cause: while one version serves, only the zone's own nodes are told of a stream. Once there are several, the zone's streams are written to the store, but a node read them only at its start.

Change: a node that watches the store gets these records anyway, and takes them over. No call and no byte more; memory while records are needed: one entry for each stream of the cluster within a stream's lifetime, at the nodes that read the store.

--- a/components/gateway/src/store_watch.rs
+++ b/components/gateway/src/store_watch.rs
@@ -7,6 +7,7 @@
 use crate::{
     Freshness, StoreError, StoreEvent, StoreRevision,
     entry_source::EntrySource,
+    stream_record::{apply_stream_record, is_stream_record},
     sync::{StoreView, WATCH_WAIT},
 };
 
@@ -125,6 +126,9 @@
         StoreEvent::Deleted { key, revision } if view.is_rollout_key(&key) => {
             view.remove_rollout(&key, revision);
         }
+        StoreEvent::Written(item) if is_stream_record(&item.key) => {
+            apply_stream_record(&view.gateway, &item);
+        }
         StoreEvent::Written(_) | StoreEvent::Deleted { .. } => {}
     }
 }
--- a/components/gateway/src/stream_record.rs
+++ b/components/gateway/src/stream_record.rs
@@ -3,7 +3,8 @@
 //! The nodes hold the origins of streams for each other. When all of them are killed at once, only
 //! the store can tell which version began a stream that is taken up afterwards. The first node of
 //! each availability zone writes the streams of its zone, gathered over a short time; entries end
-//! with their lease.
+//! with their lease. Nodes that watch the store take over the records of other zones as they are
+//! written: a zone may be lost whose streams began before a record was needed.
 
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
@@ -12,7 +13,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    Commit, CommitOutcome, Freshness, Gateway, LeaseId, Store, StoreError, StoreRevision,
+    Commit, CommitOutcome, Freshness, Gateway, KeyValue, LeaseId, Store, StoreError, StoreRevision,
     event_log::log_event,
     layout::OWN_PREFIX,
     node_event::NodeEvent,
@@ -26,6 +27,9 @@
 /// Time after the start of a process within which it hears of the other nodes.
 const SETTLE_TIME: Duration = Duration::from_millis(700);
 
+/// Prefix of the records below that of the nodes' own keys.
+const RECORDS: &str = "origins/";
+
 /// Maximum number of streams in one entry.
 const MAX_STREAMS: usize = 8000;
 
@@ -37,7 +41,7 @@
 }
 
 fn records_prefix() -> String {
-    format!("{OWN_PREFIX}origins/")
+    format!("{OWN_PREFIX}{RECORDS}")
 }
 
 /// Reads the records of earlier processes, and writes those of this availability zone, until the
@@ -69,11 +73,8 @@
     while gateway.is_zone_recorder(Instant::now()) {
         match store.list(&records_prefix(), Freshness::Linearizable).await {
             Ok(listing) => {
-                let records =
-                    listing.items.iter().filter_map(|item| decode(&item.key, &item.value));
-                let origins: Vec<_> = records.flatten().collect();
-                log_event(&NodeEvent::StreamOriginsRead { streams: origins.len() });
-                origins.into_iter().for_each(|origin| gateway.record_saved_origin(origin));
+                let applied = listing.items.iter().map(|item| apply_stream_record(gateway, item));
+                log_event(&NodeEvent::StreamOriginsRead { streams: applied.sum() });
                 return;
             }
             Err(err) => log::info!("streams: the records were not read: {err}"),
@@ -82,6 +83,20 @@
     }
 }
 
+/// Returns whether a key is that of a record.
+pub(crate) fn is_stream_record(key: &str) -> bool {
+    key.strip_prefix(OWN_PREFIX).is_some_and(|name| name.starts_with(RECORDS))
+}
+
+/// Takes over the streams of a record, which another availability zone may have written; returns
+/// their number.
+pub(crate) fn apply_stream_record(gateway: &Gateway, item: &KeyValue) -> usize {
+    let origins = decode(&item.key, &item.value).unwrap_or_default();
+    let count = origins.len();
+    origins.into_iter().for_each(|origin| gateway.record_saved_origin(origin));
+    count
+}
+
 /// Streams of one version in an entry.
 #[derive(Debug, Serialize, Deserialize)]
 struct StreamsWire {
