gateway: where a stream can have begun is asked of the configuration read after its client came

What callers would see: the rest of a stream from another service. A route was moved; a node that had not read that yet concluded the service of a stream without a record from the configuration before, and only the version from the store.

Change: one question, what origins are possible for streams of a route, with service and version in one answer, asked after the barrier, here or at the node that passed it. The configuration by which a stream that is taken up is routed is the one in force after that. Where several origins are known, the stream is refused without a read.

--- a/components/gateway/src/route_history.rs
+++ b/components/gateway/src/route_history.rs
@@ -2,17 +2,27 @@
 
 use std::sync::Arc;
 
-use tokio::time::Instant;
-
 use lycheelatch_prelude::ServiceName;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{Route, RouteKind, RoutingTable, use_history::UseHistory};
 
 #[cfg(test)]
 mod tests;
 
-/// Services of the routes whose streams can be resumed, by the route's name.
-pub(crate) type RouteHistory = UseHistory<Arc<str>, ServiceName>;
+/// Hash of a route's name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct RouteKey(pub(crate) u64);
+
+impl From<&Route> for RouteKey {
+    fn from(route: &Route) -> RouteKey {
+        RouteKey(xxh3_64(route.name.as_bytes()))
+    }
+}
+
+/// Services of the routes whose streams can be resumed.
+pub(crate) type RouteHistory = UseHistory<RouteKey, ServiceName>;
 
 impl RouteHistory {
     /// Takes note that a configuration replaces another one.
@@ -23,10 +33,10 @@
         now: Instant,
     ) {
         for (route, service) in before.into_iter().flat_map(resumable) {
-            self.end(&route.name, service.clone(), now);
+            self.end(&RouteKey::from(&**route), service.clone(), now);
         }
         for (route, service) in resumable(table) {
-            self.begin(&route.name, service.clone(), now);
+            self.begin(&RouteKey::from(&**route), service.clone(), now);
         }
     }
 }
--- a/components/gateway/src/route_history/tests.rs
+++ b/components/gateway/src/route_history/tests.rs
@@ -7,6 +7,11 @@
 
 const LIFE: Duration = Duration::from_secs(20);
 
+/// Returns the key of the only route.
+fn key() -> RouteKey {
+    RouteKey(xxh3_64(b"route"))
+}
+
 /// Applies configurations with the shares of one route; returns its only service since a life ago.
 fn only_after(shares: &[&[(&str, u32)]]) -> Option<String> {
     let mut history = RouteHistory::default();
@@ -16,7 +21,7 @@
         history.replace(before.as_ref(), &next, Instant::now());
         before = Some(next);
     }
-    let only = history.only_since(&"route".into(), Instant::now() - LIFE);
+    let only = history.only_since(&key(), Instant::now() - LIFE);
     only.map(|service| service.to_string())
 }
 
@@ -39,6 +44,6 @@
     history.replace(None, &first, Instant::now());
     history.replace(Some(&first), &second, Instant::now());
     tokio::time::advance(LIFE + Duration::from_secs(1)).await;
-    let only = history.only_since(&"route".into(), Instant::now() - LIFE);
+    let only = history.only_since(&key(), Instant::now() - LIFE);
     assert_eq!(only, Some("b".parse().unwrap()));
 }
--- a/components/gateway/src/serve.rs
+++ b/components/gateway/src/serve.rs
@@ -29,7 +29,7 @@
     open_count::OpenGuard,
     quota::Charge,
     request_body::{BodyError, read_request_body},
-    software_version::SoftwareVersion,
+    software_version::{ServiceVersion, SoftwareVersion},
     stream_origin::origin_of_resumed,
 };
 
@@ -165,8 +165,7 @@
     if !gateway.is_initialized() {
         return Err(LocalResponse::with_retry_after(Reason::NotInitialized, NOT_INITIALIZED_RETRY));
     }
-    let table = gateway.table().ok_or(LocalResponse::new(Reason::NotInitialized))?;
-    let route = route_of(&table, req).ok_or(LocalResponse::new(Reason::UnknownRoute))?.clone();
+    let (table, route) = current_route(gateway, req)?;
     let workspace = workspace_of(&table, &route, req)?;
     let timeout = info.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
     let deadline = arrived + timeout;
@@ -181,11 +180,12 @@
     let began_at = found.ok_or(LocalResponse::new(Reason::DeadlineExpired))??;
     // All this may have taken long, and what is passed on now needs time for its response.
     refuse_while_stopping(gateway)?;
-    let service = match &began_at {
-        Some(began_at) => table.service(&began_at.service).cloned(),
-        None => pick_service(&table, &route),
+    let (table, route) = match began_at {
+        // The configuration may have changed meanwhile.
+        Some(_) => current_route(gateway, req)?,
+        None => (table, route),
     };
-    let service = service.ok_or(LocalResponse::new(Reason::NoUpstream))?;
+    let service = pick_service(&table, &route, began_at.as_ref())?;
     let trial = check_request(gateway, &service, info.prompt.as_ref())?;
     let chain = info.prompt.as_ref().map(PrefixChain::from);
     let now = Instant::now();
@@ -223,6 +223,16 @@
     Ok(())
 }
 
+/// Returns the configuration in force and a request's route by it.
+fn current_route(
+    gateway: &Gateway,
+    req: &Request,
+) -> Result<(Rc<RoutingTable>, Arc<Route>), LocalResponse> {
+    let table = gateway.table().ok_or(LocalResponse::new(Reason::NotInitialized))?;
+    let route = route_of(&table, req).ok_or(LocalResponse::new(Reason::UnknownRoute))?.clone();
+    Ok((table, route))
+}
+
 fn route_of<'a>(table: &'a RoutingTable, req: &Request) -> Option<&'a Arc<Route>> {
     let host = req.headers().get(HOST).and_then(|host| host.to_str().ok());
     let host = host.or(req.uri().host())?;
@@ -264,9 +274,23 @@
     })
 }
 
-/// Draws a service by the shares of the route.
-fn pick_service(table: &RoutingTable, route: &Route) -> Option<Arc<ServiceSpec>> {
-    table.service(route.pick(rand::random())?).cloned()
+/// Returns the service that began the stream that is taken up, if the route allows it; for any other
+/// request draws one by the route's shares.
+fn pick_service(
+    table: &RoutingTable,
+    route: &Route,
+    began_at: Option<&ServiceVersion>,
+) -> Result<Arc<ServiceSpec>, LocalResponse> {
+    let name = match began_at {
+        Some(began_at) => {
+            let mut allowed = route.services();
+            let service = allowed.find(|service| **service == began_at.service);
+            Some(service.ok_or(LocalResponse::new(Reason::OriginNotAllowed))?)
+        }
+        None => route.pick(rand::random()),
+    };
+    let service = name.and_then(|name| table.service(name));
+    service.cloned().ok_or(LocalResponse::new(Reason::NoUpstream))
 }
 
 fn check_quota(
--- a/components/gateway/src/stream_origin.rs
+++ b/components/gateway/src/stream_origin.rs
@@ -13,7 +13,6 @@
     time::Duration,
 };
 
-use lycheelatch_prelude::ServiceName;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
@@ -25,6 +24,7 @@
     local_response::LocalResponse,
     messages::Datagram,
     notices::send_notice,
+    route_history::RouteKey,
     serve::RequestContext,
     software_version::{ServiceVersion, SoftwareVersion},
 };
@@ -34,7 +34,7 @@
 #[cfg(test)]
 mod tests;
 
-use answers::KnownVersions;
+use answers::PossibleOrigins;
 use lookup::OriginLookup;
 pub(crate) use lookup::{ORIGIN_PATH, answer_origin};
 
@@ -142,22 +142,28 @@
         (longest * LIFE_PER_TIMEOUT).max(MIN_STREAM_LIFE)
     }
 
-    /// Returns the versions of a service for as long as a stream can last.
-    fn known_versions(&self, service: &ServiceName) -> KnownVersions {
-        let now = Instant::now();
-        let life = self.stream_life();
-        // A process younger than that has no earlier time to ask for.
-        let since = now.checked_sub(life).unwrap_or(self.started);
+    /// Returns where the streams of a route can have begun, for as long as a stream can last.
+    fn possible_origins(&self, route: RouteKey) -> PossibleOrigins {
+        let since = self.streams_since();
+        let routes = self.route_history.borrow();
         let versions = self.directory.versions.borrow();
-        if versions.has_several_of(service, since) {
-            return KnownVersions::Several;
+        let Some(service) = routes.only_since(&route, since) else {
+            return match routes.has_several_of(&route, since) {
+                true => PossibleOrigins::Several,
+                false => PossibleOrigins::Unknown,
+            };
+        };
+        if versions.has_several_of(&service, since) {
+            return PossibleOrigins::Several;
         }
-        let is_old = now.saturating_duration_since(self.started) > life;
+        let is_old = self.started.elapsed() > self.stream_life();
         if !is_old && !self.stream_origins.borrow().is_past_known {
-            return KnownVersions::Unknown;
+            return PossibleOrigins::Unknown;
+        }
+        match versions.only_since(&service, since) {
+            Some(version) => PossibleOrigins::Only(ServiceVersion { service, version }),
+            None => PossibleOrigins::Unknown,
         }
-        let only = versions.only_since(service, since);
-        only.map_or(KnownVersions::Unknown, KnownVersions::Only)
     }
 
     /// Returns whether this node keeps the origins of its availability zone in the store: the first
@@ -167,12 +173,6 @@
         is_first && !self.is_stopping()
     }
 
-    /// Returns the only service at which a stream of a route can have begun.
-    fn only_service(&self, route: &Route) -> Option<ServiceName> {
-        let since = self.streams_since();
-        self.route_history.borrow().only_since(&route.name, since)
-    }
-
     /// Returns since when the streams that may still be taken up have begun, as far as this process
     /// can tell.
     fn streams_since(&self) -> Instant {
@@ -249,8 +249,7 @@
 
 /// Returns what began the stream that a client takes up; `None` for any other request.
 ///
-/// A stream of which that is not known is refused, as its rest could come from another version, and
-/// so is one whose service the route does not allow any more.
+/// A stream of which that is not known is refused: its rest could come from another version.
 pub(crate) async fn origin_of_resumed(
     gateway: &Gateway,
     route: &Route,
@@ -259,8 +258,7 @@
     let Some(last_event) = info.resume_after.filter(|_| route.kind.is_stream()) else {
         return Ok(None);
     };
-    let only_service = gateway.only_service(route);
-    let found = OriginLookup::new(gateway, info, only_service.as_ref()).find().await;
+    let found = OriginLookup::new(gateway, info, RouteKey::from(route)).find().await;
     let began_at = found.began_at.as_ref();
     gateway.decisions.write(&Decision::StreamTakenUp(StreamTakenUp {
         request: &info.id,
@@ -273,9 +271,5 @@
         view: found.barrier.map(|err| err.to_string()),
     }));
     let unknown = LocalResponse::with_retry_after(Reason::UnknownOrigin, RETRY_AFTER);
-    let began_at = found.began_at.ok_or(unknown)?;
-    if !route.services().any(|service| *service == began_at.service) {
-        return Err(LocalResponse::new(Reason::OriginNotAllowed));
-    }
-    Ok(Some(began_at))
+    found.began_at.ok_or(unknown).map(Some)
 }
--- a/components/gateway/src/stream_origin/lookup.rs
+++ b/components/gateway/src/stream_origin/lookup.rs
@@ -4,12 +4,11 @@
 
 use actix_http::{Response, Uri, body::BoxBody};
 use futures_util::{StreamExt, stream::FuturesUnordered};
-use lycheelatch_prelude::ServiceName;
 use tokio::time::{Instant, timeout};
 
 use super::{
     StreamKey,
-    answers::{KnownVersions, OriginAnswer, OriginAnswers},
+    answers::{OriginAnswer, OriginAnswers},
 };
 use crate::{
     Gateway, RequestInfo,
@@ -17,11 +16,12 @@
     peer_http::{FetchError, connect, encoded, get, query_value},
     peers::RecordHolders,
     read_barrier::BarrierError,
+    route_history::RouteKey,
     software_version::ServiceVersion,
 };
 
-/// Path of the question what began a stream; the query holds its key, the only service that can have
-/// begun it, if there is one, and whether the answer has to rest on all that the store holds.
+/// Path of the question what began a stream; the query holds its key, that of its route, and whether
+/// the answer has to rest on all that the store holds.
 pub(crate) const ORIGIN_PATH: &str = "/origin";
 
 /// Time within which the nodes of one availability zone answer, or those of all others.
@@ -63,25 +63,24 @@
     key: StreamKey,
     /// Whether the client names the request that brought the first event.
     is_named: bool,
-    /// The only service at which the stream can have begun, if there is one.
-    only_service: Option<&'a ServiceName>,
+    route: RouteKey,
 }
 
 impl<'a> OriginLookup<'a> {
     pub(super) fn new(
         gateway: &'a Gateway,
         info: &RequestInfo,
-        only_service: Option<&'a ServiceName>,
+        route: RouteKey,
     ) -> OriginLookup<'a> {
         let is_named = info.resumes.is_some();
-        OriginLookup { gateway, key: StreamKey::from(info), is_named, only_service }
+        OriginLookup { gateway, key: StreamKey::from(info), is_named, route }
     }
 
     /// Looks for a record of the stream, at this node and at those that hold it for the others.
     ///
-    /// Without a record, it began at the only version of the only service, if that follows from a
-    /// read of the store that began after the client's request came: a stream begins only at a
-    /// version whose entry the store holds.
+    /// Without a record, it began at the only version of the route's only service, if that follows
+    /// from a read of the store that began after the client's request came: a stream begins only by
+    /// a configuration and at a version that the store holds.
     pub(super) async fn find(&self) -> FoundOrigin {
         let own = self.gateway.stream_origins.borrow().get(self.key).cloned();
         if let Some(began_at) = own.filter(|_| self.is_named) {
@@ -96,32 +95,24 @@
                 return FoundOrigin::at(began_at, OriginBasis::OtherRecord);
             }
         }
-        match self.only_service {
-            Some(service) => self.conclude(service, holders, answers).await,
-            None => FoundOrigin::unknown(None),
-        }
+        self.conclude(holders, answers).await
     }
 
-    /// Returns the only version of the only service, if there is one.
-    async fn conclude(
-        &self,
-        service: &ServiceName,
-        holders: RecordHolders,
-        mut answers: OriginAnswers,
-    ) -> FoundOrigin {
+    /// Returns the only possible origin, if there is one.
+    async fn conclude(&self, holders: RecordHolders, mut answers: OriginAnswers) -> FoundOrigin {
+        if answers.has_several() || self.gateway.possible_origins(self.route).is_several() {
+            return FoundOrigin::unknown(None);
+        }
         let passed = self.gateway.pass_read_barrier().await;
-        // The versions are read after the barrier.
-        let versions = self.gateway.known_versions(service);
-        answers.push(OriginAnswer { recorded: None, versions, is_current: passed.is_ok() });
-        if passed.is_err() {
+        // What is possible is asked after the barrier.
+        let possible = self.gateway.possible_origins(self.route);
+        answers.push(OriginAnswer { recorded: None, possible, is_current: passed.is_ok() });
+        if passed.is_err() && !answers.has_several() {
             let others: Vec<_> = holders.own_zone.into_iter().chain(holders.other_zones).collect();
             self.ask(&others, Freshness::Current, &mut answers).await;
         }
-        match answers.only_version() {
-            Some(version) => {
-                let began_at = ServiceVersion { service: service.clone(), version };
-                FoundOrigin::at(began_at, OriginBasis::OnlyVersion)
-            }
+        match answers.only_origin() {
+            Some(began_at) => FoundOrigin::at(began_at, OriginBasis::OnlyVersion),
             None => FoundOrigin::unknown(passed.err()),
         }
     }
@@ -129,9 +120,8 @@
     /// Asks some nodes; ends with the first answer that is enough.
     async fn ask(&self, targets: &[SocketAddr], needed: Freshness, answers: &mut OriginAnswers) {
         let is_current = needed == Freshness::Current;
-        let service = self.only_service.map(|service| format!("&service={service}"));
-        let service = service.unwrap_or_default();
-        let uri = format!("{ORIGIN_PATH}?key={}{service}&current={is_current}", self.key.0);
+        let (key, route) = (self.key.0, self.route.0);
+        let uri = format!("{ORIGIN_PATH}?key={key}&route={route}&current={is_current}");
         let asked = async {
             let mut asked: FuturesUnordered<_> =
                 targets.iter().map(|target| fetch(*target, &uri)).collect();
@@ -140,7 +130,7 @@
                     Ok(answer) => answers.push(answer),
                     Err(err) => log::debug!("peers: the origin of a stream was not told: {err}"),
                 }
-                if answers.recorded().is_some() || is_current && answers.only_version().is_some() {
+                if answers.recorded().is_some() || is_current && answers.only_origin().is_some() {
                     return;
                 }
             }
@@ -163,10 +153,9 @@
 
 impl Gateway {
     /// Returns what this node knows of a stream's origin.
-    fn origin_answer(&self, key: StreamKey, only_service: Option<&ServiceName>) -> OriginAnswer {
+    fn origin_answer(&self, key: StreamKey, route: RouteKey) -> OriginAnswer {
         let recorded = self.stream_origins.borrow().get(key).cloned();
-        let versions = only_service.map_or(KnownVersions::Unknown, |it| self.known_versions(it));
-        OriginAnswer { recorded, versions, is_current: false }
+        OriginAnswer { recorded, possible: self.possible_origins(route), is_current: false }
     }
 
     /// Waits until the view holds all that the store held when this was called.
@@ -186,10 +175,12 @@
 /// Answers the question of another node what began a stream.
 pub(crate) async fn answer_origin(gateway: &Rc<Gateway>, query: &str) -> Response<BoxBody> {
     let key = query_value(query, "key").and_then(|key| key.parse().ok()).map(StreamKey);
-    let service = query_value(query, "service").and_then(|service| service.parse().ok());
-    let Some(key) = key else { return encoded("origin", &OriginAnswer::default()) };
+    let route = query_value(query, "route").and_then(|key| key.parse().ok()).map(RouteKey);
+    let (Some(key), Some(route)) = (key, route) else {
+        return encoded("origin", &OriginAnswer::default());
+    };
     let must_be_current = query_value(query, "current") == Some("true");
     let is_current = must_be_current && gateway.pass_read_barrier().await.is_ok();
-    let answer = OriginAnswer { is_current, ..gateway.origin_answer(key, service.as_ref()) };
+    let answer = OriginAnswer { is_current, ..gateway.origin_answer(key, route) };
     encoded("origin", &answer)
 }
--- a/components/gateway/src/stream_origin/tests.rs
+++ b/components/gateway/src/stream_origin/tests.rs
@@ -85,7 +85,7 @@
 }
 
 /// Returns answers of nodes whose views are up to date.
-fn answers(all: &[KnownVersions]) -> OriginAnswers {
+fn answers(all: &[PossibleOrigins]) -> OriginAnswers {
     let mut answers = OriginAnswers::default();
     for versions in all {
         answers.push(answer(versions.clone(), true));
@@ -93,33 +93,33 @@
     answers
 }
 
-fn answer(versions: KnownVersions, is_current: bool) -> OriginAnswer {
-    OriginAnswer { recorded: None, versions, is_current }
+fn answer(possible: PossibleOrigins, is_current: bool) -> OriginAnswer {
+    OriginAnswer { recorded: None, possible, is_current }
 }
 
-fn only(version: &str) -> KnownVersions {
-    KnownVersions::Only(origin("id-1", version).began_at.version)
+fn only(version: &str) -> PossibleOrigins {
+    PossibleOrigins::Only(origin("id-1", version).began_at)
 }
 
 #[test]
 fn only_version_of_all_that_know_it_is_the_origin() {
-    let version = Some(origin("id-1", "v1").began_at.version);
-    assert_eq!(answers(&[only("v1"), KnownVersions::Unknown]).only_version(), version);
-    assert_eq!(answers(&[only("v1"), only("v1")]).only_version(), version);
+    let version = Some(origin("id-1", "v1").began_at);
+    assert_eq!(answers(&[only("v1"), PossibleOrigins::Unknown]).only_origin(), version);
+    assert_eq!(answers(&[only("v1"), only("v1")]).only_origin(), version);
 }
 
 #[test]
 fn only_version_that_another_node_contradicts_is_unknown() {
-    for other in [KnownVersions::Several, only("v2")] {
-        assert_eq!(answers(&[only("v1"), other.clone()]).only_version(), None, "{other:?}");
-        assert_eq!(answers(&[other.clone(), only("v1")]).only_version(), None, "{other:?}");
+    for other in [PossibleOrigins::Several, only("v2")] {
+        assert_eq!(answers(&[only("v1"), other.clone()]).only_origin(), None, "{other:?}");
+        assert_eq!(answers(&[other.clone(), only("v1")]).only_origin(), None, "{other:?}");
     }
 }
 
 #[test]
 fn only_version_that_nobody_knows_is_unknown() {
-    assert_eq!(answers(&[KnownVersions::Unknown]).only_version(), None);
-    assert_eq!(answers(&[]).only_version(), None);
+    assert_eq!(answers(&[PossibleOrigins::Unknown]).only_origin(), None);
+    assert_eq!(answers(&[]).only_origin(), None);
 }
 
 // Guards against ORDER of review/9: two nodes that were cut off together agreed from views that
@@ -130,9 +130,9 @@
     for _ in 0..3 {
         answers.push(answer(only("v1"), false));
     }
-    assert_eq!(answers.only_version(), None);
-    answers.push(answer(KnownVersions::Unknown, true));
-    assert_eq!(answers.only_version(), None, "a view that is up to date, but too young");
+    assert_eq!(answers.only_origin(), None);
+    answers.push(answer(PossibleOrigins::Unknown, true));
+    assert_eq!(answers.only_origin(), None, "a view that is up to date, but too young");
     answers.push(answer(only("v1"), true));
-    assert_eq!(answers.only_version(), Some(origin("id-1", "v1").began_at.version));
+    assert_eq!(answers.only_origin(), Some(origin("id-1", "v1").began_at));
 }
--- a/components/gateway/src/use_history.rs
+++ b/components/gateway/src/use_history.rs
@@ -55,28 +55,21 @@
         self.0.retain(|_, items| !items.is_empty());
     }
 
-    /// Returns the items of an owner that were in use since a time.
-    fn used_since(&self, owner: &O, since: Instant) -> impl Iterator<Item = &I> {
-        let items = self.0.get(owner).into_iter().flatten();
-        let used = items.filter(move |(_, used)| used.count > 0 || used.ended_at >= since);
-        used.map(|(item, _)| item)
-    }
-
     /// Returns the item of an owner, if only one was in use since a time.
     pub(crate) fn only_since(&self, owner: &O, since: Instant) -> Option<I> {
-        let mut used = self.used_since(owner, since);
+        let mut used = used_since(self.0.get(owner)?, since);
         let only = used.next()?;
         used.next().is_none().then(|| only.clone())
     }
 
     /// Returns whether several items of an owner were in use since a time.
     pub(crate) fn has_several_of(&self, owner: &O, since: Instant) -> bool {
-        self.used_since(owner, since).nth(1).is_some()
+        self.0.get(owner).is_some_and(|items| has_several(items, since))
     }
 
     /// Returns whether several items of any owner were in use since a time.
     pub(crate) fn has_several_since(&self, since: Instant) -> bool {
-        self.0.keys().any(|owner| self.has_several_of(owner, since))
+        self.0.values().any(|items| has_several(items, since))
     }
 
     /// Returns all items with the time at which their last use ended; `None` for those in use.
@@ -89,3 +82,13 @@
         })
     }
 }
+
+/// Returns the items that were in use since a time.
+fn used_since<I>(items: &BTreeMap<I, ItemUse>, since: Instant) -> impl Iterator<Item = &I> {
+    let used = items.iter().filter(move |(_, used)| used.count > 0 || used.ended_at >= since);
+    used.map(|(item, _)| item)
+}
+
+fn has_several<I>(items: &BTreeMap<I, ItemUse>, since: Instant) -> bool {
+    items.len() > 1 && used_since(items, since).nth(1).is_some()
+}
