--- a/components/fakes/src/entry/behavior.rs
+++ b/components/fakes/src/entry/behavior.rs
@@ -1,5 +1,7 @@
 //! How a scripted upstream handles a request.
 
+use super::response_text::SIGNATURE;
+
 /// How an upstream handles one request.
 #[derive(Debug, Clone)]
 pub enum Behavior {
@@ -59,3 +61,11 @@
     /// the `last-event-id` of the request.
     Echo,
 }
+
+impl Behavior {
+    /// Sends this text as a whole event stream, with its length.
+    pub fn event_text(events: String) -> Behavior {
+        let headers = format!("{SIGNATURE}Content-Type: text/event-stream\r\n");
+        Behavior::RespondWith { status: 200, headers, body: events }
+    }
+}
--- a/components/soak/src/taken_up.rs
+++ b/components/soak/src/taken_up.rs
@@ -197,8 +197,7 @@
 fn labelled_events(label: &str, req: &ReceivedRequest) -> Behavior {
     let after = req.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
     let events = (after + 1..=EVENTS).map(|number| format!("id: {number}\ndata: {label}\n\n"));
-    let headers = "Lycheelatch-Server-Signature: s.1\r\nContent-Type: text/event-stream\r\n";
-    Behavior::RespondWith { status: 200, headers: headers.to_owned(), body: events.collect() }
+    Behavior::event_text(events.collect())
 }
 
 /// Starts a version of each service, the clients and the changes; returns the tasks.
